--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,333 @@
+"""What was found to go wrong on hard days, one test for each, and the design's arithmetic."""
+
+import math
+import random
+import subprocess
+import sys
+
+import pytest
+from helpers import KEYED, MS, SAFE, UNSAFE, Drive, S, finals, info, sends
+
+from wheelstep import Settings
+from wheelstep import interface as api
+from wheelstep.interface import Outcome
+from wheelstep.logic import RetryLoop, gains
+
+
+def test_gains_are_those_of_equations_12_and_13() -> None:
+    # nu1 = 100/s, tau = 0.2 s, phi_m = pi/4: KP = 100/1.41421, KI = 100 (pi/2) / (1.41421 * 0.2)
+    kp, ki = gains(100.0, 0.2)
+    assert kp == pytest.approx(70.7107, abs=1e-3)
+    assert ki == pytest.approx(555.3604, abs=1e-3)
+
+
+def test_the_gate_is_open_below_t1_and_shut_by_retries_above_it() -> None:
+    loop = RetryLoop(slots=10, t1_us=1 * S, rng=random.Random(1))
+    loop.sample(200 * MS)
+    assert all(loop.may_retry(at) for at in range(0, S, 10 * MS))
+    loop.sample(50 * S)
+    for number in range(200):
+        loop.answered(2 * S + number * 10 * MS, to_retry=True)
+    # The first goes, since none was due before it.
+    assert [loop.may_retry(4 * S + at * 10 * MS) for at in range(1, 5)] == [True, False, False, False]
+
+
+def test_the_loop_opens_again_when_few_answers_are_to_retries() -> None:
+    loop = RetryLoop(slots=10, t1_us=1 * S, rng=random.Random(1))
+    loop.sample(2 * S)
+    for number in range(400):
+        loop.answered(number * 50 * MS, to_retry=False)
+    assert [loop.may_retry(20 * S + at * 200 * MS) for at in range(5)] == [True] * 5
+
+
+def test_tau_is_smoothed_by_one_over_the_slots() -> None:
+    loop = RetryLoop(slots=4, t1_us=1 * S, rng=random.Random(1))
+    loop.sample(100 * MS)
+    loop.sample(500 * MS)
+    assert math.isclose(loop.tau_us, 200 * MS)
+
+
+def test_waits_double_from_t1() -> None:
+    drive = Drive()
+    drive.submit("m")
+    t1_us, sent_us = SAFE.promise_us // 3, []
+    for attempt in range(3):
+        ended_us = drive.now
+        drive.end("m", Outcome.CANCELLED if attempt else Outcome.FULL, attempt=attempt)
+        while not sends(drive.at(drive.now + 5 * MS, api.TimerFired(0))):
+            pass
+        sent_us.append(drive.now - ended_us)
+    assert [round(wait / t1_us) for wait in sent_us] == [1, 2, 4]
+
+
+def test_the_window_opens_at_a_quarter_of_the_slots() -> None:
+    drive = Drive(slots=16)
+    for number in range(20):
+        drive.submit(f"m{number}")
+    assert len(sends(drive.actions)) == 4
+
+
+def test_one_slot_is_enough_to_work_with() -> None:
+    drive = Drive(slots=1)
+    for number in range(3):
+        drive.submit(f"m{number}")
+    assert sends(drive.actions) == ["m0"]
+    assert sends(drive.end("m0", Outcome.OK)) == ["m1"]
+
+
+def test_a_lost_answer_does_not_hold_a_slot_for_the_whole_deadline() -> None:
+    drive = Drive(classes=(api.MessageClass(2 * S, 60 * S, api.Effect.UNSAFE),))
+    drive.submit("m", left_us=60 * S)
+    start = next(a for a in drive.actions if isinstance(a, api.StartAttempt))
+    assert start.timeout_us <= 10 * S
+
+
+def test_a_time_out_at_a_messages_own_end_does_not_shrink_the_window() -> None:
+    drive = Drive(slots=16)
+    for number in range(4):
+        drive.submit(f"m{number}", left_us=300 * MS)
+    drive.tick(300 * MS)
+    for number in range(4):
+        drive.end(f"m{number}", Outcome.TIMEOUT, spent_us=300 * MS)
+    before = len(sends(drive.actions))
+    for number in range(4, 12):
+        drive.submit(f"m{number}")
+    assert len(sends(drive.actions)) - before == 4
+
+
+def test_a_backlog_of_one_destination_does_not_shut_out_the_others() -> None:
+    drive = Drive(listed=False, hold_limit=20)
+    drive.members(info("e0", 7), info("f0", 8))
+    for number in range(18):
+        drive.submit(f"stuck{number}", destination=7)
+    for number in range(10):
+        drive.submit(f"live{number}", destination=8)
+        drive.end(f"live{number}", Outcome.OK, endpoint="f0")
+    handed_back = [name for _, name in finals(drive.actions)]
+    assert not [name for name in handed_back if name.startswith("live")]
+
+
+def test_a_wait_in_one_call_holds_more_than_one_message() -> None:
+    drive = Drive(kinds=(api.Kind(per_call=5),), slots=4)
+    events: list[api.Event] = [api.MessageAccepted(f"m{i}", 0, 7, 20 * S) for i in range(7)]
+    assert len(sends(drive.at(0, *events))) == 5
+
+
+def test_the_worth_of_a_send_ranks_classes() -> None:
+    drive = Drive(classes=(SAFE, KEYED, UNSAFE), slots=1)
+    drive.submit("first")
+    for number, name in enumerate(("low", "middle", "high")):
+        drive.submit(name, cls=number)
+    drive.now = 1 * S
+    assert sends(drive.end("first", Outcome.OK)) == ["high"]
+
+
+def test_a_free_route_is_used_before_one_with_a_fee() -> None:
+    drive = Drive(listed=False, kinds=(api.Kind(routes_apart=True),), zone_fees=(0.06, 0.0))
+    drive.members(info("paid", zone=0), info("free", zone=1))
+    for number in range(3):
+        drive.submit(f"m{number}")
+    assert {a.endpoint for a in drive.actions if isinstance(a, api.StartAttempt)} == {"free"}
+
+
+def test_a_failed_subscription_is_asked_for_again() -> None:
+    drive = Drive(ask_for_list=True, ask_within_us=10 * S)
+    assert any(isinstance(a, api.Subscribe) for a in drive.actions)
+    drive.at(0, api.MembershipReceived(api.ListKind.UNAVAILABLE))
+    assert any(isinstance(a, api.Subscribe) for a in drive.tick(2 * S))
+
+
+@pytest.mark.parametrize("field, value", [
+    ("slots", 0), ("hold_limit", 0), ("cold_from", 0.0), ("classes", ()), ("fall_multiple", 0.0),
+    ("classes", (api.MessageClass(0, 1, api.Effect.SAFE),)),
+])
+def test_settings_that_make_no_sense_name_the_field(field: str, value: object) -> None:
+    given: dict[str, object] = {"classes": (SAFE,), "slots": 4, field: value}
+    with pytest.raises(ValueError, match=field):
+        Drive(**{"listed": False, **given})  # type: ignore[arg-type]
+
+
+def test_minimal_settings_work() -> None:
+    from wheelstep import Sender
+
+    sender = Sender(Settings(classes=(SAFE,), slots=1), 0)
+    assert sender.handle(0, [api.MessageAccepted("m", 0, 1, 5 * S)])
+
+
+SCRIPT = """
+import sys; sys.path[:0] = ["tests", "."]
+from helpers import Drive, S, MS, sends
+from wheelstep.interface import Outcome
+drive = Drive(endpoints=3)
+for number in range(40):
+    drive.submit(f"m{number}", cls=number % 4, key=f"k{number % 3}", destination=7)
+    for name in sends(drive.actions[-3:]):
+        drive.end(name, list(Outcome)[number % 8])
+    drive.tick(drive.now + 300 * MS)
+print(drive.actions)
+"""
+
+
+def test_hash_seeds_change_nothing() -> None:
+    outputs = {
+        subprocess.run([sys.executable, "-c", SCRIPT], env={"PYTHONHASHSEED": seed}, text=True,
+                       capture_output=True, check=True).stdout
+        for seed in ("0", "1", "77")
+    }
+    assert len(outputs) == 1 and "StartAttempt" in outputs.pop()
+
+
+def test_refusals_slow_a_paced_destination_at_once() -> None:
+    drive = Drive(slots=64, weights_are_rates=True, listed=False)
+    drive.members(info("e0", weight=40.0))
+    number, started = 0, []
+    while drive.now < 2 * S:
+        actions = drive.at(drive.now + 10 * MS, api.TimerFired(0),
+                           api.MessageAccepted(f"m{number}", 0, 7, 20 * S))
+        number += 1
+        for action in actions:
+            if isinstance(action, api.StartAttempt):
+                started.append(drive.now)
+                full = 1 * S < drive.now < 1_200 * MS
+                drive.sender.handle(drive.now, [api.AttemptEnded(
+                    action.message, 0, "e0", Outcome.FULL if full else Outcome.OK, 5 * MS, not full)])
+    before = len([at for at in started if at <= 1 * S]) / 1.0
+    after = len([at for at in started if at > 1_200 * MS]) / 0.8
+    assert before >= 35 and after <= 0.75 * before
+
+
+def test_a_probe_goes_where_no_message_may_go_on_trial() -> None:
+    drive = Drive(classes=(UNSAFE,), may_probe=True)
+    for number in range(4):
+        drive.submit(f"m{number}")
+    for number in range(4):
+        drive.end(f"m{number}", Outcome.RESET)
+    drive.submit("late")
+    assert any(isinstance(a, api.Probe) for a in drive.tick(9 * S)) and "late" not in sends(drive.actions)
+    answered = drive.at(drive.now, api.ProbeEnded("e0", Outcome.OK, 30 * MS))
+    assert sends(answered + drive.tick(16 * S)) == ["late"]
+
+
+def test_a_connection_that_will_idle_out_is_let_go() -> None:
+    drive = Drive(conn_idle_us=10 * S)
+    drive.submit("m")
+    assert api.CloseIdle("e0") in drive.end("m", Outcome.OK)
+
+
+def test_a_connection_in_steady_use_is_kept_where_handshakes_cost() -> None:
+    drive = Drive(conn_idle_us=10 * S, handshake_price=0.06)
+    for number in range(10):
+        drive.submit(f"m{number}")
+        last = drive.end(f"m{number}", Outcome.OK)
+        drive.tick(drive.now + 1 * S)
+    assert api.CloseIdle("e0") not in last
+
+
+def _served_in(drive: Drive, count: int, until_us: int) -> int:
+    """Hand in a clump at once and deliver each call after 100 ms; how many went by then?"""
+    due: list[tuple[int, str]] = []
+    events: list[api.Event] = [api.MessageAccepted(f"c{i}", 0, 7, 20 * S) for i in range(count)]
+    served = 0
+    while drive.now < until_us:
+        ended = [name for at, name in due if at <= drive.now]
+        due = [(at, name) for at, name in due if at > drive.now]
+        served += len(ended)
+        events += [api.AttemptEnded(name, 0, "e0", Outcome.OK, 100 * MS, True) for name in ended]
+        due += [(drive.now + 100 * MS, name) for name in sends(drive.at(drive.now, *events))]
+        events, drive.now = [api.TimerFired(0)], drive.now + 20 * MS
+    return served
+
+
+def test_a_clump_is_served_where_an_even_part_of_the_limit_is_next_to_nothing() -> None:
+    drive = Drive(slots=4, senders=300, weights_are_rates=True, listed=False)
+    drive.members(info("e0", weight=5.0))
+    assert _served_in(drive, 10, 8 * S) == 10
+
+
+def test_one_of_many_senders_falls_back_to_its_even_part_when_refused() -> None:
+    """Where refused calls use the limit up, what all senders try has to get under it."""
+    senders, limit = 300, 15.0
+    drive = Drive(slots=4, senders=senders, weights_are_rates=True, listed=False)
+    drive.members(info("e0", weight=limit))
+    sent_us, attempts = [], {}
+    for number in range(20):
+        drive.submit(f"m{number}")
+    while drive.now < 60 * S:
+        for name in sends(drive.at(drive.now + 100 * MS, api.TimerFired(0),
+                                   api.MessageAccepted(f"n{drive.now}", 0, 7, 20 * S))):
+            sent_us.append(drive.now)
+            attempts[name] = attempts.get(name, -1) + 1
+            drive.end(name, Outcome.FULL, attempt=attempts[name])
+    assert len([at for at in sent_us if at > 20 * S]) <= 2 + 40 * limit / senders
+
+
+def test_an_endpoint_that_was_removed_is_forgotten() -> None:
+    drive = Drive()
+    for number in range(2):
+        drive.submit(f"m{number}", cls=number)
+        drive.end(f"m{number}", Outcome.CONNECT_FAILED)
+    assert not sends(drive.submit("waits"))  # it counts as out
+    drive.members(info("e1"))
+    assert "waits" in sends(drive.tick(15 * S))
+    drive.end("waits", Outcome.OK, endpoint="e1")
+    drive.tick(drive.now + 5 * S)
+    drive.members(info("e0"))
+    assert sends(drive.submit("afresh")) == ["afresh"]
+
+
+def _after_a_pause(drive: Drive, number: int, pause_us: int, outcome: Outcome) -> bool:
+    """One call after a pause; was the idle connection let go before it?"""
+    drive.tick(drive.now + pause_us)
+    actions = drive.submit(f"p{number}", cls=2)
+    drive.now += 100 * MS
+    drive.end(f"p{number}", outcome)
+    starts = [type(a) for a in actions if isinstance(a, api.StartAttempt | api.CloseIdle)]
+    return starts == [api.CloseIdle, api.StartAttempt]
+
+
+def test_pauses_after_which_a_connection_was_reset_are_remembered_as_unsafe() -> None:
+    drive = Drive()
+    assert not _after_a_pause(drive, 0, 0, Outcome.OK)
+    assert not _after_a_pause(drive, 1, 4 * S, Outcome.OK)
+    assert not any(_after_a_pause(drive, number, 100 * MS, Outcome.OK) for number in range(10, 20))
+    assert not _after_a_pause(drive, 2, 4 * S, Outcome.RESET)
+    assert _after_a_pause(drive, 3, 4 * S, Outcome.OK)
+    assert not _after_a_pause(drive, 4, 500 * MS, Outcome.OK)
+    assert _after_a_pause(drive, 5, 60 * S, Outcome.OK)
+    assert not _after_a_pause(drive, 6, 4 * S, Outcome.OK)
+
+
+def test_a_new_message_with_little_time_left_is_not_late_at_once() -> None:
+    drive = Drive()
+    for number in range(2):
+        drive.submit(f"m{number}")
+        drive.end(f"m{number}", Outcome.CONNECT_FAILED)
+    drive.at(19 * S, api.MessageWithdrawn("m0"), api.MessageWithdrawn("m1"))  # out, and a trial is due
+    assert not sends(drive.submit("new", cls=2, left_us=5 * S))
+    assert sends(drive.submit("again", cls=2, left_us=5 * S, resubmitted=True)) == ["again"]
+
+
+def test_a_message_in_flight_that_is_withdrawn_frees_its_slot() -> None:
+    drive = Drive(slots=1)
+    drive.submit("a")
+    drive.submit("b")
+    assert not sends(drive.at(1 * S, api.MessageWithdrawn("a")))
+    assert sends(drive.end("a", Outcome.TIMEOUT)) == ["b"]
+    assert not finals(drive.actions)
+
+
+def test_messages_wait_and_are_handed_back_when_all_endpoints_have_gone() -> None:
+    drive = Drive()
+    drive.members(info("other", 8))
+    drive.submit("m", left_us=3 * S)
+    assert not sends(drive.tick(2_900 * MS)) and finals(drive.tick(3 * S)) == [("Refuse", "m")]
+
+
+@pytest.mark.parametrize("weight", [0.0, 0.5])
+def test_a_limit_of_nothing_or_less_than_a_call_a_second_does_not_stop_a_sender(weight: float) -> None:
+    drive = Drive(senders=300, weights_are_rates=True, listed=False)
+    drive.members(info("e0", weight=weight))
+    assert sends(drive.submit("m")) == ["m"]
+    drive.end("m", Outcome.OK)
+    drive.submit("n")
+    assert "n" in sends(drive.actions + drive.tick(5 * S))
--- /dev/null
+++ b/wheelstep/logic.py
@@ -0,0 +1,756 @@
+"""Every decision of a sender. Its types, events and actions are in wheelstep/interface.py: read that first.
+
+Reading order: `Sender.handle` (a batch), `_dispatch` (what goes next and where), `_ended` (what an outcome
+teaches), `RetryLoop` and `Window` (the design), `Pacer` (limit of a route, which is a destination or one of
+its separate routes), `Endpoint` (health and way back), `Line` (queue order).
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections import defaultdict, deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field, replace
+
+from wheelstep import interface as api
+from wheelstep.interface import UNRUN, Decay, Effect, EndpointState, Outcome, Settings
+
+GAMMA0 = 0.1  # the loop's target: share of answers that were to retries
+PHASE_MARGIN = math.pi / 4
+ZETA_BAND = (0.5, 1.5)  # gains are kept while zeta stays this near to the one they were made for
+T1_OF_PROMISE = 1 / 3  # T1 as a share of the tightest promise: lower retries sooner, gates more often
+LATE_DEVIATIONS = 6  # an answer is overdue this many deviations past the usual round trip
+MOST_EVIDENCE = 2.5  # recent deliveries that count against a failure: with these, three in a row pass SICK_AT
+SICK_AT = 0.5  # failure share at which an endpoint counts as out ("failing most calls")
+RISKY_AT = 0.2  # failure share at which messages that have one try only wait for better times
+SLOWER, FASTER = 0.55, 0.2  # a paced rate's step at a refusal; its growth in a second
+LEAST_TOTAL = 6.0  # calls a second that all senders may try together where nothing is known of a destination
+LEAST_PART = 0.25  # calls a second that a sender may count as its own where it carried next to nothing
+LEAST_FAIR = 1.0  # calls a second to begin with, and more where an even part of the limit is more
+EXTRA_WEIGHT = 0.25  # what each further message of a call weighs, in work and waiting
+RAMP = 0.8  # of `fall_multiple` times what an endpoint carried, so much it gets back as it warms
+TABLE_PLACE = 0.12  # what an idle connection takes from others, to be saved in handshakes
+MEMORY_US = 10_000_000  # over this time the rate that an endpoint carries is averaged
+
+
+def gains(nu1: float, tau_s: float) -> tuple[float, float]:
+    """The paper's equations (12) and (13)."""
+    return nu1 / math.sqrt(2), nu1 * (3 * math.pi / 4 - PHASE_MARGIN) / (math.sqrt(2) * tau_s)
+
+
+def weight(messages: int) -> float:
+    """The work of a call, in calls of one message."""
+    return 1 + EXTRA_WEIGHT * (messages - 1)
+
+
+@dataclass(slots=True)
+class Fading:
+    """A sum whose parts fade, by e over `span_us`."""
+
+    span_us: float
+    value: float = 0.0
+    at_us: int = 0
+
+    def read(self, now_us: int) -> float:
+        return self.value * math.exp((self.at_us - now_us) / self.span_us)
+
+    def add(self, now_us: int, amount: float = 1.0) -> None:
+        self.value, self.at_us = self.read(now_us) + amount, now_us
+
+
+class RetryLoop:
+    """The retry gate of one destination: Hong, Huang and Yan's ratio control."""
+
+    def __init__(self, slots: int, t1_us: int, rng: random.Random) -> None:
+        self.tau_us = 0.0
+        self._weight, self._t1_us, self._rng, self._at_us = 1 / slots, t1_us, rng, 0
+        self._answers: deque[tuple[int, bool]] = deque()
+        self._due: deque[int] = deque()
+        self._kp = self._ki = self._zeta0 = self._integral = 0.0
+
+    def sample(self, spent_us: float) -> None:
+        """A round trip, or the length of a time-out."""
+        self.tau_us += self._weight * (spent_us - self.tau_us) if self.tau_us else spent_us
+
+    def answered(self, now_us: int, to_retry: bool) -> None:
+        """Count an answer. Few answers can't show a share near the target, so the interval always
+        reaches back over 1/GAMMA0 of them (a departure: the design's is T1, too short for a quiet sender)."""
+        self._answers.append((now_us, to_retry))
+        while len(self._answers) > 1 / GAMMA0 and self._answers[0][0] < now_us - self._t1_us:
+            self._answers.popleft()
+        self._step(now_us)
+
+    def _step(self, now_us: int) -> None:
+        """Equation (5)'s integral; held while the gate is open, bounded against wind-up."""
+        elapsed_s = min(now_us - self._at_us, self._t1_us) / 1e6
+        self._at_us = now_us
+        if self.tau_us < self._t1_us or not self._answers:
+            self._integral = 0.0
+            return
+        span_s = max(now_us - self._answers[0][0], self._t1_us) / 1e6
+        nu1, tau_s = len(self._answers) / span_s, self.tau_us / 1e6
+        zeta = tau_s / nu1
+        if not ZETA_BAND[0] * self._zeta0 <= zeta <= ZETA_BAND[1] * self._zeta0:
+            self._zeta0, (self._kp, self._ki) = zeta, gains(nu1, tau_s)
+        top = max(self._due_rate(now_us), nu1) / self._ki
+        self._integral = min(max(self._integral + self._error() * elapsed_s, 0.0), top)
+
+    def _error(self) -> float:
+        return GAMMA0 - sum(retry for _, retry in self._answers) / max(len(self._answers), 1)
+
+    def _due_rate(self, now_us: int) -> float:
+        while self._due and self._due[0] < now_us - self._t1_us:
+            self._due.popleft()
+        return len(self._due) * 1e6 / self._t1_us
+
+    def may_retry(self, now_us: int) -> bool:
+        """Does a retry that is due now go?"""
+        due_rate = self._due_rate(now_us)
+        self._due.append(now_us)
+        if self.tau_us < self._t1_us or not due_rate:
+            return True
+        self._step(now_us)
+        rate = self._kp * self._error() + self._ki * self._integral
+        return self._rng.random() < min(max(rate / due_rate, 0.0), 1.0)
+
+
+class Window:
+    """Calls out at once to one destination: from a quarter to three quarters of the slots."""
+
+    def __init__(self, slots: int) -> None:
+        self._top, self._half = max(1, math.ceil(slots * 3 / 4) - 1), max(1, slots // 2)
+        self._size = max(1.0, slots // 4)
+
+    def judge(self, outcome: Outcome) -> None:
+        if outcome is Outcome.OK:
+            self._size = min(self._size + 1, self._top)
+        elif outcome in (Outcome.FULL, Outcome.TIMEOUT):
+            self._size = max(1.0, self._size / 2)
+
+    def room(self, calls_out: int, doubtful: bool) -> bool:
+        """A destination in doubt is held to half of the slots before its outcomes have shrunk the window."""
+        return calls_out < min(self._size, self._half if doubtful else self._top)
+
+
+class Pacer:
+    """Calls a second to one route. Unknown limits are unpaced until the first refusal, then searched
+    for: down at a refusal, slowly up with successes. Guards against any shared limit that refusals show
+    (rates, counts in a span, full queues, other senders' share); it can hold back after a stray refusal."""
+
+    def __init__(self, senders: int, quiet_us: int) -> None:
+        self.rate = self._limit = math.inf
+        self.told_until_us, self._senders, self._quiet_us, self.endpoints = 0, senders, quiet_us, 0
+        self.even = LEAST_TOTAL / senders  # this sender's even part
+        self._fair, self._left, self._cut_us = LEAST_FAIR, 0.5, 0
+        self._next_us, self._sent = 0.0, Fading(6 * quiet_us)
+        self.carried, self.last_ok_us = Fading(MEMORY_US), -math.inf
+
+    def know_limit(self, per_s: float, left: float = 0.5) -> None:
+        """A limit over all senders: begin at an even part of it, never go beyond it. Among many senders few
+        are busy with one destination at a time, so an even part is not under LEAST_FAIR."""
+        if per_s > 0:
+            self._limit, self._left, self.even = per_s, left, per_s / self._senders
+            self._fair = min(per_s, max(self.even, LEAST_FAIR))
+            self.rate = self._fair if self.rate == math.inf else min(self.rate, per_s)
+
+    def ready_us(self) -> float:
+        """When the next call may go."""
+        return max(self.told_until_us, self._next_us)
+
+    def spend(self, now_us: int) -> None:
+        self._sent.add(now_us)
+        self._next_us = max(self._next_us, now_us - self._quiet_us) + 1e6 / self.rate
+
+    def refused(self, now_us: int, cold_share: float) -> None:
+        if now_us - self._cut_us < self._quiet_us:
+            return
+        self._cut_us = now_us
+        used = max(self._sent.read(now_us) * 1e6 / self._sent.span_us, self.even)
+        if self.rate == math.inf:
+            self._fair = max(used, LEAST_FAIR)
+        least = cold_share * self.carried.read(now_us) * 1e6 / MEMORY_US
+        self.rate = max(min(self.rate, used) * SLOWER, self.even / 8, least)
+        self.hold(now_us + 1e6 / self.rate)
+
+    def hold(self, until_us: float) -> None:
+        """No call before then, unless one is delivered first."""
+        self._next_us = max(self._next_us, until_us)
+
+    def served(self, now_us: int) -> None:
+        step = min(self._fair / self.rate, self.rate / (1.01 - self._left))
+        self.rate = min(self._limit, self.rate + 2 * FASTER * self._left * step)
+        self._next_us, self.last_ok_us = min(self._next_us, now_us + 1e6 / self.rate), now_us
+
+
+@dataclass(eq=False, slots=True)
+class Call:
+    """One call out, with one or more messages: one slot and one fate."""
+
+    endpoint: Endpoint
+    sent_us: int
+    trial: bool
+    pause_us: int = 0  # for so long the connection that it went out on had been idle
+    size: int = 0
+    open: int = 0
+    judged: bool = False
+
+
+class Endpoint:
+    """Health, learned from outcomes alone. Sick: trials at the pace it bears cold. Returning: a ramp of
+    what it carried before, from `cold_from` up over `cold_us`. Guards against every outage that outcomes show
+    (down, silent, hung, shut, failing) and against pushing it over on its way back. It harms when it takes
+    bad luck for an outage: then traffic waits for a ramp that was not needed."""
+
+    def __init__(self, info: api.EndpointInfo, settings: Settings, pacer: Pacer, promise_us: int,
+                 rng: random.Random) -> None:
+        self._s, self.info, self.pacer, self._promise_us, self._rng = settings, info, pacer, promise_us, rng
+        self.sick = self.watched = False
+        self.calls: dict[Call, None] = {}
+        self.usual_us, self._deviation_us, self._last_answer_us = 0.0, 0.0, 0
+        self.failures = Fading(4 * promise_us)  # their share of late
+        self._ramp_us: int | None = None
+        self._next_us, self._last_ok_us, self.used_us = 0.0, -math.inf, -1
+        self._base, self._cold_share = 1.0, settings.fall_multiple * settings.cold_from
+
+    def overdue_us(self) -> float:
+        return max(self._promise_us, self.usual_us + LATE_DEVIATIONS * self._deviation_us)
+
+    def silent_us(self) -> float:
+        """When it counts as silent: calls out for far longer than usual, nothing back since."""
+        oldest = next(iter(self.calls), None)
+        if oldest is None or self.sick:
+            return math.inf
+        patience_us = self.overdue_us() * weight(oldest.size) * (1 if len(self.calls) > 1 else 2)
+        return max(oldest.sent_us, self._last_answer_us) + math.ceil(patience_us)
+
+    def rarely_used(self, now_us: int) -> bool:
+        """Hardly used again before it idles out? It takes a place in a table that other senders need."""
+        uses = self.pacer.carried.read(now_us) * self._s.conn_idle_us / MEMORY_US
+        saves = uses * self._s.handshake_price
+        return not self.calls and self._s.conn_idle_us > 0 and saves < TABLE_PLACE
+
+    def _mark(self, now_us: int, failed: bool) -> None:
+        """The less was seen of late, the more an outcome weighs: one failure does after a long silence."""
+        share = 1 / (1.5 + min(self.pacer.carried.read(now_us), MOST_EVIDENCE))
+        self.failures.add(now_us, share * (failed - self.failures.read(now_us)))
+
+    def fall_sick(self, now_us: int) -> None:
+        if self._ramp_us is None:
+            self._base = max(self.pacer.carried.read(now_us) * 1e6 / MEMORY_US, LEAST_PART, self.pacer.even)
+        self.sick, self._ramp_us = True, None
+        self._next_us = self._later_us(now_us)
+
+    def _later_us(self, now_us: int) -> float:
+        """When to try again: at the pace that it could bear once it is back, cold, if every sender that
+        misses it tried in proportion to what it carried."""
+        pace_us = 1e6 / (self._cold_share * self._base)
+        return now_us + max(self._promise_us / 2, pace_us) * self._rng.uniform(0.5, 1.5)
+
+    def ready_us(self) -> float:
+        """When the next call may go here (infinity: not before an outcome)."""
+        if self.info.state is not EndpointState.UP:
+            return math.inf
+        return max(self._next_us, self.pacer.ready_us())
+
+    def _ramp(self, now_us: int, work: float) -> None:
+        """Keep the ramp's pace for so much work; past its end there is none."""
+        if self._ramp_us is not None and now_us - self._ramp_us >= self._s.cold_us:
+            self._ramp_us = None
+        elif self._ramp_us is not None:
+            warmed = (1 - self._s.cold_from) * (now_us - self._ramp_us) / self._s.cold_us
+            rate = max(1.0, RAMP * self._s.fall_multiple) * self._base * (self._s.cold_from + warmed)
+            rate /= self.pacer.endpoints
+            next_us = max(self._next_us, now_us) + work / rate * 1e6
+            self._next_us = min(next_us, self._ramp_us + self._s.cold_us)
+
+    def sent(self, now_us: int, messages: int) -> None:
+        """A call with so many messages, or a probe, goes out."""
+        self.pacer.spend(now_us)
+        self._ramp(now_us, weight(messages))
+        if self.sick:
+            self._next_us = self._later_us(now_us)
+
+    def judge(self, now_us: int, event: api.AttemptEnded | api.ProbeEnded) -> bool:
+        """Learn from the outcome of a call or probe; true if it changed between sick and returning."""
+        was_sick, outcome = self.sick, event.outcome
+        if outcome is Outcome.OK:
+            self._succeeded(now_us, event.spent_us)
+        elif outcome is Outcome.FULL:  # over a limit or shut: the pacer's business
+            self._last_answer_us = now_us
+            told_us = event.wait_us if isinstance(event, api.AttemptEnded) else 0
+            self.pacer.refused(now_us, self._cold_share)
+            if told_us >= self._promise_us:
+                self.fall_sick(now_us)
+                self._next_us += told_us  # it is shut, and may not meet all who know when it opens at once
+                self.pacer.hold(self._next_us)
+        elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
+            self._mark(now_us, True)
+            if not self.sick and self.failures.value > SICK_AT:
+                self.fall_sick(now_us)
+            if self.sick and now_us - self.pacer.last_ok_us >= 2 * self._promise_us:
+                self.pacer.hold(self._later_us(now_us))  # an outage mostly takes all endpoints
+        return was_sick != self.sick
+
+    def _succeeded(self, now_us: int, spent_us: int) -> None:
+        brief = now_us - self._last_ok_us < 2 * self._promise_us
+        self._last_answer_us = self._last_ok_us = now_us
+        self._mark(now_us, False)
+        if not self.usual_us:
+            self.usual_us, self._deviation_us = float(spent_us), spent_us / 2
+        self._deviation_us += (abs(spent_us - self.usual_us) - self._deviation_us) / 8
+        self.usual_us += (spent_us - self.usual_us) / 8
+        if self.sick and brief:
+            self.sick, self._next_us = False, now_us  # bad luck or a slow answer, no outage: no ramp
+        elif self.sick:
+            self.sick, self.failures.value, self._ramp_us = False, 0.0, now_us
+            self._ramp(now_us, self._rng.random())
+        elif self._ramp_us is None:
+            self.pacer.carried.add(now_us)
+        self.pacer.served(now_us)
+
+
+class Message:
+    """A message held here."""
+
+    def __init__(self, event: api.MessageAccepted, cls: api.MessageClass, now_us: int) -> None:
+        self.id, self.cls = event.message, cls
+        self.destination, self.key = event.destination, event.key if cls.ordered else None
+        self.due_us = now_us + event.left_us
+        handed_us = self.due_us - cls.deadline_us if event.resubmitted else now_us  # a client may leave early
+        self.promised_us = handed_us + cls.promise_us
+        self.attempts = self.ran_zone = self.rest_us = 0  # its key rests until `rest_us`
+        self.call: Call | None = None
+        self.ran_us: int | None = None  # when the first attempt that may have run was sent
+        self.done = self.queued = False
+
+    def worth_at(self, at_us: float, decay: Decay) -> float:
+        late_us, cls = at_us - self.promised_us, self.cls
+        if at_us >= self.due_us:
+            return 0.0
+        if late_us <= 0:
+            return cls.worth
+        if decay is Decay.EVEN:
+            span_us = max(cls.deadline_us - cls.promise_us, 1)
+            return cls.worth * (1 - (1 - cls.late_worth) * late_us / span_us)
+        return cls.worth * float(max(0.5 ** (late_us / cls.promise_us), cls.late_worth))
+
+
+class Line:
+    """The waiting messages of one destination and class, in two stages: those that
+    can still keep the promise, earliest first; those that are late, the newest first where worth falls by
+    halves (the old ones have little left to lose)."""
+
+    def __init__(self, decay: Decay) -> None:
+        self._decay = decay
+        self._stages: tuple[list[tuple[int, int, Message]], ...] = ([], [])
+        self._count = 0
+
+    def place(self, message: Message, at_us: float) -> None:
+        self._count += 1
+        stage, rank = self._stage(message, at_us)
+        heapq.heappush(stage, (rank, self._count, message))
+
+    def _stage(self, message: Message, at_us: float) -> tuple[list[tuple[int, int, Message]], int]:
+        if at_us <= message.promised_us:
+            return self._stages[0], message.promised_us
+        return self._stages[1], message.due_us if self._decay is Decay.EVEN else -message.due_us
+
+    def heads(self, at_us: float) -> Iterator[Message]:
+        """The first of each stage."""
+        for stage in self._stages:
+            while stage and (not stage[0][2].queued or self._stage(stage[0][2], at_us)[0] is not stage):
+                message = heapq.heappop(stage)[2]
+                if message.queued:
+                    self.place(message, at_us)
+            if stage:
+                yield stage[0][2]
+
+
+class Destination:
+    """What is known of one destination, and the messages that wait for it."""
+
+    def __init__(self, number: int, settings: Settings, t1_us: int, rng: random.Random) -> None:
+        self.number = number
+        self.loop, self.window = RetryLoop(settings.slots, t1_us, rng), Window(settings.slots)
+        self.endpoints: list[Endpoint] = []
+        self.lines: dict[api.MessageClass, Line] = defaultdict(lambda: Line(settings.decay))
+        self.pacer: Pacer | None = None  # where the endpoints share one limit
+        self.waiting = self.calls_out = 0
+        self.look_us = math.inf  # when it will be looked at again, if nothing happens before
+
+
+@dataclass(slots=True)
+class Chain:
+    """The messages of one key, in the order in which they were taken."""
+
+    messages: deque[Message] = field(default_factory=deque)
+    rest_us: int = 0
+
+
+class Sender:
+    """Feed it every event of a moment with `handle`; carry out the actions that it returns, in order."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        api.check_settings(settings)
+        self._s, self._rng = settings, random.Random(seed)
+        self._promise_us = min(cls.promise_us for cls in settings.classes)
+        self._horizon_us = max(cls.promise_us for cls in settings.classes)
+        self._t1_us = max(1, int(self._promise_us * T1_OF_PROMISE))
+        self._now = self._calls_out = self._count = self._asked_wait_us = self._reaped_us = 0
+        self._actions: list[api.Action] = []
+        self._messages: dict[str, Message] = {}
+        self._destinations: dict[int, Destination] = {}
+        self._backlog: dict[int, Destination] = {}  # those with messages waiting
+        self._ready: dict[int, Destination] = {}  # those of them that something has happened to
+        self._endpoints: dict[str, Endpoint] = {}
+        self._chains: dict[str, Chain] = defaultdict(Chain)
+        self._heap: list[tuple[int, int, Callable[[], None]]] = []
+        self._armed_us = self._safe_idle_us = math.inf
+        if settings.ask_for_list:
+            self._at(0, lambda: self._actions.append(api.Subscribe()))
+
+    def handle(self, now_us: int, events: list[api.Event]) -> list[api.Action]:
+        """Take what has happened by `now_us` and say what to do about it."""
+        self._now, self._actions = now_us, []
+        for event in events:
+            self._take(event)
+        while self._heap and self._heap[0][0] <= now_us:
+            heapq.heappop(self._heap)[2]()
+        self._dispatch()
+        if self._heap and self._heap[0][0] < self._armed_us:
+            self._armed_us = self._heap[0][0]
+            self._actions.append(api.SetTimer(0, max(self._heap[0][0] - now_us, 0)))
+        return self._actions
+
+    def _take(self, event: api.Event) -> None:
+        match event:
+            case api.MessageAccepted():
+                self._accept(event)
+            case api.AttemptEnded():
+                self._ended(event)
+            case api.TimerFired():
+                self._armed_us = math.inf
+            case api.MembershipReceived():
+                self._members(event)
+            case api.MessageWithdrawn() if event.message in self._messages:
+                self._close(self._messages[event.message])
+            case api.ProbeEnded() if event.endpoint in self._endpoints:
+                self._learn(self._endpoints[event.endpoint], event)
+
+    def _at(self, when_us: float, what: Callable[[], None]) -> None:
+        self._count += 1
+        heapq.heappush(self._heap, (math.ceil(when_us), self._count, what))
+
+    def _members(self, event: api.MembershipReceived) -> None:
+        if event.kind is api.ListKind.UNAVAILABLE:
+            self._asked_wait_us = max(min(self._asked_wait_us * 2, self._s.ask_within_us // 2), self._t1_us)
+            self._at(self._now + self._asked_wait_us, lambda: self._actions.append(api.Subscribe()))
+            return
+        self._asked_wait_us = 0
+        if event.kind is not api.ListKind.CHANGES:
+            named = {info.endpoint for info in event.entries}
+            for gone in [e.info for e in self._endpoints.values() if e.info.endpoint not in named]:
+                self._list(replace(gone, state=EndpointState.REMOVED))
+        for info in event.entries:
+            self._list(info)
+
+    def _list(self, info: api.EndpointInfo) -> None:
+        destination = self._destination(info.destination)
+        endpoint = self._endpoints.get(info.endpoint)
+        self._touch(destination)
+        if info.state is EndpointState.REMOVED:
+            if endpoint is not None:
+                endpoint.pacer.endpoints -= 1
+                destination.endpoints.remove(self._endpoints.pop(info.endpoint))
+            return
+        if endpoint is None:
+            pacer = destination.pacer or Pacer(self._s.senders, self._t1_us)
+            destination.pacer = None if self._kind(info).routes_apart else pacer
+            endpoint = self._endpoints[info.endpoint] = Endpoint(
+                info, self._s, pacer, self._promise_us, self._rng)
+            destination.endpoints.append(endpoint)
+            pacer.endpoints += 1
+            if self._s.weights_are_rates:
+                pacer.know_limit(info.weight)
+        endpoint.info = info
+
+    def _kind(self, info: api.EndpointInfo) -> api.Kind:
+        return self._s.kinds[min(info.kind, len(self._s.kinds) - 1)]
+
+    def _destination(self, number: int) -> Destination:
+        if number not in self._destinations:
+            self._destinations[number] = Destination(number, self._s, self._t1_us, self._rng)
+        return self._destinations[number]
+
+    def _accept(self, event: api.MessageAccepted) -> None:
+        cls = self._s.classes[event.message_class]
+        message = self._messages[event.message] = Message(event, cls, self._now)
+        if len(self._messages) >= self._s.hold_limit:
+            self._make_room()
+        self._at(message.due_us - 2 * self._s.tick_us, lambda: self._end(message))
+        if message.key is None:
+            self._queue(message)
+        else:
+            self._chains[message.key].messages.append(message)
+            self._advance(message.key)
+
+    def _make_room(self) -> None:
+        """Hand back what is worth least once its destination's backlog has gone, before others are turned
+        away. So no backlog shuts out the rest; it harms one that is about to go faster than one in T1."""
+        loose = [(m.worth_at(self._now + d.waiting * self._t1_us, self._s.decay), -d.waiting, m.id, m)
+                 for d in self._backlog.values() for m in self._heads(d) if self._may_refuse(m)]
+        if loose:
+            self._end(min(loose)[3])
+
+    def _queue(self, message: Message) -> None:
+        if message.done or message.queued:
+            return
+        destination = self._destination(message.destination)
+        message.queued = True
+        destination.lines[message.cls].place(message, self._now + destination.loop.tau_us)
+        destination.waiting += 1
+        self._backlog[destination.number] = destination
+        self._touch(destination)
+
+    def _unqueue(self, message: Message) -> None:
+        if message.queued:
+            message.queued = False
+            destination = self._destination(message.destination)
+            destination.waiting -= 1
+            if not destination.waiting:
+                del self._backlog[destination.number]
+
+    def _touch(self, destination: Destination) -> None:
+        """Something has happened to this destination: look at it in this batch, if messages wait there."""
+        if destination.waiting:
+            self._ready[destination.number] = destination
+
+    def _look_at(self, destination: Destination, at_us: float) -> None:
+        """Look at a destination again then, whatever happens."""
+        if at_us < math.inf and not self._now < destination.look_us <= at_us:
+            destination.look_us = at_us
+            self._at(at_us, lambda: self._touch(destination))
+
+    def _advance(self, key: str) -> None:
+        """Let the next message of a key go once those before it have ended and the key has rested."""
+        chain = self._chains.get(key)
+        if chain is None:
+            return
+        while chain.messages and chain.messages[0].done and chain.messages[0].call is None:
+            chain.rest_us = max(chain.rest_us, chain.messages.popleft().rest_us)
+        if self._now < chain.rest_us:
+            self._at(chain.rest_us, lambda: self._advance(key))
+        elif not chain.messages:
+            del self._chains[key]
+        elif not chain.messages[0].attempts:
+            self._queue(chain.messages[0])
+
+    def _may_refuse(self, message: Message) -> bool:
+        known = message.cls.effect is Effect.KEYED and not message.cls.zone_keys
+        return message.ran_us is None or message.cls.effect is Effect.SAFE or known
+
+    def _end(self, message: Message) -> None:
+        """The final answer: refuse where that is true and harmless, else fail."""
+        if message.done or message.call is not None:
+            return
+        refusal = api.Refuse(message.id, min(self._t1_us, self._s.max_retry_after_us))
+        self._actions.append(refusal if self._may_refuse(message) else api.Fail(message.id))
+        self._close(message)
+
+    def _close(self, message: Message) -> None:
+        self._unqueue(message)
+        message.done = True
+        if message.call is None:
+            self._messages.pop(message.id, None)
+        if message.key is not None:
+            self._advance(message.key)
+
+    def _ended(self, event: api.AttemptEnded) -> None:
+        message = self._messages.get(event.message)
+        if message is None or message.call is None:
+            return
+        call, message.call = message.call, None
+        destination = self._destination(message.destination)
+        self._judge(call, destination, event, message.attempts > 1)
+        self._touch(destination)
+        if event.outcome not in UNRUN and event.outcome is not Outcome.OK and message.ran_us is None:
+            message.ran_us, message.ran_zone = call.sent_us, call.endpoint.info.zone
+        if event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
+            message.rest_us = self._now + self._s.order_settle_us
+        if event.complete or message.done:
+            self._close(message)
+        else:
+            self._again(message, destination, event.wait_us)
+
+    def _judge(self, call: Call, destination: Destination, event: api.AttemptEnded, retried: bool) -> None:
+        call.open -= 1
+        endpoint, outcome = call.endpoint, event.outcome
+        if not call.open:
+            endpoint.calls.pop(call, None)
+            endpoint.used_us = self._now
+            destination.calls_out -= 1
+            self._calls_out -= 1
+            if not destination.waiting and endpoint.rarely_used(self._now):
+                endpoint.used_us = -1
+                self._actions.append(api.CloseIdle(endpoint.info.endpoint))
+        if outcome is Outcome.RESET and call.pause_us:
+            self._safe_idle_us, self._reaped_us = min(self._safe_us(), call.pause_us / 2), self._now
+        if outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
+            destination.loop.answered(self._now, retried)
+        if outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
+            destination.loop.sample(event.spent_us)
+        if event.wait_us:  # told anew with every message of a call: the longest holds
+            endpoint.pacer.told_until_us = max(endpoint.pacer.told_until_us, self._now + event.wait_us)
+        # A time-out cut short by the message's own end, before the call was overdue, shows no trouble: it may
+        # not shrink the window or mark the endpoint. Silence is still noticed.
+        overdue = event.spent_us >= endpoint.overdue_us() * weight(call.size)
+        if call.judged or outcome is Outcome.TIMEOUT and not overdue and not call.trial:
+            return
+        call.judged = True
+        destination.window.judge(outcome)
+        self._learn(endpoint, event)
+
+    def _safe_us(self) -> float:
+        """For how long a connection may idle before its next call is at risk. Guards one-try messages
+        against connections dropped unseen, by whatever stands between; costs handshakes while remembered."""
+        return self._safe_idle_us + (self._now - self._reaped_us) / 10
+
+    def _learn(self, endpoint: Endpoint, event: api.AttemptEnded | api.ProbeEnded) -> None:
+        if event.limit is not None:
+            endpoint.pacer.know_limit(event.limit.per_s, event.limit.left)
+        self._touch(self._destination(endpoint.info.destination))
+        if endpoint.judge(self._now, event):
+            word = "out" if endpoint.sick else "answering again"
+            self._actions.append(api.WriteLog(f"{endpoint.info.endpoint} {word} ({event.outcome.value})"))
+
+    def _again(self, message: Message, destination: Destination, told_us: int) -> None:
+        """Wait, doubling from T1, then ask the loop; end at once what no later try could save."""
+        wait_us = min(self._t1_us << (message.attempts - 1), (message.due_us - self._now) // 2)
+        at_us = self._now + max(wait_us, told_us)
+        if self._may_resend(message, at_us):
+            self._at(at_us, lambda: self._retry_due(message, destination))
+        else:
+            self._end(message)
+
+    def _retry_due(self, message: Message, destination: Destination) -> None:
+        if not message.done and not destination.loop.may_retry(self._now):
+            self._end(message)
+        self._queue(message)
+
+    def _may_resend(self, message: Message, at_us: int) -> bool:
+        if message.attempts >= self._s.max_attempts or at_us >= message.due_us - 2 * self._s.tick_us:
+            return False
+        if message.ran_us is None or message.cls.effect is Effect.SAFE:
+            return True
+        end_us = message.ran_us + message.cls.key_ttl_us - 2 * self._s.tick_us
+        return message.cls.effect is Effect.KEYED and at_us < end_us
+
+    def _gain(self, message: Message, tau_us: float) -> float:
+        """The worth that sending now saves over sending a promise later; ties go by worth."""
+        at_us = self._now + tau_us
+        now_worth = message.worth_at(at_us, self._s.decay)
+        return now_worth - message.worth_at(at_us + self._horizon_us, self._s.decay) + now_worth / 100
+
+    def _dispatch(self) -> None:
+        """Send while there are slots, the most pressing message of any ready destination first. One that
+        can't send is left alone until something happens to it, so that a batch costs what its news do."""
+        ranked: list[tuple[float, int, list[Message]]] = []
+        if self._calls_out < self._s.slots:
+            for destination in list(self._ready.values()):
+                self._rank(destination, ranked)
+        while ranked and self._calls_out < self._s.slots:
+            _, number, heads = heapq.heappop(ranked)
+            destination = self._ready[number]
+            if self._send_one(destination, heads):
+                self._rank(destination, ranked)
+            else:
+                del self._ready[number]
+
+    def _rank(self, destination: Destination, ranked: list[tuple[float, int, list[Message]]]) -> None:
+        if heads := self._heads(destination):
+            gain = self._gain(heads[0], destination.loop.tau_us)
+            heapq.heappush(ranked, (-gain, destination.number, heads))
+        else:
+            del self._ready[destination.number]
+
+    def _heads(self, destination: Destination) -> list[Message]:
+        """The first of each line and stage, the most pressing first."""
+        tau_us = destination.loop.tau_us
+        heads = [m for line in destination.lines.values() for m in line.heads(self._now + tau_us)]
+        return sorted(heads, key=lambda m: -self._gain(m, tau_us))
+
+    def _watch(self, endpoint: Endpoint) -> None:
+        """Notice silence when it has lasted long enough, with one timer for each endpoint."""
+        silent_us = endpoint.silent_us()
+        if silent_us <= self._now:
+            endpoint.fall_sick(self._now)
+            self._actions.append(api.WriteLog(f"{endpoint.info.endpoint} out (silent)"))
+        endpoint.watched = self._now < silent_us < math.inf
+        if endpoint.watched:
+            self._at(silent_us, lambda: self._watch(endpoint))
+
+    def _send_one(self, destination: Destination, heads: list[Message]) -> bool:
+        doubtful = destination.loop.tau_us >= self._t1_us or any(e.sick for e in destination.endpoints)
+        if not destination.window.room(destination.calls_out, doubtful):
+            return False
+        ready = {endpoint: endpoint.ready_us() for endpoint in destination.endpoints}
+        usable = [endpoint for endpoint, at_us in ready.items() if at_us <= self._now]
+        for message in heads:
+            if fits := [endpoint for endpoint in usable if self._may_go(message, endpoint)]:
+                self._call(message, min(fits, key=self._cost), destination)
+                return True
+        for endpoint in usable:
+            if self._s.may_probe and endpoint.sick:  # no message here may go on trial
+                self._actions.append(api.Probe(endpoint.info.endpoint))
+                endpoint.sent(self._now, 1)
+        # What keeps messages from a usable endpoint may pass by itself.
+        self._look_at(destination, min(max(at_us, self._now + self._t1_us) if at_us <= self._now else at_us
+                                       for at_us in [*ready.values(), math.inf]))
+        return False
+
+    def _cost(self, endpoint: Endpoint) -> tuple[float, bool, float]:
+        """Fees first (of its route, of another zone), then a trial that is due, then the expected time."""
+        zone = endpoint.info.zone
+        fee = sum(self._s.zone_fees[zone:zone + 1]) if self._kind(endpoint.info).routes_apart else 0.0
+        fee += self._s.cross_zone_price if zone != self._s.zone else 0.0
+        return fee, not endpoint.sick, (len(endpoint.calls) + 1) * max(endpoint.usual_us, 1.0)
+
+    def _may_go(self, message: Message, endpoint: Endpoint) -> bool:
+        """A message with one try only goes neither on trial nor where calls fail, until its promise is past.
+        Guards one-try messages against any failing; harms where nothing else would show the way back."""
+        moved = message.ran_us is not None and endpoint.info.zone != message.ran_zone
+        if not self._may_resend(message, self._now) or message.cls.zone_keys and moved:
+            return False
+        waits = self._s.may_probe or self._now <= message.promised_us
+        risky = waits if endpoint.sick else endpoint.failures.read(self._now) > RISKY_AT
+        return not risky or message.cls.effect is not Effect.UNSAFE
+
+    def _call(self, first: Message, endpoint: Endpoint, destination: Destination) -> None:
+        """One call: the first message and, where calls hold more, the next that may share its fate."""
+        pause_us = 0 if endpoint.calls or endpoint.used_us < 0 else self._now - endpoint.used_us
+        if pause_us > self._safe_us():
+            self._actions.append(api.CloseIdle(endpoint.info.endpoint))
+            pause_us = 0
+        call = Call(endpoint, self._now, endpoint.sick, pause_us)
+        room = 1 if call.trial else self._kind(endpoint.info).per_call
+        messages = [first]
+        for message in messages:
+            self._unqueue(message)
+            message.call = call
+            if len(messages) < room:
+                messages += [m for m in self._heads(destination) if self._may_go(m, endpoint)][:1]
+        call.size = call.open = len(messages)
+        for message in messages:
+            message.attempts += 1
+            patience = weight(call.size) * (2 - self._calls_out / self._s.slots)  # free slots can wait longer
+            patience_us = patience * max(message.cls.promise_us, endpoint.overdue_us())
+            timeout_us = min(message.due_us - self._now, int(patience_us))
+            self._actions.append(api.StartAttempt(message.id, endpoint.info.endpoint, timeout_us))
+        endpoint.calls[call] = None
+        endpoint.sent(self._now, call.open)
+        if not endpoint.watched:
+            self._watch(endpoint)
+        destination.calls_out += 1
+        self._calls_out += 1
