--- /dev/null
+++ b/wheelstep/courier/__main__.py
@@ -0,0 +1,89 @@
+"""Start, signals and wiring of one courier."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+import sys
+
+import aiohttp
+
+from wheelstep import interface as api
+from wheelstep.courier.config import Config, ConfigError, load
+from wheelstep.courier.core import Core
+from wheelstep.courier.inlet import Inlet
+from wheelstep.courier.journal import Journal
+from wheelstep.courier.platform import Notices, Watch, entries
+
+_WORK_ON_S = 2.0  # from SIGTERM until no new attempt starts
+_CLOSE_S = 2.8  # until clients' connections are ended
+_LEAVE_S = 3.2  # until calls still under way are left to the next process
+
+log = logging.getLogger(__name__)
+
+
+async def serve(config: Config) -> None:
+    """Run one courier until SIGTERM."""
+    loop = asyncio.get_running_loop()
+    terminated = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, terminated.set)
+    journal = Journal(config.state, config.disk_bytes)
+    core = Core(config, journal)
+    inlet = Inlet(core, config.names.classes)
+    async with aiohttp.ClientSession(auto_decompress=False, trust_env=False) as http:
+        core.notices = Notices(http, config.discovery, core.answered)
+        seq = config.known.get("seq", 0)
+        watch = Watch(http, config.discovery, config.names, seq if isinstance(seq, int) else 0, core.listed)
+        core.listed(api.ListKind.RESTORED, entries(config.known, config.names))
+        core.restore()
+        async with asyncio.TaskGroup() as group:  # a task that dies ends the process with its traceback
+            tasks = [group.create_task(work) for work in
+                     (core.notices.run(), watch.run(), core.outlet.sweep())]
+            core.ready = True
+            port = await inlet.start(config.listen)
+            log.info("%s serves on %s:%d, %d messages restored", config.name, config.listen.host, port,
+                     len(journal.messages))
+            await terminated.wait()
+            await _leave(core, inlet)
+            for task in tasks:
+                task.cancel()
+    journal.close()
+
+
+async def _leave(core: Core, inlet: Inlet) -> None:
+    """Clients hear 503 from the health check, and go on being served on the connections that they have."""
+    began = asyncio.get_running_loop().time()
+    core.ready = False
+
+    async def until(after_s: float) -> None:
+        await asyncio.sleep(max(0.0, began + after_s - asyncio.get_running_loop().time()))
+
+    await until(_WORK_ON_S)
+    core.stopping = True
+    await core.outlet.finish(_CLOSE_S - _WORK_ON_S)
+    inlet.closing = True
+    await until(_CLOSE_S)
+    await inlet.stop()
+    await core.outlet.finish(max(0.0, began + _LEAVE_S - asyncio.get_running_loop().time()))
+    log.info("stopped")
+
+
+def main() -> int:
+    """Run the courier that the environment describes."""
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO,
+                        format="%(asctime)s %(levelname)s %(name)s %(message)s")
+    logging.getLogger("aiohttp").setLevel(logging.ERROR)
+    try:
+        config = load(os.environ)
+    except ConfigError as error:
+        print(f"courier: {' '.join(str(error).split())}", file=sys.stderr)
+        return 1
+    asyncio.run(serve(config))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/wheelstep/courier/config.py
@@ -0,0 +1,113 @@
+"""What the courier is told at its start, read once; whatever makes no sense stops it with one plain line."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from wheelstep import interface as api
+from wheelstep.simhost import WireError, settings_from
+
+_STATES = {"SERVING": api.EndpointState.UP, "DRAINING": api.EndpointState.DRAINING,
+           "DELETED": api.EndpointState.REMOVED}
+
+
+class ConfigError(Exception):
+    """The configuration can't be used."""
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """A TCP address."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> Address:
+        host, _, port = text.rpartition(":")
+        if not host or not port.isdigit() or not 0 <= int(port) <= 65535:
+            raise ValueError(f"{text!r} is no host:port")
+        return cls(host.strip("[]"), int(port))
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """The names that the settings list; on the sockets they stand where the module has numbers."""
+
+    classes: tuple[str, ...]
+    kinds: tuple[str, ...]
+    zones: tuple[str, ...]
+    report: tuple[str, ...]
+
+    def entry(self, row: Mapping[str, Any]) -> tuple[api.EndpointInfo, Address]:
+        """One line of discovery's list; `ValueError` or `KeyError` if it can't be read."""
+        state = _STATES[row["health"]]
+        info = api.EndpointInfo(
+            endpoint=str(row["host"]), destination=int(row["block"]),
+            kind=_index(self.kinds, row.get("class")), zone=_index(self.zones, row.get("site")),
+            state=state, weight=float(row.get("share", 1.0)))
+        return info, Address.parse(str(row["dial"]))
+
+
+def _index(names: tuple[str, ...], name: object) -> int:
+    return names.index(name) if name in names else 0
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that the courier is told."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    state: Path
+    seed: int
+    disk_bytes: int
+    known: Mapping[str, Any]
+    settings: api.Settings
+    names: Names
+    dial_timeout_us: int
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """Read the file that `RELAY_CONFIG` names, and the folder that `RELAY_STATE` names."""
+    path, state = environ.get("RELAY_CONFIG"), environ.get("RELAY_STATE")
+    if not path or not state:
+        raise ConfigError("RELAY_CONFIG and RELAY_STATE must be set")
+    try:
+        data = json.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from error
+    if not Path(state).is_dir():
+        raise ConfigError(f"RELAY_STATE: {state} is no folder")
+    try:
+        return _config(data, Path(state), environ)
+    except KeyError as error:
+        raise ConfigError(f"{path}: missing {error.args[0]!r}") from error
+    except (WireError, TypeError, ValueError, AttributeError) as error:
+        raise ConfigError(f"{path}: {error}") from error
+
+
+def _config(data: Mapping[str, Any], state: Path, environ: Mapping[str, str]) -> Config:
+    info = data["settings"]
+    settings = settings_from(info)
+    api.check_settings(settings)
+    return Config(
+        name=str(data.get("name", "courier")),
+        listen=Address.parse(environ.get("RELAY_LISTEN") or data["listen"]),
+        discovery=Address.parse(environ.get("RELAY_DISCOVERY") or data["discovery"]),
+        state=state,
+        seed=int(str(data.get("seed", "0")), 16),
+        disk_bytes=int(float(data.get("limits", {}).get("disk_mb", 3)) * 1_000_000),
+        known=data.get("known") or {},
+        settings=settings,
+        names=Names(
+            classes=tuple(row.get("name", str(i)) for i, row in enumerate(info["services"])),
+            kinds=tuple(info.get("kinds", ())), zones=tuple(info.get("areas", ())),
+            report=tuple(info.get("report", {}).get("columns") or ())),
+        dial_timeout_us=int(info.get("caps", {}).get("dial_timeout_us") or 1_000_000),
+    )
--- /dev/null
+++ b/wheelstep/courier/outlet.py
@@ -0,0 +1,431 @@
+"""Calls to endpoints: connections, the single and the bulk form, probes, and what an answer means.
+
+h11 gives the framing and asyncio the streams; nothing is ever sent again behind the caller's back, since an
+outcome hangs on what was written and when.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+import time
+from collections.abc import Callable, Coroutine, Sequence
+from dataclasses import dataclass, field, replace
+from typing import Protocol
+
+import h11
+
+from wheelstep import interface as api
+from wheelstep.courier.config import Address
+from wheelstep.interface import UNRUN, Outcome
+
+_MOST_ANSWER = 256 * 1024  # bytes of an answer's body that are read
+_IDLE_MARGIN_S = 1.5  # an idle connection is given up so long before the endpoint would
+_TAIL_S = 0.5  # how long the rest of an answer may take once its outcome is known
+_SWEEP_S = 0.5
+_ENDS = {"delivered": Outcome.OK, "failed": Outcome.ERROR, "refused": Outcome.FULL,
+         "over": Outcome.NOT_SENT, "spent": Outcome.NOT_SENT}
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Item:
+    """One message of a call."""
+
+    message: str
+    attempt: int
+    token: str | None
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """How one message of a call fared."""
+
+    outcome: Outcome
+    spent_us: int = 0
+    wait_us: int = 0
+    limit: api.LimitReport | None = None
+    over: bool = False  # the message is over, and nothing more is owed
+    exhausted: bool = False  # the message has had all its attempts
+
+
+class Gate(Protocol):
+    """What the outlet asks of its owner."""
+
+    async def settled(self, items: Sequence[Item]) -> None:
+        """Wait until nothing that must come before these messages is still under way."""
+
+    def may_start(self, endpoint: str, item: Item) -> bool:
+        """Asked right before the first byte: may it still go there?"""
+
+    def starting(self, endpoint: str, items: Sequence[Item]) -> None:
+        """The first byte follows."""
+
+    def told_to_wait(self, endpoint: str, wait_us: int) -> None:
+        """An answer told to wait."""
+
+    def ended(self, endpoint: str, results: Sequence[tuple[Item, Result]]) -> None:
+        """Each message's one outcome."""
+
+    def probed(self, endpoint: str, result: Result) -> None:
+        """A probe's one outcome."""
+
+
+class _BrokenError(Exception):
+    """The connection broke, or what came on it was no HTTP."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+class _Link:
+    """One connection; it carries one call at a time."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader, self._writer = reader, writer
+        self._http = h11.Connection(h11.CLIENT)
+        self.idle_since = 0.0
+        writer.transport.set_write_buffer_limits(high=0)  # so that `drain` means: all is written
+
+    def usable(self) -> bool:
+        return not (self._reader.at_eof() or self._writer.transport.is_closing())
+
+    def close(self) -> None:
+        self._writer.transport.abort()
+
+    async def send(self, request: h11.Request, body: bytes) -> None:
+        """Write one request whole."""
+        parts = [self._http.send(request)]
+        if body:
+            parts.append(self._http.send(h11.Data(data=body)))
+        parts.append(self._http.send(h11.EndOfMessage()))
+        try:
+            self._writer.write(b"".join(part for part in parts if part))
+            await self._writer.drain()
+        except OSError as error:
+            raise _BrokenError(str(error)) from error
+
+    async def answer(self) -> _Answer:
+        """Read the answer. A body that breaks off or hangs after the headers gives a partial answer."""
+        head: h11.Response | None = None
+        body = bytearray()
+        try:
+            while head is None:
+                event = await self._event()
+                if isinstance(event, h11.Response):
+                    head = event
+                elif not isinstance(event, h11.InformationalResponse):
+                    raise _BrokenError("ended before its answer")
+        except (OSError, h11.RemoteProtocolError) as error:
+            raise _BrokenError(str(error)) from error
+        whole = False
+        try:
+            async with asyncio.timeout(_TAIL_S):
+                while not whole and len(body) <= _MOST_ANSWER:
+                    event = await self._event()
+                    if isinstance(event, h11.Data):
+                        body += event.data
+                    elif isinstance(event, h11.EndOfMessage):
+                        whole = True
+                    else:
+                        break
+        except (OSError, TimeoutError, h11.RemoteProtocolError) as error:
+            log.info("answer broke off: %s", error)
+        headers = {name.decode("latin-1").lower(): value.decode("latin-1") for name, value in head.headers}
+        return _Answer(head.status_code, headers, bytes(body), whole)
+
+    async def _event(self) -> h11.Event | type[h11.PAUSED]:
+        while True:
+            event = self._http.next_event()
+            if event is not h11.NEED_DATA:
+                return event  # type: ignore[return-value]
+            self._http.receive_data(await self._reader.read(65536))
+
+    def next_cycle(self) -> bool:
+        """May another call follow on this connection?"""
+        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE and self.usable():
+            self._http.start_next_cycle()
+            self.idle_since = time.monotonic()
+            return True
+        return False
+
+
+@dataclass(slots=True)
+class _Host:
+    """An endpoint's address and its idle connections, the one used last at the end."""
+
+    address: Address
+    idle: list[_Link] = field(default_factory=list)
+
+
+class Outlet:
+    """All calls and connections of this courier."""
+
+    def __init__(self, gate: Gate, dial_timeout_us: int, conn_idle_us: int, report: tuple[str, ...]) -> None:
+        self._gate, self._report = gate, report
+        self._dial_s = dial_timeout_us / 1e6
+        idle_s = conn_idle_us / 1e6 if conn_idle_us else 5.0
+        self._idle_s = max(idle_s - _IDLE_MARGIN_S, idle_s / 2)
+        self._hosts: dict[str, _Host] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._calls: dict[tuple[str, int], asyncio.Task[None]] = {}
+
+    def list(self, endpoint: str, address: Address) -> None:
+        """Calls to the endpoint go to this address from now on."""
+        host = self._hosts.get(endpoint)
+        if host is None or host.address != address:
+            self.close_idle(endpoint)
+            self._hosts[endpoint] = _Host(address)
+
+    def unlist(self, endpoint: str) -> None:
+        """The endpoint is gone."""
+        self.close_idle(endpoint)
+        self._hosts.pop(endpoint, None)
+
+    def close_idle(self, endpoint: str) -> None:
+        """Close the idle connections to an endpoint."""
+        host = self._hosts.get(endpoint)
+        while host is not None and host.idle:
+            host.idle.pop().close()
+
+    def call(self, endpoint: str, items: Sequence[Item], timeout_us: int) -> None:
+        """Start one call; every item gets its outcome through the gate."""
+        task = self._spawn(self._call(endpoint, items, timeout_us))
+        for item in items:
+            self._calls[item.message, item.attempt] = task
+
+    def cancel(self, message: str, attempt: int) -> None:
+        """Give up the call that carries this attempt, by closing its connection."""
+        if task := self._calls.get((message, attempt)):
+            task.cancel()
+
+    def probe(self, endpoint: str, timeout_us: int) -> None:
+        """Start one probe."""
+        self._spawn(self._probe(endpoint, timeout_us))
+
+    async def finish(self, timeout_s: float) -> None:
+        """Wait for the calls under way, up to a time."""
+        if self._tasks:
+            await asyncio.wait(set(self._tasks), timeout=timeout_s)
+
+    async def sweep(self) -> None:
+        """Close connections before their endpoint does, so that no call is written to a closing one."""
+        while True:
+            await asyncio.sleep(_SWEEP_S)
+            for host in self._hosts.values():
+                for link in list(host.idle):
+                    if not self._fresh(link):
+                        host.idle.remove(link)
+                        link.close()
+
+    def _fresh(self, link: _Link) -> bool:
+        return link.usable() and time.monotonic() - link.idle_since < self._idle_s
+
+    def _spawn(self, work: Coroutine[object, object, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _call(self, endpoint: str, items: Sequence[Item], timeout_us: int) -> None:
+        end = time.monotonic() + timeout_us / 1e6
+        progress = _Progress()
+        live: list[Item] = []
+
+        def request() -> tuple[h11.Request, bytes] | None:
+            # Guards against sends that became wrong while the connection came up: the endpoint drains or is
+            # gone, a wait was told, the message is over.
+            live[:] = [item for item in items if self._gate.may_start(endpoint, item)]
+            if not live:
+                return None
+            self._gate.starting(endpoint, live)
+            return _request(live, self._name(endpoint), max(1, math.ceil((end - time.monotonic()) * 1e3)))
+
+        async def work() -> _Answer | None:
+            await self._gate.settled(items)
+            return await self._exchange(endpoint, progress, request)
+
+        outcome, answer = await self._bounded(work, progress, timeout_us)
+        for item in items:
+            self._calls.pop((item.message, item.attempt), None)
+        wait_us, limit = self._told(endpoint, answer)
+        fared = dict(zip((item.message for item in live), _fared(outcome, answer, live), strict=True))
+        unrun = Result(outcome if outcome in UNRUN else Outcome.NOT_SENT)
+        spent_us = int((time.monotonic() - end) * 1e6) + timeout_us
+        self._gate.ended(endpoint, [
+            (item, replace(fared.get(item.message, unrun), spent_us=spent_us, wait_us=wait_us, limit=limit))
+            for item in items])
+
+    async def _probe(self, endpoint: str, timeout_us: int) -> None:
+        began = time.monotonic()
+        request = h11.Request(method="GET", target="/healthz", headers=[("Host", self._name(endpoint))])
+        progress = _Progress()
+        outcome, answer = await self._bounded(
+            lambda: self._exchange(endpoint, progress, lambda: (request, b"")), progress, timeout_us)
+        if answer is not None:
+            outcome = _status(answer).outcome
+        wait_us, limit = self._told(endpoint, answer)
+        spent_us = int((time.monotonic() - began) * 1e6)
+        self._gate.probed(endpoint, Result(outcome, spent_us, wait_us, limit))
+
+    async def _bounded(self, work: Callable[[], Coroutine[object, object, _Answer | None]],
+                       progress: _Progress, timeout_us: int) -> tuple[Outcome, _Answer | None]:
+        """Run an exchange for so long at most. Guards against a call that ends with no outcome at all."""
+        try:
+            async with asyncio.timeout(max(timeout_us, 0) / 1e6):
+                answer = await work()
+            return (Outcome.NOT_SENT if answer is None else Outcome.OK), answer
+        except TimeoutError:
+            return progress.ended_by(Outcome.TIMEOUT), None
+        except asyncio.CancelledError:
+            return progress.ended_by(Outcome.CANCELLED), None
+        except _BrokenError:
+            return progress.ended_by(Outcome.RESET), None
+        except Exception:
+            log.exception("a call failed unexpectedly")
+            return progress.ended_by(Outcome.RESET), None
+
+    async def _exchange(self, endpoint: str, progress: _Progress,
+                        request: Callable[[], tuple[h11.Request, bytes] | None]) -> _Answer | None:
+        """One request and its answer, or None where there is nothing to send any more."""
+        host = self._hosts.get(endpoint)
+        if host is None:
+            return None
+        progress.dialled = True
+        link = await self._connect(host)
+        keep = False
+        try:
+            wanted = request()
+            if wanted is None:
+                keep, link.idle_since = True, time.monotonic()
+                return None
+            await link.send(*wanted)
+            progress.written = True
+            answer = await link.answer()
+            keep = answer.whole and link.next_cycle()
+            return answer
+        finally:
+            if keep and self._hosts.get(endpoint) is host:
+                host.idle.append(link)
+            else:
+                link.close()
+
+    async def _connect(self, host: _Host) -> _Link:
+        while host.idle:
+            link = host.idle.pop()
+            if self._fresh(link):
+                return link
+            link.close()
+        try:
+            async with asyncio.timeout(self._dial_s):
+                return _Link(*await asyncio.open_connection(host.address.host, host.address.port))
+        except OSError as error:
+            raise _BrokenError(f"no connection: {error}") from error
+
+    def _name(self, endpoint: str) -> str:
+        host = self._hosts.get(endpoint)
+        return f"{host.address.host}:{host.address.port}" if host else endpoint
+
+    def _told(self, endpoint: str, answer: _Answer | None) -> tuple[int, api.LimitReport | None]:
+        """The wait and the report that any answer may carry."""
+        if answer is None:
+            return 0, None
+        wait_us = _wait_us(answer.headers.get("retry-after", ""))
+        if wait_us:
+            self._gate.told_to_wait(endpoint, wait_us)
+        return wait_us, _limit(answer.headers.get("x-load", ""), self._report)
+
+
+@dataclass(slots=True)
+class _Progress:
+    """How far an exchange has come; what its end means hangs on it."""
+
+    dialled: bool = False
+    written: bool = False
+
+    def ended_by(self, outcome: Outcome) -> Outcome:
+        if self.written:
+            return outcome
+        if outcome is Outcome.CANCELLED or not self.dialled:
+            return Outcome.NOT_SENT
+        return Outcome.CONNECT_FAILED
+
+
+def _request(items: Sequence[Item], host: str, wait_ms: int) -> tuple[h11.Request, bytes]:
+    headers = [("Host", host), ("X-Deadline-Ms", str(wait_ms))]
+    if len(items) == 1:
+        target, body = "/inbox", items[0].body
+        headers.append(("X-Request-Id", items[0].message))
+        if items[0].token is not None:
+            headers.append(("Idempotency-Key", items[0].token))
+    else:
+        target = "/inbox/bulk"
+        body = b"".join(
+            f"{item.message} {item.token or '-'} {len(item.body)}\r\n".encode() + item.body + b"\r\n"
+            for item in items)
+    headers.append(("Content-Length", str(len(body))))
+    return h11.Request(method="POST", target=target, headers=headers), body
+
+
+def _fared(outcome: Outcome, answer: _Answer | None, items: Sequence[Item]) -> list[Result]:
+    """How each message of a call fared."""
+    if answer is None:
+        return [Result(outcome)] * len(items)
+    if answer.status != 200 or len(items) < 2:
+        return [_status(answer)] * len(items)
+    ends: dict[str, str] = {}
+    if answer.whole:  # guards against a torn answer: what it says of the last message may be cut off
+        for line in answer.body.decode("latin-1").splitlines():
+            message, _, end = line.strip().partition(" ")
+            ends[message] = end.strip()
+    # A message that the answer passes over, or tells an unknown end of, may have run.
+    return [Result(_ENDS.get(ends.get(item.message, ""), Outcome.ERROR),
+                   over=ends.get(item.message) == "over", exhausted=ends.get(item.message) == "spent")
+            for item in items]
+
+
+def _status(answer: _Answer) -> Result:
+    match answer.status:
+        case 200:
+            return Result(Outcome.OK)
+        case 410:
+            return Result(Outcome.NOT_SENT, over=True)
+        case 504:
+            return Result(Outcome.NOT_SENT, exhausted=True)
+        case 503 if answer.headers.get("x-line-busy", "0").strip() not in ("", "0"):
+            return Result(Outcome.NOT_SENT)
+        case 429 | 503:
+            return Result(Outcome.FULL)
+        case _:  # 500, and whatever else: it may have run
+            return Result(Outcome.ERROR)
+
+
+def _wait_us(text: str) -> int:
+    try:
+        wait_s = float(text)
+    except ValueError:
+        return 0
+    return math.ceil(wait_s * 1e6) if 0 < wait_s < 3600 else 0
+
+
+def _limit(text: str, fields: tuple[str, ...]) -> api.LimitReport | None:
+    values: dict[str, float] = {}
+    for part in text.split(","):
+        name, _, value = part.strip().partition("=")
+        try:
+            number = float(value)
+        except ValueError:
+            continue
+        if name in fields and math.isfinite(number):
+            values[name] = number
+    if "x0" not in values:
+        return None
+    return api.LimitReport(min(max(values["x0"], 0.0), 1.0), max(values.get("x1", 0.0), 0.0))
--- /dev/null
+++ b/wheelstep/courier/platform.py
@@ -0,0 +1,121 @@
+"""The platform's side: the watch on discovery's list, and the notices of messages that ended undelivered."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import aiohttp
+
+from wheelstep import interface as api
+from wheelstep.courier.config import Address, Names
+
+_SILENT_S = 7.0  # a watch says something every 2 s
+_AGAIN_S = 0.25
+_MOST_LINES = 200  # notices in one request
+_MOST_LINE = 1 << 20  # bytes of a line of the list
+
+log = logging.getLogger(__name__)
+
+Listed = Callable[[api.ListKind, list[tuple[api.EndpointInfo, Address]]], None]
+
+
+def entries(data: Mapping[str, Any], names: Names) -> list[tuple[api.EndpointInfo, Address]]:
+    """The entries of a list that can be read."""
+    found = []
+    for row in data.get("hosts") or ():
+        try:
+            found.append(names.entry(row))
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            log.warning("discovery: passed over %r: %r", row, error)
+    return found
+
+
+class Watch:
+    """Follows discovery for good: through silence, garbage and broken connections."""
+
+    def __init__(self, http: aiohttp.ClientSession, discovery: Address, names: Names, seq: int,
+                 listed: Listed) -> None:
+        self._http, self._names, self._listed, self._seq = http, names, listed, seq
+        self._url = f"http://{discovery.host}:{discovery.port}/v1/servers"
+
+    async def run(self) -> None:
+        """Watch, and begin again from the last version whenever a watch ends."""
+        while True:
+            try:
+                await self._follow()
+            except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+                log.info("discovery: watch ended: %r", error)
+            await asyncio.sleep(_AGAIN_S)
+
+    async def _follow(self) -> None:
+        limits = aiohttp.ClientTimeout(total=None, sock_connect=2.0, sock_read=_SILENT_S)
+        async with self._http.get(self._url, params={"watch": "1", "after": str(self._seq)}, timeout=limits,
+                                  read_bufsize=_MOST_LINE) as answer:
+            if answer.status != 200:
+                raise ValueError(f"status {answer.status}")
+            while line := await answer.content.readline():
+                if line.strip():
+                    self._take(line)
+
+    def _take(self, line: bytes) -> None:
+        data = json.loads(line)
+        if not isinstance(data, dict) or not isinstance(data.get("seq"), int):
+            raise ValueError(f"no list: {line[:80]!r}")
+        whole = bool(data.get("whole"))
+        if not whole and data["seq"] <= self._seq:
+            return  # known already
+        self._seq = data["seq"]
+        self._listed(api.ListKind.WHOLE if whole else api.ListKind.CHANGES, entries(data, self._names))
+
+
+class Notices:
+    """Tells the platform of every message that ended undelivered, again and again until it is answered."""
+
+    def __init__(self, http: aiohttp.ClientSession, discovery: Address,
+                 answered: Callable[[list[str]], None]) -> None:
+        self._http, self._answered = http, answered
+        self._url = f"http://{discovery.host}:{discovery.port}/v1/outcomes"
+        self._owed: dict[str, bytes] = {}
+        self._any = asyncio.Event()
+
+    def owe(self, message: str, outcome: str, retry_ms: int) -> None:
+        """Tell of this one as soon as can be."""
+        notice: dict[str, Any] = {"message": message, "outcome": outcome}
+        if retry_ms:
+            notice["retry_in_ms"] = retry_ms
+        self._owed[message] = json.dumps(notice).encode() + b"\n"
+        self._any.set()
+
+    async def run(self) -> None:
+        """Send what is owed, for good."""
+        most = _MOST_LINES
+        while True:
+            await self._any.wait()
+            batch = list(self._owed)[:most]
+            if await self._post(b"".join(self._owed[message] for message in batch)):
+                for message in batch:
+                    del self._owed[message]
+                self._answered(batch)
+                most = _MOST_LINES
+            else:
+                # Guards against one notice that is not taken holding up all others: alone, and last.
+                most = 1
+                self._owed[batch[0]] = self._owed.pop(batch[0])
+                await asyncio.sleep(_AGAIN_S)
+            if not self._owed:
+                self._any.clear()
+
+    async def _post(self, body: bytes) -> bool:
+        try:
+            limit = aiohttp.ClientTimeout(total=2.0)
+            async with self._http.post(self._url, data=body, timeout=limit) as answer:
+                if answer.status != 204:
+                    log.warning("notices: status %d", answer.status)
+                return answer.status == 204
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            log.warning("notices: %r", error)
+            return False
--- a/wheelstep/interface.py
+++ b/wheelstep/interface.py
@@ -145,6 +145,18 @@
     resubmitted: bool = False  # the client, or a sender that died, had it before
 
 
+@dataclass(frozen=True, slots=True)
+class MessageRestored:
+    """A message that this sender had taken on before its process was replaced. Of its attempts so far, those
+    without an outcome count among those that may have run; `ran_ago_us` is how long ago the first such was
+    sent (None: none may have run), `ran_zone` its endpoint's zone. Restored in the order of their taking."""
+
+    accepted: MessageAccepted
+    attempts: int = 0
+    ran_ago_us: int | None = None
+    ran_zone: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class LimitReport:
     """What a destination told of its limit: the share left, and calls a second (0 where there is none)."""
@@ -165,6 +177,7 @@
     complete: bool = False
     wait_us: int = 0
     limit: LimitReport | None = None
+    exhausted: bool = False  # the destination takes no further attempt of this message
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,7 +204,8 @@
     message: str
 
 
-Event = MembershipReceived | MessageAccepted | AttemptEnded | ProbeEnded | TimerFired | MessageWithdrawn
+Event = (MembershipReceived | MessageAccepted | MessageRestored | AttemptEnded | ProbeEnded | TimerFired
+         | MessageWithdrawn)
 
 
 @dataclass(frozen=True, slots=True)
--- a/wheelstep/logic.py
+++ b/wheelstep/logic.py
@@ -323,7 +323,7 @@
         self.attempts = self.ran_zone = self.rest_us = 0  # its key rests until `rest_us`
         self.call: Call | None = None
         self.ran_us: int | None = None  # when the first attempt that may have run was sent
-        self.done = self.queued = False
+        self.done = self.queued = self.resumes = False
 
     def worth_at(self, at_us: float, decay: Decay) -> float:
         late_us, cls = at_us - self.promised_us, self.cls
@@ -428,6 +428,8 @@
         match event:
             case api.MessageAccepted():
                 self._accept(event)
+            case api.MessageRestored():
+                self._restore(event)
             case api.AttemptEnded():
                 self._ended(event)
             case api.TimerFired():
@@ -496,6 +498,18 @@
             self._chains[message.key].messages.append(message)
             self._advance(message.key)
 
+    def _restore(self, event: api.MessageRestored) -> None:
+        """Go on with a message of an earlier process. Guards against effects taken twice: what may have run
+        before binds as if it had been seen to here, and the key rests again once the message has ended."""
+        self._accept(event.accepted)
+        message = self._messages[event.accepted.message]
+        message.attempts, message.resumes = event.attempts, event.attempts > 0
+        if event.ran_ago_us is not None:
+            message.ran_us, message.ran_zone = self._now - event.ran_ago_us, event.ran_zone
+            message.rest_us = self._now + self._s.order_settle_us
+        if not self._may_resend(message, self._now):
+            self._end(message)
+
     def _make_room(self) -> None:
         """Hand back what is worth least once its destination's backlog has gone, before others are turned
         away. So no backlog shuts out the rest; it harms one that is about to go faster than one in T1."""
@@ -544,7 +558,7 @@
             self._at(chain.rest_us, lambda: self._advance(key))
         elif not chain.messages:
             del self._chains[key]
-        elif not chain.messages[0].attempts:
+        elif not chain.messages[0].attempts or chain.messages[0].resumes:
             self._queue(chain.messages[0])
 
     def _may_refuse(self, message: Message) -> bool:
@@ -581,6 +595,8 @@
             message.rest_us = self._now + self._s.order_settle_us
         if event.complete or message.done:
             self._close(message)
+        elif event.exhausted:
+            self._end(message)
         else:
             self._again(message, destination, event.wait_us)
 
@@ -743,7 +759,7 @@
                 messages += [m for m in self._heads(destination) if self._may_go(m, endpoint)][:1]
         call.size = call.open = len(messages)
         for message in messages:
-            message.attempts += 1
+            message.attempts, message.resumes = message.attempts + 1, False
             patience = weight(call.size) * (2 - self._calls_out / self._s.slots)  # free slots can wait longer
             patience_us = patience * max(message.cls.promise_us, endpoint.overdue_us())
             timeout_us = min(message.due_us - self._now, int(patience_us))
