--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -32,7 +32,8 @@
         loop.add_signal_handler(number, terminated.set)
     journal = Journal(config.state, config.disk_bytes)
     core = Core(config, journal)
-    inlet = Inlet(core, config.names.classes)
+    ordered = [cls.ordered for cls in config.settings.classes]
+    inlet = Inlet(core, dict(zip(config.names.classes, ordered, strict=True)))
     async with aiohttp.ClientSession(auto_decompress=False, trust_env=False) as http:
         core.notices = Notices(http, config.discovery, core.answered)
         seq = config.known.get("seq", 0)
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -70,14 +70,19 @@
         """Write a new message down."""
         self._journal.take(message)
 
-    def begin(self, message: Stored) -> None:
+    def holds(self, message: str) -> bool:
+        """Was it taken on before, and is its end still owed?"""
+        return message in self._journal.messages
+
+    def begin(self, name: str) -> None:
         """Act on a message whose client knows that it was taken on."""
+        message = self._journal.messages[name]
         self._hold(message)
         self._post(self._accepted(message, message.resubmitted))
 
-    def withdraw(self, message: Stored) -> None:
+    def withdraw(self, name: str) -> None:
         """Forget a message whose client went before it was answered."""
-        self._journal.over(message.id)
+        self._journal.over(name)
 
     def restore(self) -> None:
         """Take up what the journal holds: notices first, then messages in their order."""
--- a/wheelstep/courier/inlet.py
+++ b/wheelstep/courier/inlet.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from collections.abc import Mapping
 from typing import Protocol
 
 from aiohttp import web
@@ -29,10 +30,13 @@
     def take(self, message: Stored) -> None:
         """Write it down, or raise `NoRoomError`."""
 
-    def begin(self, message: Stored) -> None:
+    def holds(self, message: str) -> bool:
+        """Was it taken on before, and is its end still owed?"""
+
+    def begin(self, name: str) -> None:
         """Its client knows that it was taken on: act on it."""
 
-    def withdraw(self, message: Stored) -> None:
+    def withdraw(self, name: str) -> None:
         """Its client went before the answer: forget it."""
 
 
@@ -40,8 +44,8 @@
     """What is wrong with a request, for its client."""
 
 
-def read_message(request: web.Request, body: bytes, classes: tuple[str, ...]) -> Stored:
-    """The message that a request hands in."""
+def read_message(request: web.Request, body: bytes, classes: Mapping[str, bool]) -> Stored:
+    """The message that a request hands in; `classes` tells which ones keep the order of their keys."""
     headers = request.headers
     name = headers.get("X-Request-Id", "")
     if not name or len(name) > 128 or not name.isascii() or not name.isprintable() or " " in name:
@@ -58,7 +62,8 @@
         raise BadRequestError("Idempotency-Key is malformed")
     return Stored(
         id=name, message_class=message_class, destination=_destination(headers.get("X-Consignee", "")),
-        deadline_ms=int(time.time() * 1000) + left_ms, key=request.path.rpartition("/")[2][:256] or None,
+        deadline_ms=int(time.time() * 1000) + left_ms,
+        key=(request.path.rpartition("/")[2][:256] or None) if classes[message_class] else None,
         token=token, resubmitted="X-Retry" in headers, body=body)
 
 
@@ -79,7 +84,7 @@
 class Inlet:
     """The server for clients."""
 
-    def __init__(self, desk: Desk, classes: tuple[str, ...]) -> None:
+    def __init__(self, desk: Desk, classes: Mapping[str, bool]) -> None:
         self._desk, self._classes = desk, classes
         self.closing = False  # answers end their connections from now on
         app = web.Application(client_max_size=MOST_BODY)
@@ -110,6 +115,8 @@
             text = "body is too large" if isinstance(error, web.HTTPException) else str(error)
             log.info("bad request for %.80r: %s", request.path, text)
             return web.Response(status=400, text=text + "\n")
+        if self._desk.holds(message.id):  # handed in once more after a connection that crossed
+            return web.Response(status=202)
         if self._desk.full():
             return web.Response(status=503, text="holds all it can\n", headers=_COME_BACK)
         if request.transport is None or request.transport.is_closing():
@@ -126,7 +133,7 @@
             await answer.prepare(request)
             await answer.write_eof()
         except OSError:
-            self._desk.withdraw(message)
+            self._desk.withdraw(message.id)
             return answer
-        self._desk.begin(message)
+        self._desk.begin(message.id)
         return answer
--- a/wheelstep/courier/journal.py
+++ b/wheelstep/courier/journal.py
@@ -79,7 +79,8 @@
         os.close(self._file)
 
     def take(self, message: Stored) -> None:
-        """Take a message on, or raise `NoRoomError` with nothing changed."""
+        """Take a message on, or raise `NoRoomError` with nothing changed. From then on the one to use is that
+        in `messages`, which records change; the one given is a copy."""
         # Guards against large bodies on a small disk: while compacting, the old and the new file both count.
         after = self._live + _cost(message)
         if 2 * after + _RESERVE > self._limit:
