--- /dev/null
+++ b/tests/test_courier.py
@@ -0,0 +1,209 @@
+"""The courier's process on loopback sockets: what clients, endpoints and the platform see of it."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+from loopback import Call, Reply, Scene, host, run
+
+from wheelstep.courier.journal import Journal
+
+
+async def hang(call: Call) -> None:
+    return None
+
+
+def journal_is_empty(folder: Path) -> bool:
+    journal = Journal(folder / "state", 3_000_000)
+    try:
+        return not journal.messages
+    finally:
+        journal.close()
+
+
+def test_a_message_is_delivered_unchanged(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with Scene(tmp_path) as s:
+            body = bytes(range(256))
+            assert await s.courier.hand_in("m1", "ordered", key="k1", body=body) == 202
+            call = (await s.endpoint.wait(1))[0]
+            assert (call.target, call.body) == ("/inbox", body)
+            assert call.headers["x-request-id"] == "m1"
+            assert call.headers["idempotency-key"] == "token-m1"
+            assert int(call.headers["x-deadline-ms"]) > 0
+            assert await s.courier.terminate() == 0
+            assert journal_is_empty(tmp_path)
+    run(scene())
+
+
+def test_a_class_without_keys_comes_on_any_path(tmp_path: Path) -> None:
+    """Once, only paths with a key were routed, and all other classes got 404."""
+    async def scene() -> None:
+        async with Scene(tmp_path) as s:
+            assert await s.courier.hand_in("m1", "once", body=b"") == 202
+            assert (await s.endpoint.wait(1))[0].headers["x-request-id"] == "m1"
+    run(scene())
+
+
+def test_an_undelivered_message_ends_by_a_notice(tmp_path: Path) -> None:
+    """Once, the end was noted on a copy of the message, and no notice went out."""
+    async def scene() -> None:
+        async with Scene(tmp_path) as s:
+            async def error(call: Call) -> Reply:
+                return 500, {}, b""
+            s.endpoint.reply = error
+            assert await s.courier.hand_in("m1", "once") == 202
+            assert (await s.platform.wait_notice("m1"))["outcome"] == "given_up"
+            assert await s.courier.terminate() == 0
+            assert journal_is_empty(tmp_path)
+    run(scene())
+
+
+def test_bad_input_gets_400_and_the_courier_goes_on(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with Scene(tmp_path) as s:
+            assert await s.courier.hand_in("m1", "no such class") == 400
+            assert await s.courier.hand_in("m2", X_Deadline_Ms="soon") == 400
+            assert await s.courier.hand_in("m3", X_Consignee="7") == 400
+            assert await s.courier.hand_in("", "once") == 400
+            assert await s.courier.hand_in("m4", body=b"x" * (64 * 1024 + 1)) == 400
+            reader, writer = await asyncio.open_connection(*s.courier.address.split(":"))
+            writer.write(b"no http at all\r\n\r\n")
+            assert (await reader.readline()).split()[1] == b"400"
+            assert b"Traceback" not in await reader.read()
+            writer.close()
+            assert await s.courier.hand_in("m5", body=b"x" * (64 * 1024)) == 202
+            assert (await s.endpoint.wait(1))[0].headers["x-request-id"] == "m5"
+            assert not any("Traceback" in line for line in s.courier.log)
+    run(scene())
+
+
+def test_a_message_handed_in_once_more_is_sent_once(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with Scene(tmp_path) as s:
+            s.endpoint.reply = hang
+            assert await s.courier.hand_in("m1") == 202
+            await s.endpoint.wait(1)
+            assert await s.courier.hand_in("m1") == 202
+            assert await s.courier.hand_in("m2") == 202
+            assert [c.headers["x-request-id"] for c in await s.endpoint.wait(2)] == ["m1", "m2"]
+    run(scene())
+
+
+def test_after_sigkill_what_may_have_run_is_not_repeated_against_its_class(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with Scene(tmp_path) as s:
+            s.endpoint.reply = hang
+            assert await s.courier.hand_in("once", "once") == 202
+            await s.endpoint.wait(1)
+            assert await s.courier.hand_in("keyed", "ordered", key="k") == 202
+            await s.endpoint.wait(2)
+            assert await s.courier.hand_in("next", "ordered", key="k") == 202
+            await s.courier.kill()
+
+            async def fine(call: Call) -> Reply:
+                return 200, {}, b""
+            s.endpoint.reply = fine
+            await s.courier.start()
+            assert (await s.platform.wait_notice("once"))["outcome"] == "given_up"
+            calls = await s.endpoint.wait(4)
+            assert [c.headers["x-request-id"] for c in calls] == ["once", "keyed", "keyed", "next"]
+            assert calls[2].body == b"x" and calls[2].headers["idempotency-key"] == "token-keyed"
+            assert await s.courier.terminate() == 0
+            assert journal_is_empty(tmp_path)
+    run(scene())
+
+
+def test_a_notice_owed_outlasts_sigkill(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with Scene(tmp_path) as s:
+            async def error(call: Call) -> Reply:
+                return 500, {}, b""
+            s.endpoint.reply, s.platform.takes_notices = error, False
+            assert await s.courier.hand_in("m1", "once") == 202
+            call = (await s.endpoint.wait(1))[0]
+            while not any("notices: status 503" in line for line in s.courier.log):
+                await asyncio.sleep(0.01)
+            await s.courier.kill()
+            await call.closed.wait()
+            s.platform.takes_notices = True
+            await s.courier.start()
+            assert (await s.platform.wait_notice("m1"))["outcome"] == "given_up"
+            assert len(s.endpoint.calls) == 1
+    run(scene())
+
+
+def test_sigterm_answers_clients_and_lets_running_calls_finish(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with Scene(tmp_path) as s:
+            release = asyncio.Event()
+
+            async def slow(call: Call) -> Reply:
+                await release.wait()
+                return 200, {}, b""
+            s.endpoint.reply = slow
+            assert await s.courier.hand_in("m1") == 202
+            await s.endpoint.wait(1)
+            ending = asyncio.create_task(s.courier.terminate())
+            while await health(s.courier.address) == 200:
+                await asyncio.sleep(0.01)
+            assert await s.courier.hand_in("m2") == 202
+            release.set()
+            assert await ending == 0
+            assert {c.headers["x-request-id"] for c in s.endpoint.calls} == {"m1", "m2"}
+            assert journal_is_empty(tmp_path)
+    run(scene())
+
+
+async def health(address: str) -> int:
+    reader, writer = await asyncio.open_connection(*address.split(":"))
+    writer.write(b"GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+    status = int((await reader.readline()).split()[1])
+    writer.close()
+    return status
+
+
+def test_a_key_goes_on_only_once_the_notice_before_is_answered(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with Scene(tmp_path) as s:
+            s.platform.takes_notices = False
+            seen: list[Any] = []
+
+            async def turn_away(call: Call) -> Reply:
+                seen.append((call.headers["x-request-id"], "first" in s.platform.notices))
+                return (500, {}, b"") if call.headers["x-request-id"] == "first" else (200, {}, b"")
+            s.endpoint.reply = turn_away
+            assert await s.courier.hand_in("first", "ordered", key="k", X_Deadline_Ms="900") == 202
+            assert await s.courier.hand_in("second", "ordered", key="k") == 202
+            while not any("notices: status 503" in line for line in s.courier.log):
+                await asyncio.sleep(0.01)
+            s.platform.takes_notices = True
+            await s.platform.wait_notice("first")
+            while ("second", True) not in seen:
+                await asyncio.sleep(0.01)
+            assert ("second", False) not in seen
+    run(scene())
+
+
+def test_the_list_is_followed_through_garbage_and_drains(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with Scene(tmp_path) as s:
+            await s.platform.wait_watches(1)
+            other = await s.endpoint.start()  # the same endpoint under a second address
+            s.platform.push(host("e1", other, block=8))
+            assert await s.courier.hand_in("m1", X_Consignee="dest=8") == 202
+            await s.endpoint.wait(1)
+            s.platform.push({"host": "junk"}, host("e1", other, block=8, health="DELETED"),
+                            host("e2", other, block=9))
+            assert await s.courier.hand_in("m2", X_Consignee="dest=9") == 202
+            await s.endpoint.wait(2)
+            assert await s.courier.hand_in("m3", X_Consignee="dest=8", X_Deadline_Ms="300") == 202
+            await s.platform.wait_notice("m3")
+            assert len(s.endpoint.calls) == 2
+            s.platform.say(b"no json\n")
+            await s.platform.wait_watches(2)
+            assert s.platform.asked_after[1] == s.platform.seq
+            assert s.courier.process.returncode is None
+    run(scene())
