Health of endpoints outlasts the process, through the module's interface

The module now notes health at each change and at each cut of a paced rate; the core writes it down, and gives it back at the start. One action that fails no longer takes the rest of its turn with it; a silent watch is left after 4.5 s, before changes count as told at 6 s. Checked: a loopback test (a probe before the first message, where a fresh process would send at once), tests of the module.

--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -207,3 +207,24 @@
             assert s.platform.asked_after[1] == s.platform.seq
             assert s.courier.process.returncode is None
     run(scene())
+
+
+def test_what_was_seen_of_a_sick_endpoint_outlasts_sigkill(tmp_path: Path) -> None:
+    """Guards a destination that comes back cold against a courier that has just started again."""
+    async def scene() -> None:
+        async with Scene(tmp_path) as s:
+            s.platform.hosts = [host("e0", "127.0.0.1:1")]  # nobody listens there
+            await s.courier.kill()
+            await s.courier.start()
+            assert await s.courier.hand_in("m1") == 202
+            while not any("e0 out" in line for line in s.courier.log):
+                await asyncio.sleep(0.01)
+            await s.courier.kill()
+            journal = Journal(tmp_path / "state", 3_000_000)
+            assert journal.marks["e0"][1] is True
+            journal.close()
+            s.platform.hosts = [host("e0", s.endpoint.address)]
+            await s.courier.start()
+            calls = await s.endpoint.wait(2)  # one that knew nothing would send the message at once
+            assert [call.target for call in calls] == ["/healthz", "/inbox"]
+    run(scene())
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -331,3 +331,61 @@
     drive.end("m", Outcome.OK)
     drive.submit("n")
     assert "n" in sends(drive.actions + drive.tick(5 * S))
+
+
+def test_a_restored_message_keeps_to_what_may_have_run() -> None:
+    drive = Drive()
+    accepted = api.MessageAccepted("u", 2, 7, 10 * S, resubmitted=True)
+    actions = drive.at(S, api.MessageRestored(accepted, attempts=1, ran_ago_us=2 * S))
+    assert finals(actions) == [("Fail", "u")] and not sends(actions)
+    accepted = api.MessageAccepted("k", 1, 7, 10 * S, resubmitted=True)
+    actions = drive.at(S, api.MessageRestored(accepted, attempts=1, ran_ago_us=4 * S))
+    assert sends(actions) == ["k"]
+    accepted = api.MessageAccepted("late", 1, 7, 10 * S, resubmitted=True)
+    actions = drive.at(S, api.MessageRestored(accepted, attempts=1, ran_ago_us=5 * S))
+    assert not sends(actions) and finals(actions) == [("Refuse", "late")]
+    accepted = api.MessageAccepted("unrun", 2, 7, 10 * S, resubmitted=True)
+    assert sends(drive.at(S, api.MessageRestored(accepted, attempts=3))) == ["unrun"]
+
+
+def test_restored_messages_of_a_key_keep_their_order_and_rest() -> None:
+    drive = Drive(order_settle_us=300 * MS)
+    first, second = (api.MessageAccepted(name, 3, 7, 10 * S, "key", True) for name in ("a", "b"))
+    actions = drive.at(S, api.MessageRestored(first, 1, 2 * S), api.MessageRestored(second))
+    assert sends(actions) == ["a"]
+    drive.now += 10 * MS
+    assert not sends(drive.end("a", api.Outcome.OK, attempt=1))
+    assert sends(drive.tick(drive.now + 400 * MS)) == ["b"]
+    assert drive.now >= S + 300 * MS
+
+
+def test_a_spent_message_ends_at_once() -> None:
+    drive = Drive()
+    drive.submit("m")
+    actions = drive.end("m", api.Outcome.NOT_SENT, exhausted=True)
+    assert finals(actions) == [("Refuse", "m")]
+
+
+def test_health_is_noted_and_binds_the_next_process() -> None:
+    before = Drive()
+    for name in "abc":
+        before.submit(name)
+        before.end(name, api.Outcome.CONNECT_FAILED)
+    notes = [a for a in before.actions if isinstance(a, api.NoteHealth)]
+    assert notes and notes[-1].endpoint == "e0" and notes[-1].health.sick
+    after, fresh = Drive(), Drive()
+    after.at(0, api.HealthRestored("e0", notes[-1].health, S))
+    first = [api.MessageAccepted(name, 0, 7, 20 * S) for name in "defgh"]
+    assert len(sends(fresh.at(MS, *first))) > 1
+    assert sends(after.at(MS, *first)) == []
+    assert sends(after.tick(2 * S))[:1] == ["d"]  # on trial
+
+
+def test_a_ramp_goes_on_after_a_restart() -> None:
+    drive, well = Drive(), Drive()
+    drive.at(0, api.HealthRestored("e0", api.Health(False, True, 2.0, 1.5), 2 * S))
+    messages = [api.MessageAccepted(f"m{i}", 0, 7, 20 * S) for i in range(12)]
+    assert len(sends(well.at(0, *messages))) > len(sends(drive.at(0, *messages)))
+    late = Drive()
+    late.at(0, api.HealthRestored("e0", api.Health(False, True, 2.0, 1.5), 10 * S))
+    assert len(sends(late.at(0, *messages))) == len(sends(well.actions))
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -60,6 +60,8 @@
 
     def _unlist(self, endpoint: str) -> None:
         self._listed.pop(endpoint, None)
+        if endpoint in self._journal.marks:
+            self._journal.mark(endpoint, None)
         self.outlet.unlist(endpoint)
 
     def full(self) -> bool:
@@ -85,7 +87,13 @@
         self._journal.over(name)
 
     def restore(self) -> None:
-        """Take up what the journal holds: notices first, then messages in their order."""
+        """Take up what the journal holds: the health of endpoints, and the messages in their order."""
+        now_ms = int(time.time() * 1000)
+        for endpoint, (at_ms, *health) in list(self._journal.marks.items()):
+            if endpoint in self._listed:
+                self._post(api.HealthRestored(endpoint, api.Health(*health), max(0, now_ms - at_ms) * 1000))
+            else:
+                self._journal.mark(endpoint, None)
         for message in list(self._journal.messages.values()):
             if message.notice is not None:
                 self._owe(message)
@@ -207,28 +215,37 @@
     def _carry_out(self, actions: list[api.Action]) -> None:
         calls: dict[str, list[tuple[Item, int]]] = {}
         for action in actions:
-            match action:
-                case api.StartAttempt(name, endpoint, timeout_us):
-                    self._start(name, endpoint, timeout_us, calls)
-                case api.Refuse(name, retry_after_us):
-                    self._final(name, "handed_back", retry_after_us // 1000)
-                case api.Fail(name):
-                    self._final(name, "given_up", 0)
-                case api.CancelAttempt(name, attempt):
-                    self.outlet.cancel(name, attempt)
-                case api.Probe(endpoint):
-                    self.outlet.probe(endpoint, _PROBE_TIMEOUT_US)
-                case api.CloseIdle(endpoint):
-                    self.outlet.close_idle(endpoint)
-                case api.SetTimer(timer, in_us):
-                    asyncio.get_running_loop().call_later(in_us / 1e6, self._timer, timer)
-                case api.Subscribe():
-                    pass  # the watch is always on
-                case api.WriteLog(text):
-                    log.info("%s", text)
+            try:
+                self._carry_out_one(action, calls)
+            except Exception:  # one that fails, on a full disk for example, may not take the others with it
+                log.exception("could not carry out %r", action)
         for endpoint, sends in calls.items():
             self._call(endpoint, sends)
 
+    def _carry_out_one(self, action: api.Action, calls: dict[str, list[tuple[Item, int]]]) -> None:
+        match action:
+            case api.StartAttempt(name, endpoint, timeout_us):
+                self._start(name, endpoint, timeout_us, calls)
+            case api.Refuse(name, retry_after_us):
+                self._final(name, "handed_back", retry_after_us // 1000)
+            case api.Fail(name):
+                self._final(name, "given_up", 0)
+            case api.CancelAttempt(name, attempt):
+                self.outlet.cancel(name, attempt)
+            case api.Probe(endpoint):
+                self.outlet.probe(endpoint, _PROBE_TIMEOUT_US)
+            case api.CloseIdle(endpoint):
+                self.outlet.close_idle(endpoint)
+            case api.SetTimer(timer, in_us):
+                asyncio.get_running_loop().call_later(in_us / 1e6, self._timer, timer)
+            case api.Subscribe():
+                pass  # the watch is always on
+            case api.WriteLog(text):
+                log.info("%s", text)
+            case api.NoteHealth(endpoint, health) if endpoint in self._listed:
+                self._journal.mark(endpoint, [int(time.time() * 1000), health.sick, health.returning,
+                                              health.base, health.rate])
+
     def _timer(self, timer: int) -> None:
         self._post(api.TimerFired(timer))
 
--- a/wheelstep/courier/platform.py
+++ b/wheelstep/courier/platform.py
@@ -13,7 +13,7 @@
 from wheelstep import interface as api
 from wheelstep.courier.config import Address, Names
 
-_SILENT_S = 7.0  # a watch says something every 2 s
+_SILENT_S = 4.5  # a watch says something every 2 s, and changes count as told after 6 s
 _AGAIN_S = 0.25
 _MOST_LINES = 200  # notices in one request
 _MOST_LINE = 1 << 20  # bytes of a line of the list
--- a/wheelstep/interface.py
+++ b/wheelstep/interface.py
@@ -190,6 +190,26 @@
     limit: LimitReport | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Health:
+    """What must not be forgotten of an endpoint: is it out or on its way back, what it carried a second
+    before, and the paced rate of its route (0: unpaced)."""
+
+    sick: bool
+    returning: bool
+    base: float
+    rate: float
+
+
+@dataclass(frozen=True, slots=True)
+class HealthRestored:
+    """What an earlier process of this sender noted last of an endpoint, and how long ago."""
+
+    endpoint: str
+    health: Health
+    ago_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired:
     """A timer set by this sender is due."""
@@ -205,7 +225,7 @@
 
 
 Event = (MembershipReceived | MessageAccepted | MessageRestored | AttemptEnded | ProbeEnded | TimerFired
-         | MessageWithdrawn)
+         | MessageWithdrawn | HealthRestored)
 
 
 @dataclass(frozen=True, slots=True)
@@ -274,7 +294,16 @@
     text: str
 
 
-Action = StartAttempt | Refuse | Fail | CancelAttempt | Probe | CloseIdle | SetTimer | Subscribe | WriteLog
+@dataclass(frozen=True, slots=True)
+class NoteHealth:
+    """Keep this for a later process of this sender, in place of what was noted of the endpoint before."""
+
+    endpoint: str
+    health: Health
+
+
+Action = (StartAttempt | Refuse | Fail | CancelAttempt | Probe | CloseIdle | SetTimer | Subscribe | WriteLog
+          | NoteHealth)
 
 _COUNTS = ("slots", "hold_limit", "senders", "max_attempts", "tick_us")
 _TIMES = ("ask_within_us", "answer_slack_us", "max_retry_after_us", "conn_idle_us", "drain_grace_us",
--- a/wheelstep/logic.py
+++ b/wheelstep/logic.py
@@ -143,7 +143,7 @@
         self.rate = self._limit = math.inf
         self.told_until_us, self._senders, self._quiet_us, self.endpoints = 0, senders, quiet_us, 0
         self.even = LEAST_TOTAL / senders  # this sender's even part
-        self._fair, self._left, self._cut_us = LEAST_FAIR, 0.5, 0
+        self._fair, self._left, self.cut_us = LEAST_FAIR, 0.5, 0
         self._next_us, self._sent = 0.0, Fading(6 * quiet_us)
         self.carried, self.last_ok_us = Fading(MEMORY_US), -math.inf
 
@@ -164,9 +164,9 @@
         self._next_us = max(self._next_us, now_us - self._quiet_us) + 1e6 / self.rate
 
     def refused(self, now_us: int, cold_share: float) -> None:
-        if now_us - self._cut_us < self._quiet_us:
+        if now_us - self.cut_us < self._quiet_us:
             return
-        self._cut_us = now_us
+        self.cut_us = now_us
         used = max(self._sent.read(now_us) * 1e6 / self._sent.span_us, self.even)
         if self.rate == math.inf:
             self._fair = max(used, LEAST_FAIR)
@@ -174,6 +174,11 @@
         self.rate = max(min(self.rate, used) * SLOWER, self.even / 8, least)
         self.hold(now_us + 1e6 / self.rate)
 
+    def resume(self, rate: float) -> None:
+        """Go on from the rate that an earlier process had come down to."""
+        if rate > 0:
+            self._fair, self.rate = max(rate, LEAST_FAIR), min(rate, self.rate)
+
     def hold(self, until_us: float) -> None:
         """No call before then, unless one is delivered first."""
         self._next_us = max(self._next_us, until_us)
@@ -242,6 +247,23 @@
         self.sick, self._ramp_us = True, None
         self._next_us = self._later_us(now_us)
 
+    def health(self) -> api.Health:
+        """What a later process must know of it."""
+        rate = self.pacer.rate if self.pacer.rate < math.inf else 0.0
+        return api.Health(self.sick, self._ramp_us is not None, self._base, rate)
+
+    def restore(self, now_us: int, health: api.Health, ago_us: int) -> None:
+        """Go on with what an earlier process saw. Guards a returning endpoint against a sender that has just
+        started and would push it as if it were well; harms where it got well meanwhile, for one trial."""
+        if health.sick:
+            self.fall_sick(now_us)
+            self._base = health.base
+        elif health.returning and ago_us < self._s.cold_us:
+            self._base, self._ramp_us = health.base, now_us - ago_us
+            self._ramp(now_us, self._rng.random())
+        if ago_us < self._s.cold_us:
+            self.pacer.resume(health.rate)
+
     def _later_us(self, now_us: int) -> float:
         """When to try again: at the pace that it could bear once it is back, cold, if every sender that
         misses it tried in proportion to what it carried."""
@@ -440,6 +462,8 @@
                 self._close(self._messages[event.message])
             case api.ProbeEnded() if event.endpoint in self._endpoints:
                 self._learn(self._endpoints[event.endpoint], event)
+            case api.HealthRestored() if event.endpoint in self._endpoints:
+                self._endpoints[event.endpoint].restore(self._now, event.health, event.ago_us)
 
     def _at(self, when_us: float, what: Callable[[], None]) -> None:
         self._count += 1
@@ -640,6 +664,12 @@
         if endpoint.judge(self._now, event):
             word = "out" if endpoint.sick else "answering again"
             self._actions.append(api.WriteLog(f"{endpoint.info.endpoint} {word} ({event.outcome.value})"))
+            self._note(endpoint)
+        elif event.outcome is Outcome.FULL and endpoint.pacer.cut_us == self._now:
+            self._note(endpoint)
+
+    def _note(self, endpoint: Endpoint) -> None:
+        self._actions.append(api.NoteHealth(endpoint.info.endpoint, endpoint.health()))
 
     def _again(self, message: Message, destination: Destination, told_us: int) -> None:
         """Wait, doubling from T1, then ask the loop; end at once what no later try could save."""
@@ -703,6 +733,7 @@
         if silent_us <= self._now:
             endpoint.fall_sick(self._now)
             self._actions.append(api.WriteLog(f"{endpoint.info.endpoint} out (silent)"))
+            self._note(endpoint)
         endpoint.watched = self._now < silent_us < math.inf
         if endpoint.watched:
             self._at(silent_us, lambda: self._watch(endpoint))
--- a/wheelstep/simhost.py
+++ b/wheelstep/simhost.py
@@ -123,7 +123,7 @@
     raise WireError(f"unknown command {cmd!r}")
 
 
-def _action(action: api.Action) -> dict[str, Any]:
+def _action(action: api.Action) -> dict[str, Any] | None:
     match action:
         case api.StartAttempt(message, endpoint, timeout_us):
             return {"cmd": "SubmitTo", "call": message, "endpoint": endpoint, "within_us": timeout_us}
@@ -143,6 +143,8 @@
             return {"cmd": "Track", "enable": True}
         case api.WriteLog(text):
             return {"cmd": "Log", "text": text}
+        case api.NoteHealth():
+            return None  # what starts again in the simulator has no memory
 
 
 class Host:
@@ -158,8 +160,8 @@
         for group in frame["couriers"]:
             who = group["who"]
             actions = self._instance(now_us, who, group["in"])
-            if actions:
-                replies.append({"who": who, "cmds": [_action(action) for action in actions]})
+            if cmds := [cmd for action in actions if (cmd := _action(action)) is not None]:
+                replies.append({"who": who, "cmds": cmds})
         return {"couriers": replies}
 
     def _instance(self, now_us: int, who: int, wire_events: list[dict[str, Any]]) -> list[api.Action]:
