--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -228,3 +228,49 @@
             calls = await s.endpoint.wait(2)  # one that knew nothing would send the message at once
             assert [call.target for call in calls] == ["/healthz", "/inbox"]
     run(scene())
+
+
+def carried(call: Call) -> list[str]:
+    """The messages of a call."""
+    if call.target == "/inbox":
+        return [call.headers["x-request-id"]]
+    return [line.split()[0].decode() for line in call.body.splitlines() if line.count(b" ") == 2]
+
+
+def test_nothing_is_lost_or_repeated_when_killed_in_full_flow(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with Scene(tmp_path) as s:
+            delivered: set[str] = set()
+            killed = asyncio.Event()
+
+            async def answer(call: Call) -> Reply:
+                if len(s.endpoint.calls) % 2:  # every other call is still out when the process is killed
+                    await killed.wait()
+                names = carried(call)
+                delivered.update(names)
+                body = "".join(f"{name} delivered\r\n" for name in names)
+                return 200, {}, body.encode()
+            s.endpoint.reply = answer
+            names = [f"{'once' if n % 3 else 'ordered'}-{n}" for n in range(45)]
+
+            async def hand_in(name: str) -> None:
+                cls, _, number = name.partition("-")
+                assert await s.courier.hand_in(name, cls, key=f"k{int(number) % 4}") == 202
+            for name in names[:30]:
+                await hand_in(name)
+            await s.endpoint.wait(3)
+            await s.courier.kill()
+            killed.set()
+            await s.courier.start()
+            for name in names[30:]:
+                await hand_in(name)
+            async with asyncio.timeout(30):
+                while not all(name in delivered or name in s.platform.notices for name in names):
+                    await asyncio.sleep(0.01)
+            sent = [name for call in s.endpoint.calls for name in carried(call)]
+            assert all(sent.count(name) <= 1 for name in names if name.startswith("once"))
+            for key in range(4):
+                turns = [int(name.split("-")[1]) for name in sent if name.startswith("ordered")]
+                turns = [number for number in turns if number % 4 == key]
+                assert turns == sorted(turns)
+    run(scene())
