A full disk and a dying task are survived and heard

What has happened already is now applied also if it can't be written; new messages and attempts are still refused. Test: a disk that fills in the middle of a record.

--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import copy
+import errno
+import os
 import shutil
 import tempfile
 from pathlib import Path
@@ -119,3 +121,30 @@
     (tmp_path / "journal.new").write_bytes(b"half a")
     assert Journal(tmp_path, LIMIT).messages["m"].body == b"kept"
     assert not (tmp_path / "journal.new").exists()
+
+
+def test_a_full_disk_refuses_the_new_and_goes_on_with_the_old(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    journal = Journal(tmp_path, LIMIT)
+    for name in ("a", "b"):
+        journal.take(Stored(name, "cls", 7, 1000))
+    journal.attempt("a", 0, 5, "e0")
+    write = os.write
+
+    def half(file: int, data: bytes) -> int:
+        if len(data) > 10:
+            return write(file, data[:10])
+        raise OSError(errno.ENOSPC, "no space")
+    monkeypatch.setattr(os, "write", half)
+    with pytest.raises(NoRoomError):
+        journal.take(Stored("c", "cls", 7, 1000))
+    with pytest.raises(OSError):
+        journal.attempt("b", 0, 5, "e0")
+    journal.outcome("a", 0, False)
+    journal.end("b", "given_up", 0)
+    assert journal.messages["a"].out == {} and journal.messages["b"].notice == ("given_up", 0)
+    monkeypatch.undo()
+    journal.over("b")
+    journal.close()
+    again = Journal(tmp_path, LIMIT)  # no half record hides what came after
+    assert list(again.messages) == ["a"] and again.messages["a"].out == {0: (5, "e0")}
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -35,7 +35,7 @@
         self._listed: dict[str, api.EndpointInfo] = {}
         self._waits: dict[str | int, float] = {}  # until when nothing may go to a destination or route
         self._unsettled: dict[str, set[str]] = defaultdict(set)  # key -> messages whose notice is owed
-        self._settle = asyncio.Condition()
+        self._settled = asyncio.Event()  # set, and replaced, whenever notices were answered
         self.outlet = Outlet(self, config.dial_timeout_us, config.settings.conn_idle_us, config.names.report)
         self.notices: Notices | None = None
         self.ready = self.stopping = False
@@ -125,9 +125,8 @@
     async def settled(self, items: Sequence[Item]) -> None:
         """Guards the order of a key: a message that ended by a notice is over only once that is answered."""
         keys = {key for item in items if (key := self._key(item.message)) is not None}
-        if any(self._unsettled.get(key) for key in keys):
-            async with self._settle:
-                await self._settle.wait_for(lambda: not any(self._unsettled.get(key) for key in keys))
+        while any(self._unsettled.get(key) for key in keys):
+            await self._settled.wait()
 
     def _key(self, message: str) -> str | None:
         held = self._held.get(message)
@@ -188,11 +187,8 @@
                     if not self._unsettled[message.key]:
                         del self._unsettled[message.key]
                 self._journal.over(name)
-        asyncio.get_running_loop().create_task(self._wake())
-
-    async def _wake(self) -> None:
-        async with self._settle:
-            self._settle.notify_all()
+        self._settled.set()
+        self._settled = asyncio.Event()
 
     # --- the module ---
 
--- a/wheelstep/courier/journal.py
+++ b/wheelstep/courier/journal.py
@@ -91,30 +91,42 @@
             raise NoRoomError(str(error)) from error
 
     def attempt(self, message: str, number: int, at_ms: int, endpoint: str) -> None:
-        """An attempt is about to be written to its endpoint."""
+        """An attempt is about to be written to its endpoint; `OSError` if this can't be written first."""
         self._append({"t": "a", "i": message, "n": number, "at": at_ms, "e": endpoint})
 
     def outcome(self, message: str, number: int, may_have_run: bool) -> None:
         """An attempt has ended, and the message goes on."""
-        self._append({"t": "o", "i": message, "n": number, "r": may_have_run})
+        self._note({"t": "o", "i": message, "n": number, "r": may_have_run})
 
     def end(self, message: str, outcome: str, retry_ms: int) -> None:
         """The final answer is decided; the platform is still to hear it."""
-        self._append({"t": "e", "i": message, "o": outcome, "ms": retry_ms})
+        self._note({"t": "e", "i": message, "o": outcome, "ms": retry_ms})
 
     def over(self, message: str) -> None:
         """Delivered, withdrawn, or its notice was answered: nothing more is owed."""
-        self._append({"t": "x", "i": message})
+        self._note({"t": "x", "i": message})
 
     def mark(self, name: str, value: Any) -> None:
         """Remember a small fact; None forgets it."""
-        self._append({"t": "k", "i": name, "v": value})
+        self._note({"t": "k", "i": name, "v": value})
+
+    def _note(self, head: dict[str, Any]) -> None:
+        """Append what has happened already. Guards against a full disk: the process goes on with what it
+        knows, and only a replay would know less and take an attempt for one that may have run."""
+        try:
+            self._append(head)
+        except OSError:
+            log.exception("journal: could not write %r", head)
+            self._apply(head, b"")
 
     def _append(self, head: dict[str, Any], body: bytes = b"") -> None:
         record = _encode(head, body)
         if self._size > _LEAST and (self._size > 3 * self._live
                                     or self._size + self._live + len(record) + _BLOCK > self._limit - _LEAST):
-            self._compact()
+            try:
+                self._compact()
+            except OSError:
+                log.exception("journal: could not compact")
         _write(self._file, record, self._size)
         self._size += len(record)
         self._apply(head, body)
--- a/wheelstep/courier/outlet.py
+++ b/wheelstep/courier/outlet.py
@@ -232,9 +232,15 @@
     def _spawn(self, work: Coroutine[object, object, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._finished)
         return task
 
+    def _finished(self, task: asyncio.Task[None]) -> None:
+        """Guards against a task that dies unheard."""
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            log.error("a call's outcome could not be told", exc_info=error)
+
     async def _call(self, endpoint: str, items: Sequence[Item], timeout_us: int) -> None:
         end = time.monotonic() + timeout_us / 1e6
         progress = _Progress()
