--- a/wheelstep/courier/inlet.py
+++ b/wheelstep/courier/inlet.py
@@ -63,10 +63,15 @@
     return Stored(
         id=name, message_class=message_class, destination=_destination(headers.get("X-Consignee", "")),
         deadline_ms=int(time.time() * 1000) + left_ms,
-        key=(request.path.rpartition("/")[2][:256] or None) if classes[message_class] else None,
+        key=_key(request.raw_path) if classes[message_class] else None,
         token=token, resubmitted="X-Retry" in headers, body=body)
 
 
+def _key(path: str) -> str | None:
+    """The last part of the path, as it was sent: a key may hold an escaped slash."""
+    return path.partition("?")[0].rpartition("/")[2][:256] or None
+
+
 def _destination(text: str) -> int:
     for part in text.replace(";", ",").split(","):
         field, _, value = part.strip().partition("=")
--- a/wheelstep/courier/journal.py
+++ b/wheelstep/courier/journal.py
@@ -181,7 +181,8 @@
 
 
 def _cost(message: Stored) -> int:
-    return 512 + len(message.body)
+    """More than a compacted record takes; names come from clients and may be long."""
+    return 512 + len(message.body) + len(message.id) + len(message.key or "") + len(message.token or "")
 
 
 def _whole(m: Stored) -> dict[str, Any]:
