--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -33,7 +33,7 @@
     journal = Journal(config.state, config.disk_bytes)
     core = Core(config, journal)
     ordered = [cls.ordered for cls in config.settings.classes]
-    inlet = Inlet(core, dict(zip(config.names.classes, ordered, strict=True)))
+    inlet = Inlet(core, dict(zip(config.names.classes, ordered, strict=True)), config.sockets // 3)
     async with aiohttp.ClientSession(auto_decompress=False, trust_env=False) as http:
         core.notices = Notices(http, config.discovery, core.answered)
         seq = config.known.get("seq", 0)
@@ -42,7 +42,7 @@
         core.restore()
         async with asyncio.TaskGroup() as group:  # a task that dies ends the process with its traceback
             tasks = [group.create_task(work) for work in
-                     (core.notices.run(), watch.run(), core.outlet.sweep())]
+                     (core.notices.run(), watch.run(), core.outlet.sweep(), inlet.sweep())]
             core.ready = True
             port = await inlet.start(config.listen)
             log.info("%s serves on %s:%d, %d messages restored", config.name, config.listen.host, port,
--- a/wheelstep/courier/config.py
+++ b/wheelstep/courier/config.py
@@ -67,6 +67,7 @@
     state: Path
     seed: int
     disk_bytes: int
+    sockets: int
     known: Mapping[str, Any]
     settings: api.Settings
     names: Names
@@ -93,7 +94,7 @@
 
 
 def _config(data: Mapping[str, Any], state: Path, environ: Mapping[str, str]) -> Config:
-    info = data["settings"]
+    info, limits = data["settings"], data.get("limits", {})
     settings = settings_from(info)
     api.check_settings(settings)
     return Config(
@@ -102,7 +103,8 @@
         discovery=Address.parse(environ.get("RELAY_DISCOVERY") or data["discovery"]),
         state=state,
         seed=int(str(data.get("seed", "0")), 16),
-        disk_bytes=int(float(data.get("limits", {}).get("disk_mb", 3)) * 1_000_000),
+        disk_bytes=int(float(limits.get("disk_mb", 3)) * 1_000_000),
+        sockets=int(limits.get("sockets", 256)),
         known=data.get("known") or {},
         settings=settings,
         names=Names(
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -33,6 +33,7 @@
         self._held: dict[str, Stored] = {}  # what the module holds
         self._numbers: dict[str, int] = {}  # each one's next attempt
         self._listed: dict[str, api.EndpointInfo] = {}
+        self._destinations: set[int] = set()  # those that any list has named
         self._waits: dict[str | int, float] = {}  # until when nothing may go to a destination or route
         self._unsettled: dict[str, set[str]] = defaultdict(set)  # key -> messages whose notice is owed
         self._settled = asyncio.Event()  # set, and replaced, whenever notices were answered
@@ -53,6 +54,7 @@
                 self._unlist(info.endpoint)
                 continue
             self._listed[info.endpoint] = info
+            self._destinations.add(info.destination)
             self.outlet.list(info.endpoint, address)
             if info.state is EndpointState.DRAINING:
                 self.outlet.close_idle(info.endpoint)
@@ -68,6 +70,11 @@
         """Is the hold limit reached? Notices owed count: their number needs a bound too."""
         return len(self._journal.messages) >= self._s.hold_limit
 
+    def serves(self, destination: int) -> bool:
+        """Has any list named it? Its endpoints may all be gone just now. Guards against messages that
+        nobody could ever deliver."""
+        return destination in self._destinations or not self._destinations
+
     def take(self, message: Stored) -> None:
         """Write a new message down."""
         self._journal.take(message)
--- a/wheelstep/courier/inlet.py
+++ b/wheelstep/courier/inlet.py
@@ -1,13 +1,21 @@
-"""The clients' side: hands messages in, and tells whether the courier is ready."""
+"""The clients' side: hands messages in, and tells whether the courier is ready.
+
+aiohttp reads requests and writes answers. Before it stands `_Doors`, which bounds how many connections
+clients hold and for how long one may owe a request.
+"""
 
 from __future__ import annotations
 
+import asyncio
 import logging
+import socket
 import time
 from collections.abc import Mapping
+from enum import Enum
 from typing import Protocol
 
 from aiohttp import web
+from aiohttp.typedefs import Handler
 
 from wheelstep.courier.config import Address
 from wheelstep.courier.journal import NoRoomError, Stored
@@ -15,8 +23,16 @@
 MOST_BODY = 64 * 1024
 _MOST_DEADLINE_MS = 24 * 3600 * 1000
 _COME_BACK = {"Retry-After": "1"}
+_ACCEPT = 16  # connections taken on in one turn of the loop; the count may pass its limit by so many
+_QUEUE = 512  # connections that wait in the kernel: a crowd may not make good clients dial again
+_ASK_S = 2.5  # for a request to come whole, from connecting or, on a kept connection, from its first byte
+_IDLE_S = 20.0  # an idle connection is kept so long while there is room
+_SPARE_S = 2.0  # and is the first to go after this when there is none
+_SWEEP_S = 0.25
 
 log = logging.getLogger(__name__)
+_requests = log.getChild("requests")  # aiohttp's own, a traceback for each request that can't be read
+_requests.setLevel(logging.CRITICAL)
 
 
 class Desk(Protocol):
@@ -27,6 +43,9 @@
     def full(self) -> bool:
         """Is the hold limit reached?"""
 
+    def serves(self, destination: int) -> bool:
+        """Has any list named it?"""
+
     def take(self, message: Stored) -> None:
         """Write it down, or raise `NoRoomError`."""
 
@@ -86,42 +105,213 @@
     return int(text)
 
 
+class _Phase(Enum):
+    SILENT = "silent"  # connected, and nothing came yet
+    ASKING = "asking"  # a request has begun
+    IDLE = "idle"  # the last request was answered
+
+
+class _Door(asyncio.Protocol):
+    """One client's connection: passes everything on to aiohttp's handler, which is made with the first byte,
+    and notes in which phase it is since when."""
+
+    def __init__(self, doors: _Doors) -> None:
+        self._doors = doors
+        self._handler: web.RequestHandler | None = None
+        self.transport: asyncio.Transport | None = None
+        self.phase, self.since = _Phase.SILENT, 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self._doors.opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self.phase is not _Phase.ASKING:
+            self._doors.turn(self, _Phase.ASKING)
+        if self._handler is None:
+            assert self.transport is not None
+            self._handler = self._doors.handler()
+            self._handler.connection_made(self.transport)
+        self._handler.data_received(data)
+
+    def answered(self) -> None:
+        self._doors.turn(self, _Phase.IDLE)
+
+    def eof_received(self) -> None:
+        if self._handler is not None:
+            self._handler.eof_received()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._doors.closed(self)
+        if self._handler is not None:
+            self._handler.connection_lost(exc)
+
+    def pause_writing(self) -> None:
+        if self._handler is not None:
+            self._handler.pause_writing()
+
+    def resume_writing(self) -> None:
+        if self._handler is not None:
+            self._handler.resume_writing()
+
+    def close(self) -> None:
+        """At once: what a client still sends is not worth reading."""
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class _Doors:
+    """All connections of clients. Guards descriptors and memory against crowds, silent or slow clients, and
+    ones that keep what they don't use; when there is no room, the good ones are let in first."""
+
+    def __init__(self, server: web.Server, limit: int) -> None:
+        self._server, self._limit = server, max(_ACCEPT, limit - _ACCEPT)
+        self._phases: dict[_Phase, dict[_Door, None]] = {phase: {} for phase in _Phase}
+        self._turned_away = 0
+
+    def handler(self) -> web.RequestHandler:
+        return self._server()
+
+    def crowded(self) -> bool:
+        """Is room short? Then an answer had better end its connection."""
+        return sum(map(len, self._phases.values())) * 4 > self._limit * 3
+
+    def opened(self, door: _Door) -> None:
+        door.since = time.monotonic()
+        if sum(map(len, self._phases.values())) >= self._limit and not self._make_room():
+            self._turned_away += 1
+            door.close()
+            return
+        self._phases[_Phase.SILENT][door] = None
+
+    def _make_room(self) -> bool:
+        """Close one: idle for a while, or silent or slow for longest. Each phase is in order of time."""
+        idle = next(iter(self._phases[_Phase.IDLE]), None)
+        if idle is not None and time.monotonic() - idle.since >= _SPARE_S:
+            return self._close(idle)
+        owing = next(iter([*self._phases[_Phase.SILENT], *self._phases[_Phase.ASKING]]), None)
+        return owing is not None and self._close(owing)
+
+    def _close(self, door: _Door) -> bool:
+        self.closed(door)
+        door.close()
+        return True
+
+    def turn(self, door: _Door, phase: _Phase) -> None:
+        """Into another phase. The first request must come whole in time from connecting."""
+        if door not in self._phases[door.phase]:
+            return
+        del self._phases[door.phase][door]
+        if door.phase is not _Phase.SILENT:
+            door.since = time.monotonic()
+        door.phase = phase
+        self._phases[phase][door] = None
+
+    def closed(self, door: _Door) -> None:
+        self._phases[door.phase].pop(door, None)
+
+    def sweep(self) -> None:
+        """Close what has owed a request, or been idle, for too long."""
+        now = time.monotonic()
+        for phase, doors in self._phases.items():
+            most_s = _IDLE_S if phase is _Phase.IDLE else _ASK_S
+            for door in [door for door in doors if now - door.since >= most_s]:
+                self._close(door)
+        if self._turned_away:
+            log.info("turned away %d connections", self._turned_away)
+            self._turned_away = 0
+
+    def close(self) -> None:
+        """End those that wait for nothing."""
+        for phase in (_Phase.SILENT, _Phase.IDLE):
+            for door in list(self._phases[phase]):
+                self._close(door)
+
+
 class Inlet:
-    """The server for clients."""
+    """The server for clients; they may hold about `most` connections."""
 
-    def __init__(self, desk: Desk, classes: Mapping[str, bool]) -> None:
-        self._desk, self._classes = desk, classes
+    def __init__(self, desk: Desk, classes: Mapping[str, bool], most: int) -> None:
+        self._desk, self._classes, self._most = desk, classes, most
         self.closing = False  # answers end their connections from now on
-        app = web.Application(client_max_size=MOST_BODY)
+        self._bad = 0
+        app = web.Application(client_max_size=MOST_BODY, middlewares=[self._answer])
         app.router.add_get("/healthz", self._health)
         app.router.add_post("/{path:.*}", self._hand_in)
+        # Bodies go on as they came, and what is unread once an answer stands is not read at all.
         self._runner = web.AppRunner(app, access_log=None, handle_signals=False, keepalive_timeout=3600.0,
-                                     shutdown_timeout=0.5)
+                                     shutdown_timeout=0.5, auto_decompress=False, lingering_time=0.0,
+                                     logger=_requests)
+        self._doors: _Doors | None = None
+        self._server: asyncio.Server | None = None
 
     async def start(self, listen: Address) -> int:
         """Listen, and return the port."""
         await self._runner.setup()
-        site = web.TCPSite(self._runner, listen.host, listen.port, backlog=256, reuse_address=True)
-        await site.start()
-        return int(self._runner.addresses[0][1])
+        assert self._runner.server is not None
+        doors = self._doors = _Doors(self._runner.server, self._most)
+        family = socket.AF_INET6 if ":" in listen.host else socket.AF_INET
+        listener = socket.create_server((listen.host, listen.port), family=family)
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: _Door(doors), sock=listener, backlog=_ACCEPT)
+        listener.listen(_QUEUE)  # asyncio takes its backlog for the kernel's queue and its own turn alike
+        return int(listener.getsockname()[1])
+
+    async def sweep(self) -> None:
+        """Keep clients to their time, for good."""
+        while True:
+            await asyncio.sleep(_SWEEP_S)
+            if self._doors is not None:
+                self._doors.sweep()
+            if self._bad:
+                log.info("%d bad requests", self._bad)
+                self._bad = 0
 
     async def stop(self) -> None:
         """Answer what is under way and end the connections."""
+        if self._server is not None:
+            self._server.close()
+        if self._doors is not None:
+            self._doors.close()
         await self._runner.cleanup()
 
-    async def _health(self, request: web.Request) -> web.Response:
+    @web.middleware
+    async def _answer(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        """Every answer's frame: whoever sent what can't be used has to connect again, and no break of a
+        client leaves more than a count in the log."""
+        try:
+            answer = await handler(request)
+        except (web.HTTPException, BadRequestError) as error:
+            self._bad += 1
+            status = error.status if isinstance(error, web.HTTPException) else 400
+            answer = web.Response(status=status, text=f"{error}\n")
+            answer.force_close()
+        except (OSError, web.RequestPayloadError):  # it broke off, or its body can't be read
+            self._bad += 1
+            answer = web.Response(status=400)
+            answer.force_close()
+        except Exception:
+            log.exception("a request failed unexpectedly")
+            answer = web.Response(status=500)
+            answer.force_close()
+        if self.closing or self._doors is None or self._doors.crowded():
+            answer.force_close()
+        if request.transport is not None and isinstance(door := request.transport.get_protocol(), _Door):
+            door.answered()
+        return answer
+
+    async def _health(self, request: web.Request) -> web.StreamResponse:
         return web.Response(status=200 if self._desk.ready else 503)
 
     async def _hand_in(self, request: web.Request) -> web.StreamResponse:
-        try:
-            body = await request.read()
-            message = read_message(request, body, self._classes)
-        except (BadRequestError, web.HTTPRequestEntityTooLarge) as error:
-            text = "body is too large" if isinstance(error, web.HTTPException) else str(error)
-            log.info("bad request for %.80r: %s", request.path, text)
-            return web.Response(status=400, text=text + "\n")
+        if (request.content_length or 0) > MOST_BODY:
+            raise web.HTTPRequestEntityTooLarge(MOST_BODY, request.content_length or 0)
+        message = read_message(request, await request.read(), self._classes)
         if self._desk.holds(message.id):  # handed in once more after a connection that crossed
             return web.Response(status=202)
+        if not self._desk.serves(message.destination):
+            raise BadRequestError("no such destination")
         if self._desk.full():
             return web.Response(status=503, text="holds all it can\n", headers=_COME_BACK)
         if request.transport is None or request.transport.is_closing():
@@ -129,10 +319,10 @@
         try:
             self._desk.take(message)
         except NoRoomError:
-            log.warning("no room in the journal for %d bytes", len(body))
+            log.warning("no room in the journal for %d bytes", len(message.body))
             return web.Response(status=503, text="no room\n", headers=_COME_BACK)
         answer = web.Response(status=202)
-        if self.closing:
+        if self.closing or self._doors is None or self._doors.crowded():
             answer.force_close()
         try:
             await answer.prepare(request)
