--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -6,6 +6,7 @@
 import json
 import os
 import re
+import signal
 import sys
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
@@ -121,7 +122,7 @@
         app = web.Application()
         app.router.add_get("/v1/servers", self._watch)
         app.router.add_post("/v1/outcomes", self._outcomes)
-        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
+        self._runner = web.AppRunner(app, shutdown_timeout=0.1, handler_cancellation=True)
         await self._runner.setup()
         await web.TCPSite(self._runner, "127.0.0.1", 0).start()
         self.address = f"127.0.0.1:{self._runner.addresses[0][1]}"
@@ -197,13 +198,27 @@
         self.log: list[str] = []
         (folder / "state").mkdir()
 
-    async def start(self) -> None:
-        config = self.folder / "config.json"
-        config.write_text(json.dumps({
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": self.platform.address,
+    def config(self, platform: Platform) -> str:
+        return json.dumps({
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": platform.address,
             "seed": "8c1f30d27a5be964", "limits": {"disk_mb": 3}, "settings": self.settings,
-            "known": {"seq": self.platform.seq, "whole": True, "hosts": self.platform.hosts}}))
-        env = {**os.environ, "RELAY_CONFIG": str(config), "RELAY_STATE": str(self.folder / "state")}
+            "known": {"seq": platform.seq, "whole": True, "hosts": platform.hosts}})
+
+    def renew(self, text: str) -> None:
+        """Replace the file of the configuration and tell the courier."""
+        (self.folder / "config.new").write_text(text)
+        (self.folder / "config.new").replace(self.folder / "config.json")
+        self.process.send_signal(signal.SIGHUP)
+
+    async def wait_log(self, text: str, count: int = 1) -> None:
+        async with asyncio.timeout(LIMIT_S):
+            while sum(text in line for line in self.log) < count:
+                await asyncio.sleep(0.01)
+
+    async def start(self) -> None:
+        (self.folder / "config.json").write_text(self.config(self.platform))
+        env = {**os.environ, "RELAY_CONFIG": str(self.folder / "config.json"),
+               "RELAY_STATE": str(self.folder / "state"), "RELAY_DISCOVERY": self.platform.address}
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "wheelstep.courier", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE)
         serving: asyncio.Future[str] = asyncio.get_running_loop().create_future()
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import Any
 
-from loopback import Call, Reply, Scene, host, run
+from loopback import Call, Platform, Reply, Scene, host, run
 
 from wheelstep.courier.journal import Journal
 
@@ -278,3 +278,70 @@
                 turns = [number for number in turns if number % 4 == key]
                 assert turns == sorted(turns)
     run(scene())
+
+
+def test_sighup_moves_watch_and_notices_to_the_address_in_the_file(tmp_path: Path) -> None:
+    """Once, SIGHUP killed. Twice in a row, and with a notice that the old address does not take."""
+    async def scene() -> None:
+        async with Scene(tmp_path) as s:
+            async def error(call: Call) -> Reply:
+                return 500, {}, b""
+            s.endpoint.reply, s.platform.takes_notices = error, False
+            assert await s.courier.hand_in("m1", "once") == 202
+            await s.courier.wait_log("notices: status 503")
+            await s.platform.wait_watches(1)
+            second, third = Platform(), Platform()
+            for platform in (second, third):
+                await platform.start()
+                platform.hosts = s.platform.hosts
+            s.courier.renew(s.courier.config(second))
+            s.courier.renew(s.courier.config(third))
+            await third.wait_watches(1)
+            assert (await third.wait_notice("m1"))["outcome"] == "given_up"
+            await s.platform.stop()
+            third.push(host("e2", s.endpoint.address, block=9))
+            await s.endpoint.wait(1)
+            while await s.courier.hand_in("m2", X_Consignee="dest=9") != 202:  # until the list has it
+                await asyncio.sleep(0.01)
+            assert (await third.wait_notice("m2"))["outcome"] == "given_up"
+            assert "m1" not in s.platform.notices
+            await second.stop()
+            await third.stop()
+    run(scene())
+
+
+def test_a_configuration_that_cannot_be_used_changes_nothing(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with Scene(tmp_path) as s:
+            await s.platform.wait_watches(1)
+            text = s.courier.config(s.platform)
+            broken = [text[:len(text) // 2], "", "[" * 100_000, "null",
+                      text.replace('"per_call"', '"per_call": [Infinity], "x"'),
+                      text.replace(s.platform.address, "nowhere")]
+            for count, bad in enumerate(broken, 1):
+                s.courier.renew(bad)
+                await s.courier.wait_log("the new configuration is not used", count)
+            s.platform.push(host("e1", s.endpoint.address, block=8))
+            while await s.courier.hand_in("m1", X_Consignee="dest=8") != 202:
+                await asyncio.sleep(0.01)
+            await s.endpoint.wait(1)
+            assert len(s.platform.asked_after) == 1  # the watch went on
+            assert await s.courier.terminate() == 0
+    run(scene())
+
+
+def test_the_watch_outlasts_lists_that_make_no_sense(tmp_path: Path) -> None:
+    """Once, an Infinity or deep nesting ended the process."""
+    async def scene() -> None:
+        async with Scene(tmp_path) as s:
+            row = host("e1", s.endpoint.address, block=8)
+            for count, line in enumerate((b'{"seq":2,"hosts":7}', b"[" * 100_000), 1):
+                await s.platform.wait_watches(count)
+                s.platform.say(line + b"\n")
+            await s.platform.wait_watches(3)
+            bad = ({**row, "block": float("inf")}, {**row, "share": 10 ** 400}, {**row, "dial": [7]})
+            s.platform.push(*bad, {**row, "host": "e2"})
+            while await s.courier.hand_in("m1", X_Consignee="dest=8") != 202:
+                await asyncio.sleep(0.01)
+            await s.endpoint.wait(1)
+    run(scene())
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -24,9 +24,10 @@
 log = logging.getLogger(__name__)
 
 
-async def serve(config: Config) -> None:
-    """Run one courier until SIGTERM."""
+async def serve(config: Config, renewed: asyncio.Event) -> None:
+    """Run one courier until SIGTERM; `renewed` is set when its configuration is to be read again."""
     loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, renewed.set)
     terminated = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, terminated.set)
@@ -42,7 +43,8 @@
         core.restore()
         async with asyncio.TaskGroup() as group:  # a task that dies ends the process with its traceback
             tasks = [group.create_task(work) for work in
-                     (core.notices.run(), watch.run(), core.outlet.sweep(), inlet.sweep())]
+                     (core.notices.run(), watch.run(), core.outlet.sweep(), inlet.sweep(),
+                      _follow_config(config, renewed, watch, core.notices))]
             core.ready = True
             port = await inlet.start(config.listen)
             log.info("%s serves on %s:%d, %d messages restored", config.name, config.listen.host, port,
@@ -54,6 +56,24 @@
     journal.close()
 
 
+async def _follow_config(config: Config, renewed: asyncio.Event, watch: Watch, notices: Notices) -> None:
+    """Read the file again whenever it is said to be new. One that can't be used changes nothing."""
+    discovery = config.discovery
+    while True:
+        await renewed.wait()
+        renewed.clear()
+        try:
+            now = load(os.environ, again=True).discovery
+        except ConfigError as error:
+            log.warning("the new configuration is not used: %.300s", " ".join(str(error).split()))
+            continue
+        log.info("configuration read again: discovery at %s:%d", now.host, now.port)
+        if now != discovery:
+            discovery = now
+            watch.move(now)
+            notices.move(now)
+
+
 async def _leave(core: Core, inlet: Inlet) -> None:
     """Clients hear 503 from the health check, and go on being served on the connections that they have."""
     began = asyncio.get_running_loop().time()
@@ -77,12 +97,14 @@
     logging.basicConfig(stream=sys.stderr, level=logging.INFO,
                         format="%(asctime)s %(levelname)s %(name)s %(message)s")
     logging.getLogger("aiohttp").setLevel(logging.ERROR)
+    renewed = asyncio.Event()
+    signal.signal(signal.SIGHUP, lambda *_: renewed.set())  # by default it would kill; before anything slow
     try:
         config = load(os.environ)
     except ConfigError as error:
         print(f"courier: {' '.join(str(error).split())}", file=sys.stderr)
         return 1
-    asyncio.run(serve(config))
+    asyncio.run(serve(config, renewed))
     return 0
 
 
--- a/wheelstep/courier/config.py
+++ b/wheelstep/courier/config.py
@@ -1,4 +1,4 @@
-"""What the courier is told at its start, read once; whatever makes no sense stops it with one plain line."""
+"""What the courier is told at its start, and again on SIGHUP; what makes no sense is one plain line."""
 
 from __future__ import annotations
 
@@ -13,6 +13,7 @@
 
 _STATES = {"SERVING": api.EndpointState.UP, "DRAINING": api.EndpointState.DRAINING,
            "DELETED": api.EndpointState.REMOVED}
+UNREADABLE = (KeyError, TypeError, ValueError, AttributeError, OverflowError, RecursionError)
 
 
 class ConfigError(Exception):
@@ -44,7 +45,7 @@
     report: tuple[str, ...]
 
     def entry(self, row: Mapping[str, Any]) -> tuple[api.EndpointInfo, Address]:
-        """One line of discovery's list; `ValueError` or `KeyError` if it can't be read."""
+        """One line of discovery's list; raises what `UNREADABLE` lists if it can't be read."""
         state = _STATES[row["health"]]
         info = api.EndpointInfo(
             endpoint=str(row["host"]), destination=int(row["block"]),
@@ -74,38 +75,39 @@
     dial_timeout_us: int
 
 
-def load(environ: Mapping[str, str]) -> Config:
-    """Read the file that `RELAY_CONFIG` names, and the folder that `RELAY_STATE` names."""
+def load(environ: Mapping[str, str], again: bool = False) -> Config:
+    """Read the file that `RELAY_CONFIG` names, and the folder that `RELAY_STATE` names. When the file is read
+    again it is newer than the environment, so its discovery counts."""
     path, state = environ.get("RELAY_CONFIG"), environ.get("RELAY_STATE")
     if not path or not state:
         raise ConfigError("RELAY_CONFIG and RELAY_STATE must be set")
     try:
         data = json.loads(Path(path).read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise ConfigError(f"{path}: {error}") from error
     if not Path(state).is_dir():
         raise ConfigError(f"RELAY_STATE: {state} is no folder")
     try:
-        return _config(data, Path(state), environ)
+        return _config(data, Path(state), environ, again)
     except KeyError as error:
         raise ConfigError(f"{path}: missing {error.args[0]!r}") from error
-    except (WireError, TypeError, ValueError, AttributeError) as error:
+    except (WireError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise ConfigError(f"{path}: {error}") from error
 
 
-def _config(data: Mapping[str, Any], state: Path, environ: Mapping[str, str]) -> Config:
-    info, limits = data["settings"], data.get("limits", {})
+def _config(data: Mapping[str, Any], state: Path, environ: Mapping[str, str], again: bool) -> Config:
+    info, limits, known = data["settings"], data.get("limits", {}), data.get("known")
     settings = settings_from(info)
     api.check_settings(settings)
     return Config(
         name=str(data.get("name", "courier")),
         listen=Address.parse(environ.get("RELAY_LISTEN") or data["listen"]),
-        discovery=Address.parse(environ.get("RELAY_DISCOVERY") or data["discovery"]),
+        discovery=Address.parse(not again and environ.get("RELAY_DISCOVERY") or data["discovery"]),
         state=state,
         seed=int(str(data.get("seed", "0")), 16),
         disk_bytes=int(float(limits.get("disk_mb", 3)) * 1_000_000),
         sockets=int(limits.get("sockets", 256)),
-        known=data.get("known") or {},
+        known=known if isinstance(known, dict) and isinstance(known.get("hosts"), list) else {},
         settings=settings,
         names=Names(
             classes=tuple(row.get("name", str(i)) for i, row in enumerate(info["services"])),
--- a/wheelstep/courier/platform.py
+++ b/wheelstep/courier/platform.py
@@ -5,13 +5,14 @@
 import asyncio
 import json
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
+from contextlib import asynccontextmanager
 from typing import Any
 
 import aiohttp
 
 from wheelstep import interface as api
-from wheelstep.courier.config import Address, Names
+from wheelstep.courier.config import UNREADABLE, Address, Names
 
 _SILENT_S = 4.5  # a watch says something every 2 s, and changes count as told after 6 s
 _AGAIN_S = 0.25
@@ -26,35 +27,69 @@
 def entries(data: Mapping[str, Any], names: Names) -> list[tuple[api.EndpointInfo, Address]]:
     """The entries of a list that can be read."""
     found = []
-    for row in data.get("hosts") or ():
+    rows = data.get("hosts") or ()
+    if not isinstance(rows, list | tuple):
+        raise ValueError("hosts is no list")
+    for row in rows:
         try:
             found.append(names.entry(row))
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
-            log.warning("discovery: passed over %r: %r", row, error)
+        except UNREADABLE as error:
+            log.warning("discovery: passed over %.200r: %r", row, error)
     return found
 
 
+class _Place:
+    """Where something of the platform is found, and the exchange that is under way with it."""
+
+    def __init__(self, discovery: Address, path: str) -> None:
+        self._path = path
+        self._exchange: asyncio.Timeout | None = None
+        self.move(discovery)
+
+    def move(self, discovery: Address) -> None:
+        """From now on it is there. Guards against waiting for one that has gone: what is under way ends with
+        `TimeoutError`."""
+        self._url = f"http://{discovery.host}:{discovery.port}{self._path}"
+        if self._exchange is not None:
+            self._exchange.reschedule(asyncio.get_running_loop().time())
+
+    @asynccontextmanager
+    async def exchange(self) -> AsyncIterator[str]:
+        """Its address, for one exchange."""
+        async with asyncio.timeout(None) as self._exchange:
+            try:
+                yield self._url
+            finally:
+                self._exchange = None
+
+
 class Watch:
     """Follows discovery for good: through silence, garbage and broken connections."""
 
     def __init__(self, http: aiohttp.ClientSession, discovery: Address, names: Names, seq: int,
                  listed: Listed) -> None:
         self._http, self._names, self._listed, self._seq = http, names, listed, seq
-        self._url = f"http://{discovery.host}:{discovery.port}/v1/servers"
+        self._place = _Place(discovery, "/v1/servers")
+
+    def move(self, discovery: Address) -> None:
+        """Follow discovery at another address, from its whole list on: it may count in its own way."""
+        self._seq = 0
+        self._place.move(discovery)
 
     async def run(self) -> None:
         """Watch, and begin again from the last version whenever a watch ends."""
         while True:
             try:
                 await self._follow()
-            except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
-                log.info("discovery: watch ended: %r", error)
+            except (aiohttp.ClientError, OSError, TimeoutError, ValueError, RecursionError) as error:
+                log.info("discovery: watch ended: %.200r", error)
             await asyncio.sleep(_AGAIN_S)
 
     async def _follow(self) -> None:
         limits = aiohttp.ClientTimeout(total=None, sock_connect=2.0, sock_read=_SILENT_S)
-        async with self._http.get(self._url, params={"watch": "1", "after": str(self._seq)}, timeout=limits,
-                                  read_bufsize=_MOST_LINE) as answer:
+        params = {"watch": "1", "after": str(self._seq)}
+        async with self._place.exchange() as url, self._http.get(
+                url, params=params, timeout=limits, read_bufsize=_MOST_LINE) as answer:
             if answer.status != 200:
                 raise ValueError(f"status {answer.status}")
             while line := await answer.content.readline():
@@ -68,8 +103,9 @@
         whole = bool(data.get("whole"))
         if not whole and data["seq"] <= self._seq:
             return  # known already
+        rows = entries(data, self._names)
         self._seq = data["seq"]
-        self._listed(api.ListKind.WHOLE if whole else api.ListKind.CHANGES, entries(data, self._names))
+        self._listed(api.ListKind.WHOLE if whole else api.ListKind.CHANGES, rows)
 
 
 class Notices:
@@ -78,10 +114,14 @@
     def __init__(self, http: aiohttp.ClientSession, discovery: Address,
                  answered: Callable[[list[str]], None]) -> None:
         self._http, self._answered = http, answered
-        self._url = f"http://{discovery.host}:{discovery.port}/v1/outcomes"
+        self._place = _Place(discovery, "/v1/outcomes")
         self._owed: dict[str, bytes] = {}
         self._any = asyncio.Event()
 
+    def move(self, discovery: Address) -> None:
+        """What is unanswered goes to another address."""
+        self._place.move(discovery)
+
     def owe(self, message: str, outcome: str, retry_ms: int) -> None:
         """Tell of this one as soon as can be."""
         notice: dict[str, Any] = {"message": message, "outcome": outcome}
@@ -112,7 +152,8 @@
     async def _post(self, body: bytes) -> bool:
         try:
             limit = aiohttp.ClientTimeout(total=2.0)
-            async with self._http.post(self._url, data=body, timeout=limit) as answer:
+            async with self._place.exchange() as url, self._http.post(
+                    url, data=body, timeout=limit) as answer:
                 if answer.status != 204:
                     log.warning("notices: status %d", answer.status)
                 return answer.status == 204
