Spoilt answers are told from good ones, and nothing left over is taken for an answer

Lines to blame, each shown by a test that failed or by reading: what lay behind a good answer stayed in h11 or the stream reader and was the next call's answer (order, lost); a torn 503 or 410 counted as never run (duplicate); an unreadable head with 200 in its first line was a reset; a head without end held its slot for the whole time-out. Framing moves from outlet.py to connection.py: one protocol for each connection, bytes and times of an answer bounded, a look at the socket before it is used again. Connections to endpoints have a bound in total.

--- a/tests/test_outlet.py
+++ b/tests/test_outlet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Sequence
 
 from loopback import LIMIT_S, Call, Endpoint, Reply, run
@@ -149,6 +150,154 @@
     run(work())
 
 
+class Raw:
+    """An endpoint that writes just these bytes for each call, in pieces, and leaves the connection open."""
+
+    def __init__(self, *pieces: bytes) -> None:
+        self.pieces: tuple[bytes, ...] = pieces
+        self.connections = self.ended = 0
+        self.written = asyncio.Event()
+
+    async def start(self, idle_us: int = 10 * S, most: int = 100) -> tuple[Owner, Outlet]:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        owner = Owner()
+        outlet = Outlet(owner, S, idle_us, ("x0", "x1"), most)
+        outlet.list("e0", Address("127.0.0.1", self.server.sockets[0].getsockname()[1]))
+        return owner, outlet
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        try:
+            while b"\n" in await reader.read(65536):
+                for piece in self.pieces:
+                    writer.write(piece)
+                    await writer.drain()
+                    await asyncio.sleep(0.01)
+                self.written.set()
+        except OSError:
+            pass
+        finally:
+            self.ended += 1
+            writer.transport.abort()
+
+
+GOOD = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+SPOILT = {
+    "noise": [b"\x00\xfe\x01 noise\r\n\r\n"],
+    "noise without a line": [b"\x7f\x45\x4c\x46"],
+    "unreadable head": [b"HTTP/1.1 %d Oh\r\nbad header\x00: \r\n\r\n"],
+    "head without end": [b"HTTP/1.1 %d Oh\r\nX-More: x\r\n", *[b"X-More: x\r\n" * 500] * 20],
+    "head that stops": [b"HTTP/1.1 %d Oh\r\nX-More: x\r\n"],
+    "two lengths": [b"HTTP/1.1 %d Oh\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx"],
+    "negative length": [b"HTTP/1.1 %d Oh\r\nContent-Length: -1\r\n\r\nxx"],
+    "short body": [b"HTTP/1.1 %d Oh\r\nContent-Length: 100\r\n\r\nxx"],
+    "bad chunks": [b"HTTP/1.1 %d Oh\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"],
+    "3 GB": [b"HTTP/1.1 %d Oh\r\nContent-Length: 3000000000\r\n\r\n", *[b"x" * 65536] * 50],
+    "1xx for ever": [b"HTTP/1.1 100 Continue\r\n\r\n" * 1000],
+}
+
+
+def test_a_spoilt_answer_may_have_run_and_ends_its_connection() -> None:
+    """Once, a torn 503 counted as never run, an unreadable 200 as a reset, and a head without end held its
+    slot for the whole time-out."""
+    async def work() -> None:
+        async def play(name: str, status: int, count: int) -> None:
+            pieces = [piece.replace(b"%d", str(status).encode()) for piece in SPOILT[name]]
+            endpoint = Raw(*pieces)
+            owner, outlet = await endpoint.start()
+            items = [item(str(n)) for n in range(count)]
+            outlet.call("e0", items, 60 * S)
+            results = [await owner.wait(i.message) for i in items]
+            told = status == 200 and any(b" 200 " in piece for piece in pieces)
+            expected = Outcome.OK if told and count == 1 else Outcome.ERROR
+            assert {r.outcome for r in results} == {expected}, (name, status, count)
+            async with asyncio.timeout(LIMIT_S):
+                while not endpoint.ended:
+                    await asyncio.sleep(0.01)
+        async with asyncio.TaskGroup() as group:
+            for name in SPOILT:
+                for status in (200, 503, 410):
+                    for count in (1, 2):
+                        group.create_task(play(name, status, count))
+    run(work())
+
+
+def test_what_comes_behind_an_answer_is_nobodys() -> None:
+    """Once, a second copy stayed in the reader, and the next call took it for its own answer."""
+    async def work() -> None:
+        for pieces in ([GOOD + BUSY], [GOOD, BUSY], [GOOD + b"noise"], [GOOD, b"noise"]):
+            endpoint = Raw(*pieces)
+            owner, outlet = await endpoint.start()
+            for name in "abc":
+                endpoint.written.clear()
+                outlet.call("e0", [item(name)], 10 * S)
+                assert (await owner.wait(name)).outcome is Outcome.OK
+                await endpoint.written.wait()
+            assert endpoint.connections == 3
+    run(work())
+
+
+def test_what_came_while_the_loop_was_busy_is_nobodys_either() -> None:
+    """The copy is in the kernel's buffer, not yet read, when the next call begins."""
+    async def work() -> None:
+        server = socket.create_server(("127.0.0.1", 0))
+        owner = Owner()
+        outlet = Outlet(owner, S, 10 * S, ())
+        outlet.list("e0", Address(*server.getsockname()))
+        outlet.call("e0", [item("a")], 10 * S)
+        loop = asyncio.get_running_loop()
+        first, _ = await loop.run_in_executor(None, server.accept)
+        await loop.run_in_executor(None, first.recv, 65536)
+        first.sendall(GOOD)
+        await owner.wait("a")
+        outlet.call("e0", [item("b")], 10 * S)
+        first.sendall(BUSY)  # before the loop runs again
+        second, _ = await loop.run_in_executor(None, server.accept)
+        await loop.run_in_executor(None, second.recv, 65536)
+        second.sendall(GOOD)
+        assert (await owner.wait("b")).outcome is Outcome.OK
+        for each in (first, second, server):
+            each.close()
+    run(work())
+
+
+def test_good_answers_that_look_odd() -> None:
+    async def work() -> None:
+        ahead = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nA: b\r\n\r\n"
+        report = b"HTTP/1.1 503 Busy\r\nX-Load: \xff=;,x0=,x1=1e999\r\nContent-Length: 0\r\n\r\n"
+        for pieces, outcome in (([ahead + BUSY], Outcome.FULL), ([ahead, BUSY], Outcome.FULL),
+                                ([report], Outcome.FULL), ([GOOD[:3], GOOD[3:30], GOOD[30:]], Outcome.OK)):
+            endpoint = Raw(*pieces)
+            owner, outlet = await endpoint.start()
+            for name in "ab":
+                outlet.call("e0", [item(name)], 10 * S)
+                result = await owner.wait(name)
+                assert result.outcome is outcome and result.limit is None
+            assert endpoint.connections == 1
+    run(work())
+
+
+def test_connections_have_a_bound_in_total() -> None:
+    """Guards the descriptors: an idle connection makes room, and a call too many is not sent."""
+    async def work() -> None:
+        silent, good = Raw(), Raw(GOOD)
+        owner, outlet = await silent.start(most=3)
+        await good.start()
+        outlet.list("e1", Address("127.0.0.1", good.server.sockets[0].getsockname()[1]))
+        outlet.call("e1", [item("idle")], 10 * S)
+        await owner.wait("idle")
+        for name in "abc":
+            outlet.call("e0", [item(name)], 10 * S)
+        async with asyncio.timeout(LIMIT_S):
+            while not (good.ended and silent.connections == 3):
+                await asyncio.sleep(0.01)
+        outlet.call("e0", [item("d")], 10 * S)
+        assert (await owner.wait("d")).outcome is Outcome.NOT_SENT
+        assert silent.connections == 3
+    run(work())
+
+
 def test_no_listener_means_connect_failed() -> None:
     async def work() -> None:
         owner, endpoint, outlet = await scene()
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -47,8 +47,9 @@
                       _follow_config(config, renewed, watch, core.notices))]
             core.ready = True
             port = await inlet.start(config.listen)
-            log.info("%s serves on %s:%d, %d messages restored", config.name, config.listen.host, port,
-                     len(journal.messages))
+            log.info("%s serves on %s:%d, %d messages restored; %d slots, holds %d, %d descriptors",
+                     config.name, config.listen.host, port, len(journal.messages), config.settings.slots,
+                     config.settings.hold_limit, config.sockets)
             await terminated.wait()
             await _leave(core, inlet)
             for task in tasks:
--- /dev/null
+++ b/wheelstep/courier/connection.py
@@ -0,0 +1,190 @@
+"""One connection to an endpoint: what is written when, and how an answer reads, also a spoilt one.
+
+h11 gives the framing. Bytes and times of an answer are bounded, and nothing that comes outside of a call is
+ever taken for an answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import select
+import time
+from dataclasses import dataclass, field
+
+import h11
+
+from wheelstep.courier.config import Address
+
+_MOST_BODY = 256 * 1024  # bytes of an answer's body that are read
+_MOST_AHEAD = 32  # 1xx answers in front of it
+_TAIL_S = 0.5  # an answer has come whole so long after its first byte, or it is spoilt
+_DELIVERED = re.compile(rb"HTTP/1\.[01] 200[ \r\n]")
+
+
+class BrokenError(Exception):
+    """The connection could not be made or ended, and nothing of an answer had come."""
+
+
+class _SpoiltError(Exception):
+    """What came is no answer that can be used."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What came back. A spoilt answer has status 0, or 200 where its first line still said so; either way the
+    call may have run."""
+
+    status: int
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    spoilt: bool = False
+
+
+class Connection(asyncio.Protocol):
+    """It carries one call at a time."""
+
+    def __init__(self) -> None:
+        self._http = h11.Connection(h11.CLIENT)
+        self._transport: asyncio.Transport | None = None
+        self._news = asyncio.Event()
+        self._busy = self._ended = False
+        self._paused = False
+        self._raw = b""  # what came and is not yet read
+        self._began: float | None = None
+        self.idle_since = 0.0
+
+    @classmethod
+    async def dial(cls, address: Address) -> Connection:
+        """Connect, or raise `BrokenError`."""
+        try:
+            _, made = await asyncio.get_running_loop().create_connection(cls, address.host, address.port)
+        except OSError as error:
+            raise BrokenError(f"no connection: {error}") from error
+        return made
+
+    # --- what asyncio tells ---
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=0)  # so that writing resumes when all is written
+
+    def data_received(self, data: bytes) -> None:
+        if not self._busy:
+            self.close()  # nobody asked: it would be taken for the next call's answer
+            return
+        if self._began is None:
+            self._began = time.monotonic()
+        self._raw += data
+        if len(self._raw) > _MOST_BODY and self._transport is not None:
+            self._transport.pause_reading()  # for good: what is not read by now ends in a close
+        self._news.set()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._ended = True
+        self._news.set()
+
+    def pause_writing(self) -> None:
+        self._paused = True
+
+    def resume_writing(self) -> None:
+        self._paused = False
+        self._news.set()
+
+    # --- what the outlet asks ---
+
+    def usable(self) -> bool:
+        """May a call be written? Looks at the socket itself: an end, or bytes that nobody asked for, may have
+        come since the loop last read."""
+        if self._ended or self._transport is None or self._transport.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+    def close(self) -> None:
+        """At once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def send(self, request: h11.Request, body: bytes) -> None:
+        """Write one request whole, or raise `BrokenError`: its last byte was not written."""
+        parts = [self._http.send(request)]
+        if body:
+            parts.append(self._http.send(h11.Data(data=body)))
+        parts.append(self._http.send(h11.EndOfMessage()))
+        assert self._transport is not None
+        self._busy, self._raw, self._began = True, b"", None
+        self._transport.write(b"".join(part for part in parts if part))
+        while self._paused and not self._ended:
+            self._news.clear()
+            await self._news.wait()
+        if self._transport.is_closing():
+            raise BrokenError("ended while the call was written")
+
+    async def answer(self) -> Answer:
+        """Read the answer, or raise `BrokenError` if the connection ends with nothing of one."""
+        head: h11.Response | None = None
+        body, ahead = bytearray(), 0
+        first = b""
+        try:
+            while True:
+                event = self._http.next_event()
+                if event is h11.NEED_DATA:
+                    data = await self._more()
+                    if head is None:
+                        first = (first + data)[:16]
+                    self._http.receive_data(data)
+                elif isinstance(event, h11.InformationalResponse):
+                    ahead += 1
+                    if ahead > _MOST_AHEAD:
+                        raise _SpoiltError("too many answers ahead")
+                    left = self._http.trailing_data[0]
+                    first = left[:16]
+                    if not left:
+                        self._began = None  # the answer itself may take its time
+                elif isinstance(event, h11.Response):
+                    head = event
+                elif isinstance(event, h11.Data):
+                    body += event.data
+                    if len(body) > _MOST_BODY:
+                        raise _SpoiltError("too long")
+                elif isinstance(event, h11.EndOfMessage) and head is not None:
+                    return Answer(head.status_code, _headers(head), bytes(body))
+                else:
+                    raise _SpoiltError("ended too early")
+        except (_SpoiltError, h11.RemoteProtocolError):
+            if not first and head is None:
+                raise BrokenError("ended before its answer") from None
+            return Answer(200 if _DELIVERED.match(first) else 0, _headers(head), spoilt=True)
+
+    async def _more(self) -> bytes:
+        """Further bytes of the answer; none once the connection has ended."""
+        while not self._raw and not self._ended:
+            self._news.clear()
+            left_s = None if self._began is None else self._began + _TAIL_S - time.monotonic()
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._news.wait()
+            except TimeoutError:
+                if not self._news.is_set():  # it may have come while the loop was late itself
+                    raise _SpoiltError("hangs") from None
+        if self._began is not None and time.monotonic() - self._began > 4 * _TAIL_S:
+            raise _SpoiltError("trickles")
+        data, self._raw = self._raw, b""
+        return data
+
+    def next_cycle(self) -> bool:
+        """May another call follow here? Not if anything is left over from the last one."""
+        kept = (self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+                and not self._raw and not self._http.trailing_data[0] and self.usable())
+        if kept:
+            self._http.start_next_cycle()
+            self._busy, self.idle_since = False, time.monotonic()
+        return kept
+
+
+def _headers(head: h11.Response | None) -> dict[str, str]:
+    pairs = head.headers if head is not None else []
+    return {name.decode("latin-1").lower(): value.decode("latin-1") for name, value in pairs}
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -17,6 +17,7 @@
 from wheelstep.interface import UNRUN, EndpointState, Outcome
 
 _PROBE_TIMEOUT_US = 1_500_000
+_RESERVE = 32  # descriptors for the journal, discovery, notices, and what asyncio and Python keep open
 
 log = logging.getLogger(__name__)
 
@@ -37,7 +38,8 @@
         self._waits: dict[str | int, float] = {}  # until when nothing may go to a destination or route
         self._unsettled: dict[str, set[str]] = defaultdict(set)  # key -> messages whose notice is owed
         self._settled = asyncio.Event()  # set, and replaced, whenever notices were answered
-        self.outlet = Outlet(self, config.dial_timeout_us, config.settings.conn_idle_us, config.names.report)
+        self.outlet = Outlet(self, config.dial_timeout_us, config.settings.conn_idle_us, config.names.report,
+                             max(16, config.sockets - config.sockets // 3 - _RESERVE))
         self.notices: Notices | None = None
         self.ready = self.stopping = False
 
--- a/wheelstep/courier/outlet.py
+++ b/wheelstep/courier/outlet.py
@@ -1,7 +1,6 @@
 """Calls to endpoints: connections, the single and the bulk form, probes, and what an answer means.
 
-h11 gives the framing and asyncio the streams; nothing is ever sent again behind the caller's back, since an
-outcome hangs on what was written and when.
+Nothing is ever sent again behind the caller's back, since an outcome hangs on what was written and when.
 """
 
 from __future__ import annotations
@@ -18,11 +17,10 @@
 
 from wheelstep import interface as api
 from wheelstep.courier.config import Address
+from wheelstep.courier.connection import Answer, BrokenError, Connection
 from wheelstep.interface import UNRUN, Outcome
 
-_MOST_ANSWER = 256 * 1024  # bytes of an answer's body that are read
 _IDLE_MARGIN_S = 1.5  # an idle connection is given up so long before the endpoint would
-_TAIL_S = 0.5  # how long the rest of an answer may take once its outcome is known
 _SWEEP_S = 0.5
 _ENDS = {"delivered": Outcome.OK, "failed": Outcome.ERROR, "refused": Outcome.FULL,
          "over": Outcome.NOT_SENT, "spent": Outcome.NOT_SENT}
@@ -74,103 +72,21 @@
         """A probe's one outcome."""
 
 
-class _BrokenError(Exception):
-    """The connection broke, or what came on it was no HTTP."""
-
-
-@dataclass(frozen=True, slots=True)
-class _Answer:
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    whole: bool
-
-
-class _Link:
-    """One connection; it carries one call at a time."""
-
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._reader, self._writer = reader, writer
-        self._http = h11.Connection(h11.CLIENT)
-        self.idle_since = 0.0
-        writer.transport.set_write_buffer_limits(high=0)  # so that `drain` means: all is written
-
-    def usable(self) -> bool:
-        return not (self._reader.at_eof() or self._writer.transport.is_closing())
-
-    def close(self) -> None:
-        self._writer.transport.abort()
-
-    async def send(self, request: h11.Request, body: bytes) -> None:
-        """Write one request whole."""
-        parts = [self._http.send(request)]
-        if body:
-            parts.append(self._http.send(h11.Data(data=body)))
-        parts.append(self._http.send(h11.EndOfMessage()))
-        try:
-            self._writer.write(b"".join(part for part in parts if part))
-            await self._writer.drain()
-        except OSError as error:
-            raise _BrokenError(str(error)) from error
-
-    async def answer(self) -> _Answer:
-        """Read the answer. A body that breaks off or hangs after the headers gives a partial answer."""
-        head: h11.Response | None = None
-        body = bytearray()
-        try:
-            while head is None:
-                event = await self._event()
-                if isinstance(event, h11.Response):
-                    head = event
-                elif not isinstance(event, h11.InformationalResponse):
-                    raise _BrokenError("ended before its answer")
-        except (OSError, h11.RemoteProtocolError) as error:
-            raise _BrokenError(str(error)) from error
-        whole = False
-        try:
-            async with asyncio.timeout(_TAIL_S):
-                while not whole and len(body) <= _MOST_ANSWER:
-                    event = await self._event()
-                    if isinstance(event, h11.Data):
-                        body += event.data
-                    elif isinstance(event, h11.EndOfMessage):
-                        whole = True
-                    else:
-                        break
-        except (OSError, TimeoutError, h11.RemoteProtocolError) as error:
-            log.info("answer broke off: %s", error)
-        headers = {name.decode("latin-1").lower(): value.decode("latin-1") for name, value in head.headers}
-        return _Answer(head.status_code, headers, bytes(body), whole)
-
-    async def _event(self) -> h11.Event | type[h11.PAUSED]:
-        while True:
-            event = self._http.next_event()
-            if event is not h11.NEED_DATA:
-                return event  # type: ignore[return-value]
-            self._http.receive_data(await self._reader.read(65536))
-
-    def next_cycle(self) -> bool:
-        """May another call follow on this connection?"""
-        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE and self.usable():
-            self._http.start_next_cycle()
-            self.idle_since = time.monotonic()
-            return True
-        return False
-
-
 @dataclass(slots=True)
 class _Host:
     """An endpoint's address and its idle connections, the one used last at the end."""
 
     address: Address
-    idle: list[_Link] = field(default_factory=list)
+    idle: list[Connection] = field(default_factory=list)
 
 
 class Outlet:
     """All calls and connections of this courier."""
 
-    def __init__(self, gate: Gate, dial_timeout_us: int, conn_idle_us: int, report: tuple[str, ...]) -> None:
+    def __init__(self, gate: Gate, dial_timeout_us: int, conn_idle_us: int, report: tuple[str, ...],
+                 most: int = 100) -> None:
         self._gate, self._report = gate, report
+        self._most = most  # connections at once: with a call, idle, and being dialled
         self._dial_s = dial_timeout_us / 1e6
         idle_s = conn_idle_us / 1e6 if conn_idle_us else 5.0
         self._idle_s = max(idle_s - _IDLE_MARGIN_S, idle_s / 2)
@@ -226,7 +142,7 @@
                         host.idle.remove(link)
                         link.close()
 
-    def _fresh(self, link: _Link) -> bool:
+    def _fresh(self, link: Connection) -> bool:
         return link.usable() and time.monotonic() - link.idle_since < self._idle_s
 
     def _spawn(self, work: Coroutine[object, object, None]) -> asyncio.Task[None]:
@@ -255,7 +171,7 @@
             self._gate.starting(endpoint, live)
             return _request(live, self._name(endpoint), max(1, math.ceil((end - time.monotonic()) * 1e3)))
 
-        async def work() -> _Answer | None:
+        async def work() -> Answer | None:
             await self._gate.settled(items)
             return await self._exchange(endpoint, progress, request)
 
@@ -282,8 +198,8 @@
         spent_us = int((time.monotonic() - began) * 1e6)
         self._gate.probed(endpoint, Result(outcome, spent_us, wait_us, limit))
 
-    async def _bounded(self, work: Callable[[], Coroutine[object, object, _Answer | None]],
-                       progress: _Progress, timeout_us: int) -> tuple[Outcome, _Answer | None]:
+    async def _bounded(self, work: Callable[[], Coroutine[object, object, Answer | None]],
+                       progress: _Progress, timeout_us: int) -> tuple[Outcome, Answer | None]:
         """Run an exchange for so long at most. Guards against a call that ends with no outcome at all."""
         try:
             async with asyncio.timeout(max(timeout_us, 0) / 1e6):
@@ -293,20 +209,19 @@
             return progress.ended_by(Outcome.TIMEOUT), None
         except asyncio.CancelledError:
             return progress.ended_by(Outcome.CANCELLED), None
-        except _BrokenError:
+        except BrokenError:
             return progress.ended_by(Outcome.RESET), None
         except Exception:
             log.exception("a call failed unexpectedly")
             return progress.ended_by(Outcome.RESET), None
 
     async def _exchange(self, endpoint: str, progress: _Progress,
-                        request: Callable[[], tuple[h11.Request, bytes] | None]) -> _Answer | None:
+                        request: Callable[[], tuple[h11.Request, bytes] | None]) -> Answer | None:
         """One request and its answer, or None where there is nothing to send any more."""
         host = self._hosts.get(endpoint)
         if host is None:
             return None
-        progress.dialled = True
-        link = await self._connect(host)
+        link = await self._connect(host, progress)
         keep = False
         try:
             wanted = request()
@@ -316,7 +231,7 @@
             await link.send(*wanted)
             progress.written = True
             answer = await link.answer()
-            keep = answer.whole and link.next_cycle()
+            keep = not answer.spoilt and link.next_cycle()
             return answer
         finally:
             if keep and self._hosts.get(endpoint) is host:
@@ -324,23 +239,33 @@
             else:
                 link.close()
 
-    async def _connect(self, host: _Host) -> _Link:
+    async def _connect(self, host: _Host, progress: _Progress) -> Connection:
+        """One that is idle, or a new one, or `BrokenError`."""
         while host.idle:
             link = host.idle.pop()
             if self._fresh(link):
+                progress.dialled = True
                 return link
             link.close()
+        # Guards the descriptors: every task here holds one connection at most.
+        if len(self._tasks) > self._most:
+            raise BrokenError("too many connections of this courier")
+        if len(self._tasks) + sum(len(host.idle) for host in self._hosts.values()) > self._most:
+            oldest = min((host for host in self._hosts.values() if host.idle),
+                         key=lambda host: host.idle[0].idle_since)
+            oldest.idle.pop(0).close()
+        progress.dialled = True
         try:
             async with asyncio.timeout(self._dial_s):
-                return _Link(*await asyncio.open_connection(host.address.host, host.address.port))
-        except OSError as error:
-            raise _BrokenError(f"no connection: {error}") from error
+                return await Connection.dial(host.address)
+        except TimeoutError as error:
+            raise BrokenError("no connection in time") from error
 
     def _name(self, endpoint: str) -> str:
         host = self._hosts.get(endpoint)
         return f"{host.address.host}:{host.address.port}" if host else endpoint
 
-    def _told(self, endpoint: str, answer: _Answer | None) -> tuple[int, api.LimitReport | None]:
+    def _told(self, endpoint: str, answer: Answer | None) -> tuple[int, api.LimitReport | None]:
         """The wait and the report that any answer may carry."""
         if answer is None:
             return 0, None
@@ -381,16 +306,16 @@
     return h11.Request(method="POST", target=target, headers=headers), body
 
 
-def _fared(outcome: Outcome, answer: _Answer | None, items: Sequence[Item]) -> list[Result]:
+def _fared(outcome: Outcome, answer: Answer | None, items: Sequence[Item]) -> list[Result]:
     """How each message of a call fared."""
     if answer is None:
         return [Result(outcome)] * len(items)
     if answer.status != 200 or len(items) < 2:
         return [_status(answer)] * len(items)
-    ends: dict[str, str] = {}
-    if answer.whole:  # guards against a torn answer: what it says of the last message may be cut off
-        for line in answer.body.decode("latin-1").splitlines():
-            message, _, end = line.strip().partition(" ")
+    ends: dict[str, str] = {}  # none if it is spoilt; what it says of the last message may be cut off
+    for line in answer.body.decode("latin-1").splitlines(keepends=True):
+        message, _, end = line.strip().partition(" ")
+        if line.endswith("\n"):
             ends[message] = end.strip()
     # A message that the answer passes over, or tells an unknown end of, may have run.
     return [Result(_ENDS.get(ends.get(item.message, ""), Outcome.ERROR),
@@ -398,7 +323,7 @@
             for item in items]
 
 
-def _status(answer: _Answer) -> Result:
+def _status(answer: Answer) -> Result:
     match answer.status:
         case 200:
             return Result(Outcome.OK)
@@ -410,7 +335,7 @@
             return Result(Outcome.NOT_SENT)
         case 429 | 503:
             return Result(Outcome.FULL)
-        case _:  # 500, and whatever else: it may have run
+        case _:  # 500, a spoilt answer, and whatever else: it may have run
             return Result(Outcome.ERROR)
 
 
