The core's timers, waits and failed starts have an end

Found by reading, each shown by a test: an overtaken timer stayed armed and fired for nothing, every route that ever told to wait stayed in a table, and a start that failed kept its slot.

--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -31,6 +31,7 @@
         self._classes = {name: i for i, name in enumerate(config.names.classes)}
         self._events: list[api.Event] = []
         self._flush: asyncio.TimerHandle | None = None
+        self._timers: dict[int, asyncio.TimerHandle] = {}
         self._held: dict[str, Stored] = {}  # what the module holds
         self._numbers: dict[str, int] = {}  # each one's next attempt
         self._listed: dict[str, api.EndpointInfo] = {}
@@ -159,8 +160,9 @@
     def told_to_wait(self, endpoint: str, wait_us: int) -> None:
         """Nothing more goes there for so long, also of what is being dialled."""
         if info := self._listed.get(endpoint):
-            route = self._route(info)
-            self._waits[route] = max(self._waits.get(route, 0.0), time.monotonic() + wait_us / 1e6)
+            route, now = self._route(info), time.monotonic()
+            self._waits = {other: until for other, until in self._waits.items() if until > now}
+            self._waits[route] = max(self._waits.get(route, 0.0), now + wait_us / 1e6)
 
     def _route(self, info: api.EndpointInfo) -> str | int:
         kind = self._s.kinds[min(info.kind, len(self._s.kinds) - 1)]
@@ -222,8 +224,10 @@
         for action in actions:
             try:
                 self._carry_out_one(action, calls)
-            except Exception:  # one that fails, on a full disk for example, may not take the others with it
+            except Exception:  # one that fails may not take the others with it
                 log.exception("could not carry out %r", action)
+                if isinstance(action, api.StartAttempt):  # nor keep its slot
+                    self._post(api.AttemptEnded(action.message, 0, action.endpoint, Outcome.NOT_SENT, 0))
         for endpoint, sends in calls.items():
             self._call(endpoint, sends)
 
@@ -241,8 +245,10 @@
                 self.outlet.probe(endpoint, _PROBE_TIMEOUT_US)
             case api.CloseIdle(endpoint):
                 self.outlet.close_idle(endpoint)
-            case api.SetTimer(timer, in_us):
-                asyncio.get_running_loop().call_later(in_us / 1e6, self._timer, timer)
+            case api.SetTimer(timer, in_us):  # in place of a later one, which would wake it for nothing
+                if timer in self._timers:
+                    self._timers[timer].cancel()
+                self._timers[timer] = asyncio.get_running_loop().call_later(in_us / 1e6, self._timer, timer)
             case api.Subscribe():
                 pass  # the watch is always on
             case api.WriteLog(text):
@@ -252,6 +258,7 @@
                                               health.base, health.rate])
 
     def _timer(self, timer: int) -> None:
+        del self._timers[timer]
         self._post(api.TimerFired(timer))
 
     def _start(self, name: str, endpoint: str, timeout_us: int,
