--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -389,3 +389,36 @@
     late = Drive()
     late.at(0, api.HealthRestored("e0", api.Health(False, True, 2.0, 1.5), 10 * S))
     assert len(sends(late.at(0, *messages))) == len(sends(well.actions))
+
+
+def test_a_silent_endpoint_is_noticed_soon_and_gives_its_slots_back() -> None:
+    """Once, hung calls kept every slot for more than a promise, though answers used to come in 50 ms."""
+    d = Drive()
+    for number in range(4):
+        d.submit(f"before{number}")
+        d.now += 50 * MS
+        d.end(f"before{number}", Outcome.OK)
+    d.submit("keyed", 1)
+    d.submit("unsafe", 2)
+    actions = d.tick(d.now + 1100 * MS)
+    assert [a for a in actions if isinstance(a, api.CancelAttempt)] == [api.CancelAttempt("keyed", 0)]
+    d.submit("later", 1)
+    assert sends(d.tick(d.now + 100 * MS)) == []  # it counts as out
+
+
+def test_when_slots_are_short_the_destination_that_uses_them_for_longer_waits() -> None:
+    """Once, one that had become slow held half of the slots as its own queue, and kept all others out."""
+    d = Drive(listed=False, slots=8)
+    d.members(info("slow", 7), info("fast", 8))
+    for name, spent_us in (("slow", 700 * MS), ("fast", 50 * MS)):
+        for number in range(8):
+            d.submit(f"{name}{number}", destination=7 if name == "slow" else 8)
+            d.now += spent_us
+            d.end(f"{name}{number}", Outcome.OK, endpoint=name, spent_us=spent_us)
+    for number in range(8):
+        d.submit(f"s{number}", destination=7)
+        d.submit(f"f{number}", destination=8)
+    out = [name for name in ("s", "f") for number in range(8) if f"{name}{number}" in sends(d.actions)]
+    assert len(out) == 8
+    d.end("s0", Outcome.OK, endpoint="slow", spent_us=700 * MS)
+    assert sends(d.actions)[-1].startswith("f")
--- a/tests/test_outlet.py
+++ b/tests/test_outlet.py
@@ -346,6 +346,18 @@
     run(work())
 
 
+def test_a_call_cancelled_at_once_has_its_outcome_too() -> None:
+    """Once, a task that was cancelled before its first step told nothing, and its message was lost."""
+    async def work() -> None:
+        owner, endpoint, outlet = await scene()
+        outlet.call("e0", [item("a"), item("b")], 10 * S)
+        outlet.cancel("a", 0)
+        assert (await owner.wait("a")).outcome is Outcome.NOT_SENT
+        assert (await owner.wait("b")).outcome is Outcome.NOT_SENT
+        assert endpoint.calls == []
+    run(work())
+
+
 def test_connections_are_kept_and_carry_one_call_at_a_time() -> None:
     async def work() -> None:
         owner, endpoint, outlet = await scene()
--- a/wheelstep/courier/outlet.py
+++ b/wheelstep/courier/outlet.py
@@ -115,6 +115,7 @@
     def call(self, endpoint: str, items: Sequence[Item], timeout_us: int) -> None:
         """Start one call; every item gets its outcome through the gate."""
         task = self._spawn(self._call(endpoint, items, timeout_us))
+        task.add_done_callback(lambda task: self._never_began(endpoint, items) if task.cancelled() else None)
         for item in items:
             self._calls[item.message, item.attempt] = task
 
@@ -157,6 +158,12 @@
         if not task.cancelled() and (error := task.exception()) is not None:
             log.error("a call's outcome could not be told", exc_info=error)
 
+    def _never_began(self, endpoint: str, items: Sequence[Item]) -> None:
+        """Guards against a call with no outcome: one that is cancelled before its task has run a step."""
+        for item in items:
+            self._calls.pop((item.message, item.attempt), None)
+        self._gate.ended(endpoint, [(item, Result(Outcome.NOT_SENT)) for item in items])
+
     async def _call(self, endpoint: str, items: Sequence[Item], timeout_us: int) -> None:
         end = time.monotonic() + timeout_us / 1e6
         progress = _Progress()
