--- a/wheelstep/logic.py
+++ b/wheelstep/logic.py
@@ -211,7 +211,7 @@
     def __init__(self, info: api.EndpointInfo, settings: Settings, pacer: Pacer, promise_us: int,
                  rng: random.Random) -> None:
         self._s, self.info, self.pacer, self._promise_us, self._rng = settings, info, pacer, promise_us, rng
-        self.sick, self.watch_us = False, math.inf  # when its silence will be looked at
+        self.sick = self.watched = False
         self.calls: dict[Call, None] = {}
         self.usual_us, self._deviation_us, self._last_answer_us = 0.0, 0.0, 0
         self.failures = Fading(4 * promise_us)  # their share of late
@@ -223,14 +223,11 @@
         return max(self._promise_us, self.usual_us + LATE_DEVIATIONS * self._deviation_us)
 
     def silent_us(self) -> float:
-        """When it counts as silent: calls out for far longer than usual, nothing back since. Where answers
-        come fast that is well before a call is overdue: a hang takes few slots. A lone call may be slow."""
+        """When it counts as silent: calls out for far longer than usual, nothing back since."""
         oldest = next(iter(self.calls), None)
         if oldest is None or self.sick:
             return math.inf
-        usual_us = self.usual_us + LATE_DEVIATIONS * self._deviation_us
-        quiet_us = max(self._promise_us / 2, usual_us) if self.usual_us else self._promise_us
-        patience_us = quiet_us * weight(oldest.size) * (1 if len(self.calls) > 1 else 2)
+        patience_us = self.overdue_us() * weight(oldest.size) * (1 if len(self.calls) > 1 else 2)
         return max(oldest.sent_us, self._last_answer_us) + math.ceil(patience_us)
 
     def rarely_used(self, now_us: int) -> bool:
@@ -734,31 +731,15 @@
         return sorted(heads, key=lambda m: -self._gain(m, tau_us))
 
     def _watch(self, endpoint: Endpoint) -> None:
-        """See to it that silence is noticed when it has lasted long enough; one timer does, unless a further
-        call makes it due earlier."""
-        at_us = max(endpoint.silent_us(), self._now)
-        if at_us < endpoint.watch_us:
-            endpoint.watch_us = at_us
-            self._at(at_us, lambda: self._look_for_silence(endpoint))
-
-    def _look_for_silence(self, endpoint: Endpoint) -> None:
-        if self._now < endpoint.watch_us:
-            return  # another timer has come before this one
-        endpoint.watch_us = math.inf
-        if endpoint.silent_us() <= self._now:
+        """Notice silence when it has lasted long enough, with one timer for each endpoint."""
+        silent_us = endpoint.silent_us()
+        if silent_us <= self._now:
             endpoint.fall_sick(self._now)
             self._actions.append(api.WriteLog(f"{endpoint.info.endpoint} out (silent)"))
             self._note(endpoint)
-            self._call_off(endpoint)
-        else:
-            self._watch(endpoint)
-
-    def _call_off(self, endpoint: Endpoint) -> None:
-        """Take back what may be sent again from one that is silent. Guards the slots: what hangs there would
-        keep them from all others; it harms calls that were about to be answered, for one more attempt."""
-        out = [m for m in self._messages.values() if m.call is not None and m.call.endpoint is endpoint]
-        bound = {m.call for m in out if m.cls.effect is Effect.UNSAFE or m.cls.zone_keys}
-        self._actions += [api.CancelAttempt(m.id, m.attempts - 1) for m in out if m.call not in bound]
+        endpoint.watched = self._now < silent_us < math.inf
+        if endpoint.watched:
+            self._at(silent_us, lambda: self._watch(endpoint))
 
     def _send_one(self, destination: Destination, heads: list[Message]) -> bool:
         doubtful = destination.loop.tau_us >= self._t1_us or any(e.sick for e in destination.endpoints)
@@ -819,6 +800,7 @@
             self._actions.append(api.StartAttempt(message.id, endpoint.info.endpoint, timeout_us))
         endpoint.calls[call] = None
         endpoint.sent(self._now, call.open)
-        self._watch(endpoint)
+        if not endpoint.watched:
+            self._watch(endpoint)
         destination.calls_out += 1
         self._calls_out += 1
