Rehearsal kit: stand-ins on loopback, a judge without I/O, broken couriers

Need: rehearsals were scripts by hand, and nothing said from outside whether a courier keeps the six rules. Change: wheelstep/rehearsal with scenarios in TOML, a plan drawn whole from a seed, partners, platform, clients and courier processes on loopback, and a judge that reads only what these saw.

--- /dev/null
+++ b/wheelstep/rehearsal/broken/order.py
@@ -0,0 +1,43 @@
+"""Couriers that don't keep the order of keys."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from wheelstep import interface as api
+from wheelstep.courier.core import Core
+from wheelstep.courier.journal import Stored
+from wheelstep.rehearsal.broken.patch import change_settings
+
+
+def no_rest() -> None:
+    """A key goes on at once after a time-out, a reset or a cancel."""
+    change_settings(lambda settings: dataclasses.replace(settings, order_settle_us=0))
+
+
+def _forget_keys(only_restored: bool) -> None:
+    accepted = Core._accepted
+    restoring = []
+    restore = Core.restore
+
+    def note(self: Core) -> None:
+        restoring.append(self)
+        restore(self)
+        restoring.clear()
+
+    def keyless(self: Core, message: Stored, resubmitted: bool) -> api.MessageAccepted:
+        event = accepted(self, message, resubmitted)
+        return dataclasses.replace(event, key=None) if restoring or not only_restored else event
+
+    Core.restore = note  # type: ignore[method-assign]
+    Core._accepted = keyless  # type: ignore[method-assign]
+
+
+def no_order_over_restart() -> None:
+    """Messages that are restored have no key."""
+    _forget_keys(only_restored=True)
+
+
+def ignores_keys() -> None:
+    """No message has a key."""
+    _forget_keys(only_restored=False)
--- /dev/null
+++ b/wheelstep/rehearsal/rig.py
@@ -0,0 +1,333 @@
+"""Plays a plan: couriers as processes, everything else on loopback sockets in this one. Returns what was seen."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import gc
+import itertools
+import shlex
+import sys
+import tempfile
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from wheelstep.rehearsal.history import (
+    Answer,
+    Call,
+    Fact,
+    Fate,
+    History,
+    Late,
+    Life,
+    Notice,
+    Probe,
+    Strange,
+    Told,
+)
+from wheelstep.rehearsal.plan import Fault, Plan
+from wheelstep.rehearsal.standins.clients import Clients
+from wheelstep.rehearsal.standins.partner import Stage
+from wheelstep.rehearsal.standins.platform import Agent, row
+from wheelstep.rehearsal.standins.process import Courier
+
+_ROOT = Path(__file__).resolve().parents[2]
+
+
+def module_command(*words: str) -> str:
+    """The command that runs a module of ours, wherever it is called from."""
+    return shlex.join(["/usr/bin/env", f"PYTHONPATH={_ROOT}", sys.executable, "-m", *words])
+
+
+OURS = module_command("wheelstep.courier")
+_TICK_S = 0.01  # how often lateness is looked at
+_LATE_US = 5_000  # worth a note
+_CHECK_S = 0.1  # how often it is looked whether all is over
+
+
+@dataclass(slots=True)
+class Progress:
+    """Where a rehearsal stands, for whoever shows it."""
+
+    phase: str = "starting"
+    at_us: int = 0
+    of_us: int = 1
+    handed_in: int = 0
+    delivered: int = 0
+    ended: int = 0
+    late_us: int = 0
+
+
+@dataclass(slots=True)
+class Played:
+    """What a rehearsal leaves: the history, and figures that hang on the machine."""
+
+    history: History
+    logs: dict[str, str] = field(default_factory=dict)
+    log_bytes: dict[str, int] = field(default_factory=dict)
+    effects: dict[int, int] = field(default_factory=dict)  # how often each planned message took effect
+    wall_s: float = 0.0
+
+
+async def play(plan: Plan, command: str = OURS, limits: dict[str, Any] | None = None,
+               tell: Callable[[Progress], None] | None = None) -> Played:
+    """Play a plan against a courier command. Raises `NoStartError` where the command can't be started."""
+    with tempfile.TemporaryDirectory(prefix="umberchute-") as folder:
+        rig = _Rig(plan, command, Path(folder), limits or {}, tell)
+        try:
+            return await rig.run()
+        finally:
+            await rig.close()
+
+
+class _Rig:
+    def __init__(self, plan: Plan, command: str, folder: Path, limits: dict[str, Any],
+                 tell: Callable[[Progress], None] | None) -> None:
+        self._plan, self._tell, self._limits = plan, tell, limits
+        self._history = History(plan.figures)
+        self._loop = asyncio.get_running_loop()
+        self._epoch = self._loop.time()
+        self._stage = Stage(plan, self._history, self._now_us)
+        self._stage.epoch = self._epoch
+        names = [f"c{index}" for index in range(plan.couriers)]
+        self._agents = [Agent(name, self._history, self._now_us, self._heard) for name in names]
+        self._clients = [Clients(plan, index, self._stage.ledger, self._history, self._now_us)
+                         for index in range(plan.couriers)]
+        self._couriers = [
+            Courier(name, command, folder / name, self._history, self._now_us,
+                    lambda listen, index=index: self._config(index, listen),  # type: ignore[misc]
+                    plan.ready_within_us / 1e6)
+            for index, name in enumerate(names)]
+        self._tasks: list[asyncio.Task[None]] = []
+        self._progress = Progress(of_us=plan.end_us)
+        self._read = 0  # facts that were looked at
+        self._taken: set[str] = set()
+        self._over: set[str] = set()
+
+    def _now_us(self) -> int:
+        return round((self._loop.time() - self._epoch) * 1e6)
+
+    def _config(self, index: int, listen: str) -> dict[str, Any]:
+        agent = self._agents[index]
+        settings = {**self._plan.settings, "self_index": index}
+        limits = {"cores": 1.0, "memory_mb": 256, "sockets": 1024, "disk_mb": 16, **self._limits}
+        return {"name": f"c{index}", "listen": listen, "discovery": agent.port.address,
+                "seed": f"{self._plan.seed + index:x}", "limits": limits, "known": agent.whole(),
+                "settings": settings}
+
+    def _row(self, endpoint: str, index: int, health: str = "SERVING") -> dict[str, Any]:
+        at = self._stage.endpoints[endpoint]
+        return row(endpoint, at.ports[index].address, at.partner.destination,
+                   self._plan.settings["kinds"][at.partner.kind], health)
+
+    def _heard(self, courier: str, notice: dict[str, Any]) -> None:
+        if notice["outcome"] == "handed_back":
+            index = int(courier[1:])
+            self._clients[index].handed_back(str(notice["message"]), int(notice.get("retry_in_ms", 0)) * 1000)
+
+    # --- the run ---
+
+    async def run(self) -> Played:
+        """Start all, play, wait for every end, and stop all."""
+        began = self._loop.time()
+        await self._stage.open()
+        for index, agent in enumerate(self._agents):
+            agent.hosts = {name: self._row(name, index) for name in self._stage.endpoints}
+            await agent.open()
+        ready = await asyncio.gather(*(courier.start() for courier in self._couriers))
+        if all(ready):
+            gc.collect()
+            gc.freeze()  # a collection of everything would make the rig late
+            self._rebase()
+            for index, clients in enumerate(self._clients):
+                clients.address = self._couriers[index].address
+                if self._plan.crowd:
+                    await clients.crowd(self._plan.crowd)
+            self._task(self._watch_lateness())
+            for fault in self._plan.faults:
+                self._task(self._play_fault(fault))
+            await self._hand_in()
+            await self._until_over()
+        self._stage.close()
+        self._history.end_us = self._now_us()
+        self._progress.phase = "judging"
+        self._say()
+        return Played(
+            self._history, {courier.name: courier.log_text() for courier in self._couriers},
+            {courier.name: courier.log_total for courier in self._couriers},
+            dict(self._stage.ledger.effects), self._loop.time() - began)
+
+    def _rebase(self) -> None:
+        """Time counts from when all are ready; what was seen before lies before it."""
+        shift_us = self._now_us()
+        self._epoch = self._stage.epoch = self._loop.time()
+
+        facts: list[Fact] = []
+        for fact in self._history.facts:
+            if isinstance(fact, Life | Told | Probe | Late | Strange):
+                facts.append(dataclasses.replace(fact, at_us=fact.at_us - shift_us))
+        self._history.facts[:] = facts
+
+    def _task(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.create_task(work))
+
+    async def _hand_in(self) -> None:
+        self._progress.phase = "handing in"
+        for arrival in self._plan.arrivals:
+            while (left_s := arrival.at_us / 1e6 - (self._loop.time() - self._epoch)) > 0:
+                await asyncio.sleep(min(left_s, _CHECK_S))
+                self._say()
+            self._clients[arrival.courier].hand_in(arrival)
+            self._raise_dead()
+
+    def _raise_dead(self) -> None:
+        """Guards against a rehearsal that goes on though a part of the rig has died."""
+        for task in self._tasks:
+            if task.done() and not task.cancelled() and task.exception() is not None:
+                task.result()
+        self._tasks = [task for task in self._tasks if not task.done()]
+
+    async def _until_over(self) -> None:
+        """Until all faults are over, and every message that was taken on has its end or its time is up."""
+        self._progress.phase = "waiting for the last ends"
+        last_us = max([self._plan.length_us, *(fault.until_us for fault in self._plan.faults)])
+        settle_us = 700_000  # a second end, or a call too many, would show by then
+        quiet_us: int | None = None
+        while (now_us := self._now_us()) < self._plan.end_us:
+            if now_us >= last_us and not self._owed() and all(c.ready.is_set() for c in self._couriers):
+                quiet_us = quiet_us or now_us
+                if now_us - quiet_us >= settle_us:
+                    return
+            else:
+                quiet_us = None
+            await asyncio.sleep(_CHECK_S)
+            self._raise_dead()
+            self._say()
+
+    def _owed(self) -> bool:
+        """Is any message taken on and not yet over? Reads each fact once."""
+        for fact in itertools.islice(self._history.facts, self._read, None):
+            if isinstance(fact, Answer) and fact.status in (200, 202):
+                self._taken.add(fact.message)
+            elif isinstance(fact, Notice):
+                self._over.add(fact.message)
+            elif isinstance(fact, Call):
+                names = [name for name, fate in zip(fact.messages, fact.fates, strict=True)
+                         if fate is Fate.DELIVERED]
+                self._over.update(names)
+                self._progress.delivered += len(names)
+            elif isinstance(fact, Late):
+                self._progress.late_us = max(self._progress.late_us, fact.late_us)
+        self._read = len(self._history.facts)
+        self._progress.ended = len(self._over)
+        return not self._taken <= self._over
+
+    def _say(self) -> None:
+        if self._tell is None:
+            return
+        progress = self._progress
+        progress.at_us = min(self._now_us(), self._plan.end_us)
+        progress.handed_in = sum(clients.asked for clients in self._clients)
+        self._owed()
+        self._tell(progress)
+
+    # --- faults ---
+
+    async def _play_fault(self, fault: Fault) -> None:
+        await self._until(fault.at_us)
+        match fault.kind:
+            case "kill" | "term" | "pause":
+                for_s = (fault.until_us - fault.at_us) / 1e6
+                for index in fault.couriers:
+                    courier = self._couriers[index]
+                    if fault.kind == "kill":
+                        self._task(courier.kill(for_s))
+                    elif fault.kind == "term":
+                        self._task(courier.terminate(for_s))
+                    else:
+                        self._task(courier.pause(for_s))
+            case "discovery":
+                for index in fault.couriers:
+                    self._agents[index].down = True
+                await self._until(fault.until_us)
+                for index in fault.couriers:
+                    self._agents[index].back()
+            case "stall":
+                for begin_us, end_us in fault.stops_us:
+                    await self._until(begin_us)
+                    for name in fault.endpoints:
+                        self._stage.endpoints[name].desk.stall(end_us)
+            case "drain" | "leave":
+                await self._drain(fault)
+            case "replace":
+                await self._replace(fault)
+            case _:
+                for name in fault.endpoints:
+                    await self._stage.endpoints[name].begin(fault)
+                await self._until(fault.until_us)
+                for name in fault.endpoints:
+                    await self._stage.endpoints[name].end(fault)
+
+    async def _until(self, at_us: int) -> None:
+        await asyncio.sleep(max(0.0, self._epoch + at_us / 1e6 - self._loop.time()))
+
+    def _tell_of(self, fault: Fault, health: str, names: tuple[str, ...]) -> None:
+        for index, agent in enumerate(self._agents):
+            rows = [self._row(name, index, health) for name in names]
+            self._loop.call_later(fault.told_us[index] / 1e6, agent.change, *rows)
+
+    async def _drain(self, fault: Fault) -> None:
+        """It says DRAINING; one that leaves goes after its time."""
+        self._tell_of(fault, "DRAINING", fault.endpoints)
+        if fault.kind == "leave":
+            await self._until(fault.until_us)
+            self._tell_of(fault, "DELETED", fault.endpoints)
+
+    async def _replace(self, fault: Fault) -> None:
+        """Drained, gone, and another process under a new name at the same address."""
+        self._tell_of(fault, "DRAINING", fault.endpoints)
+        await self._until(fault.until_us)
+        self._tell_of(fault, "DELETED", fault.endpoints)
+        fresh = tuple(self._stage.replace(name) for name in fault.endpoints)
+        self._tell_of(fault, "SERVING", fresh)
+
+    # --- lateness ---
+
+    async def _watch_lateness(self) -> None:
+        """Notes when this loop, or a courier's process, had to wait for a core."""
+        waited = [courier.waited_us() for courier in self._couriers]
+        pids = [courier.process.pid if courier.process else 0 for courier in self._couriers]
+        before = self._loop.time()
+        while True:
+            await asyncio.sleep(_TICK_S)
+            now = self._loop.time()
+            self._late("the rig", round((now - before - _TICK_S) * 1e6))
+            before = now
+            for index, courier in enumerate(self._couriers):
+                pid = courier.process.pid if courier.process else 0
+                total_us = courier.waited_us()
+                if pid == pids[index] and total_us is not None and waited[index] is not None:
+                    self._late(courier.name, total_us - (waited[index] or 0))
+                waited[index], pids[index] = total_us, pid
+
+    def _late(self, who: str, late_us: int) -> None:
+        if late_us >= _LATE_US:
+            self._history.add(Late(self._now_us(), who, late_us))
+
+    async def close(self) -> None:
+        """Nothing stays: tasks, processes, ports."""
+        for task in self._tasks:
+            task.cancel()
+        for clients in self._clients:
+            clients.close()
+        await asyncio.gather(*(courier.stop() for courier in self._couriers), return_exceptions=True)
+        for agent in self._agents:
+            agent.close()
+        for endpoint in self._stage.endpoints.values():
+            endpoint.close()
+        for task in self._tasks:
+            with contextlib.suppress(asyncio.CancelledError, Exception):
+                await task
--- /dev/null
+++ b/wheelstep/rehearsal/scenario.py
@@ -0,0 +1,294 @@
+"""The scenario format: TOML files with checked fields. What makes no sense is one line with file, key and what was
+expected. Times are strings with a unit ("250ms", "2s", "1.5min") and become whole microseconds.
+"""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from collections.abc import Iterable, Mapping
+from importlib import resources
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError, model_validator
+
+from wheelstep.rehearsal.history import Effect
+
+_UNITS = {"us": 1, "ms": 1_000, "s": 1_000_000, "min": 60_000_000, "h": 3_600_000_000}
+_TIME = re.compile(r"(\d+(?:\.\d+)?) ?(us|ms|s|min|h)")
+
+
+class ScenarioError(Exception):
+    """A scenario that can't be used: `file: key: what was found; expected what`."""
+
+
+def read_time(value: object) -> int:
+    """Whole microseconds of a text such as "250ms"; raises `ValueError`."""
+    if isinstance(value, str) and (found := _TIME.fullmatch(value.strip())):
+        return round(float(found[1]) * _UNITS[found[2]])
+    raise ValueError(f'{value!r} is no time; expected a number with a unit, such as "250ms", "2s" or "1.5min"')
+
+
+def _span(value: object) -> tuple[int, int]:
+    parts = value if isinstance(value, list) else [value, value]
+    if len(parts) != 2:
+        raise ValueError(f"{value!r} is no time or range; expected \"2s\" or [\"1s\", \"2s\"]")
+    low, high = (read_time(part) for part in parts)
+    if low > high:
+        raise ValueError(f"the range {value!r} runs backwards; expected [least, most]")
+    return low, high
+
+
+Time = Annotated[int, BeforeValidator(read_time)]
+Span = Annotated[tuple[int, int], BeforeValidator(_span)]
+Share = Annotated[float, Field(ge=0, le=1)]
+Count = Annotated[int, Field(ge=1, le=100_000)]
+
+
+class _Part(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class RulesPart(_Part):
+    """Figures of the rules."""
+
+    drain_grace: Time = 250_000
+    fall_multiple: Annotated[float, Field(gt=0)] = 1.5
+    fall_for: Time = 3_000_000
+    cold: Time = 14_000_000
+    cold_from: Annotated[float, Field(gt=0, le=1)] = 0.27
+    settle: Time = 300_000
+
+
+class ClassPart(_Part):
+    """A class of messages."""
+
+    name: Annotated[str, Field(min_length=1)]
+    share: Annotated[float, Field(gt=0)] = 1.0
+    promise: Time = 2_000_000
+    deadline: Time = 6_000_000
+    effect: Effect = Effect.UNSAFE
+    key_life: Time = 0
+    ordered: bool = False
+    worth: Annotated[float, Field(ge=0)] = 1.0
+    late_worth: Share = 0.3
+    kinds: tuple[str, ...] = ()  # of partners that it goes to; none: all
+    size: tuple[Annotated[int, Field(ge=0, le=65536)], Annotated[int, Field(ge=0, le=65536)]] = (100, 400)
+
+    @model_validator(mode="after")
+    def _fits(self) -> ClassPart:
+        if self.promise > self.deadline:
+            raise ValueError("promise is longer than deadline; expected promise <= deadline")
+        if self.effect is Effect.KEYED and not self.key_life:
+            raise ValueError('key_life is missing; expected a time where effect = "keyed"')
+        if self.size[0] > self.size[1]:
+            raise ValueError("size runs backwards; expected [least, most]")
+        return self
+
+
+class KindPart(_Part):
+    """A kind of partner."""
+
+    name: Annotated[str, Field(min_length=1)]
+    batch: Count = 1  # messages in a call at most
+    routes_apart: bool = False
+
+
+class LimitPart(_Part):
+    """What a partner takes from all couriers together."""
+
+    rate_per_s: Annotated[float, Field(gt=0)]
+    window: Time | None = None  # a count in each such span instead of a plain rate
+    refused_count: bool = False
+    tells_wait: Time | None = None  # its refusals tell this wait
+    report: bool = True  # answers carry X-Load
+
+
+class PartnerPart(_Part):
+    """A partner: one destination with one or more endpoints."""
+
+    name: Annotated[str, Field(min_length=1)]
+    kind: str
+    endpoints: Annotated[int, Field(ge=1, le=32)] = 1
+    share: Annotated[float, Field(gt=0)] = 1.0  # of the traffic
+    lanes: Count = 4  # calls that an endpoint serves at once
+    queue: Annotated[int, Field(ge=0, le=100_000)] = 16
+    pace: Time = 80_000  # to serve a call, on average
+    spread: Annotated[float, Field(ge=0, le=3)] = 0.3  # its deviation, as a share of the pace
+    limit: LimitPart | None = None
+    connections: Count | None = None  # an endpoint takes so many
+    run_on: bool = False  # a call runs on after it was cancelled
+    key_memory: bool = True  # it drops repeats of a keyed message
+
+
+class TrafficPart(_Part):
+    """What clients hand in."""
+
+    rate_per_s: Annotated[float, Field(gt=0, le=20_000)] = 20.0
+    clumps: Share = 0.0  # share of the messages that come in clumps for one partner
+    clump_size: Annotated[int, Field(ge=2, le=1000)] = 10
+    keys: Count = 8  # of each partner, in classes that keep an order
+    retries: Annotated[int, Field(ge=0, le=10)] = 2
+    honour: Share = 1.0  # share of the retries that wait as Retry-After says
+    backoff: Span = (200_000, 600_000)
+    fresh: Share = 0.0  # share of the keys that use a new connection for each request
+    crowd: Annotated[int, Field(ge=0, le=2000)] = 0  # further connections that stand idle
+
+
+_PARTNER_FAULTS = ("stall", "silent", "hang", "refuse", "shut", "fail", "reset", "spoil", "drain", "leave", "replace")
+_COURIER_FAULTS = ("kill", "term", "pause")
+
+
+class FaultPart(_Part):
+    """Something that goes wrong, and when. `for` is how long; which keys go with which kind is checked."""
+
+    kind: Literal["stall", "silent", "hang", "refuse", "shut", "fail", "reset", "spoil", "drain", "leave", "replace",
+                  "kill", "term", "pause", "discovery"]
+    at: Span
+    lasts: Annotated[Span | None, Field(alias="for")] = None
+    partner: str | None = None
+    endpoint: Annotated[int, Field(ge=0)] | None = None  # one of the partner's; none: all
+    courier: Annotated[int, Field(ge=0)] | None = None  # none: all
+    every: Time | None = None  # stall
+    pause: Span | None = None  # stall
+    share: Share | None = None  # fail, reset, spoil
+    when: Literal["before", "after"] | None = None  # reset: before or after the call's last byte
+    wait: Time | None = None  # shut: told with each refusal
+    told_after: Span | None = None  # drain, leave, replace: until couriers are told
+
+    @model_validator(mode="after")
+    def _fits(self) -> FaultPart:
+        allowed = {"at", "kind"}
+        if self.kind in _PARTNER_FAULTS:
+            allowed |= {"partner", "endpoint"}
+            if self.partner is None:
+                raise ValueError(f'partner is missing; expected the name of one for a fault "{self.kind}"')
+        else:
+            allowed |= {"courier"}
+        if self.kind not in ("drain",):
+            allowed |= {"lasts"}
+            if self.lasts is None and self.kind not in ("leave", "replace"):
+                raise ValueError(f'for is missing; expected a time for a fault "{self.kind}"')
+        allowed |= {"stall": {"every", "pause"}, "fail": {"share"}, "reset": {"share", "when"}, "spoil": {"share"},
+                    "shut": {"wait"}, "drain": {"told_after"}, "leave": {"told_after"},
+                    "replace": {"told_after"}}.get(self.kind, set())
+        given = {name for name in type(self).model_fields if getattr(self, name) is not None}
+        if extra := sorted(given - allowed):
+            raise ValueError(f'{extra[0]} means nothing for a fault "{self.kind}"; expected none of it')
+        return self
+
+
+class Scenario(_Part):
+    """A whole scenario."""
+
+    title: str
+    rule: Literal["lost", "twice", "drains", "returns", "order", "waits", "all"]
+    length: Time  # clients hand in for so long
+    couriers: Annotated[int, Field(ge=1, le=8)] = 1
+    slots: Count = 16
+    hold: Count = 500
+    max_attempts: Count = 12
+    idle: Time = 10_000_000  # endpoints close connections that are idle for so long
+    dial: Time = 1_000_000
+    ready_within: Time = 30_000_000
+    probes: bool = True
+    told_after: Span = (100_000, 300_000)  # discovery's delay to a courier
+    rules: RulesPart = RulesPart()
+    classes: Annotated[tuple[ClassPart, ...], Field(alias="class", min_length=1)]
+    kinds: Annotated[tuple[KindPart, ...], Field(alias="kind", min_length=1)]
+    partners: Annotated[tuple[PartnerPart, ...], Field(alias="partner", min_length=1)]
+    traffic: TrafficPart = TrafficPart()
+    faults: Annotated[tuple[FaultPart, ...], Field(alias="fault")] = ()
+
+
+def parse(text: str, source: str) -> Scenario:
+    """Read a scenario; `source` names it in a `ScenarioError`."""
+    try:
+        data = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise ScenarioError(f"{source}: {error}; expected TOML") from error
+    try:
+        scenario = Scenario.model_validate(data)
+    except ValidationError as error:
+        raise ScenarioError(f"{source}: {explain(error)}") from error
+    for key, text in _crossings(scenario):
+        raise ScenarioError(f"{source}: {key}: {text}")
+    return scenario
+
+
+def explain(error: ValidationError) -> str:
+    """A pydantic error's first part on one line: key, what was found and what was expected."""
+    first = error.errors(include_url=False)[0]
+    where = "".join(f"[{part}]" if isinstance(part, int) else f".{part}" for part in first["loc"]).lstrip(".")
+    match first["type"]:
+        case "extra_forbidden":
+            return f"{where}: unknown key; expected one of those in docs/operations/rehearsal.md"
+        case "missing":
+            return f"{where}: missing; expected a value"
+        case "value_error":
+            return f"{where}: {str(first['msg']).removeprefix('Value error, ')}" if where else str(first["msg"])
+    found = repr(first.get("input"))
+    return f"{where}: {found[:80]}; expected: {first['msg']}"
+
+
+def _crossings(scenario: Scenario) -> Iterable[tuple[str, str]]:
+    """What only shows when parts are held against each other."""
+    for what, names in (("class", [part.name for part in scenario.classes]),
+                        ("kind", [part.name for part in scenario.kinds]),
+                        ("partner", [part.name for part in scenario.partners])):
+        for number, name in enumerate(names):
+            if name in names[:number]:
+                yield f"{what}[{number}].name", f"{name!r} is there twice; expected names that differ"
+    kinds = [kind.name for kind in scenario.kinds]
+    partners = {partner.name: partner for partner in scenario.partners}
+    for number, partner in enumerate(scenario.partners):
+        if partner.kind not in kinds:
+            yield f"partner[{number}].kind", f"unknown kind {partner.kind!r}; expected one of {_names(kinds)}"
+    for number, cls in enumerate(scenario.classes):
+        for kind in cls.kinds:
+            if kind not in kinds:
+                yield f"class[{number}].kinds", f"unknown kind {kind!r}; expected some of {_names(kinds)}"
+        if cls.kinds and not any(partner.kind in cls.kinds for partner in scenario.partners):
+            yield f"class[{number}].kinds", "no partner is of such a kind; expected one at least"
+    for number, fault in enumerate(scenario.faults):
+        at = f"fault[{number}]"
+        if fault.partner is not None and fault.partner not in partners:
+            yield f"{at}.partner", f"unknown partner {fault.partner!r}; expected one of {_names(partners)}"
+        elif fault.partner is not None and (fault.endpoint or 0) >= partners[fault.partner].endpoints:
+            most = partners[fault.partner].endpoints - 1
+            yield f"{at}.endpoint", f"{fault.endpoint} is none of {fault.partner!r}; expected 0 to {most}"
+        if fault.courier is not None and fault.courier >= scenario.couriers:
+            yield f"{at}.courier", f"{fault.courier} is no courier; expected 0 to {scenario.couriers - 1}"
+        if fault.at[1] > scenario.length:
+            yield f"{at}.at", "it begins after the scenario's length; expected an earlier time"
+
+
+def _names(names: Iterable[str]) -> str:
+    return ", ".join(repr(name) for name in names)
+
+
+def shipped() -> Mapping[str, str]:
+    """The scenarios that come with the kit: name and text, in order of their names."""
+    folder = resources.files("wheelstep.rehearsal") / "scenarios"
+    return {item.name.removesuffix(".toml"): item.read_text(encoding="utf-8")
+            for item in sorted(folder.iterdir(), key=lambda item: item.name) if item.name.endswith(".toml")}
+
+
+def find(name: str) -> tuple[str, Scenario]:
+    """A shipped scenario by its name, or one in a file; raises `ScenarioError`."""
+    texts = shipped()
+    if name in texts:
+        return name, parse(texts[name], f"{name}.toml")
+    path = Path(name)
+    if not path.is_file():
+        raise ScenarioError(f"{name}: neither a file nor a shipped scenario; expected one of {', '.join(texts)}")
+    try:
+        return path.stem, parse(path.read_text(encoding="utf-8"), name)
+    except (OSError, UnicodeDecodeError) as error:
+        raise ScenarioError(f"{name}: can't be read: {error}; expected TOML in UTF-8") from error
+
+
+def as_dict(scenario: Scenario) -> dict[str, Any]:
+    """All fields, defaults included, for a digest."""
+    return scenario.model_dump(mode="json", by_alias=True)
--- /dev/null
+++ b/wheelstep/rehearsal/standins/__init__.py
@@ -0,0 +1,4 @@
+"""Stand-ins on loopback sockets: partners, platform, clients, and the courier's process.
+
+May import `history`, `plan` and `warmth`. Read `wire` first, then `partner`, `platform`, `clients`, `process`.
+"""
