--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -14,8 +14,10 @@
 from typing import Any
 
 import aiohttp
-import h11
-from aiohttp import web
+
+from wheelstep.rehearsal.history import Figures, History
+from wheelstep.rehearsal.standins import wire
+from wheelstep.rehearsal.standins.platform import Agent, row
 
 ROOT = Path(__file__).parent.parent
 LIMIT_S = 20.0  # a wait for an event that takes longer has failed
@@ -37,12 +39,47 @@
     closed: asyncio.Event = field(default_factory=asyncio.Event)
 
 
+class _Link(wire.Server):
+    """One connection to an `Endpoint`."""
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        super().__init__()
+        self._endpoint = endpoint
+        self.calls: list[Call] = []
+
+    def connected(self) -> None:
+        self._endpoint.connections += 1
+        self._endpoint.open += 1
+        self._number = self._endpoint.connections
+
+    def requested(self, request: wire.Request) -> None:
+        call = Call(request.target, request.headers, request.body, self._number)
+        self.calls.append(call)
+        self._endpoint.tasks.append(asyncio.create_task(self._reply(call)))
+
+    async def _reply(self, call: Call) -> None:
+        await self._endpoint.note(call)
+        try:
+            answer = await self._endpoint.reply(call)
+        except OSError:
+            self.abort()
+            return
+        if answer is not None:
+            self.answer(*answer)
+
+    def lost(self) -> None:
+        self._endpoint.open -= 1
+        for call in self.calls:
+            call.closed.set()
+
+
 class Endpoint:
-    """An endpoint; `reply` gives the answer to each call, None hangs, an exception breaks the connection."""
+    """An endpoint; `reply` gives the answer to each call, None hangs, an `OSError` breaks the connection."""
 
     def __init__(self) -> None:
         self.calls: list[Call] = []
         self.connections = self.open = 0
+        self.tasks: list[asyncio.Task[None]] = []
         self.reply: Callable[[Call], Awaitable[Reply | None]] = self._fine
         self._news = asyncio.Condition()
 
@@ -50,128 +87,74 @@
         return 200, {}, b""
 
     async def start(self) -> str:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        self.port = wire.Port(lambda: _Link(self))
+        await self.port.listen()
+        self.address = self.port.address
         return self.address
 
+    async def note(self, call: Call) -> None:
+        async with self._news:
+            self.calls.append(call)
+            self._news.notify_all()
+
     async def wait(self, calls: int) -> list[Call]:
         async with asyncio.timeout(LIMIT_S), self._news:
             await self._news.wait_for(lambda: len(self.calls) >= calls)
         return self.calls
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.connections += 1
-        self.open += 1
-        number, http, call = self.connections, h11.Connection(h11.SERVER), None
-        try:
-            while (call := await self._read(http, reader, number)) is not None:
-                async with self._news:
-                    self.calls.append(call)
-                    self._news.notify_all()
-                answer = await self.reply(call)
-                if answer is None:
-                    await reader.read()  # until the courier closes
-                    return
-                status, headers, body = answer
-                head = h11.Response(status_code=status,
-                                    headers=[*headers.items(), ("Content-Length", str(len(body)))])
-                writer.write((http.send(head) or b"") + (http.send(h11.Data(data=body)) or b"")
-                             + (http.send(h11.EndOfMessage()) or b""))
-                await writer.drain()
-                http.start_next_cycle()
-        except (OSError, h11.RemoteProtocolError):
-            pass
-        finally:
-            self.open -= 1
-            writer.transport.abort()
-            for earlier in self.calls:
-                if earlier.connection == number:
-                    earlier.closed.set()
-
-    async def _read(self, http: h11.Connection, reader: asyncio.StreamReader, number: int) -> Call | None:
-        head, body = None, b""
-        while True:
-            event = http.next_event()
-            if event is h11.NEED_DATA:
-                http.receive_data(await reader.read(65536))
-            elif isinstance(event, h11.Request):
-                head = event
-            elif isinstance(event, h11.Data):
-                body += bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                assert head is not None
-                headers = {k.decode().lower(): v.decode() for k, v in head.headers}
-                return Call(head.target.decode(), headers, body, number)
-            else:
-                return None
-
-
-class Platform:
-    """Discovery and the place for notices."""
+
+class Platform(Agent):
+    """Discovery and the place for notices: the kit's agent, with what tests look at."""
 
     def __init__(self) -> None:
-        self.hosts: list[dict[str, Any]] = []
-        self.seq = 1
-        self.notices: dict[str, dict[str, Any]] = {}
-        self.takes_notices = True
-        self.asked_after: list[int] = []
-        self._lines: asyncio.Queue[bytes] = asyncio.Queue()
+        super().__init__("n0", History(Figures({})), lambda: 0, self._hear)
+        self.notices_heard: dict[str, dict[str, Any]] = {}
         self._news = asyncio.Condition()
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> str:
-        app = web.Application()
-        app.router.add_get("/v1/servers", self._watch)
-        app.router.add_post("/v1/outcomes", self._outcomes)
-        self._runner = web.AppRunner(app, shutdown_timeout=0.1, handler_cancellation=True)
-        await self._runner.setup()
-        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
-        self.address = f"127.0.0.1:{self._runner.addresses[0][1]}"
+        await self.open()
+        self.address = self.port.address
         return self.address
 
     async def stop(self) -> None:
-        await self._runner.cleanup()
+        self.close()
+
+    def list(self, *rows: dict[str, Any]) -> None:
+        """The whole list, before any courier is started."""
+        self.hosts = {row["host"]: row for row in rows}
 
     def push(self, *rows: dict[str, Any]) -> None:
+        """Any rows, junk too."""
         self.seq += 1
-        self._lines.put_nowait(
-            json.dumps({"seq": self.seq, "whole": False, "hosts": list(rows)}).encode() + b"\n")
+        self.say(json.dumps({"seq": self.seq, "whole": False, "hosts": list(rows)}).encode() + b"\n")
+
+    def _hear(self, courier: str, notice: dict[str, Any]) -> None:
+        self.notices_heard[notice["message"]] = notice
+        self._tell()
+
+    def watch(self, connection: Any) -> None:
+        super().watch(connection)
+        self._tell()
 
-    def say(self, line: bytes) -> None:
-        self._lines.put_nowait(line)
+    def _tell(self) -> None:
+        async def tell() -> None:
+            async with self._news:
+                self._news.notify_all()
+        self._tasks.append(asyncio.create_task(tell()))
 
     async def wait_notice(self, message: str) -> dict[str, Any]:
         async with asyncio.timeout(LIMIT_S), self._news:
-            await self._news.wait_for(lambda: message in self.notices)
-        return self.notices[message]
+            await self._news.wait_for(lambda: message in self.notices_heard)
+        return self.notices_heard[message]
 
     async def wait_watches(self, count: int) -> None:
         async with asyncio.timeout(LIMIT_S), self._news:
             await self._news.wait_for(lambda: len(self.asked_after) >= count)
 
-    async def _watch(self, request: web.Request) -> web.StreamResponse:
-        answer = web.StreamResponse()
-        await answer.prepare(request)
-        await answer.write(
-            json.dumps({"seq": self.seq, "whole": True, "hosts": self.hosts}).encode() + b"\n")
-        async with self._news:
-            self.asked_after.append(int(request.query["after"]))
-            self._news.notify_all()
-        while True:
-            await answer.write(await self._lines.get())
-
-    async def _outcomes(self, request: web.Request) -> web.Response:
-        if not self.takes_notices:
-            return web.Response(status=503)
-        lines = [json.loads(line) for line in (await request.read()).splitlines()]
-        async with self._news:
-            self.notices.update({line["message"]: line for line in lines})
-            self._news.notify_all()
-        return web.Response(status=204)
-
 
 def host(name: str, address: str, block: int = 7, health: str = "SERVING", kind: str = "k") -> dict[str, Any]:
-    return {"host": name, "dial": address, "site": "a", "class": kind, "block": block, "health": health,
-            "share": 1.0, "born_ms": 0}
+    return row(name, address, block, kind, health)
 
 
 SETTINGS: dict[str, Any] = {
@@ -202,7 +185,7 @@
         return json.dumps({
             "name": "n0", "listen": "127.0.0.1:0", "discovery": platform.address,
             "seed": "8c1f30d27a5be964", "limits": {"disk_mb": 3}, "settings": self.settings,
-            "known": {"seq": platform.seq, "whole": True, "hosts": platform.hosts}})
+            "known": platform.whole()})
 
     def renew(self, text: str) -> None:
         """Replace the file of the configuration and tell the courier."""
@@ -267,7 +250,7 @@
 
     async def __aenter__(self) -> Scene:
         await self.platform.start()
-        self.platform.hosts = [host("e0", await self.endpoint.start())]
+        self.platform.list(host("e0", await self.endpoint.start()))
         await self.courier.start()
         return self
 
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -176,7 +176,7 @@
             seen: list[Any] = []
 
             async def turn_away(call: Call) -> Reply:
-                seen.append((call.headers["x-request-id"], "first" in s.platform.notices))
+                seen.append((call.headers["x-request-id"], "first" in s.platform.notices_heard))
                 return (500, {}, b"") if call.headers["x-request-id"] == "first" else (200, {}, b"")
             s.endpoint.reply = turn_away
             assert await s.courier.hand_in("first", "ordered", key="k", X_Deadline_Ms="900") == 202
@@ -217,7 +217,7 @@
     """Guards a destination that comes back cold against a courier that has just started again."""
     async def scene() -> None:
         async with Scene(tmp_path) as s:
-            s.platform.hosts = [host("e0", "127.0.0.1:1")]  # nobody listens there
+            s.platform.list(host("e0", "127.0.0.1:1"))  # nobody listens there
             await s.courier.kill()
             await s.courier.start()
             assert await s.courier.hand_in("m1") == 202
@@ -227,7 +227,7 @@
             journal = Journal(tmp_path / "state", 3_000_000)
             assert journal.marks["e0"][1] is True
             journal.close()
-            s.platform.hosts = [host("e0", s.endpoint.address)]
+            s.platform.list(host("e0", s.endpoint.address))
             await s.courier.start()
             calls = await s.endpoint.wait(2)  # one that knew nothing would send the message at once
             assert [call.target for call in calls] == ["/healthz", "/inbox"]
@@ -269,7 +269,7 @@
             for name in names[30:]:
                 await hand_in(name)
             async with asyncio.timeout(30):
-                while not all(name in delivered or name in s.platform.notices for name in names):
+                while not all(name in delivered or name in s.platform.notices_heard for name in names):
                     await asyncio.sleep(0.01)
             sent = [name for call in s.endpoint.calls for name in carried(call)]
             assert all(sent.count(name) <= 1 for name in names if name.startswith("once"))
@@ -304,7 +304,7 @@
             while await s.courier.hand_in("m2", X_Consignee="dest=9") != 202:  # until the list has it
                 await asyncio.sleep(0.01)
             assert (await third.wait_notice("m2"))["outcome"] == "given_up"
-            assert "m1" not in s.platform.notices
+            assert "m1" not in s.platform.notices_heard
             await second.stop()
             await third.stop()
     run(scene())
--- a/tests/test_inlet.py
+++ b/tests/test_inlet.py
@@ -37,6 +37,9 @@
     def begin(self, name: str) -> None:
         self.begun.append(name)
 
+    def handed_in(self, message: Stored, status: int) -> None:
+        pass
+
     def withdraw(self, name: str) -> None:
         del self.taken[name]
 
--- a/tests/test_outlet.py
+++ b/tests/test_outlet.py
@@ -301,8 +301,7 @@
 def test_no_listener_means_connect_failed() -> None:
     async def work() -> None:
         owner, endpoint, outlet = await scene()
-        endpoint._server.close()
-        await endpoint._server.wait_closed()
+        endpoint.port.close()
         outlet.call("e0", [item("m")], 10 * S)
         assert (await owner.wait("m")).outcome is Outcome.CONNECT_FAILED
         assert owner.started == []
--- /dev/null
+++ b/wheelstep/cli/__main__.py
@@ -0,0 +1,106 @@
+"""`umberchute`: the daemon, its configuration, and the rehearsal kit, by one command."""
+
+from __future__ import annotations
+
+import argparse
+import os
+import sys
+from collections.abc import Sequence
+
+OK, BROKEN, BAD_INPUT, INCONCLUSIVE, INTERRUPTED = 0, 1, 2, 3, 130
+
+
+class InputError(Exception):
+    """Wrong use or bad input, told on one line."""
+
+
+def parser() -> argparse.ArgumentParser:
+    """All commands and their options."""
+    top = argparse.ArgumentParser(prog="umberchute", description="A courier that owes every message its end.")
+    commands = top.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    demo = commands.add_parser("demo", help="play a minute: couriers, partners in trouble, and the verdict")
+    _common(demo)
+    demo.add_argument("--length", type=float, metavar="SECONDS", help="a shorter or longer demo")
+    serve = commands.add_parser("serve", help="run the daemon that the RELAY_* environment describes")
+    serve.add_argument("--operator", metavar="FILE", help="the operator's own file")
+    config = commands.add_parser("config", help="configuration files")
+    config_commands = config.add_subparsers(dest="what", required=True, metavar="WHAT")
+    check = config_commands.add_parser("check", help="check an operator's file, a configuration or a scenario")
+    check.add_argument("file")
+    check.add_argument("--json", action="store_true", help="one JSON object")
+    rehearse = commands.add_parser("rehearse", help="play scenarios and judge a courier")
+    verbs = rehearse.add_subparsers(dest="verb", required=True, metavar="VERB")
+    listing = verbs.add_parser("list", help="the shipped scenarios and the broken couriers")
+    listing.add_argument("--json", action="store_true", help="a JSON object a line")
+    run = verbs.add_parser("run", help="play scenarios")
+    run.add_argument("scenarios", nargs="+", metavar="SCENARIO", help="a shipped one's name, or a file")
+    _common(run)
+    _courier(run)
+    run.add_argument("--speed", type=float, default=1.0, help="scale every duration")
+    run.add_argument("--repeat", type=int, default=1, help="play each so often")
+    run.add_argument("--save", metavar="FILE", help="keep what was seen, for `verify`")
+    replay = verbs.add_parser("replay", help="hand in again what a daemon recorded")
+    replay.add_argument("record")
+    _common(replay)
+    _courier(replay)
+    replay.add_argument("--speed", type=float, default=1.0, help="scale every duration")
+    replay.add_argument("--scenario", help="take partners and faults from this one")
+    replay.add_argument("--up-to-damage", action="store_true", help="play what can be read of a damaged record")
+    replay.add_argument("--save", metavar="FILE", help="keep what was seen, for `verify`")
+    record = verbs.add_parser("record", help="play a scenario and record what the daemon was handed")
+    record.add_argument("scenario")
+    record.add_argument("record", metavar="FILE")
+    record.add_argument("--bodies", action="store_true", help="record the messages' bytes too")
+    _common(record)
+    verify = verbs.add_parser("verify", help="check a record, or judge a kept history again")
+    verify.add_argument("file")
+    verify.add_argument("--json", action="store_true", help="one JSON object")
+    matrix = verbs.add_parser("matrix", help="play every scenario against ours and every broken courier")
+    matrix.add_argument("scenarios", nargs="*", metavar="SCENARIO")
+    matrix.add_argument("--repeat", type=int, default=1, help="play each pair so often")
+    matrix.add_argument("--jobs", type=int, default=4, help="so many at once")
+    matrix.add_argument("--own", action="store_true", help="only the broken couriers of each scenario's rule")
+    matrix.add_argument("--seed", type=int, default=1)
+    matrix.add_argument("--json", action="store_true", help="a JSON object a line")
+    return top
+
+
+def _common(to: argparse.ArgumentParser) -> None:
+    to.add_argument("--seed", type=int, default=1, help="the same seed draws the same plan")
+    to.add_argument("--json", action="store_true", help="JSON in place of tables")
+
+
+def _courier(to: argparse.ArgumentParser) -> None:
+    which = to.add_mutually_exclusive_group()
+    which.add_argument("--courier", metavar="COMMAND", help="any program that keeps to the RELAY_* environment")
+    which.add_argument("--broken", metavar="NAME", help="one of the couriers made to break a rule")
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run one command and return its exit code."""
+    given = parser().parse_args(arguments)
+    try:
+        if given.command == "serve":
+            from wheelstep.courier.__main__ import main as serve
+            return serve(given.operator)
+        try:
+            from wheelstep.cli import commands
+        except ModuleNotFoundError as error:
+            if error.name and error.name.startswith("wheelstep"):
+                raise
+            raise InputError(f"{error.name} is not installed; expected the extra: "
+                             "pip install 'umberchute[rehearsal]'") from error
+        return commands.run(given)
+    except InputError as error:
+        print(f"umberchute: {' '.join(str(error).split())}", file=sys.stderr)
+        return BAD_INPUT
+    except KeyboardInterrupt:
+        print("umberchute: interrupted; nothing is left running", file=sys.stderr)
+        return INTERRUPTED
+    except BrokenPipeError:  # whoever read the output has gone
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return OK
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -7,6 +7,8 @@
 import os
 import signal
 import sys
+import time
+from typing import TYPE_CHECKING
 
 import aiohttp
 
@@ -17,6 +19,9 @@
 from wheelstep.courier.journal import Journal
 from wheelstep.courier.platform import Notices, Watch, entries
 
+if TYPE_CHECKING:  # what is off is not imported
+    from wheelstep.operator import Operator
+
 _WORK_ON_S = 2.0  # from SIGTERM until no new attempt starts
 _CLOSE_S = 2.8  # until clients' connections are ended
 _LEAVE_S = 3.2  # until calls still under way are left to the next process
@@ -24,7 +29,7 @@
 log = logging.getLogger(__name__)
 
 
-async def serve(config: Config, renewed: asyncio.Event) -> None:
+async def serve(config: Config, renewed: asyncio.Event, operator: Operator | None = None) -> None:
     """Run one courier until SIGTERM; `renewed` is set when its configuration is to be read again."""
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, renewed.set)
@@ -33,6 +38,8 @@
         loop.add_signal_handler(number, terminated.set)
     journal = Journal(config.state, config.disk_bytes)
     core = Core(config, journal)
+    if operator is not None:
+        _switch_on(operator, config, core)
     ordered = [cls.ordered for cls in config.settings.classes]
     inlet = Inlet(core, dict(zip(config.names.classes, ordered, strict=True)), config.sockets // 3)
     async with aiohttp.ClientSession(auto_decompress=False, trust_env=False) as http:
@@ -54,9 +61,22 @@
             await _leave(core, inlet)
             for task in tasks:
                 task.cancel()
+    if core.recorder is not None:
+        core.recorder.close()
     journal.close()
 
 
+def _switch_on(operator: Operator, config: Config, core: Core) -> None:
+    """What the operator's file asks for beyond the platform."""
+    recording = operator.recording
+    if recording.on and recording.file is not None:
+        from wheelstep.recording.format import Head
+        from wheelstep.recording.writer import Recorder
+        hosts = config.known.get("hosts") or []
+        head = Head(config.name, int(time.time() * 1000), dict(config.raw_settings), list(hosts))
+        core.recorder = Recorder(recording.file, head, int(recording.max_mb * 1_000_000), recording.bodies)
+
+
 async def _follow_config(config: Config, renewed: asyncio.Event, watch: Watch, notices: Notices) -> None:
     """Read the file again whenever it is said to be new. One that can't be used changes nothing."""
     discovery = config.discovery
@@ -93,19 +113,28 @@
     log.info("stopped")
 
 
-def main() -> int:
-    """Run the courier that the environment describes."""
+def main(operator_file: str | None = None) -> int:
+    """Run the courier that the environment describes, with the operator's file if one is named here or by
+    `UMBERCHUTE_OPERATOR`."""
     logging.basicConfig(stream=sys.stderr, level=logging.INFO,
                         format="%(asctime)s %(levelname)s %(name)s %(message)s")
     logging.getLogger("aiohttp").setLevel(logging.ERROR)
     renewed = asyncio.Event()
     signal.signal(signal.SIGHUP, lambda *_: renewed.set())  # by default it would kill; before anything slow
+    operator: Operator | None = None
     try:
+        if path := operator_file or os.environ.get("UMBERCHUTE_OPERATOR"):
+            from wheelstep.operator import OperatorError
+            from wheelstep.operator import load as load_operator
+            try:
+                operator = load_operator(path)
+            except OperatorError as error:
+                raise ConfigError(str(error)) from error
         config = load(os.environ)
     except ConfigError as error:
         print(f"courier: {' '.join(str(error).split())}", file=sys.stderr)
         return 1
-    asyncio.run(serve(config, renewed))
+    asyncio.run(serve(config, renewed, operator))
     return 0
 
 
--- a/wheelstep/courier/config.py
+++ b/wheelstep/courier/config.py
@@ -71,6 +71,7 @@
     sockets: int
     known: Mapping[str, Any]
     settings: api.Settings
+    raw_settings: Mapping[str, Any]  # as they stand in the file
     names: Names
     dial_timeout_us: int
 
@@ -109,6 +110,7 @@
         sockets=int(limits.get("sockets", 256)),
         known=known if isinstance(known, dict) and isinstance(known.get("hosts"), list) else {},
         settings=settings,
+        raw_settings=info,
         names=Names(
             classes=tuple(row.get("name", str(i)) for i, row in enumerate(info["services"])),
             kinds=tuple(info.get("kinds", ())), zones=tuple(info.get("areas", ())),
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -7,6 +7,7 @@
 import time
 from collections import defaultdict
 from collections.abc import Sequence
+from typing import TYPE_CHECKING
 
 from wheelstep import Sender
 from wheelstep import interface as api
@@ -16,6 +17,9 @@
 from wheelstep.courier.platform import Notices
 from wheelstep.interface import UNRUN, EndpointState, Outcome
 
+if TYPE_CHECKING:  # what is off is not imported
+    from wheelstep.recording.writer import Recorder
+
 _PROBE_TIMEOUT_US = 1_500_000
 _RESERVE = 32  # descriptors for the journal, discovery, notices, and what asyncio and Python keep open
 
@@ -42,6 +46,7 @@
         self.outlet = Outlet(self, config.dial_timeout_us, config.settings.conn_idle_us, config.names.report,
                              max(16, config.sockets - config.sockets // 3 - _RESERVE))
         self.notices: Notices | None = None
+        self.recorder: Recorder | None = None
         self.ready = self.stopping = False
 
     # --- what the sockets tell ---
@@ -96,6 +101,12 @@
         """Forget a message whose client went before it was answered."""
         self._journal.over(name)
 
+    def handed_in(self, message: Stored, status: int) -> None:
+        """Record it, where the operator wants that."""
+        if self.recorder is not None:
+            self.recorder.note(message.message_class, message.destination, message.key, message.token is not None,
+                               message.body, _left_us(message) // 1000, status, message.resubmitted)
+
     def restore(self) -> None:
         """Take up what the journal holds: the health of endpoints, and the messages in their order."""
         now_ms = int(time.time() * 1000)
--- a/wheelstep/courier/inlet.py
+++ b/wheelstep/courier/inlet.py
@@ -58,6 +58,9 @@
     def withdraw(self, name: str) -> None:
         """Its client went before the answer: forget it."""
 
+    def handed_in(self, message: Stored, status: int) -> None:
+        """It was handed in, and this is the answer."""
+
 
 class BadRequestError(Exception):
     """What is wrong with a request, for its client."""
@@ -313,6 +316,7 @@
         if not self._desk.serves(message.destination):
             raise BadRequestError("no such destination")
         if self._desk.full():
+            self._desk.handed_in(message, 503)
             return web.Response(status=503, text="holds all it can\n", headers=_COME_BACK)
         if request.transport is None or request.transport.is_closing():
             return web.Response(status=503)  # nobody hears it
@@ -320,6 +324,7 @@
             self._desk.take(message)
         except NoRoomError:
             log.warning("no room in the journal for %d bytes", len(message.body))
+            self._desk.handed_in(message, 503)
             return web.Response(status=503, text="no room\n", headers=_COME_BACK)
         answer = web.Response(status=202)
         if self.closing or self._doors is None or self._doors.crowded():
@@ -331,4 +336,5 @@
             self._desk.withdraw(message.id)
             return answer
         self._desk.begin(message.id)
+        self._desk.handed_in(message, 202)
         return answer
--- /dev/null
+++ b/wheelstep/fields.py
@@ -0,0 +1,55 @@
+"""Checked fields of files that people write: units, and errors on one line. Only imported where such a file is read."""
+
+from __future__ import annotations
+
+import re
+from typing import Annotated
+
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
+
+_UNITS = {"us": 1, "ms": 1_000, "s": 1_000_000, "min": 60_000_000, "h": 3_600_000_000}
+_TIME = re.compile(r"(\d+(?:\.\d+)?) ?(us|ms|s|min|h)")
+
+
+def read_time(value: object) -> int:
+    """Whole microseconds of a text such as "250ms"; raises `ValueError`."""
+    if isinstance(value, str) and (found := _TIME.fullmatch(value.strip())):
+        return round(float(found[1]) * _UNITS[found[2]])
+    raise ValueError(f'{value!r} is no time; expected a number with a unit, such as "250ms", "2s" or "1.5min"')
+
+
+def _span(value: object) -> tuple[int, int]:
+    parts = value if isinstance(value, list) else [value, value]
+    if len(parts) != 2:
+        raise ValueError(f"{value!r} is no time or range; expected \"2s\" or [\"1s\", \"2s\"]")
+    low, high = (read_time(part) for part in parts)
+    if low > high:
+        raise ValueError(f"the range {value!r} runs backwards; expected [least, most]")
+    return low, high
+
+
+Time = Annotated[int, BeforeValidator(read_time)]
+Span = Annotated[tuple[int, int], BeforeValidator(_span)]
+Share = Annotated[float, Field(ge=0, le=1)]
+Count = Annotated[int, Field(ge=1, le=100_000)]
+
+
+class Part(BaseModel):
+    """A table of such a file: unknown keys are errors."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+def explain(error: ValidationError, where_to_look: str) -> str:
+    """A validation error's first part on one line: key, what was found and what was expected."""
+    first = error.errors(include_url=False)[0]
+    where = "".join(f"[{part}]" if isinstance(part, int) else f".{part}" for part in first["loc"]).lstrip(".")
+    match first["type"]:
+        case "extra_forbidden":
+            return f"{where}: unknown key; expected one of those in {where_to_look}"
+        case "missing":
+            return f"{where}: missing; expected a value"
+        case "value_error":
+            text = str(first["msg"]).removeprefix("Value error, ")
+            return f"{where}: {text}" if where else text
+    return f"{where}: {repr(first.get('input'))[:80]}; expected: {first['msg']}"
--- /dev/null
+++ b/wheelstep/operator.py
@@ -0,0 +1,54 @@
+"""The operator's own file: what an installation switches on beyond the platform. All of it is off by default.
+
+Only imported where such a file is named (`--operator FILE` or `UMBERCHUTE_OPERATOR`).
+"""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import Field, ValidationError
+
+from wheelstep.fields import Part, explain
+
+
+class OperatorError(Exception):
+    """The operator's file can't be used: `file: key: what was found; expected what`."""
+
+
+class RecordingPart(Part):
+    """Whether and where what is handed in is recorded."""
+
+    on: bool = False
+    file: Path | None = None
+    max_mb: Annotated[float, Field(gt=0, le=100_000)] = 64.0
+    bodies: bool = False
+
+
+class Operator(Part):
+    """The whole file."""
+
+    recording: RecordingPart = RecordingPart()
+
+
+def load(path: str) -> Operator:
+    """Read and check the file, or raise `OperatorError`."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise OperatorError(f"{path}: can't be read: {error}; expected TOML in UTF-8") from error
+    try:
+        operator = Operator.model_validate(tomllib.loads(text))
+    except tomllib.TOMLDecodeError as error:
+        raise OperatorError(f"{path}: {error}; expected TOML") from error
+    except ValidationError as error:
+        raise OperatorError(f"{path}: {explain(error, 'deploy/operator.toml')}") from error
+    recording = operator.recording
+    if recording.on and recording.file is None:
+        raise OperatorError(f"{path}: recording.file: missing; expected a file name where recording.on is true")
+    if recording.on and recording.file is not None and not recording.file.parent.is_dir():
+        raise OperatorError(f"{path}: recording.file: {str(recording.file.parent)!r} is no folder; "
+                            "expected a file in one that is there")
+    return operator
--- a/wheelstep/rehearsal/broken/returns.py
+++ b/wheelstep/rehearsal/broken/returns.py
@@ -18,6 +18,7 @@
         succeeded(self, now_us, spent_us)
 
     Endpoint._succeeded = at_once  # type: ignore[method-assign]
+    Pacer.refused = lambda self, now_us, cold_share: None  # type: ignore[method-assign]
 
 
 def warms_too_fast() -> None:
--- a/wheelstep/rehearsal/rig.py
+++ b/wheelstep/rehearsal/rig.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import dataclasses
 import gc
 import itertools
@@ -119,7 +118,7 @@
                 "settings": settings}
 
     def _row(self, endpoint: str, index: int, health: str = "SERVING") -> dict[str, Any]:
-        at = self._stage.endpoints[endpoint]
+        at = self._stage.at(endpoint)
         return row(endpoint, at.ports[index].address, at.partner.destination,
                    self._plan.settings["kinds"][at.partner.kind], health)
 
@@ -259,17 +258,17 @@
                 for begin_us, end_us in fault.stops_us:
                     await self._until(begin_us)
                     for name in fault.endpoints:
-                        self._stage.endpoints[name].desk.stall(end_us)
+                        self._stage.at(name).desk.stall(end_us)
             case "drain" | "leave":
                 await self._drain(fault)
             case "replace":
                 await self._replace(fault)
             case _:
                 for name in fault.endpoints:
-                    await self._stage.endpoints[name].begin(fault)
+                    await self._stage.at(name).begin(fault)
                 await self._until(fault.until_us)
                 for name in fault.endpoints:
-                    await self._stage.endpoints[name].end(fault)
+                    await self._stage.at(name).end(fault)
 
     async def _until(self, at_us: int) -> None:
         await asyncio.sleep(max(0.0, self._epoch + at_us / 1e6 - self._loop.time()))
@@ -281,17 +280,19 @@
 
     async def _drain(self, fault: Fault) -> None:
         """It says DRAINING; one that leaves goes after its time."""
-        self._tell_of(fault, "DRAINING", fault.endpoints)
+        names = tuple(self._stage.at(name).name for name in fault.endpoints)
+        self._tell_of(fault, "DRAINING", names)
         if fault.kind == "leave":
             await self._until(fault.until_us)
-            self._tell_of(fault, "DELETED", fault.endpoints)
+            self._tell_of(fault, "DELETED", names)
 
     async def _replace(self, fault: Fault) -> None:
         """Drained, gone, and another process under a new name at the same address."""
-        self._tell_of(fault, "DRAINING", fault.endpoints)
+        names = tuple(self._stage.at(name).name for name in fault.endpoints)
+        self._tell_of(fault, "DRAINING", names)
         await self._until(fault.until_us)
-        self._tell_of(fault, "DELETED", fault.endpoints)
-        fresh = tuple(self._stage.replace(name) for name in fault.endpoints)
+        self._tell_of(fault, "DELETED", names)
+        fresh = tuple(self._stage.replace(name) for name in names)
         self._tell_of(fault, "SERVING", fresh)
 
     # --- lateness ---
@@ -328,6 +329,4 @@
             agent.close()
         for endpoint in self._stage.endpoints.values():
             endpoint.close()
-        for task in self._tasks:
-            with contextlib.suppress(asyncio.CancelledError, Exception):
-                await task
+        await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/wheelstep/rehearsal/scenario.py
+++ b/wheelstep/rehearsal/scenario.py
@@ -4,53 +4,23 @@
 
 from __future__ import annotations
 
-import re
 import tomllib
 from collections.abc import Iterable, Mapping
 from importlib import resources
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
-from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError, model_validator
+from pydantic import Field, ValidationError, model_validator
 
+from wheelstep.fields import Count, Part, Share, Span, Time, explain
 from wheelstep.rehearsal.history import Effect
 
-_UNITS = {"us": 1, "ms": 1_000, "s": 1_000_000, "min": 60_000_000, "h": 3_600_000_000}
-_TIME = re.compile(r"(\d+(?:\.\d+)?) ?(us|ms|s|min|h)")
-
 
 class ScenarioError(Exception):
     """A scenario that can't be used: `file: key: what was found; expected what`."""
 
 
-def read_time(value: object) -> int:
-    """Whole microseconds of a text such as "250ms"; raises `ValueError`."""
-    if isinstance(value, str) and (found := _TIME.fullmatch(value.strip())):
-        return round(float(found[1]) * _UNITS[found[2]])
-    raise ValueError(f'{value!r} is no time; expected a number with a unit, such as "250ms", "2s" or "1.5min"')
-
-
-def _span(value: object) -> tuple[int, int]:
-    parts = value if isinstance(value, list) else [value, value]
-    if len(parts) != 2:
-        raise ValueError(f"{value!r} is no time or range; expected \"2s\" or [\"1s\", \"2s\"]")
-    low, high = (read_time(part) for part in parts)
-    if low > high:
-        raise ValueError(f"the range {value!r} runs backwards; expected [least, most]")
-    return low, high
-
-
-Time = Annotated[int, BeforeValidator(read_time)]
-Span = Annotated[tuple[int, int], BeforeValidator(_span)]
-Share = Annotated[float, Field(ge=0, le=1)]
-Count = Annotated[int, Field(ge=1, le=100_000)]
-
-
-class _Part(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
-
-class RulesPart(_Part):
+class RulesPart(Part):
     """Figures of the rules."""
 
     drain_grace: Time = 250_000
@@ -61,7 +31,7 @@
     settle: Time = 300_000
 
 
-class ClassPart(_Part):
+class ClassPart(Part):
     """A class of messages."""
 
     name: Annotated[str, Field(min_length=1)]
@@ -87,7 +57,7 @@
         return self
 
 
-class KindPart(_Part):
+class KindPart(Part):
     """A kind of partner."""
 
     name: Annotated[str, Field(min_length=1)]
@@ -95,7 +65,7 @@
     routes_apart: bool = False
 
 
-class LimitPart(_Part):
+class LimitPart(Part):
     """What a partner takes from all couriers together."""
 
     rate_per_s: Annotated[float, Field(gt=0)]
@@ -105,7 +75,7 @@
     report: bool = True  # answers carry X-Load
 
 
-class PartnerPart(_Part):
+class PartnerPart(Part):
     """A partner: one destination with one or more endpoints."""
 
     name: Annotated[str, Field(min_length=1)]
@@ -122,7 +92,7 @@
     key_memory: bool = True  # it drops repeats of a keyed message
 
 
-class TrafficPart(_Part):
+class TrafficPart(Part):
     """What clients hand in."""
 
     rate_per_s: Annotated[float, Field(gt=0, le=20_000)] = 20.0
@@ -140,7 +110,7 @@
 _COURIER_FAULTS = ("kill", "term", "pause")
 
 
-class FaultPart(_Part):
+class FaultPart(Part):
     """Something that goes wrong, and when. `for` is how long; which keys go with which kind is checked."""
 
     kind: Literal["stall", "silent", "hang", "refuse", "shut", "fail", "reset", "spoil", "drain", "leave", "replace",
@@ -179,7 +149,7 @@
         return self
 
 
-class Scenario(_Part):
+class Scenario(Part):
     """A whole scenario."""
 
     title: str
@@ -211,27 +181,12 @@
     try:
         scenario = Scenario.model_validate(data)
     except ValidationError as error:
-        raise ScenarioError(f"{source}: {explain(error)}") from error
+        raise ScenarioError(f"{source}: {explain(error, 'docs/operations/rehearsal.md')}") from error
     for key, text in _crossings(scenario):
         raise ScenarioError(f"{source}: {key}: {text}")
     return scenario
 
 
-def explain(error: ValidationError) -> str:
-    """A pydantic error's first part on one line: key, what was found and what was expected."""
-    first = error.errors(include_url=False)[0]
-    where = "".join(f"[{part}]" if isinstance(part, int) else f".{part}" for part in first["loc"]).lstrip(".")
-    match first["type"]:
-        case "extra_forbidden":
-            return f"{where}: unknown key; expected one of those in docs/operations/rehearsal.md"
-        case "missing":
-            return f"{where}: missing; expected a value"
-        case "value_error":
-            return f"{where}: {str(first['msg']).removeprefix('Value error, ')}" if where else str(first["msg"])
-    found = repr(first.get("input"))
-    return f"{where}: {found[:80]}; expected: {first['msg']}"
-
-
 def _crossings(scenario: Scenario) -> Iterable[tuple[str, str]]:
     """What only shows when parts are held against each other."""
     for what, names in (("class", [part.name for part in scenario.classes]),
--- a/wheelstep/rehearsal/standins/partner.py
+++ b/wheelstep/rehearsal/standins/partner.py
@@ -148,6 +148,7 @@
         self.ledger = Ledger()
         self.endpoints: dict[str, Endpoint] = {}
         self.partners: dict[str, Partner] = {}
+        self._successors: dict[str, str] = {}
         self.epoch = 0.0  # the loop's time at the rehearsal's start
         for partner in plan.partners:
             gauge = None if partner.limit is None else Gauge(partner.limit)
@@ -184,19 +185,24 @@
 
     def replace(self, name: str) -> str:
         """A new endpoint at the same addresses; returns its name. Calls under way end as their process does."""
-        old = self.endpoints[name]
-        fresh = f"{name}+"
-        while fresh in self.endpoints:
-            fresh += "+"
+        old = self.at(name)
+        fresh = f"{old.name}+"
         desk = Desk(old.partner, self.plan.figures, None, self.plan.luck, self.later, self.now_us)
         for connection in list(old.connections):
             connection.abort()
         # The ports stay: whoever calls the old name's address reaches the new process.
         new = Endpoint(fresh, old.partner, desk, self, old.ports)
+        del self.endpoints[old.name]
         self.endpoints[fresh], self.partners[fresh] = new, old.partner
-        del self.endpoints[name]
+        self._successors[old.name] = fresh
         return fresh
 
+    def at(self, name: str) -> Endpoint:
+        """The endpoint of this name, or the one that took its place."""
+        while name in self._successors:
+            name = self._successors[name]
+        return self.endpoints[name]
+
 
 @dataclass(slots=True)
 class _Current:
--- a/wheelstep/rehearsal/standins/platform.py
+++ b/wheelstep/rehearsal/standins/platform.py
@@ -33,6 +33,7 @@
         self.seq = 1
         self.down = False
         self.takes_notices = True
+        self.asked_after: list[int] = []  # the version that each watch began with
         self._unsent: list[Row] = []  # changes that came while discovery was down
         self._watches: set[_Connection] = set()
         self._told: dict[str, str] = {}
@@ -74,7 +75,7 @@
                 self._note(changed)
             else:
                 asyncio.get_running_loop().call_later(_TOLD_LATEST_US / 1e6, self._note, changed)
-        self._say({"seq": self.seq, "whole": False, "hosts": list(rows)})
+        self.say(json.dumps({"seq": self.seq, "whole": False, "hosts": list(rows)}).encode() + b"\n")
 
     def _note(self, changed: Row) -> None:
         """It was told, or counts as told."""
@@ -91,9 +92,10 @@
             rows, self._unsent = self._unsent, []
             self.change(*rows)
 
-    def _say(self, line: dict[str, Any]) -> None:
+    def say(self, line: bytes) -> None:
+        """Write a line to every watch, whatever it holds."""
         for watch in self._watches:
-            watch.line(json.dumps(line).encode() + b"\n")
+            watch.line(line)
 
     async def _stay_alive(self) -> None:
         while True:
@@ -105,6 +107,7 @@
     def watch(self, connection: _Connection) -> None:
         """A courier asks to be told; it hears the whole list first."""
         self._watches.add(connection)
+        self.asked_after.append(connection.after)
         if not self.down:
             connection.begin()
 
@@ -148,6 +151,7 @@
         super().__init__()
         self._agent = agent
         self._begun = False
+        self.after = 0
 
     def requested(self, request: Request) -> None:
         path, _, query = request.target.partition("?")
