--- /dev/null
+++ b/tests/test_recording.py
@@ -0,0 +1,134 @@
+"""Records: whole ones are read as written, cut-off and damaged ones refused or read up to the damage."""
+
+from __future__ import annotations
+
+import errno
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from wheelstep.recording.format import Encoder, Head, RecordError, Row, read
+from wheelstep.recording.writer import Recorder
+from wheelstep.rehearsal.plan import replay
+from wheelstep.rehearsal.scenario import ScenarioError, find
+
+HEAD = Head("n0", 1, {"services": [
+    {"name": "pay", "promise_us": 2_000_000, "deadline_us": 6_000_000, "effect": "once"}],
+    "kinds": ["firm"], "specifics": {"calls_out": 8, "per_call": [1], "kind_apart": [False]},
+    "caps": {"conn_idle_us": 10_000_000}, "rules": {"order_settle_us": 300_000}, "tick_us": 5000},
+    [{"host": "e0", "dial": "127.0.0.1:1", "block": 7, "class": "firm", "health": "SERVING"}])
+
+
+def row(number: int, **fields: Any) -> Row:
+    return Row(**{"at_us": number * 1000, "message_class": "pay", "destination": 7, "key": None, "keyed": False,
+                  "size": 10, "deadline_ms": 6000, "status": 202, **fields})
+
+
+def lines(count: int, end: str = "closed") -> list[bytes]:
+    encoder = Encoder()
+    made = [encoder.head(HEAD), *(encoder.row(row(number)) for number in range(count))]
+    return [*made, encoder.end(end)]
+
+
+def test_a_record_is_read_as_it_was_written() -> None:
+    encoder = Encoder()
+    rows = (row(0), row(1, key="a/b", keyed=True, again=True, status=503), row(2, body=b"\x00\xff\n", size=3))
+    record = read([encoder.head(HEAD), *(encoder.row(one) for one in rows), encoder.end("full")])
+    assert (record.head, record.rows, record.ended, record.damage) == (HEAD, rows, "full", "")
+
+
+@pytest.mark.parametrize("spoil,where", [
+    (lambda made: made[:-1], "cut off after line 5"),
+    (lambda made: [*made[:-1], made[-1][:-3]], "line 6: no whole line"),
+    (lambda made: [*made[:3], made[3].replace(b"pay", b"pax"), *made[4:]], "line 4: the checksum"),
+    (lambda made: [*made[:2], *made[3:]], "line 3: the checksum"),  # a line is missing
+    (lambda made: [*made[:2], made[3], made[2], *made[4:]], "line 3: the checksum"),  # two were swapped
+    (lambda made: [*made, made[-1]], "line 7: something follows"),
+])
+def test_damage_is_refused_or_read_up_to_as_asked(spoil: Any, where: str) -> None:
+    made = spoil(lines(4))
+    with pytest.raises(RecordError, match=where):
+        read(made)
+    partly = read(made, up_to_damage=True)
+    assert where in partly.damage and partly.rows == tuple(row(number) for number in range(len(partly.rows)))
+
+
+@pytest.mark.parametrize("made", [[], [b"garbage\n"], [Encoder().end("closed")]])
+def test_without_a_head_nothing_can_be_read(made: list[bytes]) -> None:
+    with pytest.raises(RecordError, match="line 1"):
+        read(made, up_to_damage=True)
+
+
+def test_a_newer_version_is_refused_with_one_line() -> None:
+    encoder = Encoder()
+    head = encoder._line({"format": "umberchute-record", "version": 2})
+    with pytest.raises(RecordError, match="version 2; expected 1"):
+        read([head])
+
+
+def note(recorder: Recorder, size: int = 10) -> None:
+    recorder.note("pay", 7, None, False, b"x" * size, 6000, 202, False)
+
+
+def test_the_writer_never_grows_past_its_bound_and_ends_whole(tmp_path: Path) -> None:
+    path = tmp_path / "day.record"
+    recorder = Recorder(path, HEAD, 2_000, bodies=False)
+    for _ in range(100):
+        note(recorder)
+    recorder.close()
+    assert path.stat().st_size <= 2_000
+    record = read(path.read_bytes().splitlines(keepends=True))
+    assert record.ended == "full" and len(record.rows) > 5
+
+
+def test_bodies_are_written_only_when_asked(tmp_path: Path) -> None:
+    for bodies in (False, True):
+        recorder = Recorder(tmp_path / f"{bodies}.record", HEAD, 100_000, bodies)
+        recorder.note("pay", 7, None, False, b"secret", 6000, 202, False)
+        recorder.close()
+        record = read((tmp_path / f"{bodies}.record").read_bytes().splitlines(keepends=True))
+        assert record.rows[0].body == (b"secret" if bodies else None)
+        assert record.rows[0].size == 6
+
+
+def test_each_start_makes_a_file_of_its_own(tmp_path: Path) -> None:
+    for _ in range(2):
+        recorder = Recorder(tmp_path / "day.record", HEAD, 100_000, False)
+        note(recorder)
+        recorder.close()
+    assert sorted(path.name for path in tmp_path.iterdir()) == ["day.1.record", "day.record"]
+
+
+def test_a_disk_that_fails_ends_the_record_and_nothing_else(tmp_path: Path) -> None:
+    """Guards against a full disk that would turn a message that was taken on into an error for its client."""
+    recorder = Recorder(tmp_path / "day.record", HEAD, 100_000, False)
+    assert recorder._file is not None
+
+    class Full:
+        def write(self, data: bytes) -> int:
+            raise OSError(errno.ENOSPC, "no space left")
+
+        def close(self) -> None:
+            raise OSError(errno.EIO, "broken")
+
+    recorder._file = Full()  # type: ignore[assignment]
+    note(recorder)
+    note(recorder)
+    recorder.close()
+    assert Recorder(tmp_path / "no" / "folder.record", HEAD, 100_000, False)._file is None
+
+
+def test_a_replay_scales_all_times_alike() -> None:
+    record = read(lines(50))
+    slow, fast = replay(record, 1), replay(record, 1, speed=10)
+    assert [arrival.at_us for arrival in fast.arrivals] == [arrival.at_us // 10 for arrival in slow.arrivals]
+    assert fast.arrivals[0].deadline_us * 10 == slow.arrivals[0].deadline_us
+    assert fast.settings["services"][0]["promise_us"] == 200_000
+    assert fast.figures.order_settle_us == 30_000 and fast.settings["tick_us"] == 5000
+    assert fast.partners[0].endpoints == ("e0",) and fast.partners[0].destination == 7
+
+
+def test_a_stage_that_lacks_a_recorded_destination_is_refused() -> None:
+    with pytest.raises(ScenarioError, match="destination 7 has no partner"):
+        replay(read(lines(2)), 1, stage=find("lost-kill")[1])
--- a/wheelstep/cli/__main__.py
+++ b/wheelstep/cli/__main__.py
@@ -7,11 +7,7 @@
 import sys
 from collections.abc import Sequence
 
-OK, BROKEN, BAD_INPUT, INCONCLUSIVE, INTERRUPTED = 0, 1, 2, 3, 130
-
-
-class InputError(Exception):
-    """Wrong use or bad input, told on one line."""
+from wheelstep.cli.exits import BAD_INPUT, INTERRUPTED, OK, InputError
 
 
 def parser() -> argparse.ArgumentParser:
--- a/wheelstep/cli/commands.py
+++ b/wheelstep/cli/commands.py
@@ -15,7 +15,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from wheelstep.cli.__main__ import BAD_INPUT, OK, InputError
+from wheelstep.cli.exits import BAD_INPUT, OK, InputError
 from wheelstep.operator import OperatorError
 from wheelstep.operator import load as load_operator
 from wheelstep.recording.format import Record, RecordError
@@ -68,7 +68,7 @@
     return speed
 
 
-def _play(plan: Plan, command: str, name: str, screen: Screen, limits: dict[str, int] | None = None) -> Result:
+def _play(plan: Plan, command: str, name: str, screen: Screen, orderly: bool = False) -> Result:
     """Play and judge. SIGTERM ends it as Ctrl-C does: nothing stays behind."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     most = _DESCRIPTORS if hard == resource.RLIM_INFINITY else min(hard, _DESCRIPTORS)
@@ -80,7 +80,7 @@
         task = asyncio.current_task()
         assert task is not None
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-        return await rig.play(plan, command, limits, tell)
+        return await rig.play(plan, command, tell=tell, orderly=orderly)
 
     with screen.progress(plan.scenario) as tell:
         try:
@@ -233,7 +233,7 @@
                             f"bodies = {json.dumps(given.bodies)}\n", encoding="utf-8")
         command = rig.module_command("wheelstep.cli", "serve", "--operator", str(operator))
         screen = Screen(given.json)
-        result = _play(draw(label, found, given.seed), command, "ours, recording", screen)
+        result = _play(draw(label, found, given.seed), command, "ours, recording", screen, orderly=True)
     screen.result(result)
     return EXITS[result.verdict.ruling]
 
--- a/wheelstep/rehearsal/rig.py
+++ b/wheelstep/rehearsal/rig.py
@@ -72,12 +72,16 @@
 
 
 async def play(plan: Plan, command: str = OURS, limits: dict[str, Any] | None = None,
-               tell: Callable[[Progress], None] | None = None) -> Played:
-    """Play a plan against a courier command. Raises `NoStartError` where the command can't be started."""
+               tell: Callable[[Progress], None] | None = None, orderly: bool = False) -> Played:
+    """Play a plan against a courier command; with `orderly` the couriers may leave by SIGTERM in the end. Raises
+    `NoStartError` where the command can't be started."""
     with tempfile.TemporaryDirectory(prefix="umberchute-") as folder:
         rig = _Rig(plan, command, Path(folder), limits or {}, tell)
         try:
-            return await rig.run()
+            played = await rig.run()
+            if orderly:
+                await rig.dismiss()
+            return played
         finally:
             await rig.close()
 
@@ -318,6 +322,10 @@
         if late_us >= _LATE_US:
             self._history.add(Late(self._now_us(), who, late_us))
 
+    async def dismiss(self) -> None:
+        """SIGTERM to all couriers, and wait until they have left."""
+        await asyncio.gather(*(courier.dismiss() for courier in self._couriers))
+
     async def close(self) -> None:
         """Nothing stays: tasks, processes, ports."""
         for task in self._tasks:
--- a/wheelstep/rehearsal/standins/partner.py
+++ b/wheelstep/rehearsal/standins/partner.py
@@ -30,6 +30,9 @@
     body: bytes
 
 
+MOST_CONNECTIONS = 2_000  # of one courier to all endpoints; who opens more is turned away and named
+
+
 class Ledger:
     """What clients handed in, and what took effect at partners."""
 
@@ -149,6 +152,8 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.partners: dict[str, Partner] = {}
         self._successors: dict[str, str] = {}
+        self.connections: Counter[str] = Counter()  # of each courier
+        self._crowding: set[str] = set()
         self.epoch = 0.0  # the loop's time at the rehearsal's start
         for partner in plan.partners:
             gauge = None if partner.limit is None else Gauge(partner.limit)
@@ -163,6 +168,17 @@
         self.endpoints[name] = Endpoint(name, partner, desk, self)
         return self.endpoints[name]
 
+    def admits(self, courier: str, endpoint: str) -> bool:
+        """May this courier open one more connection? Guards the rig's descriptors against a courier that opens
+        thousands."""
+        if self.connections[courier] <= MOST_CONNECTIONS:
+            return True
+        if courier not in self._crowding:
+            self._crowding.add(courier)
+            self.history.add(Strange(self.now_us(), courier, endpoint,
+                                     f"more than {MOST_CONNECTIONS} connections at once"))
+        return False
+
     def later(self, at_us: int, what: Callable[[], None]) -> None:
         """Call it then."""
         asyncio.get_running_loop().call_at(self.epoch + at_us / 1e6, what)
@@ -228,7 +244,10 @@
     def connected(self) -> None:
         most = self._endpoint.partner.connections
         self._endpoint.connections.add(self)
-        if most and len(self._endpoint.connections) > most:
+        self._stage.connections[self._courier] += 1
+        if not self._stage.admits(self._courier, self._endpoint.name):
+            self.abort()
+        elif most and len(self._endpoint.connections) > most:
             self.abort()  # its table is full
         elif self._resets_before():
             self.abort()
@@ -256,6 +275,7 @@
 
     def lost(self) -> None:
         self._endpoint.connections.discard(self)
+        self._stage.connections[self._courier] -= 1
         if self._idle is not None:
             self._idle.cancel()
         if self._current is not None:
--- a/wheelstep/rehearsal/standins/process.py
+++ b/wheelstep/rehearsal/standins/process.py
@@ -201,11 +201,8 @@
         self._going = True
         self.ready.clear()
         self._turn(turn)
-        if number == signal.SIGTERM:  # the program itself, not what it may have started
-            with contextlib.suppress(ProcessLookupError):
-                process.send_signal(signal.SIGTERM)
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(process.wait(), _TERM_S)
+        if number == signal.SIGTERM:
+            await self.dismiss()
         self._signal(signal.SIGKILL)
         code = await process.wait()
         self._turn(Turn.EXITED, code)
@@ -213,6 +210,15 @@
         self._going = False
         await self.start()
 
+    async def dismiss(self) -> None:
+        """SIGTERM to the program itself, not to what it may have started, and some time to leave."""
+        self._going = True
+        if self.process is not None and self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.send_signal(signal.SIGTERM)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.process.wait(), _TERM_S)
+
     async def pause(self, for_s: float) -> None:
         """SIGSTOP for a while."""
         self._turn(Turn.PAUSED)
