--- a/tests/test_scenario.py
+++ b/tests/test_scenario.py
@@ -121,3 +121,13 @@
     fault = plan.faults[0]
     assert len(fault.stops_us) >= 2
     assert all(fault.at_us <= begin < fault.until_us and begin < end for begin, end in fault.stops_us)
+
+
+def test_monday_with_one_courier_keeps_its_faults_and_room() -> None:
+    """Once, a record of several couriers' faults named couriers that a replay did not have."""
+    monday = scenario.find("monday")[1]
+    one = scenario.alone(monday)
+    assert (one.couriers, one.slots) == (1, monday.slots * monday.couriers)
+    plan = draw("monday", one, 1)
+    assert {index for fault in plan.faults for index in fault.couriers} == {0}
+    assert sum(fault.kind in ("kill", "term") for fault in plan.faults) == 2
--- a/wheelstep/cli/commands.py
+++ b/wheelstep/cli/commands.py
@@ -211,7 +211,7 @@
     if record.damage:
         print(f"umberchute: {given.record}: {record.damage}; {len(record.rows)} messages are played",
               file=sys.stderr)
-    stage = scenario.find(given.scenario)[1] if given.scenario else None
+    stage = scenario.alone(scenario.find(given.scenario)[1]) if given.scenario else None
     screen = Screen(given.json)
     plan = replay(record, given.seed, _speed(given), Path(given.record).name, stage)
     result = _play(plan, command, name, screen)
@@ -222,8 +222,7 @@
 
 def _record(given: argparse.Namespace) -> int:
     label, found = scenario.find(given.scenario)
-    if found.couriers > 1:
-        found = found.model_copy(update={"couriers": 1})  # a record is one courier's
+    found = scenario.alone(found)  # a record is one courier's
     target = Path(given.record).resolve()
     if target.exists():
         raise InputError(f"{target}: is there already; expected a new name")
--- a/wheelstep/rehearsal/scenario.py
+++ b/wheelstep/rehearsal/scenario.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Mapping
 from importlib import resources
 from pathlib import Path
-from typing import Annotated, Any, Literal
+from typing import Annotated, Literal
 
 from pydantic import Field, ValidationError, model_validator
 
@@ -244,6 +244,10 @@
         raise ScenarioError(f"{name}: can't be read: {error}; expected TOML in UTF-8") from error
 
 
-def as_dict(scenario: Scenario) -> dict[str, Any]:
-    """All fields, defaults included, for a digest."""
-    return scenario.model_dump(mode="json", by_alias=True)
+def alone(scenario: Scenario) -> Scenario:
+    """The same with one courier in place of several: it has their slots and room, and meets all their faults."""
+    faults = tuple(fault if fault.courier is None else fault.model_copy(update={"courier": 0})
+                   for fault in scenario.faults)
+    return scenario.model_copy(update={
+        "couriers": 1, "slots": scenario.slots * scenario.couriers, "hold": scenario.hold * scenario.couriers,
+        "faults": faults})
