--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -11,10 +11,10 @@
 from wheelstep import interface as api
 from wheelstep.courier.config import Config, load
 from wheelstep.courier.core import Core
-from wheelstep.courier.journal import Journal
 from wheelstep.courier.outlet import Result
 from wheelstep.courier.platform import entries
 from wheelstep.interface import Outcome
+from wheelstep.journal import Journal
 
 
 def configured(folder: Path) -> Config:
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -8,7 +8,7 @@
 
 from loopback import Call, Platform, Reply, Scene, host, run
 
-from wheelstep.courier.journal import Journal
+from wheelstep.journal import Journal
 
 
 async def hang(call: Call) -> None:
--- a/tests/test_inlet.py
+++ b/tests/test_inlet.py
@@ -10,7 +10,7 @@
 
 from wheelstep.courier.config import Address
 from wheelstep.courier.inlet import Inlet
-from wheelstep.courier.journal import Stored
+from wheelstep.journal import Stored
 
 
 class Owner:
@@ -40,6 +40,9 @@
     def handed_in(self, message: Stored, status: int) -> None:
         pass
 
+    async def durable(self) -> None:
+        pass
+
     def withdraw(self, name: str) -> None:
         del self.taken[name]
 
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -16,8 +16,10 @@
 from wheelstep.courier.config import Config, ConfigError, load
 from wheelstep.courier.core import Core
 from wheelstep.courier.inlet import Inlet
-from wheelstep.courier.journal import Journal
 from wheelstep.courier.platform import Notices, Watch, entries
+from wheelstep.journal import FolderInUseError, Journal
+from wheelstep.journal.codec import FormatError
+from wheelstep.journal.journal import Sync
 
 if TYPE_CHECKING:  # what is off is not imported
     from wheelstep.operator import Operator
@@ -36,7 +38,7 @@
     terminated = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, terminated.set)
-    journal = Journal(config.state, config.disk_bytes)
+    journal = _open_journal(config, operator)
     core = Core(config, journal)
     if operator is not None:
         _switch_on(operator, config, core)
@@ -51,7 +53,7 @@
         async with asyncio.TaskGroup() as group:  # a task that dies ends the process with its traceback
             tasks = [group.create_task(work) for work in
                      (core.notices.run(), watch.run(), core.outlet.sweep(), inlet.sweep(),
-                      _follow_config(config, renewed, watch, core.notices))]
+                      journal.compact_for_good(), _follow_config(config, renewed, watch, core.notices))]
             core.ready = True
             port = await inlet.start(config.listen)
             log.info("%s serves on %s:%d, %d messages restored; %d slots, holds %d, %d descriptors",
@@ -66,6 +68,18 @@
     journal.close()
 
 
+def _open_journal(config: Config, operator: Operator | None) -> Journal:
+    """Raises `ConfigError` where the folder can't be used."""
+    part = operator.journal if operator is not None else None
+    try:
+        if part is None:
+            return Journal(config.state, config.disk_bytes)
+        return Journal(config.state, config.disk_bytes, Sync(part.sync), part.sync_within / 1e6,
+                       part.segment_kb * 1024)
+    except (FolderInUseError, FormatError, OSError) as error:
+        raise ConfigError(f"{config.state}: {error}") from error
+
+
 def _switch_on(operator: Operator, config: Config, core: Core) -> None:
     """What the operator's file asks for beyond the platform."""
     recording = operator.recording
@@ -130,11 +144,10 @@
                 operator = load_operator(path)
             except OperatorError as error:
                 raise ConfigError(str(error)) from error
-        config = load(os.environ)
+        asyncio.run(serve(load(os.environ), renewed, operator))
     except ConfigError as error:
         print(f"courier: {' '.join(str(error).split())}", file=sys.stderr)
         return 1
-    asyncio.run(serve(config, renewed, operator))
     return 0
 
 
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -12,10 +12,10 @@
 from wheelstep import Sender
 from wheelstep import interface as api
 from wheelstep.courier.config import Address, Config
-from wheelstep.courier.journal import Journal, Stored
 from wheelstep.courier.outlet import Item, Outlet, Result
 from wheelstep.courier.platform import Notices
 from wheelstep.interface import UNRUN, EndpointState, Outcome
+from wheelstep.journal import Journal, NoRoomError, Stored
 
 if TYPE_CHECKING:  # what is off is not imported
     from wheelstep.recording.writer import Recorder
@@ -48,6 +48,7 @@
         self.notices: Notices | None = None
         self.recorder: Recorder | None = None
         self.ready = self.stopping = False
+        self.syncs = journal.waits
 
     # --- what the sockets tell ---
 
@@ -87,6 +88,20 @@
         """Write a new message down."""
         self._journal.take(message)
 
+    async def durable(self) -> None:
+        """Wait until what was written is safe by the operator's policy, or `NoRoomError`."""
+        if self._journal.waits:
+            await self._journal.durable()
+
+    async def safe(self) -> bool:
+        """The same for attempts that were written down: False if they are not to be sent."""
+        try:
+            await self.durable()
+        except NoRoomError as error:
+            log.warning("attempts are not sent: %s", error)
+            return False
+        return True
+
     def holds(self, message: str) -> bool:
         """Was it taken on before, and is its end still owed?"""
         return message in self._journal.messages
--- a/wheelstep/courier/inlet.py
+++ b/wheelstep/courier/inlet.py
@@ -18,7 +18,7 @@
 from aiohttp.typedefs import Handler
 
 from wheelstep.courier.config import Address
-from wheelstep.courier.journal import NoRoomError, Stored
+from wheelstep.journal import NoRoomError, Stored
 
 MOST_BODY = 64 * 1024
 _MOST_DEADLINE_MS = 24 * 3600 * 1000
@@ -52,6 +52,9 @@
     def holds(self, message: str) -> bool:
         """Was it taken on before, and is its end still owed?"""
 
+    async def durable(self) -> None:
+        """What was written outlasts what the operator wants it to, or `NoRoomError`."""
+
     def begin(self, name: str) -> None:
         """Its client knows that it was taken on: act on it."""
 
@@ -238,7 +241,7 @@
     def __init__(self, desk: Desk, classes: Mapping[str, bool], most: int) -> None:
         self._desk, self._classes, self._most = desk, classes, most
         self.closing = False  # answers end their connections from now on
-        self._bad = 0
+        self._bad = self._no_room = 0
         app = web.Application(client_max_size=MOST_BODY, middlewares=[self._answer])
         app.router.add_get("/healthz", self._health)
         app.router.add_post("/{path:.*}", self._hand_in)
@@ -270,6 +273,9 @@
             if self._bad:
                 log.info("%d bad requests", self._bad)
                 self._bad = 0
+            if self._no_room:
+                log.warning("the journal had no room for %d messages", self._no_room)
+                self._no_room = 0
 
     async def stop(self) -> None:
         """Answer what is under way and end the connections."""
@@ -307,6 +313,13 @@
     async def _health(self, request: web.Request) -> web.StreamResponse:
         return web.Response(status=200 if self._desk.ready else 503)
 
+    async def _durable(self, name: str) -> None:
+        try:
+            await self._desk.durable()
+        except BaseException:  # also where its client went meanwhile: nobody was told that it is taken on
+            self._desk.withdraw(name)
+            raise
+
     async def _hand_in(self, request: web.Request) -> web.StreamResponse:
         if (request.content_length or 0) > MOST_BODY:
             raise web.HTTPRequestEntityTooLarge(MOST_BODY, request.content_length or 0)
@@ -322,8 +335,9 @@
             return web.Response(status=503)  # nobody hears it
         try:
             self._desk.take(message)
+            await self._durable(message.id)
         except NoRoomError:
-            log.warning("no room in the journal for %d bytes", len(message.body))
+            self._no_room += 1
             self._desk.handed_in(message, 503)
             return web.Response(status=503, text="no room\n", headers=_COME_BACK)
         answer = web.Response(status=202)
--- a/wheelstep/courier/outlet.py
+++ b/wheelstep/courier/outlet.py
@@ -9,7 +9,7 @@
 import logging
 import math
 import time
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from dataclasses import dataclass, field, replace
 from typing import Protocol
 
@@ -53,6 +53,9 @@
 class Gate(Protocol):
     """What the outlet asks of its owner."""
 
+    syncs: bool
+    """Is there anything to wait for between writing an attempt down and its first byte?"""
+
     async def settled(self, items: Sequence[Item]) -> None:
         """Wait until nothing that must come before these messages is still under way."""
 
@@ -62,6 +65,9 @@
     def starting(self, endpoint: str, items: Sequence[Item]) -> None:
         """The first byte follows."""
 
+    async def safe(self) -> bool:
+        """Wait until the attempts that were written down are safe; False if they are not to be sent."""
+
     def told_to_wait(self, endpoint: str, wait_us: int) -> None:
         """An answer told to wait."""
 
@@ -180,7 +186,11 @@
 
         async def work() -> Answer | None:
             await self._gate.settled(items)
-            return await self._exchange(endpoint, progress, request)
+            return await self._exchange(endpoint, progress, request, may_write)
+
+        async def may_write() -> bool:
+            # A sync may take its time: what was right before it is looked at once more.
+            return await self._gate.safe() and all(self._gate.may_start(endpoint, item) for item in live)
 
         outcome, answer = await self._bounded(work, progress, timeout_us)
         for item in items:
@@ -223,7 +233,8 @@
             return progress.ended_by(Outcome.RESET), None
 
     async def _exchange(self, endpoint: str, progress: _Progress,
-                        request: Callable[[], tuple[h11.Request, bytes] | None]) -> Answer | None:
+                        request: Callable[[], tuple[h11.Request, bytes] | None],
+                        may_write: Callable[[], Awaitable[bool]] | None = None) -> Answer | None:
         """One request and its answer, or None where there is nothing to send any more."""
         host = self._hosts.get(endpoint)
         if host is None:
@@ -232,6 +243,8 @@
         keep = False
         try:
             wanted = request()
+            if wanted is not None and may_write is not None and self._gate.syncs and not await may_write():
+                wanted = None
             if wanted is None:
                 keep, link.idle_since = True, time.monotonic()
                 return None
--- a/wheelstep/operator.py
+++ b/wheelstep/operator.py
@@ -7,11 +7,11 @@
 
 import tomllib
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Literal
 
 from pydantic import Field, ValidationError
 
-from wheelstep.fields import Part, explain
+from wheelstep.fields import Part, Time, explain
 
 
 class OperatorError(Exception):
@@ -27,9 +27,18 @@
     bodies: bool = False
 
 
+class JournalPart(Part):
+    """When the journal is synced, and how large its segments are."""
+
+    sync: Literal["none", "group", "each"] = "none"
+    sync_within: Time = 1_000_000
+    segment_kb: Annotated[int, Field(ge=0, le=1_000_000)] = 0
+
+
 class Operator(Part):
     """The whole file."""
 
+    journal: JournalPart = JournalPart()
     recording: RecordingPart = RecordingPart()
 
 
--- a/wheelstep/rehearsal/broken/order.py
+++ b/wheelstep/rehearsal/broken/order.py
@@ -6,7 +6,7 @@
 
 from wheelstep import interface as api
 from wheelstep.courier.core import Core
-from wheelstep.courier.journal import Stored
+from wheelstep.journal import Stored
 from wheelstep.rehearsal.broken.patch import change_settings
 
 
--- a/wheelstep/rehearsal/broken/twice.py
+++ b/wheelstep/rehearsal/broken/twice.py
@@ -5,9 +5,9 @@
 import dataclasses
 
 from wheelstep.courier.core import Core
-from wheelstep.courier.journal import Stored
 from wheelstep.courier.outlet import _Progress
 from wheelstep.interface import Outcome
+from wheelstep.journal import Stored
 from wheelstep.rehearsal.broken.patch import change_settings
 
 
