--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -175,8 +175,9 @@
 class Courier:
     """The real process; `address` changes with each start."""
 
-    def __init__(self, folder: Path, platform: Platform, settings: dict[str, Any] | None = None) -> None:
-        self.folder, self.platform = folder, platform
+    def __init__(self, folder: Path, platform: Platform, settings: dict[str, Any] | None = None,
+                 operator: Path | None = None) -> None:
+        self.folder, self.platform, self.operator = folder, platform, operator
         self.settings = settings or SETTINGS
         self.log: list[str] = []
         (folder / "state").mkdir()
@@ -202,6 +203,8 @@
         (self.folder / "config.json").write_text(self.config(self.platform))
         env = {**os.environ, "RELAY_CONFIG": str(self.folder / "config.json"),
                "RELAY_STATE": str(self.folder / "state"), "RELAY_DISCOVERY": self.platform.address}
+        if self.operator is not None:
+            env["UMBERCHUTE_OPERATOR"] = str(self.operator)
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "wheelstep.courier", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE)
         serving: asyncio.Future[str] = asyncio.get_running_loop().create_future()
@@ -244,9 +247,9 @@
 class Scene:
     """A platform, one endpoint of destination 7, and a courier."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, operator: Path | None = None) -> None:
         self.platform, self.endpoint = Platform(), Endpoint()
-        self.courier = Courier(folder, self.platform)
+        self.courier = Courier(folder, self.platform, operator=operator)
 
     async def __aenter__(self) -> Scene:
         await self.platform.start()
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import subprocess
+import sys
+import time
 from pathlib import Path
 from typing import Any
 
-from loopback import Call, Platform, Reply, Scene, host, run
+from loopback import ROOT, Call, Platform, Reply, Scene, host, run
 
 from wheelstep.journal import Journal
 
@@ -345,3 +349,62 @@
                 await asyncio.sleep(0.01)
             await s.endpoint.wait(1)
     run(scene())
+
+
+def test_a_journal_of_version_0_1_is_taken_over_by_the_daemon(tmp_path: Path) -> None:
+    """An upgrade in place: what the old version owed is delivered, and its file is gone."""
+    from test_journal import old_message
+
+    async def scene() -> None:
+        s = Scene(tmp_path)
+        (tmp_path / "state" / "journal.log").write_bytes(
+            old_message("m1", c="once", by=int(time.time() * 1000) + 15_000, k=None, tk=None))
+        async with s:
+            call = (await s.endpoint.wait(1))[0]
+            assert (call.headers["x-request-id"], call.body) == ("m1", b"body of m1")
+            assert await s.courier.terminate() == 0
+        assert not (tmp_path / "state" / "journal.log").exists() and journal_is_empty(tmp_path)
+    run(scene())
+
+
+def test_a_second_courier_on_the_folder_is_refused_with_one_line(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with Scene(tmp_path) as s:
+            env = {**os.environ, "RELAY_CONFIG": str(tmp_path / "config.json"), "RELAY_STATE": str(tmp_path / "state")}
+            other = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "wheelstep.courier", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE)
+            _, error = await other.communicate()
+            assert other.returncode == 1 and error.count(b"\n") == 1 and b"another process" in error
+            assert await s.courier.hand_in("m1") == 202
+    run(scene())
+
+
+def test_group_sync_answers_delivers_and_ends_as_ever(tmp_path: Path) -> None:
+    async def scene() -> None:
+        (tmp_path / "operator.toml").write_text('[journal]\nsync = "group"\n')
+        async with Scene(tmp_path, operator=tmp_path / "operator.toml") as s:
+            async def fine(call: Call) -> Reply:
+                return 200, {}, "".join(f"{name} delivered\r\n" for name in carried(call)).encode()
+            s.endpoint.reply = fine
+            names = [f"m{number}" for number in range(20)]
+            assert set(await asyncio.gather(*(s.courier.hand_in(name) for name in names))) == {202}
+            count = 1  # several messages may share a call
+            while {name for call in await s.endpoint.wait(count) for name in carried(call)} != set(names):
+                count = len(s.endpoint.calls) + 1
+            assert sum(len(carried(call)) for call in s.endpoint.calls) == len(names)
+
+            async def error(call: Call) -> Reply:
+                return 500, {}, b""
+            s.endpoint.reply = error
+            assert await s.courier.hand_in("bad") == 202
+            assert (await s.platform.wait_notice("bad"))["outcome"] == "given_up"
+            assert await s.courier.terminate() == 0
+        assert journal_is_empty(tmp_path)
+    run(scene())
+
+
+def test_an_operators_file_that_makes_no_sense_is_one_line(tmp_path: Path) -> None:
+    (tmp_path / "operator.toml").write_text('[journal]\nsync = "sometimes"\n')
+    words = [sys.executable, "-m", "wheelstep.cli", "serve", "--operator", str(tmp_path / "operator.toml")]
+    done = subprocess.run(words, cwd=ROOT, capture_output=True, text=True)
+    assert done.returncode == 1 and done.stderr.count("\n") == 1 and "journal.sync: 'sometimes'" in done.stderr
--- a/wheelstep/journal/journal.py
+++ b/wheelstep/journal/journal.py
@@ -21,7 +21,7 @@
 from wheelstep.journal.segments import BLOCK, Log, Segment, name_of
 from wheelstep.journal.state import Stored
 
-_LEAST_SEGMENT, _MOST_SEGMENT = 64 * 1024, 8 * 1024 * 1024
+_LEAST_SEGMENT, _MOST_SEGMENT = 64 * 1024, 4 * 1024 * 1024
 _MOST_RESERVE = 192 * 1024
 _COPY_SLACK = 4096  # a copy may be a little longer than the records that it stands for
 _COPY_BYTES = 16 * 1024  # of copies go into one write
@@ -68,6 +68,7 @@
         self._syncing: asyncio.Task[None] | None = None
         self._waiters: list[tuple[int, asyncio.Future[None]]] = []  # up to which byte each waits
         self._rested = float("-inf")  # no compaction before this: the last one failed
+        self._queue: list[str] = []  # of its messages, those that were not looked at yet
         self._copied: int | None = None  # the segment that is being copied forward
         if not self._disk.lock():
             raise FolderInUseError("another process has the journal's folder")
@@ -195,10 +196,10 @@
         known = self._state.messages.get(message.id)
         message.seq = self._state.next_seq if known is None else known.seq
         record = codec.take(message)
-        if self._state.live + message.cost() + self._reserve + self._log.target > self._limit:
+        if self._state.live + len(record) + self._reserve + self._log.target > self._limit:
             raise NoRoomError(f"{self._state.live} bytes live of {self._limit}")
-        spare = self._reserve + self._copy_room()
-        if not self._room(len(record) + spare, 0):
+        if (self._log.used + len(record) + self._reserve + self._careful > self._limit
+                and not self._room(len(record) + self._reserve + self._copy_room(), 0)):
             raise NoRoomError(f"{self._log.used} bytes used of {self._limit}")
         if self._behind and not self._catch_up():
             raise NoRoomError(self._trouble)
@@ -353,19 +354,22 @@
         if len(self._log.segments) < 2 or self._drops or self._clock() < self._rested:
             return False
         oldest = self._log.segments[0]
-        self._copied = oldest.number
+        if self._copied != oldest.number:
+            # Names in a list: popping from the front of a dict leaves holes that each look would pass over again.
+            self._copied, self._queue = oldest.number, list(oldest.messages)
         end = self._clock() + budget_s
         try:
+            if not oldest.messages and not oldest.facts:
+                self._retire(oldest)
+                self._copied = None
             while oldest.messages or oldest.facts:
                 self._copy(oldest)
                 if self._clock() >= end:
-                    return True
-            self._retire(oldest)
+                    break
         except OSError as error:
             self._copied, self._rested = None, self._clock() + _AFTER_FAILURE_S
             log.warning("journal: could not copy %s forward: %s", name_of(oldest.number), error)
             return False
-        self._copied = None
         return True
 
     def _copy(self, oldest: Segment) -> None:
@@ -374,20 +378,21 @@
         facts: list[str] = []
         parts: list[bytes] = []
         size = 0
-        for name in oldest.messages:
-            message = self._state.messages[name]
-            parts.append(codec.take(message))
-            messages.append(message)
-            size += len(parts[-1])
-            if size >= _COPY_BYTES:
-                break
-        else:
+        while self._queue and size < _COPY_BYTES:
+            name = self._queue.pop()
+            if name in oldest.messages:
+                message = self._state.messages[name]
+                parts.append(codec.take(message))
+                messages.append(message)
+                size += len(parts[-1])
+        if not self._queue:
             for name in oldest.facts:
                 parts.append(codec.fact(name, self._state.marks[name]))
                 facts.append(name)
         if not parts:
             return
         if self._log.used + sum(map(len, parts)) + 2 * BLOCK > self._limit:
+            self._copied = None
             raise OSError(errno.ENOSPC, "no room for a copy")
         segment = self._append(b"".join(parts))
         for message in messages:
--- a/wheelstep/journal/state.py
+++ b/wheelstep/journal/state.py
@@ -27,6 +27,7 @@
     notice: tuple[str, int] | None = None  # what the platform is still to hear of its end
     seq: int = 0  # its place among all that were taken on
     home: int = field(default=0, compare=False)  # the segment that holds it whole
+    weight: int = field(default=0, compare=False)  # what it counts among the live bytes, without its open attempts
 
     def may_have_run(self) -> tuple[int, str] | None:
         """The first attempt that may have run, one without an outcome included: when, and where."""
@@ -38,10 +39,13 @@
         if self.ran_ms is None or self.ran_ms > UNKNOWN_MS:
             self.ran_ms, self.ran_at = UNKNOWN_MS, self.ran_at or ""
 
-    def cost(self) -> int:
-        """About the bytes of its record when it is copied forward."""
+    def weigh(self) -> int:
+        """About the bytes of its record when it is copied forward, without its open attempts."""
         names = len(self.id) + len(self.key or "") + len(self.token or "") + len(self.message_class)
-        return 110 + names + len(self.body) + 64 * len(self.out)
+        return 110 + names + len(self.body)
+
+
+OPEN_ATTEMPT = 64  # what each adds to that
 
 
 class State:
@@ -57,10 +61,12 @@
         """A message whole. One that is known already is replaced by it and keeps its place."""
         known = self.messages.get(message.id)
         if known is not None:
-            self.live -= known.cost()
+            self.live -= known.weight + OPEN_ATTEMPT * len(known.out)
         self.messages[message.id] = message
-        self.live += message.cost()
-        self.next_seq = max(self.next_seq, message.seq + 1)
+        message.weight = message.weigh()
+        self.live += message.weight + OPEN_ATTEMPT * len(message.out)
+        if message.seq >= self.next_seq:
+            self.next_seq = message.seq + 1
 
     def attempt(self, name: str, number: int, at_ms: int, endpoint: str) -> bool:
         """False where the message is not known."""
@@ -69,7 +75,7 @@
             return False
         known.attempts = max(known.attempts, number + 1)
         if number not in known.out:
-            self.live += 64
+            self.live += OPEN_ATTEMPT
         known.out[number] = (at_ms, endpoint)
         return True
 
@@ -80,7 +86,7 @@
             return False
         sent = known.out.pop(number, None)
         if sent is not None:
-            self.live -= 64
+            self.live -= OPEN_ATTEMPT
             if may_have_run and (known.ran_ms is None or sent[0] < known.ran_ms):
                 known.ran_ms, known.ran_at = sent
         return True
@@ -90,16 +96,17 @@
         known = self.messages.get(name)
         if known is None:
             return False
-        self.live -= known.cost()
+        self.live -= known.weight
         known.notice, known.body = (told, retry_ms), b""
-        self.live += known.cost()
+        known.weight = known.weigh()
+        self.live += known.weight
         return True
 
     def over(self, name: str) -> Stored | None:
         """The message as it was, if it was known."""
         known = self.messages.pop(name, None)
         if known is not None:
-            self.live -= known.cost()
+            self.live -= known.weight + OPEN_ATTEMPT * len(known.out)
         return known
 
     def mark(self, name: str, value: Any) -> None:
--- a/wheelstep/journal/tools.py
+++ b/wheelstep/journal/tools.py
@@ -14,7 +14,7 @@
 from wheelstep.journal.segments import name_of, rounded
 
 _NO_LIMIT = 1 << 40
-_LEAST_SEGMENT, _MOST_SEGMENT = 64 * 1024, 8 * 1024 * 1024
+_LEAST_SEGMENT, _MOST_SEGMENT = 64 * 1024, 4 * 1024 * 1024
 
 
 class ToolError(Exception):
