--- a/wheelstep/cli/commands.py
+++ b/wheelstep/cli/commands.py
@@ -222,7 +222,9 @@
 
 def _record(given: argparse.Namespace) -> int:
     label, found = scenario.find(given.scenario)
-    found = scenario.alone(found)  # a record is one courier's
+    found = scenario.alone(found)  # a record is one courier's, and one process's: it begins anew with each start
+    found = found.model_copy(update={
+        "faults": tuple(fault for fault in found.faults if fault.kind not in ("kill", "term"))})
     target = Path(given.record).resolve()
     if target.exists():
         raise InputError(f"{target}: is there already; expected a new name")
--- a/wheelstep/journal/journal.py
+++ b/wheelstep/journal/journal.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import logging
 import time
@@ -206,9 +207,10 @@
         try:
             segment = self._append(record)
         except OSError as error:
-            if self._sync is Sync.EACH:  # it may be written, though not synced: then it must be over
-                self._behind[message.id] = None
             raise NoRoomError(str(error)) from error
+        if self._distrusted and known is None:  # its own sync has failed: it is written, and must be over
+            self._note(message.id, codec.over(message.id))
+            raise NoRoomError("a sync has failed: nothing new is taken on until the next start")
         if known is not None:
             self._leave(known)
         message.home = segment.number
@@ -304,14 +306,15 @@
         log_ = self._log
         try:
             segment = log_.append(record)
-            if self._sync is Sync.EACH:
-                self.sync_now()
         except OSError as error:
             self._in_trouble(error)
             raise
         finally:  # also a segment that was begun though nothing more could be written to it
             if log_.segments and log_.segments[-1].number not in self._by_number:
                 self._by_number[log_.segments[-1].number] = log_.segments[-1]
+        if self._sync is Sync.EACH and not self._distrusted:
+            with contextlib.suppress(OSError):  # it is written: what is owed goes on, nothing new is taken on
+                self.sync_now()
         if self._trouble and not self._behind:
             log.warning("journal: writes again, after: %s", self._trouble)
             self._trouble = ""
@@ -404,14 +407,16 @@
 
     def _retire(self, oldest: Segment) -> None:
         """Nothing needs it. Under a sync policy it goes only once the copies are synced."""
-        self._append(codec.low(oldest.number + 1))
         if self._sync is Sync.GROUP and self._synced < self._log.written:
             self._drops.append((self._log.written, oldest.number))
         else:
             self._drop()
 
     def _drop(self) -> None:
+        """Say that it counts no more, and remove it. Guards against a power loss that keeps this record and loses the
+        copies before it: they are synced by now. Its removal is synced with what is written next, before another."""
         number = self._log.segments[0].number
+        self._append(codec.low(number + 1))
         self._log.drop_oldest()
         del self._by_number[number]
 
--- a/wheelstep/journal/recovery.py
+++ b/wheelstep/journal/recovery.py
@@ -88,7 +88,9 @@
         last = place + 1 == len(numbers)
         # The header of the next one tells how much of this one counts.
         following = b"" if last else disk.read(name_of(numbers[place + 1]))
-        before = len(data) if last else _before(following, len(data))
+        # (It speaks of its neighbour only: where that one is missing, nothing is known of this one's length.)
+        neighbours = not last and numbers[place + 1] == number + 1
+        before = _before(following, len(data)) if neighbours else len(data)
         low = max(low, _one(found, number, data[:before] if before < len(data) else data, last))
         if before > len(data):
             _damaged(found, Damage(name_of(number), len(data), before))
--- a/wheelstep/rehearsal/journal_model.py
+++ b/wheelstep/rehearsal/journal_model.py
@@ -133,3 +133,57 @@
         return False
     return all((a[0], a[1], a[2], a[4]) == (b[0], b[1], b[2], b[4]) and (a[3] or not b[3])
                for a, b in zip(found.messages, view.messages, strict=True))
+
+
+def crash_between_syncs(history: Sequence[Step], seed: int, every: int = 5) -> int:
+    """Under `Sync.GROUP` with a sync after every few steps: the power goes at each operation. What was synced must be
+    there; of what came after it any part may be. Returns how many crash points there were; raises `MismatchError`."""
+    disk = FaultyDisk(seed)
+    views = [View.of(journal := open_journal(disk, Sync.GROUP))]
+    for number, step in enumerate(history):
+        play(journal, step)
+        views.append(View.of(journal))
+        if number % every == every - 1:
+            journal.sync_now()
+    total = disk.count
+    for point in range(1, total + 1):
+        disk = FaultyDisk(seed)
+        disk.crash_at = point
+        done = safe = 0
+        with contextlib.suppress(CrashError):
+            journal = open_journal(disk, Sync.GROUP)
+            for number, step in enumerate(history):
+                play(journal, step)
+                done = number + 1
+                if number % every == every - 1:
+                    journal.sync_now()
+                    safe = done
+        left = _crash_recovery(disk.after_crash(power=True), Sync.EACH, random.Random(seed * 7 + point))
+        trouble = _unfit(View.of(open_journal(left, Sync.GROUP)), views[safe:done + 2])
+        if trouble:
+            raise MismatchError(f"seed {seed}, power lost before operation {point} of {total}, after step {done}, "
+                                f"synced at {safe}: {trouble}")
+    return total
+
+
+def _unfit(found: View, since: Sequence[View]) -> str:
+    """What is wrong with a state found after a power loss; `since` begins with the one that was synced last."""
+    rows = {row[0]: row for row in found.messages}
+    held = [{row[0]: row for row in view.messages} for view in since]
+    for name in held[0]:
+        if not all(name in view for view in held):
+            continue  # its end was on its way
+        if name not in rows:
+            return f"{name} was synced and is gone"
+        if all(view[name][3] for view in held) and not rows[name][3]:
+            return f"{name} may have run and looks as if it had not"
+        if rows[name][2] not in [view[name][2] for view in held]:
+            return f"{name} has another body"
+    for name in rows:
+        if not any(name in view for view in held):
+            return f"{name} was over, and is back"
+    common = [name for name in held[0] if name in rows and all(name in view for view in held)]
+    orders = [[name for name in view if name in common] for view in held]  # one may have ended and come again
+    if [name for name in rows if name in common] not in orders:
+        return "the order of taking has changed"
+    return ""
