--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -176,8 +176,8 @@
     """The real process; `address` changes with each start."""
 
     def __init__(self, folder: Path, platform: Platform, settings: dict[str, Any] | None = None,
-                 operator: Path | None = None) -> None:
-        self.folder, self.platform, self.operator = folder, platform, operator
+                 operator: Path | None = None, disk_mb: float = 3) -> None:
+        self.folder, self.platform, self.operator, self.disk_mb = folder, platform, operator, disk_mb
         self.settings = settings or SETTINGS
         self.log: list[str] = []
         (folder / "state").mkdir()
@@ -185,7 +185,7 @@
     def config(self, platform: Platform) -> str:
         return json.dumps({
             "name": "n0", "listen": "127.0.0.1:0", "discovery": platform.address,
-            "seed": "8c1f30d27a5be964", "limits": {"disk_mb": 3}, "settings": self.settings,
+            "seed": "8c1f30d27a5be964", "limits": {"disk_mb": self.disk_mb}, "settings": self.settings,
             "known": platform.whole()})
 
     def renew(self, text: str) -> None:
@@ -233,6 +233,10 @@
 
     async def hand_in(self, message: str, cls: str = "once", key: str = "", body: bytes = b"x",
                       **headers: str) -> int:
+        return (await self.hand_in_answer(message, cls, key, body, **headers))[0]
+
+    async def hand_in_answer(self, message: str, cls: str = "once", key: str = "", body: bytes = b"x",
+                             **headers: str) -> tuple[int, dict[str, str]]:
         given = {"X-Request-Id": message, "X-Class": cls, "X-Deadline-Ms": "20000", "X-Consignee": "dest=7",
                  **{name.replace("_", "-"): value for name, value in headers.items()}}
         if cls == "ordered":
@@ -241,15 +245,15 @@
         async with aiohttp.ClientSession() as http, http.post(
                 f"http://{self.address}{path}", data=body, headers=given) as answer:
             await answer.read()
-            return answer.status
+            return answer.status, dict(answer.headers)
 
 
 class Scene:
     """A platform, one endpoint of destination 7, and a courier."""
 
-    def __init__(self, folder: Path, operator: Path | None = None) -> None:
+    def __init__(self, folder: Path, operator: Path | None = None, disk_mb: float = 3) -> None:
         self.platform, self.endpoint = Platform(), Endpoint()
-        self.courier = Courier(folder, self.platform, operator=operator)
+        self.courier = Courier(folder, self.platform, operator=operator, disk_mb=disk_mb)
 
     async def __aenter__(self) -> Scene:
         await self.platform.start()
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -408,3 +408,31 @@
     words = [sys.executable, "-m", "wheelstep.cli", "serve", "--operator", str(tmp_path / "operator.toml")]
     done = subprocess.run(words, cwd=ROOT, capture_output=True, text=True)
     assert done.returncode == 1 and done.stderr.count("\n") == 1 and "journal.sync: 'sometimes'" in done.stderr
+
+
+def test_a_full_journal_turns_away_with_a_time_to_come_back_and_finishes_what_it_owes(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with Scene(tmp_path, disk_mb=0.3) as s:
+            release = asyncio.Event()
+
+            async def held(call: Call) -> Reply:
+                await release.wait()
+                return 200, {}, "".join(f"{name} delivered\r\n" for name in carried(call)).encode()
+            s.endpoint.reply = held
+            answers = [await s.courier.hand_in_answer(f"m{number}", body=b"x" * 20_000) for number in range(30)]
+            taken = [number for number, (status, _) in enumerate(answers) if status == 202]
+            assert 5 <= len(taken) < 30
+            assert {(status, headers.get("Retry-After")) for status, headers in answers if status != 202} == {
+                (503, "1")}
+            release.set()
+            sent: set[str] = set()
+            while len(sent) < len(taken):
+                sent = {name for call in await s.endpoint.wait(1) for name in carried(call)}
+                await asyncio.sleep(0.01)
+            assert sent == {f"m{number}" for number in taken}
+            async with asyncio.timeout(20):  # and once they are over there is room again
+                while (await s.courier.hand_in_answer("more", body=b"x" * 20_000))[0] != 202:
+                    await asyncio.sleep(0.05)
+        used = sum(-(-path.stat().st_size // 512) * 512 for path in (tmp_path / "state").iterdir())
+        assert used <= 300_000
+    run(scene())
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import logging
 import os
 import signal
@@ -50,6 +51,7 @@
         watch = Watch(http, config.discovery, config.names, seq if isinstance(seq, int) else 0, core.listed)
         core.listed(api.ListKind.RESTORED, entries(config.known, config.names))
         core.restore()
+        gc.freeze()  # what was restored lives long: a collection that walked it all would stop the loop
         async with asyncio.TaskGroup() as group:  # a task that dies ends the process with its traceback
             tasks = [group.create_task(work) for work in
                      (core.notices.run(), watch.run(), core.outlet.sweep(), inlet.sweep(),
