--- a/wheelstep/rehearsal/report.py
+++ b/wheelstep/rehearsal/report.py
@@ -167,7 +167,7 @@
             return f"inconclusive: {late}, so nothing is said of the courier"
         case Ruling.BROKEN:
             rules = [rule.value for rule, found in result.verdict.rulings.items() if found is Ruling.BROKEN]
-            return f"broken: not so that {'; '.join(rules)}"
+            return f"broken: {'; '.join(rules)}"
     return f"kept: all rules; {late}; {result.played.wall_s:.1f} s"
 
 
