Ranking by bounds: a round no longer looks at every destination with a backlog

Cause: each freed slot ranked every ready destination; with 10,000 destinations and 100,000 held messages a round took 120 ms. Change: a destination that was looked at keeps a bound on what it can earn and a time until which it holds; a batch looks at those with news, at lapsed ones, and only as far down as bounds pass the best. With 64 or fewer all are ranked as before.

--- a/wheelstep/logic.py
+++ b/wheelstep/logic.py
@@ -32,6 +32,8 @@
 EXTRA_WEIGHT = 0.25  # what each further message of a call weighs, in work and waiting
 RAMP = 0.8  # of `fall_multiple` times what an endpoint carried, so much it gets back as it warms
 TABLE_PLACE = 0.12  # what an idle connection takes from others, to be saved in handshakes
+FEW = 64  # so many destinations are all ranked in every batch
+BOUND_US = 1_000_000  # for so long at most a bound on what a destination can earn is kept
 MEMORY_US = 10_000_000  # over this time the rate that an endpoint carries is averaged
 
 
@@ -390,6 +392,12 @@
                 yield stage[0][2]
 
 
+def marks_rise(message: Message, at_us: float, horizon_us: float) -> bool:
+    """Does its gain grow just then? Its later self has passed the promise, itself it has not."""
+    later_us = at_us + horizon_us
+    return at_us <= message.promised_us <= later_us < message.due_us
+
+
 class Destination:
     """What is known of one destination, and the messages that wait for it."""
 
@@ -401,6 +409,7 @@
         self.pacer: Pacer | None = None  # where the endpoints share one limit
         self.waiting = self.calls_out = 0
         self.look_us = math.inf  # when it will be looked at again, if nothing happens before
+        self.stamp = 0  # which look at it the bound on what it can earn is from
 
 
 @dataclass(slots=True)
@@ -426,6 +435,10 @@
         self._destinations: dict[int, Destination] = {}
         self._backlog: dict[int, Destination] = {}  # those with messages waiting
         self._ready: dict[int, Destination] = {}  # those of them that something has happened to
+        self._news: dict[int, Destination] = {}  # of these, the ones that must be looked at anew
+        self._bounds: list[tuple[float, int, int]] = []  # what each can earn at most, negative; number; stamp
+        self._lapses: list[tuple[float, int, int]] = []  # until when that holds
+        self._stamp, self._top, self._bounding = 0, 0.0, False
         self._endpoints: dict[str, Endpoint] = {}
         self._chains: dict[str, Chain] = defaultdict(Chain)
         self._heap: list[tuple[int, int, Callable[[], None]]] = []
@@ -559,11 +572,13 @@
             destination.waiting -= 1
             if not destination.waiting:
                 del self._backlog[destination.number]
+            if destination.number in self._ready:
+                self._news[destination.number] = destination
 
     def _touch(self, destination: Destination) -> None:
         """Something has happened to this destination: look at it in this batch, if messages wait there."""
         if destination.waiting:
-            self._ready[destination.number] = destination
+            self._ready[destination.number] = self._news[destination.number] = destination
 
     def _look_at(self, destination: Destination, at_us: float) -> None:
         """Look at a destination again then, whatever happens."""
@@ -701,20 +716,54 @@
 
     def _dispatch(self) -> None:
         """Send while there are slots, the most pressing message of any ready destination first. One that
-        can't send is left alone until something happens to it, so that a batch costs what its news do."""
+        can't send is left alone until something happens to it, so that a batch costs what its news do. The
+        same holds for those that merely wait: each has a bound on what it can earn for a while, and is looked
+        at only where that passes the best of those that were looked at (as if all had been)."""
+        if self._calls_out >= self._s.slots:
+            return
         ranked: list[tuple[float, int, list[Message]]] = []
-        if self._calls_out < self._s.slots:
-            for destination in list(self._ready.values()):
-                self._rank(destination, ranked)
-        while ranked and self._calls_out < self._s.slots:
-            _, number, heads = heapq.heappop(ranked)
-            destination = self._ready[number]
+        for destination in self._changed():
+            self._rank(destination, ranked)
+        while self._calls_out < self._s.slots:
+            while self._bounds and (not ranked or self._bounds[0][:2] < ranked[0][:2]):
+                _, number, stamp = heapq.heappop(self._bounds)
+                if number in self._ready and self._ready[number].stamp == stamp:
+                    self._rank(self._ready[number], ranked)
+            if not ranked:
+                break
+            earns, number, heads = heapq.heappop(ranked)
+            self._top, destination = -earns, self._ready[number]
             if self._send_one(destination, heads):
                 self._rank(destination, ranked)
             else:
                 del self._ready[number]
+        if self._bounding:
+            for earns, number, heads in ranked:
+                self._bound(self._ready[number], -earns, heads)
+
+    def _changed(self) -> list[Destination]:
+        """The ready destinations that must be looked at anew: those with news, or whose bound has lapsed. All
+        where they are few, since bounds cost more than they save then."""
+        few = len(self._ready) <= FEW
+        if few or not self._bounding:
+            self._bounding = not few
+            self._bounds, self._lapses = [], []
+            self._news.clear()
+            return list(self._ready.values())
+        while self._lapses and self._lapses[0][0] <= self._now:
+            _, number, stamp = heapq.heappop(self._lapses)
+            if number in self._ready and self._ready[number].stamp == stamp:
+                self._news[number] = self._ready[number]
+        news, self._news = self._news, {}
+        if len(self._bounds) > 4 * len(self._ready):  # old ones that never came to the top
+            stamps = {number: destination.stamp for number, destination in self._ready.items()}
+            self._bounds = [row for row in self._bounds if stamps.get(row[1]) == row[2]]
+            heapq.heapify(self._bounds)
+        return [destination for number, destination in news.items() if number in self._ready]
 
     def _rank(self, destination: Destination, ranked: list[tuple[float, int, list[Message]]]) -> None:
+        self._stamp += 1
+        destination.stamp = self._stamp
         if heads := self._heads(destination):
             # By what a slot earns in its time. Guards the slots against a destination that has become slow
             # and would turn most of them into its own queue; it harms its messages while others wait.
@@ -724,6 +773,34 @@
         else:
             del self._ready[destination.number]
 
+    def _bound(self, destination: Destination, earns: float, heads: list[Message]) -> None:
+        """What it can earn at most, and until when that holds. While its heads stay the same, each one's gain
+        is linear in time between the marks at which it or its later self changes pace, and rises only within
+        a horizon before its promise."""
+        tau_us = destination.loop.tau_us
+        at_us, horizon_us = self._now + tau_us, self._horizon_us
+        even = self._s.decay is Decay.EVEN
+        until_us = at_us + (BOUND_US if even else BOUND_US / 8)
+        for message in heads:
+            marks = (message.promised_us - horizon_us, message.promised_us, message.due_us - horizon_us,
+                     message.due_us)
+            until_us = min(until_us, min((mark for mark in marks if mark > at_us), default=until_us))
+        rate = 0.0  # how fast it may rise
+        for message in heads:
+            cls = message.cls
+            if not even:  # falls by halves: what it is now, less what its later self will be by then
+                later = message.worth_at(until_us + horizon_us, self._s.decay)
+                rise = message.worth_at(at_us + horizon_us, self._s.decay) - later
+                rate = max(rate, rise / (until_us - at_us))
+            elif marks_rise(message, at_us, horizon_us):
+                rate = max(rate, cls.worth * (1 - cls.late_worth) / max(cls.deadline_us - cls.promise_us, 1))
+        rate /= max(tau_us, self._t1_us / 8)
+        if rate:  # until it may come up to what went last, so that it is looked at when it matters
+            until_us = min(until_us, at_us + max((self._top - earns) / rate, BOUND_US / 50))
+        most = (earns + rate * (until_us - at_us)) * (1 + 1e-9) if rate else earns
+        heapq.heappush(self._bounds, (-most, destination.number, destination.stamp))
+        heapq.heappush(self._lapses, (until_us - tau_us, destination.number, destination.stamp))
+
     def _heads(self, destination: Destination) -> list[Message]:
         """The first of each line and stage, the most pressing first."""
         tau_us = destination.loop.tau_us
