--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import heapq
+import socket
+import sys
 from collections.abc import Callable
 from itertools import count
 from pathlib import Path
@@ -166,7 +168,7 @@
 
 def courier(folder: Path, command: str, ready_s: float = 20.0) -> Courier:
     def configure(listen: str) -> dict[str, object]:
-        return {"discovery": "127.0.0.1:1", "listen": listen}
+        return {"discovery": "127.0.0.1:1", "listen": listen, "known": {"hosts": []}}
     return Courier("c0", command, folder, History(FIGURES), lambda: 0, configure, ready_s)
 
 
@@ -183,6 +185,17 @@
     run(scene())
 
 
+def test_a_port_that_somebody_took_is_changed_for_another(tmp_path: Path) -> None:
+    async def scene() -> None:
+        one = courier(tmp_path, f"{sys.executable} {Path(__file__).parent / 'stub_courier.py'} plain")
+        with socket.create_server(("127.0.0.1", one.port.port)) as taken:
+            assert await one.start()
+            assert one.address != taken.getsockname()
+        assert turns(one) == [(Turn.READY, 0)]
+        await one.stop()
+    run(scene())
+
+
 def test_a_courier_that_dies_at_once_is_named_with_its_code(tmp_path: Path) -> None:
     async def scene() -> None:
         one = courier(tmp_path, "sh -c 'echo no; exit 7'")
