Ranking: bounds that rise alike keep their order, and lapse at different times

Cause: where thousands rise towards their promise, each bound held for 20 ms only, and all lapsed at once. Change: bounds are kept by how fast they rise (to a factor of 1.1), as lines in time, until the next mark or for 2 to 6 s, different for each destination.

--- a/wheelstep/logic.py
+++ b/wheelstep/logic.py
@@ -33,7 +33,8 @@
 RAMP = 0.8  # of `fall_multiple` times what an endpoint carried, so much it gets back as it warms
 TABLE_PLACE = 0.12  # what an idle connection takes from others, to be saved in handshakes
 FEW = 64  # so many destinations are all ranked in every batch
-BOUND_US = 1_000_000  # for so long at most a bound on what a destination can earn is kept
+BOUND_US = 4_000_000  # for about so long a bound on what a destination can earn is kept
+RATES = 1.1  # bounds that rise at about the same rate, to this factor, count as rising alike
 MEMORY_US = 10_000_000  # over this time the rate that an endpoint carries is averaged
 
 
@@ -436,9 +437,10 @@
         self._backlog: dict[int, Destination] = {}  # those with messages waiting
         self._ready: dict[int, Destination] = {}  # those of them that something has happened to
         self._news: dict[int, Destination] = {}  # of these, the ones that must be looked at anew
-        self._bounds: list[tuple[float, int, int]] = []  # what each can earn at most, negative; number; stamp
+        # What each can earn at most, by how fast that rises: at time 0 and negative; number; stamp.
+        self._bounds: dict[float, list[tuple[float, int, int]]] = {}
         self._lapses: list[tuple[float, int, int]] = []  # until when that holds
-        self._stamp, self._top, self._bounding = 0, 0.0, False
+        self._stamp, self._bounding = 0, False
         self._endpoints: dict[str, Endpoint] = {}
         self._chains: dict[str, Chain] = defaultdict(Chain)
         self._heap: list[tuple[int, int, Callable[[], None]]] = []
@@ -725,14 +727,12 @@
         for destination in self._changed():
             self._rank(destination, ranked)
         while self._calls_out < self._s.slots:
-            while self._bounds and (not ranked or self._bounds[0][:2] < ranked[0][:2]):
-                _, number, stamp = heapq.heappop(self._bounds)
-                if number in self._ready and self._ready[number].stamp == stamp:
-                    self._rank(self._ready[number], ranked)
+            while (top := self._topmost()) is not None and (not ranked or top[:2] < ranked[0][:2]):
+                self._rank(self._ready[top[1]], ranked)
             if not ranked:
                 break
-            earns, number, heads = heapq.heappop(ranked)
-            self._top, destination = -earns, self._ready[number]
+            _, number, heads = heapq.heappop(ranked)
+            destination = self._ready[number]
             if self._send_one(destination, heads):
                 self._rank(destination, ranked)
             else:
@@ -747,7 +747,7 @@
         few = len(self._ready) <= FEW
         if few or not self._bounding:
             self._bounding = not few
-            self._bounds, self._lapses = [], []
+            self._bounds, self._lapses = {}, []
             self._news.clear()
             return list(self._ready.values())
         while self._lapses and self._lapses[0][0] <= self._now:
@@ -755,12 +755,23 @@
             if number in self._ready and self._ready[number].stamp == stamp:
                 self._news[number] = self._ready[number]
         news, self._news = self._news, {}
-        if len(self._bounds) > 4 * len(self._ready):  # old ones that never came to the top
+        if sum(map(len, self._bounds.values())) > 4 * len(self._ready):  # old ones that never came to the top
             stamps = {number: destination.stamp for number, destination in self._ready.items()}
-            self._bounds = [row for row in self._bounds if stamps.get(row[1]) == row[2]]
-            heapq.heapify(self._bounds)
+            for slope, rows in list(self._bounds.items()):
+                self._bounds[slope] = [row for row in rows if stamps.get(row[1]) == row[2]]
+                heapq.heapify(self._bounds[slope])
         return [destination for number, destination in news.items() if number in self._ready]
 
+    def _topmost(self) -> tuple[float, int] | None:
+        """The highest bound just now, negative, and whose it is. Of those that rise alike the order stays."""
+        best: tuple[float, int] | None = None
+        for slope, rows in self._bounds.items():
+            while rows and (rows[0][1] not in self._ready or self._ready[rows[0][1]].stamp != rows[0][2]):
+                heapq.heappop(rows)
+            if rows and (best is None or (rows[0][0] - slope * self._now, rows[0][1]) < best):
+                best = rows[0][0] - slope * self._now, rows[0][1]
+        return best
+
     def _rank(self, destination: Destination, ranked: list[tuple[float, int, list[Message]]]) -> None:
         self._stamp += 1
         destination.stamp = self._stamp
@@ -780,25 +791,26 @@
         tau_us = destination.loop.tau_us
         at_us, horizon_us = self._now + tau_us, self._horizon_us
         even = self._s.decay is Decay.EVEN
-        until_us = at_us + (BOUND_US if even else BOUND_US / 8)
+        # Not all for equally long: guards a round against thousands of bounds that lapse at once.
+        kept_us = BOUND_US * (0.5 + destination.number * 0.618 % 1)
+        until_us = at_us + (kept_us if even else kept_us / 100)
         for message in heads:
             marks = (message.promised_us - horizon_us, message.promised_us, message.due_us - horizon_us,
                      message.due_us)
             until_us = min(until_us, min((mark for mark in marks if mark > at_us), default=until_us))
-        rate = 0.0  # how fast it may rise
+        rise = rate = 0.0
         for message in heads:
             cls = message.cls
-            if not even:  # falls by halves: what it is now, less what its later self will be by then
+            if not even:  # falls by halves: what its later self is now, less what it will be by then
                 later = message.worth_at(until_us + horizon_us, self._s.decay)
-                rise = message.worth_at(at_us + horizon_us, self._s.decay) - later
-                rate = max(rate, rise / (until_us - at_us))
+                rise = max(rise, message.worth_at(at_us + horizon_us, self._s.decay) - later)
             elif marks_rise(message, at_us, horizon_us):
                 rate = max(rate, cls.worth * (1 - cls.late_worth) / max(cls.deadline_us - cls.promise_us, 1))
-        rate /= max(tau_us, self._t1_us / 8)
-        if rate:  # until it may come up to what went last, so that it is looked at when it matters
-            until_us = min(until_us, at_us + max((self._top - earns) / rate, BOUND_US / 50))
-        most = (earns + rate * (until_us - at_us)) * (1 + 1e-9) if rate else earns
-        heapq.heappush(self._bounds, (-most, destination.number, destination.stamp))
+        slot_us = max(tau_us, self._t1_us / 8)
+        slope = RATES ** math.ceil(math.log(rate / slot_us, RATES)) if rate else 0.0
+        most = (earns + rise / slot_us) * (1 + 1e-6) if rate or rise else earns
+        rows = self._bounds.setdefault(slope, [])
+        heapq.heappush(rows, (slope * self._now - most, destination.number, destination.stamp))
         heapq.heappush(self._lapses, (until_us - tau_us, destination.number, destination.stamp))
 
     def _heads(self, destination: Destination) -> list[Message]:
