--- a/tests/test_journal_crashes.py
+++ b/tests/test_journal_crashes.py
@@ -274,10 +274,8 @@
     journal.take(message("b"))
     journal.attempt("a", 0, 5, "e0")
     disk.room = disk.used()  # somebody else has filled it
-    disk.files[name_of(1)].data += b""
     with pytest.raises(NoRoomError):
         journal.take(message("c", 2_000))
-    journal.take  # noqa: B018
     journal.outcome("a", 0, True)
     journal.end("b", "given_up", 0)
     for number in range(600):  # until the last block is full as well
--- a/wheelstep/cli/journal_commands.py
+++ b/wheelstep/cli/journal_commands.py
@@ -32,8 +32,18 @@
     for name, value in found.items():
         if isinstance(value, list):
             print(f"{name.replace('_', ' ')}: {len(value)}")
-            for row in value:
-                print("  " + (", ".join(f"{key} {item}" for key, item in row.items()) if isinstance(row, dict)
-                              else str(row)))
+            _table(value)
         else:
             print(f"{name.replace('_', ' ')}: {'none' if value is None else value}")
+
+
+def _table(rows: list[Any]) -> None:
+    """Rows under one heading, in columns as wide as their widest cell; plain values one a line."""
+    if not rows or not isinstance(rows[0], dict):
+        for row in rows:
+            print(f"  {row}")
+        return
+    lines = [list(rows[0]), *([str(cell) for cell in row.values()] for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    for line in lines:
+        print("  " + "  ".join(cell.ljust(width) for cell, width in zip(line, widths, strict=True)).rstrip())
--- a/wheelstep/journal/tools.py
+++ b/wheelstep/journal/tools.py
@@ -10,11 +10,10 @@
 from wheelstep.journal import recovery
 from wheelstep.journal.codec import FormatError
 from wheelstep.journal.disk import Folder
-from wheelstep.journal.journal import FolderInUseError, Journal, Sync
+from wheelstep.journal.journal import _LEAST_SEGMENT, _MOST_SEGMENT, FolderInUseError, Journal, Sync
 from wheelstep.journal.segments import name_of, rounded
 
 _NO_LIMIT = 1 << 40
-_LEAST_SEGMENT, _MOST_SEGMENT = 64 * 1024, 4 * 1024 * 1024
 
 
 class ToolError(Exception):
--- a/wheelstep/rehearsal/standins/model.py
+++ b/wheelstep/rehearsal/standins/model.py
@@ -166,10 +166,9 @@
             self._later(begin_us + round(job.work_us / self._share()), lambda job=job: self._finish(job))  # type: ignore[misc]
 
     def _finish(self, job: Job) -> None:
-        if (now_us := self._now()) < self._stalled_us:
+        if self._now() < self._stalled_us:
             self._later(self._stalled_us, lambda: self._finish(job))
             return
-        assert now_us >= 0
         self._busy -= 1
         job.served = True
         if not job.given_up or self.partner.run_on:
