--- a/wheelstep/journal/disk.py
+++ b/wheelstep/journal/disk.py
@@ -21,9 +21,6 @@
     def read(self, name: str) -> bytes:
         """A whole file."""
 
-    def size(self, name: str) -> int:
-        """Its bytes."""
-
     def create(self, name: str) -> int:
         """A new file, open for appending; `FileExistsError` if there is one."""
 
@@ -71,9 +68,6 @@
     def read(self, name: str) -> bytes:
         return (self._path / name).read_bytes()
 
-    def size(self, name: str) -> int:
-        return (self._path / name).stat().st_size
-
     def create(self, name: str) -> int:
         return os.open(self._path / name, os.O_RDWR | os.O_CREAT | os.O_EXCL | os.O_APPEND | os.O_CLOEXEC, 0o600)
 
--- a/wheelstep/rehearsal/faulty_disk.py
+++ b/wheelstep/rehearsal/faulty_disk.py
@@ -64,9 +64,6 @@
     def read(self, name: str) -> bytes:
         return bytes(self.files[name].data)
 
-    def size(self, name: str) -> int:
-        return len(self.files[name].data)
-
     def _open(self, inode: Inode) -> int:
         self._next += 1
         self._handles[self._next] = inode
