A call whose last byte went out never passes for one that never ran

Found from outside: whether the last byte was written was noted by the call's task once it woke up. A time-out, cancel or break in the same turn of the loop then counted as CONNECT_FAILED, which says that it never ran, and an unsafe message could be sent twice. The connection now notes it in the step that writes the byte, also while it is closing. An answer that came in the turn in which a call was given up is read, so that the wait it tells is kept.

--- a/wheelstep/courier/connection.py
+++ b/wheelstep/courier/connection.py
@@ -53,6 +53,8 @@
         self._raw = b""  # what came and is not yet read
         self._began: float | None = None
         self.idle_since = 0.0
+        self._given_up = False
+        self.written = False  # the last byte of the call under way went out: from then on it may run
 
     @classmethod
     async def dial(cls, address: Address) -> Connection:
@@ -89,7 +91,9 @@
         self._paused = True
 
     def resume_writing(self) -> None:
-        self._paused = False
+        # Told in the very step that writes the last byte, also where this side closes. Guards against a call that
+        # ends between that and the turn in which its task wakes up: it would pass for one that never ran.
+        self._paused, self.written = False, True
         self._news.set()
 
     # --- what the outlet asks ---
@@ -109,18 +113,20 @@
             self._transport.abort()
 
     async def send(self, request: h11.Request, body: bytes) -> None:
-        """Write one request whole, or raise `BrokenError`: its last byte was not written."""
+        """Write one request whole, or raise `BrokenError`; `written` tells whether its last byte went out."""
         parts = [self._http.send(request)]
         if body:
             parts.append(self._http.send(h11.Data(data=body)))
         parts.append(self._http.send(h11.EndOfMessage()))
         assert self._transport is not None
-        self._busy, self._raw, self._began = True, b"", None
+        self._busy, self._raw, self._began, self.written = True, b"", None, False
         self._transport.write(b"".join(part for part in parts if part))
+        if not self._paused:
+            self.written = not self._transport.is_closing()  # a write that fails closes at once
         while self._paused and not self._ended:
             self._news.clear()
             await self._news.wait()
-        if self._transport.is_closing():
+        if not self.written:
             raise BrokenError("ended while the call was written")
 
     async def answer(self) -> Answer:
@@ -161,6 +167,8 @@
 
     async def _more(self) -> bytes:
         """Further bytes of the answer; none once the connection has ended."""
+        if self._given_up:
+            raise asyncio.CancelledError
         while not self._raw and not self._ended:
             self._news.clear()
             left_s = None if self._began is None else self._began + _TAIL_S - time.monotonic()
@@ -170,6 +178,12 @@
             except TimeoutError:
                 if not self._news.is_set():  # it may have come while the loop was late itself
                     raise _SpoiltError("hangs") from None
+            except asyncio.CancelledError:
+                # Guards the wait and the end that an answer tells when it came in the turn in which the call was
+                # given up: what is there is still read, what is missing is not waited for.
+                if not self._raw:
+                    raise
+                self._given_up = True
         if self._began is not None and time.monotonic() - self._began > 4 * _TAIL_S:
             raise _SpoiltError("trickles")
         data, self._raw = self._raw, b""
@@ -181,7 +195,7 @@
                 and not self._raw and not self._http.trailing_data[0] and self.usable())
         if kept:
             self._http.start_next_cycle()
-            self._busy, self.idle_since = False, time.monotonic()
+            self._busy, self.written, self.idle_since = False, False, time.monotonic()
         return kept
 
 
--- a/wheelstep/courier/inlet.py
+++ b/wheelstep/courier/inlet.py
@@ -14,7 +14,7 @@
 from enum import Enum
 from typing import Protocol
 
-from aiohttp import web
+from aiohttp import HttpVersion10, HttpVersion11, web
 from aiohttp.typedefs import Handler
 
 from wheelstep.courier.config import Address
@@ -22,6 +22,7 @@
 
 MOST_BODY = 64 * 1024
 _MOST_DEADLINE_MS = 24 * 3600 * 1000
+_ONCE = ("X-Request-Id", "X-Class", "X-Deadline-Ms", "X-Consignee", "Idempotency-Key", "X-Retry")
 _COME_BACK = {"Retry-After": "1"}
 _ACCEPT = 16  # connections taken on in one turn of the loop; the count may pass its limit by so many
 _QUEUE = 512  # connections that wait in the kernel: a crowd may not make good clients dial again
@@ -72,6 +73,12 @@
 def read_message(request: web.Request, body: bytes, classes: Mapping[str, bool]) -> Stored:
     """The message that a request hands in; `classes` tells which ones keep the order of their keys."""
     headers = request.headers
+    if request.version not in (HttpVersion10, HttpVersion11):
+        request._version = HttpVersion11  # aiohttp would answer in the version that was asked for
+        raise BadRequestError("only HTTP/1.0 and HTTP/1.1 are spoken here")
+    for field in _ONCE:  # guards against owing one of two ids an end, and nobody knowing which
+        if len(headers.getall(field, ())) > 1:
+            raise BadRequestError(f"{field} is given twice")
     name = headers.get("X-Request-Id", "")
     if not name or len(name) > 128 or not name.isascii() or not name.isprintable() or " " in name:
         raise BadRequestError("X-Request-Id is missing or malformed")
--- a/wheelstep/courier/outlet.py
+++ b/wheelstep/courier/outlet.py
@@ -248,8 +248,8 @@
             if wanted is None:
                 keep, link.idle_since = True, time.monotonic()
                 return None
+            progress.link = link
             await link.send(*wanted)
-            progress.written = True
             answer = await link.answer()
             keep = not answer.spoilt and link.next_cycle()
             return answer
@@ -300,10 +300,10 @@
     """How far an exchange has come; what its end means hangs on it."""
 
     dialled: bool = False
-    written: bool = False
+    link: Connection | None = None  # the call is being written to it, or was
 
     def ended_by(self, outcome: Outcome) -> Outcome:
-        if self.written:
+        if self.link is not None and self.link.written:
             return outcome
         if outcome is Outcome.CANCELLED or not self.dialled:
             return Outcome.NOT_SENT
