--- a/wheelstep/courier/inlet.py
+++ b/wheelstep/courier/inlet.py
@@ -73,8 +73,8 @@
 def read_message(request: web.Request, body: bytes, classes: Mapping[str, bool]) -> Stored:
     """The message that a request hands in; `classes` tells which ones keep the order of their keys."""
     headers = request.headers
-    if request.version not in (HttpVersion10, HttpVersion11):
-        request._version = HttpVersion11  # aiohttp would answer in the version that was asked for
+    if request._version not in (HttpVersion10, HttpVersion11):
+        request._version = HttpVersion11  # aiohttp would answer in the version that was asked for, once it is read
         raise BadRequestError("only HTTP/1.0 and HTTP/1.1 are spoken here")
     for field in _ONCE:  # guards against owing one of two ids an end, and nobody knowing which
         if len(headers.getall(field, ())) > 1:
