--- a/wheelstep/courier/inlet.py
+++ b/wheelstep/courier/inlet.py
@@ -75,7 +75,7 @@
     headers = request.headers
     if request._version not in (HttpVersion10, HttpVersion11):
         request._version = HttpVersion11  # aiohttp would answer in the version that was asked for, once it is read
-        raise BadRequestError("only HTTP/1.0 and HTTP/1.1 are spoken here")
+        raise BadRequestError("this version of HTTP is not spoken here; expected 1.0 or 1.1")
     for field in _ONCE:  # guards against owing one of two ids an end, and nobody knowing which
         if len(headers.getall(field, ())) > 1:
             raise BadRequestError(f"{field} is given twice")
