--- a/wheelstep/cli/__main__.py
+++ b/wheelstep/cli/__main__.py
@@ -6,6 +6,7 @@
 import os
 import sys
 from collections.abc import Sequence
+from pathlib import Path
 
 from wheelstep.cli.exits import BAD_INPUT, INTERRUPTED, OK, InputError
 
@@ -19,6 +20,11 @@
     demo.add_argument("--length", type=float, metavar="SECONDS", help="a shorter or longer demo")
     serve = commands.add_parser("serve", help="run the daemon that the RELAY_* environment describes")
     serve.add_argument("--operator", metavar="FILE", help="the operator's own file")
+    serve.add_argument("--workers", type=int, metavar="N", help="so many worker processes (0: none)")
+    workers = commands.add_parser("workers", help="the folder of a courier with workers, while none runs on it")
+    workers_verbs = workers.add_subparsers(dest="verb", required=True, metavar="VERB")
+    merge = workers_verbs.add_parser("merge", help="back to one journal, for a courier without workers")
+    merge.add_argument("folder", help="RELAY_STATE of a courier that does not run")
     config = commands.add_parser("config", help="configuration files")
     config_commands = config.add_subparsers(dest="what", required=True, metavar="WHAT")
     check = config_commands.add_parser("check", help="check an operator's file, a configuration or a scenario")
@@ -88,7 +94,16 @@
     try:
         if given.command == "serve":
             from wheelstep.courier.__main__ import main as serve
-            return serve(given.operator)
+            if given.workers is not None and not 0 <= given.workers <= 64:
+                raise InputError(f"--workers: {given.workers}; expected 0 to 64")
+            return serve(given.operator, given.workers)
+        if given.command == "workers":
+            from wheelstep.workers.layout import LayoutError, prepare
+            try:
+                prepare(Path(given.folder), 0, 0)
+            except LayoutError as error:
+                raise InputError(str(error)) from error
+            return OK
         if given.command == "journal":
             from wheelstep.cli import journal_commands
             return journal_commands.run(given)
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -9,12 +9,13 @@
 import signal
 import sys
 import time
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Protocol
 
 import aiohttp
 
 from wheelstep import interface as api
-from wheelstep.courier.config import Config, ConfigError, load
+from wheelstep.courier.config import Address, Config, ConfigError, load
 from wheelstep.courier.core import Core
 from wheelstep.courier.inlet import Inlet
 from wheelstep.courier.platform import Notices, Watch, entries
@@ -24,6 +25,7 @@
 
 if TYPE_CHECKING:  # what is off is not imported
     from wheelstep.operator import Operator
+    from wheelstep.recording.writer import Recorder
 
 _WORK_ON_S = 2.0  # from SIGTERM until no new attempt starts
 _CLOSE_S = 2.8  # until clients' connections are ended
@@ -39,10 +41,10 @@
     terminated = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, terminated.set)
-    journal = _open_journal(config, operator)
+    journal = open_journal(config, operator)
     core = Core(config, journal)
     if operator is not None:
-        _switch_on(operator, config, core)
+        core.recorder = recorder(operator, config)
     ordered = [cls.ordered for cls in config.settings.classes]
     inlet = Inlet(core, dict(zip(config.names.classes, ordered, strict=True)), config.sockets // 3)
     async with aiohttp.ClientSession(auto_decompress=False, trust_env=False) as http:
@@ -50,19 +52,19 @@
         seq = config.known.get("seq", 0)
         watch = Watch(http, config.discovery, config.names, seq if isinstance(seq, int) else 0, core.listed)
         core.listed(api.ListKind.RESTORED, entries(config.known, config.names))
-        core.restore()
+        core.restore(journal.marks, journal.messages.values())
         gc.freeze()  # what was restored lives long: a collection that walked it all would stop the loop
         async with asyncio.TaskGroup() as group:  # a task that dies ends the process with its traceback
             tasks = [group.create_task(work) for work in
                      (core.notices.run(), watch.run(), core.outlet.sweep(), inlet.sweep(),
-                      journal.compact_for_good(), _follow_config(config, renewed, watch, core.notices))]
+                      journal.compact_for_good(), follow_config(config, renewed, watch, core.notices))]
             core.ready = True
             port = await inlet.start(config.listen)
             log.info("%s serves on %s:%d, %d messages restored; %d slots, holds %d, %d descriptors",
                      config.name, config.listen.host, port, len(journal.messages), config.settings.slots,
                      config.settings.hold_limit, config.sockets)
             await terminated.wait()
-            await _leave(core, inlet)
+            await leave(core, inlet)
             for task in tasks:
                 task.cancel()
     if core.recorder is not None:
@@ -70,8 +72,11 @@
     journal.close()
 
 
-def _open_journal(config: Config, operator: Operator | None) -> Journal:
+def open_journal(config: Config, operator: Operator | None) -> Journal:
     """Raises `ConfigError` where the folder can't be used."""
+    if (config.state / "layout.json").exists():  # guards what workers owe against a courier that would not see it
+        raise ConfigError(f"{config.state}: laid out for workers; expected `umberchute serve --workers N`, or "
+                          f"`umberchute workers merge {config.state}` first")
     part = operator.journal if operator is not None else None
     try:
         if part is None:
@@ -82,18 +87,27 @@
         raise ConfigError(f"{config.state}: {error}") from error
 
 
-def _switch_on(operator: Operator, config: Config, core: Core) -> None:
-    """What the operator's file asks for beyond the platform."""
+def recorder(operator: Operator, config: Config) -> Recorder | None:
+    """Where the operator's file asks for a record of what is handed in."""
     recording = operator.recording
-    if recording.on and recording.file is not None:
-        from wheelstep.recording.format import Head
-        from wheelstep.recording.writer import Recorder
-        hosts = config.known.get("hosts") or []
-        head = Head(config.name, int(time.time() * 1000), dict(config.raw_settings), list(hosts))
-        core.recorder = Recorder(recording.file, head, int(recording.max_mb * 1_000_000), recording.bodies)
+    if not recording.on or recording.file is None:
+        return None
+    from wheelstep.recording.format import Head
+    from wheelstep.recording.writer import Recorder
+    hosts = config.known.get("hosts") or []
+    head = Head(config.name, int(time.time() * 1000), dict(config.raw_settings), list(hosts))
+    return Recorder(recording.file, head, int(recording.max_mb * 1_000_000), recording.bodies)
 
 
-async def _follow_config(config: Config, renewed: asyncio.Event, watch: Watch, notices: Notices) -> None:
+class Moves(Protocol):
+    """What has its place at discovery."""
+
+    def move(self, discovery: Address) -> None:
+        """It is there from now on."""
+
+
+async def follow_config(config: Config, renewed: asyncio.Event, *places: Moves,
+                        heeded: Callable[[], None] = lambda: None) -> None:
     """Read the file again whenever it is said to be new. One that can't be used changes nothing."""
     discovery = config.discovery
     while True:
@@ -107,11 +121,12 @@
         log.info("configuration read again: discovery at %s:%d", now.host, now.port)
         if now != discovery:
             discovery = now
-            watch.move(now)
-            notices.move(now)
+            for place in places:
+                place.move(now)
+        heeded()
 
 
-async def _leave(core: Core, inlet: Inlet) -> None:
+async def leave(core: Core, inlet: Inlet) -> None:
     """Clients hear 503 from the health check, and go on being served on the connections that they have."""
     began = asyncio.get_running_loop().time()
     core.ready = False
@@ -129,9 +144,9 @@
     log.info("stopped")
 
 
-def main(operator_file: str | None = None) -> int:
+def main(operator_file: str | None = None, workers: int | None = None) -> int:
     """Run the courier that the environment describes, with the operator's file if one is named here or by
-    `UMBERCHUTE_OPERATOR`."""
+    `UMBERCHUTE_OPERATOR`; with so many workers, if any, in place of what the file says."""
     logging.basicConfig(stream=sys.stderr, level=logging.INFO,
                         format="%(asctime)s %(levelname)s %(name)s %(message)s")
     logging.getLogger("aiohttp").setLevel(logging.ERROR)
@@ -146,6 +161,11 @@
                 operator = load_operator(path)
             except OperatorError as error:
                 raise ConfigError(str(error)) from error
+        if workers is None and operator is not None:
+            workers = operator.workers.count
+        if workers:
+            from wheelstep.workers.supervisor import supervise
+            return asyncio.run(supervise(load(os.environ), renewed, operator, workers, operator_file))
         asyncio.run(serve(load(os.environ), renewed, operator))
     except ConfigError as error:
         print(f"courier: {' '.join(str(error).split())}", file=sys.stderr)
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -6,8 +6,8 @@
 import logging
 import time
 from collections import defaultdict
-from collections.abc import Sequence
-from typing import TYPE_CHECKING
+from collections.abc import Iterable, Mapping, Sequence
+from typing import TYPE_CHECKING, Any, Protocol
 
 from wheelstep import Sender
 from wheelstep import interface as api
@@ -15,7 +15,7 @@
 from wheelstep.courier.outlet import Item, Outlet, Result
 from wheelstep.courier.platform import Notices
 from wheelstep.interface import UNRUN, EndpointState, Outcome
-from wheelstep.journal import Journal, NoRoomError, Stored
+from wheelstep.journal import NoRoomError, Stored
 
 if TYPE_CHECKING:  # what is off is not imported
     from wheelstep.recording.writer import Recorder
@@ -27,10 +27,37 @@
 log = logging.getLogger(__name__)
 
 
+class Book(Protocol):
+    """What is asked of a journal: see `wheelstep.journal.Journal`."""
+
+    @property
+    def messages(self) -> dict[str, Stored]: ...
+
+    @property
+    def marks(self) -> dict[str, Any]: ...
+
+    @property
+    def waits(self) -> bool: ...
+
+    def take(self, message: Stored) -> None: ...
+
+    def attempt(self, message: str, number: int, at_ms: int, endpoint: str) -> None: ...
+
+    def outcome(self, message: str, number: int, may_have_run: bool) -> None: ...
+
+    def end(self, message: str, outcome: str, retry_ms: int) -> None: ...
+
+    def over(self, message: str) -> None: ...
+
+    def mark(self, name: str, value: Any) -> None: ...
+
+    async def durable(self) -> None: ...
+
+
 class Core:
     """One courier's state between its sockets, its journal and the module."""
 
-    def __init__(self, config: Config, journal: Journal) -> None:
+    def __init__(self, config: Config, journal: Book) -> None:
         self._s, self._names, self._journal = config.settings, config.names, journal
         self._sender = Sender(config.settings, config.seed)
         self._classes = {name: i for i, name in enumerate(config.names.classes)}
@@ -41,6 +68,7 @@
         self._numbers: dict[str, int] = {}  # each one's next attempt
         self._listed: dict[str, api.EndpointInfo] = {}
         self._destinations: set[int] = set()  # those that any list has named
+        self.knows_list = False  # has any list been read, also one with nothing in it for this courier?
         self._waits: dict[str | int, float] = {}  # until when nothing may go to a destination or route
         self._unsettled: dict[str, set[str]] = defaultdict(set)  # key -> messages whose notice is owed
         self._settled = asyncio.Event()  # set, and replaced, whenever notices were answered
@@ -49,7 +77,6 @@
         self.notices: Notices | None = None
         self.recorder: Recorder | None = None
         self.ready = self.stopping = False
-        self.syncs = journal.waits
 
     # --- what the sockets tell ---
 
@@ -83,7 +110,7 @@
     def serves(self, destination: int) -> bool:
         """Has any list named it? Its endpoints may all be gone just now. Guards against messages that
         nobody could ever deliver."""
-        return destination in self._destinations or not self._destinations
+        return destination in self._destinations or not (self._destinations or self.knows_list)
 
     def take(self, message: Stored) -> None:
         """Write a new message down."""
@@ -123,15 +150,20 @@
             self.recorder.note(message.message_class, message.destination, message.key, message.token is not None,
                                message.body, _left_us(message) // 1000, status, message.resubmitted)
 
-    def restore(self) -> None:
-        """Take up what the journal holds: the health of endpoints, and the messages in their order."""
+    @property
+    def syncs(self) -> bool:
+        """Is there anything to wait for between writing an attempt down and its first byte?"""
+        return self._journal.waits
+
+    def restore(self, marks: Mapping[str, Any], messages: Iterable[Stored]) -> None:
+        """Take up what a journal holds: the health of endpoints, and the messages in their order."""
         now_ms = int(time.time() * 1000)
-        for endpoint, (at_ms, *health) in list(self._journal.marks.items()):
+        for endpoint, (at_ms, *health) in list(marks.items()):
             if endpoint in self._listed:
                 self._post(api.HealthRestored(endpoint, api.Health(*health), max(0, now_ms - at_ms) * 1000))
             else:
                 self._journal.mark(endpoint, None)
-        for message in list(self._journal.messages.values()):
+        for message in list(messages):
             if message.notice is not None:
                 self._owe(message)
             elif message.message_class not in self._classes:
--- a/wheelstep/courier/inlet.py
+++ b/wheelstep/courier/inlet.py
@@ -10,7 +10,7 @@
 import logging
 import socket
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from enum import Enum
 from typing import Protocol
 
@@ -70,6 +70,10 @@
     """What is wrong with a request, for its client."""
 
 
+class UnansweredError(Exception):
+    """Nobody knows whether it was taken on: no answer would be true."""
+
+
 def read_message(request: web.Request, body: bytes, classes: Mapping[str, bool]) -> Stored:
     """The message that a request hands in; `classes` tells which ones keep the order of their keys."""
     headers = request.headers
@@ -242,11 +246,22 @@
                 self._close(door)
 
 
+def bind(listen: Address) -> socket.socket:
+    """A socket that listens there. Raises `OSError`."""
+    family = socket.AF_INET6 if ":" in listen.host else socket.AF_INET
+    listener = socket.create_server((listen.host, listen.port), family=family)
+    listener.listen(_QUEUE)  # asyncio takes its backlog for the kernel's queue and its own turn alike
+    return listener
+
+
 class Inlet:
     """The server for clients; they may hold about `most` connections."""
 
-    def __init__(self, desk: Desk, classes: Mapping[str, bool], most: int) -> None:
+    def __init__(self, desk: Desk, classes: Mapping[str, bool], most: int,
+                 find: Callable[[int], Desk] | None = None) -> None:
+        """`find` gives the desk of a destination, where there are several; `desk` tells whether all are ready."""
         self._desk, self._classes, self._most = desk, classes, most
+        self._find = find
         self.closing = False  # answers end their connections from now on
         self._bad = self._no_room = 0
         app = web.Application(client_max_size=MOST_BODY, middlewares=[self._answer])
@@ -259,16 +274,15 @@
         self._doors: _Doors | None = None
         self._server: asyncio.Server | None = None
 
-    async def start(self, listen: Address) -> int:
-        """Listen, and return the port."""
+    async def start(self, listen: Address, listener: socket.socket | None = None) -> int:
+        """Listen, at `listener` if it is given, and return the port."""
         await self._runner.setup()
         assert self._runner.server is not None
         doors = self._doors = _Doors(self._runner.server, self._most)
-        family = socket.AF_INET6 if ":" in listen.host else socket.AF_INET
-        listener = socket.create_server((listen.host, listen.port), family=family)
+        listener = listener or bind(listen)
         self._server = await asyncio.get_running_loop().create_server(
             lambda: _Door(doors), sock=listener, backlog=_ACCEPT)
-        listener.listen(_QUEUE)  # asyncio takes its backlog for the kernel's queue and its own turn alike
+        listener.listen(_QUEUE)
         return int(listener.getsockname()[1])
 
     async def sweep(self) -> None:
@@ -281,7 +295,7 @@
                 log.info("%d bad requests", self._bad)
                 self._bad = 0
             if self._no_room:
-                log.warning("the journal had no room for %d messages", self._no_room)
+                log.warning("no room for %d messages", self._no_room)
                 self._no_room = 0
 
     async def stop(self) -> None:
@@ -307,6 +321,11 @@
             self._bad += 1
             answer = web.Response(status=400)
             answer.force_close()
+        except UnansweredError as error:
+            log.warning("no answer to a client: %s", error)
+            if request.transport is not None:
+                request.transport.abort()
+            answer = web.Response(status=500)
         except Exception:
             log.exception("a request failed unexpectedly")
             answer = web.Response(status=500)
@@ -320,32 +339,33 @@
     async def _health(self, request: web.Request) -> web.StreamResponse:
         return web.Response(status=200 if self._desk.ready else 503)
 
-    async def _durable(self, name: str) -> None:
+    async def _durable(self, desk: Desk, name: str) -> None:
         try:
-            await self._desk.durable()
+            await desk.durable()
         except BaseException:  # also where its client went meanwhile: nobody was told that it is taken on
-            self._desk.withdraw(name)
+            desk.withdraw(name)
             raise
 
     async def _hand_in(self, request: web.Request) -> web.StreamResponse:
         if (request.content_length or 0) > MOST_BODY:
             raise web.HTTPRequestEntityTooLarge(MOST_BODY, request.content_length or 0)
         message = read_message(request, await request.read(), self._classes)
-        if self._desk.holds(message.id):  # handed in once more after a connection that crossed
+        desk = self._desk if self._find is None else self._find(message.destination)
+        if desk.holds(message.id):  # handed in once more after a connection that crossed
             return web.Response(status=202)
-        if not self._desk.serves(message.destination):
+        if not desk.serves(message.destination):
             raise BadRequestError("no such destination")
-        if self._desk.full():
-            self._desk.handed_in(message, 503)
+        if desk.full():
+            desk.handed_in(message, 503)
             return web.Response(status=503, text="holds all it can\n", headers=_COME_BACK)
         if request.transport is None or request.transport.is_closing():
             return web.Response(status=503)  # nobody hears it
         try:
-            self._desk.take(message)
-            await self._durable(message.id)
+            desk.take(message)
+            await self._durable(desk, message.id)
         except NoRoomError:
             self._no_room += 1
-            self._desk.handed_in(message, 503)
+            desk.handed_in(message, 503)
             return web.Response(status=503, text="no room\n", headers=_COME_BACK)
         answer = web.Response(status=202)
         if self.closing or self._doors is None or self._doors.crowded():
@@ -354,8 +374,8 @@
             await answer.prepare(request)
             await answer.write_eof()
         except OSError:
-            self._desk.withdraw(message.id)
+            desk.withdraw(message.id)
             return answer
-        self._desk.begin(message.id)
-        self._desk.handed_in(message, 202)
+        desk.begin(message.id)
+        desk.handed_in(message, 202)
         return answer
--- a/wheelstep/courier/outlet.py
+++ b/wheelstep/courier/outlet.py
@@ -53,8 +53,9 @@
 class Gate(Protocol):
     """What the outlet asks of its owner."""
 
-    syncs: bool
-    """Is there anything to wait for between writing an attempt down and its first byte?"""
+    @property
+    def syncs(self) -> bool:
+        """Is there anything to wait for between writing an attempt down and its first byte?"""
 
     async def settled(self, items: Sequence[Item]) -> None:
         """Wait until nothing that must come before these messages is still under way."""
--- a/wheelstep/operator.py
+++ b/wheelstep/operator.py
@@ -35,11 +35,22 @@
     segment_kb: Annotated[int, Field(ge=0, le=1_000_000)] = 0
 
 
+class WorkersPart(Part):
+    """Whether the courier runs on several cores, and what is done about workers in trouble."""
+
+    count: Annotated[int, Field(ge=0, le=64)] = 0
+    shares: Annotated[int, Field(ge=1, le=64)] = 8
+    hang_after: Time = 3_000_000
+    park_after: Annotated[int, Field(ge=1, le=100)] = 3
+    park_within: Time = 30_000_000
+
+
 class Operator(Part):
     """The whole file."""
 
     journal: JournalPart = JournalPart()
     recording: RecordingPart = RecordingPart()
+    workers: WorkersPart = WorkersPart()
 
 
 def load(path: str) -> Operator:
--- a/wheelstep/rehearsal/broken/order.py
+++ b/wheelstep/rehearsal/broken/order.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Iterable, Mapping
+from typing import Any
 
 from wheelstep import interface as api
 from wheelstep.courier.core import Core
@@ -20,9 +22,9 @@
     restoring = []
     restore = Core.restore
 
-    def note(self: Core) -> None:
+    def note(self: Core, marks: Mapping[str, Any], messages: Iterable[Stored]) -> None:
         restoring.append(self)
-        restore(self)
+        restore(self, marks, messages)
         restoring.clear()
 
     def keyless(self: Core, message: Stored, resubmitted: bool) -> api.MessageAccepted:
--- a/wheelstep/rehearsal/history.py
+++ b/wheelstep/rehearsal/history.py
@@ -145,6 +145,8 @@
     EXITED = "exited"  # after TERM or KILL
     CRASHED = "crashed"  # by itself
     NEVER_READY = "never_ready"
+    PART_DOWN = "a worker was ended"
+    PART_UP = "a worker must have been replaced"
 
 
 @dataclass(frozen=True, slots=True)
--- a/wheelstep/rehearsal/judge.py
+++ b/wheelstep/rehearsal/judge.py
@@ -457,9 +457,9 @@
     spans: list[tuple[int, int]] = []
     since_us: int | None = None
     for life in lives:
-        if life.turn in (Turn.KILLED, Turn.TERMINATED, Turn.PAUSED, Turn.CRASHED) and since_us is None:
+        if life.turn in (Turn.KILLED, Turn.TERMINATED, Turn.PAUSED, Turn.CRASHED, Turn.PART_DOWN) and since_us is None:
             since_us = life.at_us
-        elif life.turn in (Turn.READY, Turn.RESUMED) and since_us is not None:
+        elif life.turn in (Turn.READY, Turn.RESUMED, Turn.PART_UP) and since_us is not None:
             spans.append((since_us, life.at_us))
             since_us = None
     if since_us is not None:
--- a/wheelstep/rehearsal/plan.py
+++ b/wheelstep/rehearsal/plan.py
@@ -73,6 +73,9 @@
     deadline_us: int = 0  # the time it has from `at_us`; 0: its class's
 
 
+PROCESS_FAULTS = ("kill", "term", "pause", "worker-kill", "worker-hang")
+
+
 @dataclass(frozen=True, slots=True)
 class Fault:
     """A fault at endpoints or couriers, from `at_us` until `until_us`."""
@@ -85,6 +88,7 @@
     share: float = 1.0
     when: str = "after"
     wait_us: int = 0
+    worker: int = 0
     every_us: int = 0
     stops_us: tuple[tuple[int, int], ...] = ()  # stall: from when until when
     told_us: tuple[int, ...] = ()  # until each courier is told
@@ -138,7 +142,7 @@
     length_us = scale.time(scenario.length)
     figures = _figures(scenario, partners, scale)
     longest_us = max(cls.deadline_us for cls in figures.classes.values())
-    last_us = max([length_us, *(fault.until_us for fault in faults if fault.kind in ("kill", "term", "pause"))])
+    last_us = max([length_us, *(fault.until_us for fault in faults if fault.kind in PROCESS_FAULTS)])
     return Plan(
         scenario=name, seed=seed, speed=speed, couriers=scenario.couriers, length_us=length_us,
         end_us=last_us + longest_us + figures.answer_slack_us + figures.restart_grace_us + 500_000,
@@ -236,7 +240,7 @@
     told = part.told_after or scenario.told_after
     return Fault(kind=part.kind, at_us=at_us, until_us=until_us, endpoints=endpoints, couriers=tuple(couriers),
                  share=1.0 if part.share is None else part.share, when=part.when or "after",
-                 wait_us=scale.time(part.wait or 0), stops_us=tuple(stops),
+                 wait_us=scale.time(part.wait or 0), worker=part.worker or 0, stops_us=tuple(stops),
                  told_us=tuple(scale.drawn(told, rng) for _ in range(scenario.couriers)))
 
 
--- a/wheelstep/rehearsal/rig.py
+++ b/wheelstep/rehearsal/rig.py
@@ -7,6 +7,7 @@
 import gc
 import itertools
 import shlex
+import signal
 import sys
 import tempfile
 from collections.abc import Callable, Coroutine
@@ -252,6 +253,13 @@
                         self._task(courier.terminate(for_s))
                     else:
                         self._task(courier.pause(for_s))
+            case "worker-kill" | "worker-hang":
+                number = signal.SIGKILL if fault.kind == "worker-kill" else signal.SIGSTOP
+                for index in fault.couriers:
+                    self._couriers[index].end_worker(fault.worker, number)
+                await self._until(fault.until_us)
+                for index in fault.couriers:
+                    self._couriers[index].whole_again()
             case "discovery":
                 for index in fault.couriers:
                     self._agents[index].down = True
--- a/wheelstep/rehearsal/scenario.py
+++ b/wheelstep/rehearsal/scenario.py
@@ -114,12 +114,13 @@
     """Something that goes wrong, and when. `for` is how long; which keys go with which kind is checked."""
 
     kind: Literal["stall", "silent", "hang", "refuse", "shut", "fail", "reset", "spoil", "drain", "leave", "replace",
-                  "kill", "term", "pause", "discovery"]
+                  "kill", "term", "pause", "discovery", "worker-kill", "worker-hang"]
     at: Span
     lasts: Annotated[Span | None, Field(alias="for")] = None
     partner: str | None = None
     endpoint: Annotated[int, Field(ge=0)] | None = None  # one of the partner's; none: all
     courier: Annotated[int, Field(ge=0)] | None = None  # none: all
+    worker: Annotated[int, Field(ge=0)] | None = None  # of a courier with workers; none: the first
     every: Time | None = None  # stall
     pause: Span | None = None  # stall
     share: Share | None = None  # fail, reset, spoil
@@ -141,7 +142,8 @@
             if self.lasts is None and self.kind not in ("leave", "replace"):
                 raise ValueError(f'for is missing; expected a time for a fault "{self.kind}"')
         allowed |= {"stall": {"every", "pause"}, "fail": {"share"}, "reset": {"share", "when"}, "spoil": {"share"},
-                    "shut": {"wait"}, "drain": {"told_after"}, "leave": {"told_after"},
+                    "shut": {"wait"}, "worker-kill": {"worker"}, "worker-hang": {"worker"},
+                    "drain": {"told_after"}, "leave": {"told_after"},
                     "replace": {"told_after"}}.get(self.kind, set())
         given = {name for name in type(self).model_fields if getattr(self, name) is not None}
         if extra := sorted(given - allowed):
--- a/wheelstep/rehearsal/standins/process.py
+++ b/wheelstep/rehearsal/standins/process.py
@@ -63,6 +63,19 @@
             self._lock = None
 
 
+def _children(pid: int) -> list[int]:
+    """The processes whose parent it is."""
+    found = []
+    for path in Path("/proc").glob("[0-9]*"):
+        try:
+            parent = int((path / "stat").read_text().rpartition(")")[2].split()[1])
+            if parent == pid:
+                found.append(((path / "cmdline").read_bytes(), int(path.name)))
+        except (OSError, ValueError, IndexError):
+            continue  # it has ended meanwhile
+    return [child for _, child in sorted(found)]
+
+
 def free(port: int) -> bool:
     """Can it be bound on 127.0.0.1?"""
     with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as trial:
@@ -227,6 +240,19 @@
         self._signal(signal.SIGCONT)
         self._turn(Turn.RESUMED)
 
+    def end_worker(self, worker: int, number: int) -> None:
+        """A signal to one of the processes that it has started, by the order of their command lines."""
+        self._turn(Turn.PART_DOWN)
+        if self.process is not None and self.process.returncode is None:
+            children = _children(self.process.pid)
+            if children:
+                with contextlib.suppress(ProcessLookupError):
+                    os.kill(children[worker % len(children)], number)
+
+    def whole_again(self) -> None:
+        """By now another process must have taken its place, or others what it owed."""
+        self._turn(Turn.PART_UP)
+
     async def stop(self) -> None:
         """Let it go for good; nothing of it stays behind."""
         self._going = True
--- /dev/null
+++ b/wheelstep/workers/supervisor.py
@@ -0,0 +1,255 @@
+"""The supervisor: starts the workers, watches discovery for all of them, and carries out what `ownership` decides."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import os
+import signal
+import socket
+import sys
+import tempfile
+from collections.abc import Iterable, Sequence
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from wheelstep import interface as api
+from wheelstep.courier.__main__ import follow_config
+from wheelstep.courier.config import Address, Config, ConfigError
+from wheelstep.courier.inlet import bind
+from wheelstep.courier.platform import Watch, entries
+from wheelstep.journal.disk import Folder
+from wheelstep.workers import ownership
+from wheelstep.workers.frames import Frames
+from wheelstep.workers.layout import Layout, LayoutError, prepare
+from wheelstep.workers.ownership import Fleet, Limits, share_of
+from wheelstep.workers.parts import Row, write_rows
+
+if TYPE_CHECKING:
+    from wheelstep.operator import Operator
+
+_TICK_S = 0.1
+_LEAVE_S = 3.4  # a worker that has not left by then is killed
+_BIND_S = 5.0  # what listened here before may take so long to end
+
+log = logging.getLogger("wheelstep.workers")
+
+
+class _AllParkedError(Exception):
+    """No worker is left."""
+
+
+class Supervisor:
+    """One courier of several processes."""
+
+    def __init__(self, config: Config, layout: Layout, fleet: Fleet, listener: socket.socket, sockets: str,
+                 operator_file: str | None) -> None:
+        self._config, self._layout, self._fleet = config, layout, fleet
+        self._listener, self._sockets, self._operator_file = listener, sockets, operator_file
+        self._rows: dict[str, Row] = {info.endpoint: (info, address)
+                                      for info, address in entries(config.known, config.names)}
+        self._share: dict[int, int] = {}
+        self._processes: dict[int, asyncio.subprocess.Process] = {}
+        self._controls: dict[int, Frames] = {}
+        self._discovery = config.discovery
+        self._ready = False
+        self._ended = asyncio.Event()
+
+    async def run(self, renewed: asyncio.Event) -> None:
+        """Until SIGTERM, or until no worker is left."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, renewed.set)
+        terminated = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, terminated.set)
+        seq = self._config.known.get("seq", 0)
+        async with aiohttp.ClientSession(auto_decompress=False, trust_env=False) as http, \
+                asyncio.TaskGroup() as self._group:
+            watch = Watch(http, self._config.discovery, self._config.names, seq if isinstance(seq, int) else 0,
+                          self._listed)
+            tasks = [self._group.create_task(work) for work in (
+                self._tick(), watch.run(),
+                follow_config(self._config, renewed, watch, self, heeded=self._reload))]
+            await terminated.wait()
+            await self._leave()
+            for task in tasks:
+                task.cancel()
+        log.info("stopped")
+
+    # --- the list ---
+
+    def _listed(self, kind: api.ListKind, rows: list[Row]) -> None:
+        if kind is not api.ListKind.CHANGES:
+            self._rows.clear()
+        for info, address in rows:
+            if info.state is api.EndpointState.REMOVED:
+                self._rows.pop(info.endpoint, None)
+            else:
+                self._rows[info.endpoint] = info, address
+        for number, control in self._controls.items():
+            mine = self._rows_of(number, rows)
+            if mine or kind is not api.ListKind.CHANGES:
+                control.send({"do": "list", "kind": kind.value, "rows": write_rows(mine)})
+        self._publish()
+
+    def _rows_of(self, number: int, rows: Iterable[Row]) -> list[Row]:
+        mine = set(self._fleet.shares_of(number))
+        return [row for row in rows if self._share_of(row[0].destination) in mine]
+
+    def _share_of(self, destination: int) -> int:
+        if destination not in self._share:
+            self._share[destination] = share_of(destination, self._layout.shares)
+        return self._share[destination]
+
+    # --- the fleet ---
+
+    async def _tick(self) -> None:
+        while True:
+            self._perform(self._fleet.tick(asyncio.get_running_loop().time()))
+            if self._fleet.lost():
+                raise _AllParkedError("every worker keeps crashing")
+            await asyncio.sleep(_TICK_S)
+
+    def _perform(self, actions: Sequence[ownership.Action]) -> None:
+        for action in actions:
+            match action:
+                case ownership.Start(number, shares):
+                    self._group.create_task(self._mind(number, shares))
+                case ownership.Open(number, shares):
+                    self._open(number, shares)
+                case ownership.Kill(number):
+                    if (process := self._processes.get(number)) is not None and process.returncode is None:
+                        process.kill()
+                case ownership.Tell(text):
+                    log.warning("%s", text)
+                case ownership.Publish():
+                    self._publish()
+
+    async def _mind(self, number: int, shares: tuple[int, ...]) -> None:
+        """A worker's process from its start to its end."""
+        ours, theirs = socket.socketpair(socket.AF_UNIX)
+        told = {"number": number, "workers": len(self._fleet.workers), "shares": self._layout.shares,
+                "generation": self._layout.generation, "listener": self._listener.fileno(),
+                "control": theirs.fileno(), "sockets": self._sockets, "operator": self._operator_file,
+                "parent": os.getpid()}
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "wheelstep.workers.worker", str(number),
+            pass_fds=(theirs.fileno(), self._listener.fileno()),
+            env={**os.environ, "UMBERCHUTE_WORKER": json.dumps(told)})
+        theirs.close()
+        self._processes[number] = process
+        control = Frames(lambda head, body: self._heard(number, head), lambda: None)
+        await asyncio.get_running_loop().create_unix_connection(lambda: control, sock=ours)
+        self._controls[number] = control
+        if self._fleet.stopping:
+            control.send({"do": "leave"})
+        control.send({"do": "discovery", "host": self._discovery.host, "port": self._discovery.port})
+        self._send_view(control)
+        # What it owns by now: some of it may have come while it started.
+        self._open(number, self._fleet.shares_of(number))
+        code = await process.wait()
+        control.close()
+        del self._controls[number], self._processes[number]
+        if not self._fleet.stopping:
+            log.error("worker %d ended with %d", number, code)
+        self._perform(self._fleet.died(number, asyncio.get_running_loop().time()))
+        self._ended.set()
+
+    def _open(self, number: int, shares: Sequence[int]) -> None:
+        """Where its process is not yet there, it is told once it is."""
+        if (control := self._controls.get(number)) is not None and shares:
+            control.send({"do": "open", "shares": list(shares),
+                          "rows": write_rows(self._rows_of(number, self._rows.values()))})
+
+    def _heard(self, number: int, head: dict[str, Any]) -> None:
+        self._fleet.heard(number)
+        if head["is"] == "open":
+            self._perform(self._fleet.opened(number, int(head["share"])))
+
+    def _publish(self) -> None:
+        if not self._ready and self._fleet.complete():
+            self._ready = True
+            log.info("%s serves on %s:%d with %d workers, %d shares", self._config.name, self._config.listen.host,
+                     self._config.listen.port, len(self._fleet.workers), self._layout.shares)
+        for control in self._controls.values():
+            self._send_view(control)
+
+    def _send_view(self, control: Frames) -> None:
+        control.send({"do": "view", "owners": self._fleet.hosted, "ready": self._ready and not self._fleet.stopping,
+                      "knows": bool(self._rows)})
+
+    # --- reload and end ---
+
+    def move(self, discovery: Address) -> None:
+        """The workers' notices go there from now on."""
+        self._discovery = discovery
+        for control in self._controls.values():
+            control.send({"do": "discovery", "host": discovery.host, "port": discovery.port})
+
+    def _reload(self) -> None:
+        self._perform(self._fleet.reload(asyncio.get_running_loop().time()))
+
+    async def _leave(self) -> None:
+        self._fleet.stop()
+        self._publish()
+        for control in self._controls.values():
+            control.send({"do": "leave"})
+        try:
+            async with asyncio.timeout(_LEAVE_S):
+                while self._processes:
+                    self._ended.clear()
+                    await self._ended.wait()
+        except TimeoutError:
+            for number, process in self._processes.items():
+                log.error("worker %d did not leave in time: killed", number)
+                process.kill()
+
+
+async def supervise(config: Config, renewed: asyncio.Event, operator: Operator | None, workers: int,
+                    operator_file: str | None) -> int:
+    """Run a courier with so many workers until SIGTERM, and return the exit code. Raises `ConfigError`."""
+    part = operator.workers if operator is not None else None
+    shares = part.shares if part is not None else max(8, workers)
+    limits = Limits() if part is None else Limits(
+        hang_s=part.hang_after / 1e6, crashes=part.park_after, within_s=part.park_within / 1e6)
+    if shares < workers:
+        raise ConfigError(f"workers.shares: {shares}; expected {workers} at least, one for each worker")
+    if min(config.settings.slots, config.settings.hold_limit) < workers:
+        raise ConfigError(f"workers.count: {workers}; expected no more than there are slots ({config.settings.slots}) "
+                          f"and messages to be held ({config.settings.hold_limit})")
+    listener = await _bind(config.listen)
+    try:
+        layout = prepare(config.state, shares, config.disk_bytes)
+    except LayoutError as error:
+        raise ConfigError(str(error)) from error
+    lock = Folder(config.state)
+    if not lock.lock():
+        raise ConfigError(f"{config.state}: another process has the folder")
+    try:
+        with tempfile.TemporaryDirectory(prefix="umberchute-") as sockets:
+            supervisor = Supervisor(config, layout, Fleet(workers, shares, limits), listener, sockets,
+                                    operator_file or os.environ.get("UMBERCHUTE_OPERATOR"))
+            await supervisor.run(renewed)
+        return 0
+    except ExceptionGroup as group:
+        if group.split(_AllParkedError)[1] is not None:
+            raise
+        log.error("%s", group.exceptions[0])
+        return 1
+    finally:
+        lock.unlock()
+        listener.close()
+
+
+async def _bind(listen: Address) -> socket.socket:
+    """A supervisor that was just killed may have left workers that are still going."""
+    until = asyncio.get_running_loop().time() + _BIND_S
+    while True:
+        try:
+            return bind(listen)
+        except OSError as error:
+            if asyncio.get_running_loop().time() > until:
+                raise ConfigError(f"can't listen at {listen.host}:{listen.port}: {error}") from error
+        await asyncio.sleep(0.05)
--- /dev/null
+++ b/wheelstep/workers/worker.py
@@ -0,0 +1,247 @@
+"""A worker process: the shares that its supervisor gives it, a door for clients, and the way to the other workers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import ctypes
+import json
+import logging
+import os
+import signal
+import socket
+import sys
+import time
+from dataclasses import replace
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from wheelstep import interface as api
+from wheelstep.courier.__main__ import leave, open_journal, recorder
+from wheelstep.courier.config import Address, Config, ConfigError, load
+from wheelstep.courier.core import Core
+from wheelstep.courier.inlet import Desk, Inlet
+from wheelstep.courier.platform import Notices
+from wheelstep.journal import FolderInUseError, Journal, NoRoomError, Stored
+from wheelstep.workers.frames import Frames
+from wheelstep.workers.hop import Counter, Passage, RemoteDesk
+from wheelstep.workers.journals import Journals
+from wheelstep.workers.layout import Layout
+from wheelstep.workers.ownership import share_of
+from wheelstep.workers.parts import Row, part_of, read_rows
+
+if TYPE_CHECKING:
+    from wheelstep.operator import Operator
+
+BEAT_S = 0.25
+_MOST_BEHIND = 64 * 1024  # bytes to the supervisor; with more, heartbeats are left out
+_LOCK_S = 5.0  # a process that had the folder may take so long to end
+_PR_SET_PDEATHSIG = 1
+
+log = logging.getLogger(__name__)
+
+
+class _Closed:
+    """The desk of a share that is open nowhere just now."""
+
+    ready = False
+
+    def full(self) -> bool:
+        return True
+
+    def serves(self, destination: int) -> bool:
+        return True
+
+    def holds(self, message: str) -> bool:
+        return False
+
+    def take(self, message: Stored) -> None:
+        raise NoRoomError("its share is open nowhere just now")
+
+    async def durable(self) -> None:
+        pass
+
+    def begin(self, name: str) -> None:
+        pass
+
+    def withdraw(self, name: str) -> None:
+        pass
+
+    def handed_in(self, message: Stored, status: int) -> None:
+        pass
+
+
+class Worker(_Closed):
+    """One worker. As a desk it tells whether the whole courier is ready."""
+
+    def __init__(self, config: Config, layout: Layout, number: int, paths: list[str],
+                 operator: Operator | None) -> None:
+        self._config, self._layout, self._number, self._operator = config, layout, number, operator
+        self._at: dict[str, int] = {}  # endpoint -> share
+        self._journals = Journals(self._share_of, self._at.get)
+        self._core = Core(config, self._journals)
+        self._opening: set[int] = set()
+        self._owners: dict[int, int] = {}
+        self._passages = {other: Passage(path) for other, path in enumerate(paths) if other != number}
+        self._path = paths[number]
+        self._of: dict[int, int] = {}  # destination -> share, as far as asked for
+        self._leaving = asyncio.Event()
+        self._control = Frames(self._told, self._orphaned)
+        if operator is not None:
+            self._core.recorder = recorder(operator, config)
+
+    # --- for the door ---
+
+    def find(self, destination: int) -> Desk:
+        """The desk of a destination: ours, or a stand-in for its owner's."""
+        share = self._share_of(destination)
+        if share in self._journals:
+            return self._core
+        owner = self._owners.get(share)
+        return _Closed() if owner is None or owner == self._number else RemoteDesk(self._passages[owner])
+
+    def _share_of(self, destination: int) -> int:
+        if destination not in self._of:
+            if len(self._of) > 100_000:  # clients may name any number
+                self._of.clear()
+            self._of[destination] = share_of(destination, self._layout.shares)
+        return self._of[destination]
+
+    def _ours(self, destination: int) -> Core | None:
+        return self._core if self._share_of(destination) in self._journals else None
+
+    # --- what the supervisor says ---
+
+    def _told(self, head: dict[str, Any], body: bytes) -> None:
+        match head["do"]:
+            case "open":
+                self._list(api.ListKind.CHANGES, read_rows(head["rows"]))
+                for number in head["shares"]:
+                    if number not in self._opening and number not in self._journals:
+                        self._opening.add(number)
+                        self._group.create_task(self._open(number))
+            case "list":
+                self._list(api.ListKind(head["kind"]), read_rows(head["rows"]))
+            case "view":
+                self._owners = {int(share): worker for share, worker in head["owners"].items()}
+                self._core.knows_list = self._core.knows_list or head["knows"]
+                self.ready = head["ready"] and not self._leaving.is_set()
+            case "discovery":
+                self._notices.move(Address(head["host"], head["port"]))
+            case "leave":
+                self._leaving.set()
+
+    def _orphaned(self) -> None:
+        """Guards against a worker that goes on while a new supervisor starts others."""
+        if not self._leaving.is_set():
+            log.error("the supervisor is gone")
+            os._exit(1)
+
+    def _list(self, kind: api.ListKind, rows: list[Row]) -> None:
+        """The supervisor sends what belongs to this worker's shares only."""
+        if kind is not api.ListKind.CHANGES:
+            self._at.clear()
+        self._at.update((info.endpoint, self._share_of(info.destination)) for info, _ in rows)
+        self._core.listed(kind, rows)
+        for info, _ in rows:
+            if info.state is api.EndpointState.REMOVED:
+                self._at.pop(info.endpoint, None)
+
+    async def _open(self, number: int) -> None:
+        """An error here ends the process: the supervisor decides what comes next."""
+        began = time.monotonic()
+        journal = await self._journal(replace(
+            self._config, state=self._layout.folder(self._config.state, number),
+            disk_bytes=self._config.disk_bytes // self._layout.shares))
+        self._journals.add(number, journal)
+        self._opening.discard(number)
+        self._core.restore(journal.marks, journal.messages.values())
+        self._tasks.append(self._group.create_task(journal.compact_for_good(), name=f"compaction of share {number}"))
+        log.info("share %d is open after %d ms, %d messages restored", number, (time.monotonic() - began) * 1e3,
+                 len(journal.messages))
+        self._control.send({"is": "open", "share": number, "messages": len(journal.messages)})
+
+    async def _journal(self, config: Config) -> Journal:
+        """Read off the loop, so that the other shares go on."""
+        config.state.mkdir(parents=True, exist_ok=True)
+        until = time.monotonic() + _LOCK_S
+        while True:
+            try:
+                return await asyncio.get_running_loop().run_in_executor(None, open_journal, config, self._operator)
+            except ConfigError as error:
+                if not isinstance(error.__cause__, FolderInUseError) or time.monotonic() > until:
+                    raise
+            await asyncio.sleep(0.05)
+
+    async def _beat(self) -> None:
+        while True:
+            if self._control.behind < _MOST_BEHIND:  # a supervisor that stands still gets no pile of them
+                self._control.send({"is": "beat", "held": len(self._journals.messages)})
+            await asyncio.sleep(BEAT_S)
+
+    # --- the process ---
+
+    async def run(self, control: socket.socket, listener: socket.socket) -> None:
+        """Until the supervisor says to leave."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._leaving.set)
+        ordered = [cls.ordered for cls in self._config.settings.classes]
+        inlet = Inlet(self, dict(zip(self._config.names.classes, ordered, strict=True)),
+                      self._config.sockets // 3, self.find)
+        with contextlib.suppress(FileNotFoundError):
+            os.unlink(self._path)
+        async with aiohttp.ClientSession(auto_decompress=False, trust_env=False) as http, \
+                asyncio.TaskGroup() as self._group:
+            self._notices = self._core.notices = Notices(http, self._config.discovery, self._core.answered)
+            counters = await loop.create_unix_server(lambda: Counter(self._ours).frames, self._path)
+            self._tasks = [self._group.create_task(work) for work in (
+                self._beat(), inlet.sweep(), self._notices.run(), self._core.outlet.sweep())]
+            await loop.create_unix_connection(lambda: self._control, sock=control)
+            await inlet.start(self._config.listen, listener)
+            await self._leaving.wait()
+            self.ready = False
+            await leave(self._core, inlet)
+            counters.close()
+            for passage in self._passages.values():
+                passage.close()
+            for task in self._tasks:
+                task.cancel()
+            self._control.close()
+        if self._core.recorder is not None:
+            self._core.recorder.close()
+        self._journals.close()
+
+
+def main() -> int:
+    """Run the worker that `UMBERCHUTE_WORKER` describes; only a supervisor starts it."""
+    told = json.loads(os.environ["UMBERCHUTE_WORKER"])
+    # The kernel ends this process with its supervisor, also where it hangs or is stopped: nobody else has its folder
+    # then. Linux only; elsewhere the end of the control connection does it, later.
+    with contextlib.suppress(OSError, AttributeError):
+        ctypes.CDLL(None).prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+    if os.getppid() != told["parent"]:
+        return 1
+    for number in (signal.SIGHUP, signal.SIGINT):  # the supervisor's to heed
+        signal.signal(number, signal.SIG_IGN)
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO,
+                        format=f"%(asctime)s %(levelname)s worker {told['number']} %(name)s %(message)s")
+    logging.getLogger("aiohttp").setLevel(logging.ERROR)
+    operator: Operator | None = None
+    if told["operator"]:
+        from wheelstep.operator import load as load_operator
+        operator = load_operator(told["operator"])
+    layout = Layout(told["generation"], told["shares"])
+    config = part_of(load(os.environ), told["number"], told["workers"])
+    paths = [str(Path(told["sockets"]) / str(number)) for number in range(told["workers"])]
+    control, listener = socket.socket(fileno=told["control"]), socket.socket(fileno=told["listener"])
+
+    async def work() -> None:
+        await Worker(config, layout, told["number"], paths, operator).run(control, listener)
+    asyncio.run(work())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
