--- /dev/null
+++ b/tests/test_layout.py
@@ -0,0 +1,132 @@
+"""Moving what is owed between layouts: nothing lost or doubled, wherever it is cut off."""
+
+from __future__ import annotations
+
+import os
+import shutil
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from wheelstep.journal import Journal, Stored
+from wheelstep.workers.layout import FILE, Layout, LayoutError, prepare, read
+from wheelstep.workers.ownership import share_of
+
+LIMIT = 50_000_000
+
+
+def fill(folder: Path, count: int = 60) -> None:
+    journal = Journal(folder, LIMIT)
+    for number in range(count):
+        journal.take(Stored(f"m{number}", "pay", number % 13, 10**13, f"k{number % 5}", "t", False, b"x" * number))
+        if number % 3 == 0:
+            journal.attempt(f"m{number}", 0, 1_000 + number, "e1")
+        if number % 6 == 0:
+            journal.outcome(f"m{number}", 0, True)
+        if number % 10 == 9:
+            journal.end(f"m{number}", "given_up", 0)
+    journal.mark("e1", [1, True, False, 2.0, 0.5])
+    journal.close()
+
+
+def owed(state: Path) -> dict[str, tuple[Any, ...]]:
+    """Every message of the layout that counts, with all that matters of it; each in the share that it belongs to."""
+    layout = read(state)
+    found: dict[str, tuple[Any, ...]] = {}
+    for share in range(layout.shares):
+        journal = Journal(layout.folder(state, share), LIMIT)
+        for one in journal.messages.values():
+            assert one.id not in found
+            assert not layout.generation or share_of(one.destination, layout.shares) == share
+            found[one.id] = (one.message_class, one.destination, one.deadline_ms, one.key, one.token, one.body,
+                             one.attempts, one.ran_ms, one.ran_at, one.out, one.notice)
+        for destination in range(13):
+            numbers = [int(one.id[1:]) for one in journal.messages.values() if one.destination == destination]
+            assert numbers == sorted(numbers)  # the order of a key hangs on it
+        assert journal.marks == {"e1": [1, True, False, 2.0, 0.5]}
+        journal.close()
+    return found
+
+
+def test_from_one_journal_to_shares_and_back(tmp_path: Path) -> None:
+    fill(tmp_path)
+    before = owed(tmp_path)
+    for shares in (8, 3, 8, 1, 0):
+        assert prepare(tmp_path, shares, LIMIT).shares == max(shares, 1)
+        assert owed(tmp_path) == before
+    assert read(tmp_path) == Layout(0, 1)
+    assert [path.name for path in tmp_path.iterdir() if path.is_dir() or path.name == FILE] == []
+
+
+def test_the_same_layout_moves_nothing(tmp_path: Path) -> None:
+    fill(tmp_path)
+    layout = prepare(tmp_path, 4, LIMIT)
+    assert prepare(tmp_path, 4, LIMIT) == layout == read(tmp_path)
+
+
+class Cut(Exception):
+    """The process ends here."""
+
+
+@pytest.mark.parametrize("shares", [5, 0])
+def test_cut_off_at_any_step_it_is_done_again(tmp_path: Path, shares: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """At each removal, rename, message taken and folder made, in a loop until a run meets no further one."""
+    start = tmp_path / "start"
+    start.mkdir()
+    fill(start)
+    prepare(start, 4, LIMIT)
+    before = owed(start)
+    steps = 0
+    while True:
+        state = tmp_path / f"run-{steps}"
+        shutil.copytree(start, state)
+        left = steps
+
+        def counted(what: Callable[..., Any]) -> Callable[..., Any]:
+            def step(*args: Any, **named: Any) -> Any:
+                nonlocal left
+                if left == 0:
+                    raise Cut
+                left -= 1
+                return what(*args, **named)
+            return step
+        with monkeypatch.context() as patch:
+            for owner, name in ((os, "replace"), (os, "unlink"), (shutil, "rmtree"), (Path, "mkdir"), (Path, "unlink"),
+                                (Journal, "take"), (Journal, "mark"), (Journal, "sync_now")):
+                patch.setattr(owner, name, counted(getattr(owner, name)))
+            try:
+                prepare(state, shares, LIMIT)
+                done = True
+            except Cut:
+                done = False
+        prepare(state, shares, LIMIT)
+        assert owed(state) == before and read(state).shares == max(shares, 1)
+        shutil.rmtree(state)
+        if done:
+            break
+        steps += 1
+    assert steps > 60
+
+
+def test_no_room_for_both_copies_changes_nothing(tmp_path: Path) -> None:
+    fill(tmp_path)
+    before = owed(tmp_path)
+    with pytest.raises(LayoutError, match="expected room for another copy"):
+        prepare(tmp_path, 4, 5_000)
+    assert owed(tmp_path) == before and read(tmp_path) == Layout(0, 1)
+
+
+def test_a_folder_in_use_or_a_broken_file_is_refused(tmp_path: Path) -> None:
+    fill(tmp_path)
+    journal = Journal(tmp_path, LIMIT)
+    with pytest.raises(LayoutError, match="another process has"):
+        prepare(tmp_path, 4, LIMIT)
+    journal.close()
+    for text in ("", "{}", '{"generation": -1, "shares": 4}', '{"generation": 1, "shares": 0}', "\0"):
+        (tmp_path / FILE).write_text(text)
+        with pytest.raises(LayoutError, match="expected the file as umberchute wrote it"):
+            prepare(tmp_path, 4, LIMIT)
+    (tmp_path / FILE).unlink()
+    assert len(owed(tmp_path)) == 60
--- a/wheelstep/workers/supervisor.py
+++ b/wheelstep/workers/supervisor.py
@@ -172,7 +172,7 @@
         if not self._ready and self._fleet.complete():
             self._ready = True
             log.info("%s serves on %s:%d with %d workers, %d shares", self._config.name, self._config.listen.host,
-                     self._config.listen.port, len(self._fleet.workers), self._layout.shares)
+                     self._listener.getsockname()[1], len(self._fleet.workers), self._layout.shares)
         for control in self._controls.values():
             self._send_view(control)
 
