--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -50,10 +50,10 @@
     def do(self, actions: Sequence[ownership.Action]) -> None:
         for action in actions:
             match action:
-                case ownership.Start(worker, shares):
+                case ownership.Start(worker):
                     assert worker not in self.alive
                     self.alive[worker] = set()
-                    self.open(worker, shares)
+                    self.open(worker, self.fleet.shares_of(worker))
                 case ownership.Open(worker, shares):
                     self.open(worker, shares)
                 case ownership.Kill(worker) if worker in self.alive:
--- a/wheelstep/workers/ownership.py
+++ b/wheelstep/workers/ownership.py
@@ -71,10 +71,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Start:
-    """Start the worker's process; it is to open these shares."""
+    """Start the worker's process; it is to open what it owns once it is there."""
 
     worker: int
-    shares: tuple[int, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,7 +154,7 @@
         for number, worker in self.workers.items():
             if worker.state is State.DOWN and worker.due_s <= now_s:
                 worker.state, worker.silent_s, worker.killed = State.STARTING, 0.0, False
-                actions.append(Start(number, self.shares_of(number)))
+                actions.append(Start(number))
             elif worker.state in (State.STARTING, State.UP) and not worker.killed:
                 worker.silent_s += passed_s
                 most_s = self._limits.hang_s if worker.state is State.UP else self._limits.start_s
--- a/wheelstep/workers/supervisor.py
+++ b/wheelstep/workers/supervisor.py
@@ -115,8 +115,8 @@
     def _perform(self, actions: Sequence[ownership.Action]) -> None:
         for action in actions:
             match action:
-                case ownership.Start(number, shares):
-                    self._group.create_task(self._mind(number, shares))
+                case ownership.Start(number):
+                    self._group.create_task(self._mind(number))
                 case ownership.Open(number, shares):
                     self._open(number, shares)
                 case ownership.Kill(number):
@@ -127,7 +127,7 @@
                 case ownership.Publish():
                     self._publish()
 
-    async def _mind(self, number: int, shares: tuple[int, ...]) -> None:
+    async def _mind(self, number: int) -> None:
         """A worker's process from its start to its end."""
         ours, theirs = socket.socketpair(socket.AF_UNIX)
         told = {"number": number, "workers": len(self._fleet.workers), "shares": self._layout.shares,
@@ -147,7 +147,7 @@
             control.send({"do": "leave"})
         control.send({"do": "discovery", "host": self._discovery.host, "port": self._discovery.port})
         self._send_view(control)
-        # What it owns by now: some of it may have come while it started.
+        # Not what it owned when it was started: some of it may have come since (found by tests/test_ownership.py).
         self._open(number, self._fleet.shares_of(number))
         code = await process.wait()
         control.close()
