--- a/wheelstep/workers/frames.py
+++ b/wheelstep/workers/frames.py
@@ -33,6 +33,8 @@
         self._heard, self._lost = heard, lost
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
+        self._out: list[bytes] = []  # of this turn of the loop: they go out in one write
+        self._out_size = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -71,19 +73,28 @@
     @property
     def behind(self) -> int:
         """Bytes that wait to be written."""
-        return self._transport.get_write_buffer_size() if self._transport is not None else 0
+        return self._out_size + (self._transport.get_write_buffer_size() if self._transport is not None else 0)
 
     def send(self, head: dict[str, Any], body: bytes = b"") -> bool:
-        """False if it could not be sent."""
+        """With what else is sent in this turn of the loop. False if it can't be."""
         if self._transport is None or self._transport.is_closing():
             return False
         if self.behind > _HIGH:
             log.error("%d bytes wait for another process that does not read: the connection is given up", self.behind)
             self.close()
             return False
-        self._transport.write(pack(head, body))
+        frame = pack(head, body)
+        if not self._out:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._out.append(frame)
+        self._out_size += len(frame)
         return True
 
+    def _flush(self) -> None:
+        out, self._out, self._out_size = self._out, [], 0
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(b"".join(out))
+
     def close(self) -> None:
         """At once."""
         if self._transport is not None:
