Re-read: workers send the supervisor nothing that it does not use; a comment at its place

Heartbeats and openings carried counts of messages that nobody read. The remark on asyncio's backlog stands again beside the call that it explains. Behaviour is unchanged; tests of workers, inlet and outcomes pass (48).

--- a/wheelstep/courier/inlet.py
+++ b/wheelstep/courier/inlet.py
@@ -250,7 +250,7 @@
     """A socket that listens there. Raises `OSError`."""
     family = socket.AF_INET6 if ":" in listen.host else socket.AF_INET
     listener = socket.create_server((listen.host, listen.port), family=family)
-    listener.listen(_QUEUE)  # asyncio takes its backlog for the kernel's queue and its own turn alike
+    listener.listen(_QUEUE)
     return listener
 
 
@@ -282,7 +282,7 @@
         listener = listener or bind(listen)
         self._server = await asyncio.get_running_loop().create_server(
             lambda: _Door(doors), sock=listener, backlog=_ACCEPT)
-        listener.listen(_QUEUE)
+        listener.listen(_QUEUE)  # asyncio takes its backlog for the kernel's queue and its own turn alike
         return int(listener.getsockname()[1])
 
     async def sweep(self) -> None:
--- a/wheelstep/workers/worker.py
+++ b/wheelstep/workers/worker.py
@@ -161,7 +161,7 @@
         self._tasks.append(self._group.create_task(journal.compact_for_good(), name=f"compaction of share {number}"))
         log.info("share %d is open after %d ms, %d messages restored", number, (time.monotonic() - began) * 1e3,
                  len(journal.messages))
-        self._control.send({"is": "open", "share": number, "messages": len(journal.messages)})
+        self._control.send({"is": "open", "share": number})
 
     async def _journal(self, config: Config) -> Journal:
         """Read off the loop, so that the other shares go on."""
@@ -178,7 +178,7 @@
     async def _beat(self) -> None:
         while True:
             if self._control.behind < _MOST_BEHIND:  # a supervisor that stands still gets no pile of them
-                self._control.send({"is": "beat", "held": len(self._journals.messages)})
+                self._control.send({"is": "beat"})
             await asyncio.sleep(BEAT_S)
 
     # --- the process ---
