--- a/tests/test_outlet.py
+++ b/tests/test_outlet.py
@@ -26,6 +26,7 @@
 
     def __init__(self) -> None:
         self.started: list[str] = []
+        self.whole = 0
         self.waits: list[int] = []
         self.barred: set[str] = set()
         self.results: dict[str, Result] = {}
@@ -38,6 +39,12 @@
     def may_start(self, endpoint: str, item: Item) -> bool:
         return item.message not in self.barred
 
+    def may_probe(self, endpoint: str) -> bool:
+        return True
+
+    def written(self, messages: int) -> None:
+        self.whole += messages
+
     def starting(self, endpoint: str, items: Sequence[Item]) -> None:
         self.started += [item.message for item in items]
 
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -24,6 +24,7 @@
 from wheelstep.journal.journal import Sync
 
 if TYPE_CHECKING:  # what is off is not imported
+    from wheelstep.console.front import Front
     from wheelstep.operator import Operator
     from wheelstep.recording.writer import Recorder
 
@@ -45,8 +46,8 @@
     core = Core(config, journal)
     if operator is not None:
         core.recorder = recorder(operator, config)
-    ordered = [cls.ordered for cls in config.settings.classes]
-    inlet = Inlet(core, dict(zip(config.names.classes, ordered, strict=True)), config.sockets // 3)
+    inlet = Inlet(core, core.ordered, config.sockets // 3)
+    console = open_console(core) if config.console is not None else None
     async with aiohttp.ClientSession(auto_decompress=False, trust_env=False) as http:
         core.notices = Notices(http, config.discovery, core.answered)
         seq = config.known.get("seq", 0)
@@ -57,7 +58,9 @@
         async with asyncio.TaskGroup() as group:  # a task that dies ends the process with its traceback
             tasks = [group.create_task(work) for work in
                      (core.notices.run(), watch.run(), core.outlet.sweep(), inlet.sweep(),
-                      journal.compact_for_good(), follow_config(config, renewed, watch, core.notices))]
+                      journal.compact_for_good(), follow_config(config, renewed, watch, core.notices, core=core))]
+            if console is not None and config.console is not None:
+                await console.start(config.console)
             core.ready = True
             port = await inlet.start(config.listen)
             log.info("%s serves on %s:%d, %d messages restored; %d slots, holds %d, %d descriptors",
@@ -67,11 +70,21 @@
             await leave(core, inlet)
             for task in tasks:
                 task.cancel()
+            if console is not None:
+                console.stop()
     if core.recorder is not None:
         core.recorder.close()
     journal.close()
 
 
+def open_console(core: Core) -> Front:
+    """What operators call, and what is counted for them."""
+    from wheelstep.console.figures import Figures
+    from wheelstep.console.front import Front
+    core.figures = Figures()
+    return Front(core)
+
+
 def open_journal(config: Config, operator: Operator | None) -> Journal:
     """Raises `ConfigError` where the folder can't be used."""
     if (config.state / "layout.json").exists():  # guards what workers owe against a courier that would not see it
@@ -107,17 +120,26 @@
 
 
 async def follow_config(config: Config, renewed: asyncio.Event, *places: Moves,
-                        heeded: Callable[[], None] = lambda: None) -> None:
+                        heeded: Callable[[], None] = lambda: None, core: Core | None = None) -> None:
     """Read the file again whenever it is said to be new. One that can't be used changes nothing."""
-    discovery = config.discovery
+    discovery, raw = config.discovery, config.raw
     while True:
         await renewed.wait()
         renewed.clear()
+        from wheelstep.renewal.files import check
         try:
-            now = load(os.environ, again=True).discovery
-        except ConfigError as error:
+            fresh = load(os.environ, again=True)
+            check(fresh.raw, raw)
+        except (ConfigError, ValueError) as error:
             log.warning("the new configuration is not used: %.300s", " ".join(str(error).split()))
+            if core is not None and core.figures is not None:
+                core.figures.load_errors += 1
             continue
+        now, raw = fresh.discovery, fresh.raw
+        if core is not None:
+            core.renew(fresh)
+            if core.figures is not None:
+                core.figures.loads += 1
         log.info("configuration read again: discovery at %s:%d", now.host, now.port)
         if now != discovery:
             discovery = now
--- a/wheelstep/courier/config.py
+++ b/wheelstep/courier/config.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -74,6 +74,8 @@
     raw_settings: Mapping[str, Any]  # as they stand in the file
     names: Names
     dial_timeout_us: int
+    console: Address | None = None  # where operators call, if anywhere
+    raw: Mapping[str, Any] = field(default_factory=dict, repr=False)  # the whole file
 
 
 def load(environ: Mapping[str, str], again: bool = False) -> Config:
@@ -116,4 +118,6 @@
             kinds=tuple(info.get("kinds", ())), zones=tuple(info.get("areas", ())),
             report=tuple(info.get("report", {}).get("columns") or ())),
         dial_timeout_us=int(info.get("caps", {}).get("dial_timeout_us") or 1_000_000),
+        console=Address.parse(console) if (console := environ.get("RELAY_CONSOLE") or data.get("console")) else None,
+        raw=data,
     )
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -7,6 +7,7 @@
 import time
 from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any, Protocol
 
 from wheelstep import Sender
@@ -18,10 +19,15 @@
 from wheelstep.journal import NoRoomError, Stored
 
 if TYPE_CHECKING:  # what is off is not imported
+    from wheelstep.console.figures import Figures
     from wheelstep.recording.writer import Recorder
+    from wheelstep.renewal.classes import ClassTable
 
 _PROBE_TIMEOUT_US = 1_500_000
 _MOST_EVENTS = 2_000  # go to the module in one turn
+_OUT = ":out "  # before an endpoint's id: the mark that it is out by hand
+_CLASSES = ":classes"  # the mark of what `ClassTable.store` gives
+_MOST_OUT = 10_000  # endpoints out by hand
 _RESERVE = 32  # descriptors for the journal, discovery, notices, and what asyncio and Python keep open
 
 log = logging.getLogger(__name__)
@@ -58,9 +64,12 @@
     """One courier's state between its sockets, its journal and the module."""
 
     def __init__(self, config: Config, journal: Book) -> None:
-        self._s, self._names, self._journal = config.settings, config.names, journal
+        self._config, self._s, self._names, self._journal = config, config.settings, config.names, journal
         self._sender = Sender(config.settings, config.seed)
         self._classes = {name: i for i, name in enumerate(config.names.classes)}
+        self._table: ClassTable | None = None  # in place of that, once settings have changed
+        self._settling: asyncio.TimerHandle | None = None
+        self.ordered = {name: cls.ordered for name, cls in zip(self._classes, self._s.classes, strict=True)}
         self._events: list[api.Event] = []
         self._flush: asyncio.Handle | None = None
         self._timers: dict[int, asyncio.TimerHandle] = {}
@@ -76,6 +85,8 @@
                              max(16, config.sockets - config.sockets // 3 - _RESERVE))
         self.notices: Notices | None = None
         self.recorder: Recorder | None = None
+        self.figures: Figures | None = None
+        self._out: set[str] = set()  # endpoints out by hand, listed or not
         self.ready = self.stopping = False
 
     # --- what the sockets tell ---
@@ -95,7 +106,98 @@
             self.outlet.list(info.endpoint, address)
             if info.state is EndpointState.DRAINING:
                 self.outlet.close_idle(info.endpoint)
-        self._post(api.MembershipReceived(kind, tuple(info for info, _ in rows)))
+        self._post(api.MembershipReceived(kind, tuple(self._overruled(info) for info, _ in rows)))
+
+    def _overruled(self, info: api.EndpointInfo) -> api.EndpointInfo:
+        """What the module is to know of it: one that is out by hand drains, whatever the list says."""
+        if info.endpoint in self._out and info.state is EndpointState.UP:
+            return replace(info, state=EndpointState.DRAINING)
+        return info
+
+    # --- what operators call for (console.commands.Desk) ---
+
+    def exclude(self, endpoint: str) -> bool:
+        """Nothing new goes there until it is put back, also over restarts. False if no such endpoint is known."""
+        if endpoint in self._out:
+            return True
+        if endpoint not in self._listed or len(self._out) >= _MOST_OUT:
+            return False
+        self._out.add(endpoint)
+        self._journal.mark(_OUT + endpoint, 1)
+        self.outlet.close_idle(endpoint)
+        self._post(api.MembershipReceived(api.ListKind.CHANGES, (self._overruled(self._listed[endpoint]),)))
+        log.info("%s is out by hand", endpoint)
+        return True
+
+    def include(self, endpoint: str) -> bool:
+        """The list counts again. False if no such endpoint is known."""
+        if endpoint not in self._out:
+            return endpoint in self._listed
+        self._out.discard(endpoint)
+        self._journal.mark(_OUT + endpoint, None)
+        if (info := self._listed.get(endpoint)) is not None:
+            self._post(api.MembershipReceived(api.ListKind.CHANGES, (info,)))
+        log.info("%s is back by hand", endpoint)
+        return True
+
+    def telemetry(self) -> str:
+        """The figures, a line each."""
+        from wheelstep.console.figures import Figures, Gauges, render
+        marks = self._journal.marks
+        skipped = sum(name in self._out or bool(marks.get(name, (0, False))[1]) for name in self._listed)
+        return render(self.figures or Figures(), Gauges(len(self._held), len(self._listed), skipped), self.ordered)
+
+    # --- settings that change (SIGHUP) ---
+
+    def renew(self, config: Config) -> None:
+        """New settings: classes and the number of attempts change now, all else at the next start."""
+        from wheelstep.renewal.classes import SETTLE_S, ClassTable, during
+        classes = _classes(config)
+        if self._table is None:
+            if classes == _classes(self._config):
+                return
+            self._table = ClassTable(_classes(self._config))
+        elif self._settling is None and classes == {name: self._table.current(name) for name in self._table.names}:
+            return
+        self._use(during(self._table, classes))
+        if self._settling is not None:
+            self._settling.cancel()
+        self._settling = asyncio.get_running_loop().call_later(SETTLE_S, self._settle, classes)
+
+    def _settle(self, classes: dict[str, api.MessageClass]) -> None:
+        self._settling = None
+        self._use(classes)
+        log.info("classes from now on: %s", ", ".join(classes))
+
+    def _use(self, classes: dict[str, api.MessageClass]) -> None:
+        assert self._table is not None
+        held = [(message.message_class, message.seq) for message in self._journal.messages.values()]
+        self._table.renew(classes, 1 + max((seq for _, seq in held), default=0), held)
+        self._changed(self._table)
+
+    def _changed(self, table: ClassTable) -> None:
+        self._journal.mark(_CLASSES, table.store())
+        self.ordered.clear()
+        self.ordered.update((name, table.current(name).ordered) for name in table.names)
+        self._post(api.ClassesChanged(tuple(table.places)))
+
+    def _restore_classes(self, stored: Mapping[str, Any], messages: list[Stored]) -> None:
+        """Guards messages of a class that has changed or gone since they were taken on."""
+        from wheelstep.renewal.classes import ClassTable
+        held = [(message.message_class, message.seq) for message in messages]
+        try:
+            self._table = ClassTable.restored(stored, _classes(self._config),
+                                              1 + max((seq for _, seq in held), default=0), held)
+        except (KeyError, IndexError, TypeError, ValueError, AttributeError) as error:
+            log.error("what an earlier process knew of classes can't be used: %r", error)
+            return
+        self._changed(self._table)
+
+    def _class(self, message: Stored) -> int | None:
+        """Its class's place in the module's list; None where nobody knows it."""
+        if self._table is not None:
+            return self._table.place(message.message_class, message.seq)
+        return self._classes.get(message.message_class)
 
     def _unlist(self, endpoint: str) -> None:
         self._listed.pop(endpoint, None)
@@ -145,7 +247,9 @@
         self._journal.over(name)
 
     def handed_in(self, message: Stored, status: int) -> None:
-        """Record it, where the operator wants that."""
+        """Count a refusal, and record it where the operator wants that."""
+        if self.figures is not None and status == 503:
+            self.figures.ended(message.message_class, "handed_back")
         if self.recorder is not None:
             self.recorder.note(message.message_class, message.destination, message.key, message.token is not None,
                                message.body, _left_us(message) // 1000, status, message.resubmitted)
@@ -157,16 +261,24 @@
 
     def restore(self, marks: Mapping[str, Any], messages: Iterable[Stored]) -> None:
         """Take up what a journal holds: the health of endpoints, and the messages in their order."""
-        now_ms = int(time.time() * 1000)
-        for endpoint, (at_ms, *health) in list(marks.items()):
+        now_ms, messages = int(time.time() * 1000), list(messages)
+        if _CLASSES in marks:
+            self._restore_classes(marks[_CLASSES], messages)
+        self._out.update(name.removeprefix(_OUT) for name in marks if name.startswith(_OUT))
+        for endpoint in self._out & self._listed.keys():
+            self._post(api.MembershipReceived(api.ListKind.CHANGES, (self._overruled(self._listed[endpoint]),)))
+        for endpoint, value in list(marks.items()):
+            if endpoint.startswith(":"):
+                continue
+            at_ms, *health = value
             if endpoint in self._listed:
                 self._post(api.HealthRestored(endpoint, api.Health(*health), max(0, now_ms - at_ms) * 1000))
             else:
                 self._journal.mark(endpoint, None)
-        for message in list(messages):
+        for message in messages:
             if message.notice is not None:
                 self._owe(message)
-            elif message.message_class not in self._classes:
+            elif self._class(message) is None:
                 log.error("class %r is not known any more: %s fails", message.message_class, message.id)
                 self._end(message, "given_up", 0)
             else:
@@ -178,7 +290,9 @@
                     self._zone(ran[1]) if ran else 0))
 
     def _accepted(self, message: Stored, resubmitted: bool) -> api.MessageAccepted:
-        return api.MessageAccepted(message.id, self._classes[message.message_class], message.destination,
+        place = self._class(message)
+        assert place is not None  # the inlet takes none of an unknown class, nor does `restore`
+        return api.MessageAccepted(message.id, place, message.destination,
                                    _left_us(message), message.key, resubmitted)
 
     def _hold(self, message: Stored) -> None:
@@ -199,17 +313,24 @@
 
     def _key(self, message: str) -> str | None:
         held = self._held.get(message)
-        if held is None or not self._s.classes[self._classes[held.message_class]].ordered:
-            return None
-        return held.key
+        return held.key if held is not None else None  # only messages that keep an order have one
 
     def may_start(self, endpoint: str, item: Item) -> bool:
         """May the attempt's first byte still be written?"""
+        return item.message in self._held and self.may_probe(endpoint)
+
+    def may_probe(self, endpoint: str) -> bool:
+        """May anything new be written there?"""
         info = self._listed.get(endpoint)
-        if info is None or info.state is not EndpointState.UP or item.message not in self._held:
+        if info is None or info.state is not EndpointState.UP or endpoint in self._out:
             return False
         return time.monotonic() >= self._waits.get(self._route(info), 0.0)
 
+    def written(self, messages: int) -> None:
+        """So many were written whole to an endpoint."""
+        if self.figures is not None:
+            self.figures.upstream_tries += messages
+
     def starting(self, endpoint: str, items: Sequence[Item]) -> None:
         """Write the attempts down before their first byte."""
         now_ms = int(time.time() * 1000)
@@ -236,6 +357,8 @@
                          result.outcome.value, result.spent_us // 1000, ", over" if result.over else "")
             complete = result.outcome is Outcome.OK or result.over or held is None
             if held is not None and complete:
+                if self.figures is not None and not result.over:
+                    self.figures.passed[held.message_class] += 1
                 del self._held[item.message], self._numbers[item.message]
                 self._journal.over(item.message)
             elif held is not None and item.attempt in held.out:
@@ -344,6 +467,8 @@
 
     def _end(self, message: Stored, outcome: str, retry_ms: int) -> None:
         self._journal.end(message.id, outcome, retry_ms)
+        if self.figures is not None:
+            self.figures.ended(message.message_class, outcome)
         self._owe(message)
 
     def _owe(self, message: Stored) -> None:
@@ -353,5 +478,12 @@
             self.notices.owe(message.id, *message.notice)
 
 
+def _classes(config: Config) -> dict[str, api.MessageClass]:
+    """By name, each with the number of attempts that was in force with it."""
+    most = config.settings.max_attempts
+    return {name: replace(cls, most_attempts=most)
+            for name, cls in zip(config.names.classes, config.settings.classes, strict=True)}
+
+
 def _left_us(message: Stored) -> int:
     return max(0, message.deadline_ms * 1000 - int(time.time() * 1e6))
--- a/wheelstep/courier/outlet.py
+++ b/wheelstep/courier/outlet.py
@@ -63,9 +63,15 @@
     def may_start(self, endpoint: str, item: Item) -> bool:
         """Asked right before the first byte: may it still go there?"""
 
+    def may_probe(self, endpoint: str) -> bool:
+        """The same for a probe."""
+
     def starting(self, endpoint: str, items: Sequence[Item]) -> None:
         """The first byte follows."""
 
+    def written(self, messages: int) -> None:
+        """A call with so many was written whole."""
+
     async def safe(self) -> bool:
         """Wait until the attempts that were written down are safe; False if they are not to be sent."""
 
@@ -187,7 +193,7 @@
 
         async def work() -> Answer | None:
             await self._gate.settled(items)
-            return await self._exchange(endpoint, progress, request, may_write)
+            return await self._exchange(endpoint, progress, request, may_write, live)
 
         async def may_write() -> bool:
             # A sync may take its time: what was right before it is looked at once more.
@@ -209,7 +215,9 @@
         request = h11.Request(method="GET", target="/healthz", headers=[("Host", self._name(endpoint))])
         progress = _Progress()
         outcome, answer = await self._bounded(
-            lambda: self._exchange(endpoint, progress, lambda: (request, b"")), progress, timeout_us)
+            lambda: self._exchange(endpoint, progress,
+                                   lambda: (request, b"") if self._gate.may_probe(endpoint) else None),
+            progress, timeout_us)
         if answer is not None:
             outcome = _status(answer).outcome
         wait_us, limit = self._told(endpoint, answer)
@@ -235,7 +243,8 @@
 
     async def _exchange(self, endpoint: str, progress: _Progress,
                         request: Callable[[], tuple[h11.Request, bytes] | None],
-                        may_write: Callable[[], Awaitable[bool]] | None = None) -> Answer | None:
+                        may_write: Callable[[], Awaitable[bool]] | None = None,
+                        items: Sequence[Item] = ()) -> Answer | None:
         """One request and its answer, or None where there is nothing to send any more."""
         host = self._hosts.get(endpoint)
         if host is None:
@@ -250,7 +259,11 @@
                 keep, link.idle_since = True, time.monotonic()
                 return None
             progress.link = link
-            await link.send(*wanted)
+            try:
+                await link.send(*wanted)
+            finally:  # also where it is given up in the turn in which its last byte went out
+                if link.written and items:
+                    self._gate.written(len(items))
             answer = await link.answer()
             keep = not answer.spoilt and link.next_cycle()
             return answer
--- a/wheelstep/interface.py
+++ b/wheelstep/interface.py
@@ -71,6 +71,7 @@
     key_ttl_us: int = 0
     zone_keys: bool = False  # repeats are dropped inside one zone only
     ordered: bool = False
+    most_attempts: int = 0  # 0: as many as the settings say
 
 
 @dataclass(frozen=True, slots=True)
@@ -224,8 +225,16 @@
     message: str
 
 
+@dataclass(frozen=True, slots=True)
+class ClassesChanged:
+    """New messages are of one of these classes. A message that is held stays under the rules that it was taken on
+    with."""
+
+    classes: tuple[MessageClass, ...]
+
+
 Event = (MembershipReceived | MessageAccepted | MessageRestored | AttemptEnded | ProbeEnded | TimerFired
-         | MessageWithdrawn | HealthRestored)
+         | MessageWithdrawn | HealthRestored | ClassesChanged)
 
 
 @dataclass(frozen=True, slots=True)
--- a/wheelstep/logic.py
+++ b/wheelstep/logic.py
@@ -248,9 +248,24 @@
         share = 1 / (1.5 + min(self.pacer.carried.read(now_us), MOST_EVIDENCE))
         self.failures.add(now_us, share * (failed - self.failures.read(now_us)))
 
+    def _carries(self, now_us: int) -> float:
+        return max(self.pacer.carried.read(now_us) * 1e6 / MEMORY_US, LEAST_PART, self.pacer.even)
+
+    def drains(self, now_us: int) -> None:
+        """Nothing goes there from now on; what it carried is kept for the time that it comes back."""
+        if self._ramp_us is None and not self.sick:
+            self._base = self._carries(now_us)
+
+    def returns(self, now_us: int) -> None:
+        """It is wanted again. Guards against pushing over one that was started anew meanwhile, and is cold;
+        harms where it was not."""
+        if not self.sick:
+            self.failures.value, self._ramp_us, self._next_us = 0.0, now_us, now_us
+            self._ramp(now_us, self._rng.random())
+
     def fall_sick(self, now_us: int) -> None:
         if self._ramp_us is None:
-            self._base = max(self.pacer.carried.read(now_us) * 1e6 / MEMORY_US, LEAST_PART, self.pacer.even)
+            self._base = self._carries(now_us)
         self.sick, self._ramp_us = True, None
         self._next_us = self._later_us(now_us)
 
@@ -432,9 +447,7 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         api.check_settings(settings)
         self._s, self._rng = settings, random.Random(seed)
-        self._promise_us = min(cls.promise_us for cls in settings.classes)
-        self._horizon_us = max(cls.promise_us for cls in settings.classes)
-        self._t1_us = max(1, int(self._promise_us * T1_OF_PROMISE))
+        self._classes(settings.classes)
         self._now = self._calls_out = self._count = self._asked_wait_us = self._reaped_us = 0
         self._actions: list[api.Action] = []
         self._messages: dict[str, Message] = {}
@@ -456,6 +469,14 @@
         if settings.ask_for_list:
             self._at(0, lambda: self._actions.append(api.Subscribe()))
 
+    def _classes(self, classes: tuple[api.MessageClass, ...]) -> None:
+        """New messages are of these. What is known of a destination keeps the times that it began with."""
+        self._s = replace(self._s, classes=classes)
+        self._bounding = False  # bounds were made for the old ones
+        self._promise_us = min(cls.promise_us for cls in classes)
+        self._horizon_us = max(cls.promise_us for cls in classes)
+        self._t1_us = max(1, int(self._promise_us * T1_OF_PROMISE))
+
     def handle(self, now_us: int, events: list[api.Event]) -> list[api.Action]:
         """Take what has happened by `now_us` and say what to do about it."""
         self._now, self._actions = now_us, []
@@ -497,6 +518,8 @@
                 self._learn(self._endpoints[event.endpoint], event)
             case api.HealthRestored() if event.endpoint in self._endpoints:
                 self._endpoints[event.endpoint].restore(self._now, event.health, event.ago_us)
+            case api.ClassesChanged():
+                self._classes(event.classes)
 
     def _at(self, when_us: float, what: Callable[[], None], message: Message | None = None) -> None:
         """Do it then; where it is a message's own end, not once that is over."""
@@ -534,7 +557,9 @@
             pacer.endpoints += 1
             if self._s.weights_are_rates:
                 pacer.know_limit(info.weight)
-        endpoint.info = info
+        was, endpoint.info = endpoint.info.state, info
+        if was is not info.state:
+            (endpoint.drains if info.state is EndpointState.DRAINING else endpoint.returns)(self._now)
 
     def _kind(self, info: api.EndpointInfo) -> api.Kind:
         return self._s.kinds[min(info.kind, len(self._s.kinds) - 1)]
@@ -733,7 +758,8 @@
         self._queue(message)
 
     def _may_resend(self, message: Message, at_us: int) -> bool:
-        if message.attempts >= self._s.max_attempts or at_us >= message.due_us - 2 * self._s.tick_us:
+        most = message.cls.most_attempts or self._s.max_attempts
+        if message.attempts >= most or at_us >= message.due_us - 2 * self._s.tick_us:
             return False
         if message.ran_us is None or message.cls.effect is Effect.SAFE:
             return True
