Upgrade under load: the process that serves hands everything to its successor

Need: a second process is started beside the one that serves, on the same folder and addresses.

Change: wheelstep/upgrade. Those calls go on where they are; their outcomes are told to the successor, whose module takes them up as calls out (slot, endpoint, key).

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import re
 import signal
+import socket
 import sys
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
@@ -172,21 +174,59 @@
 }
 
 
+def free_address() -> str:
+    """An address that nobody listens at just now."""
+    with socket.socket() as found:
+        found.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{found.getsockname()[1]}"
+
+
 class Courier:
     """The real process; `address` changes with each start."""
 
     def __init__(self, folder: Path, platform: Platform, settings: dict[str, Any] | None = None,
-                 operator: Path | None = None, disk_mb: float = 3) -> None:
+                 operator: Path | None = None, disk_mb: float = 3, console: bool = False) -> None:
         self.folder, self.platform, self.operator, self.disk_mb = folder, platform, operator, disk_mb
-        self.settings = settings or SETTINGS
+        self.settings, self.listen = settings or SETTINGS, "127.0.0.1:0"
+        self.console = free_address() if console else ""
         self.log: list[str] = []
-        (folder / "state").mkdir()
+        (folder / "state").mkdir(exist_ok=True)
+
+    def successor(self) -> Courier:
+        """The next version of the same courier, not started yet."""
+        after = Courier(self.folder, self.platform, self.settings, self.operator, self.disk_mb, console=True)
+        after.listen = self.address
+        return after
+
+    async def call(self, line: str) -> str:
+        """One call at the second address."""
+        reader, writer = await asyncio.open_connection(*self.console.rsplit(":", 1))
+        writer.write(line.encode() + b"\n")
+        async with asyncio.timeout(LIMIT_S):
+            reply = await reader.read()
+        writer.close()
+        return reply.decode()
+
+    async def figures(self) -> dict[str, int]:
+        """What `telemetry` says, without the prefix."""
+        lines = (await self.call("telemetry")).splitlines()
+        assert lines[0] == "+OK" and lines[-1] == "."
+        return {name.removeprefix("app."): int(value.partition("|")[0])
+                for name, _, value in (line.partition(":") for line in lines[1:-1])}
+
+    async def wait_ready(self) -> None:
+        async with asyncio.timeout(LIMIT_S):
+            while True:
+                with contextlib.suppress(OSError):
+                    if (await self.call("readyz")).startswith("+OK"):
+                        return
+                await asyncio.sleep(0.01)
 
     def config(self, platform: Platform) -> str:
         return json.dumps({
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": platform.address,
+            "name": "n0", "listen": self.listen, "discovery": platform.address,
             "seed": "8c1f30d27a5be964", "limits": {"disk_mb": self.disk_mb}, "settings": self.settings,
-            "known": platform.whole()})
+            "known": platform.whole(), **({"console": self.console} if self.console else {})})
 
     def renew(self, text: str) -> None:
         """Replace the file of the configuration and tell the courier."""
@@ -200,6 +240,11 @@
                 await asyncio.sleep(0.01)
 
     async def start(self) -> None:
+        await self.begin()
+        self.address = await asyncio.wait_for(self._serving, LIMIT_S)
+
+    async def begin(self) -> None:
+        """Start the process, and don't wait until it serves."""
         (self.folder / "config.json").write_text(self.config(self.platform))
         env = {**os.environ, "RELAY_CONFIG": str(self.folder / "config.json"),
                "RELAY_STATE": str(self.folder / "state"), "RELAY_DISCOVERY": self.platform.address}
@@ -207,9 +252,8 @@
             env["UMBERCHUTE_OPERATOR"] = str(self.operator)
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "wheelstep.courier", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE)
-        serving: asyncio.Future[str] = asyncio.get_running_loop().create_future()
-        self._reading = asyncio.create_task(self._read_log(serving))
-        self.address = await asyncio.wait_for(serving, LIMIT_S)
+        self._serving: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+        self._reading = asyncio.create_task(self._read_log(self._serving))
 
     async def _read_log(self, serving: asyncio.Future[str]) -> None:
         assert self.process.stderr is not None
@@ -251,9 +295,10 @@
 class Scene:
     """A platform, one endpoint of destination 7, and a courier."""
 
-    def __init__(self, folder: Path, operator: Path | None = None, disk_mb: float = 3) -> None:
+    def __init__(self, folder: Path, operator: Path | None = None, disk_mb: float = 3,
+                 console: bool = False) -> None:
         self.platform, self.endpoint = Platform(), Endpoint()
-        self.courier = Courier(folder, self.platform, operator=operator, disk_mb=disk_mb)
+        self.courier = Courier(folder, self.platform, operator=operator, disk_mb=disk_mb, console=console)
 
     async def __aenter__(self) -> Scene:
         await self.platform.start()
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -27,6 +27,8 @@
     from wheelstep.console.front import Front
     from wheelstep.operator import Operator
     from wheelstep.recording.writer import Recorder
+    from wheelstep.upgrade.giver import Giver
+    from wheelstep.upgrade.taker import Taker
 
 _WORK_ON_S = 2.0  # from SIGTERM until no new attempt starts
 _CLOSE_S = 2.8  # until clients' connections are ended
@@ -42,47 +44,122 @@
     terminated = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, terminated.set)
-    journal = open_journal(config, operator)
+    if config.console is None:
+        journal, taker, console = open_journal(config, operator), None, None
+    else:
+        console = await open_console(config.console)
+        if (got := await obtain(config, operator, terminated)) is None:
+            console.stop()
+            return
+        journal, taker = got
     core = Core(config, journal)
     if operator is not None:
         core.recorder = recorder(operator, config)
-    inlet = Inlet(core, core.ordered, config.sockets // 3)
-    console = open_console(core) if config.console is not None else None
+    inlet = Inlet(core, core.ordered, config.sockets // 3, keep=console is not None)
+    giver: Giver | None = None
+    if console is not None:
+        from wheelstep.console.figures import Figures
+        core.figures, console.desk = Figures(), core
     async with aiohttp.ClientSession(auto_decompress=False, trust_env=False) as http:
         core.notices = Notices(http, config.discovery, core.answered)
-        seq = config.known.get("seq", 0)
+        seq, rows = config.known.get("seq", 0), entries(config.known, config.names)
+        if taker is not None and taker.taken.rows:
+            seq, rows = taker.taken.seq, taker.taken.rows
         watch = Watch(http, config.discovery, config.names, seq if isinstance(seq, int) else 0, core.listed)
-        core.listed(api.ListKind.RESTORED, entries(config.known, config.names))
-        core.restore(journal.marks, journal.messages.values())
+        core.listed(api.ListKind.RESTORED, rows)
+        core.restore(journal.marks, journal.messages.values(), taker.taken.calls if taker is not None else ())
         gc.freeze()  # what was restored lives long: a collection that walked it all would stop the loop
         async with asyncio.TaskGroup() as group:  # a task that dies ends the process with its traceback
             tasks = [group.create_task(work) for work in
                      (core.notices.run(), watch.run(), core.outlet.sweep(), inlet.sweep(),
                       journal.compact_for_good(), follow_config(config, renewed, watch, core.notices, core=core))]
-            if console is not None and config.console is not None:
-                await console.start(config.console)
+            port = await inlet.start(config.listen, taker.taken.listener if taker is not None else None)
+            if taker is not None:
+                await taker.go_on(core, inlet)
             core.ready = True
-            port = await inlet.start(config.listen)
             log.info("%s serves on %s:%d, %d messages restored; %d slots, holds %d, %d descriptors",
                      config.name, config.listen.host, port, len(journal.messages), config.settings.slots,
                      config.settings.hold_limit, config.sockets)
+            if console is not None:
+                from wheelstep.upgrade.giver import Giver  # noqa: F811
+
+                def close() -> None:
+                    for task in tasks:
+                        task.cancel()
+                    journal.close()
+                giver = Giver(config.state, core, inlet, lambda: watch.seq, close)
+                giver.start()
             await terminated.wait()
-            await leave(core, inlet)
+            if giver is not None and giver.given:
+                await core.outlet.finish(_LEAVE_S)
+            else:
+                await leave(core, inlet)
             for task in tasks:
                 task.cancel()
             if console is not None:
                 console.stop()
+            if giver is not None:
+                giver.stop()
     if core.recorder is not None:
         core.recorder.close()
-    journal.close()
+    if giver is None or not giver.given:
+        journal.close()
+
+
+class _Starting:
+    """What operators hear before the courier is there."""
+
+    ready = False
+
+    def telemetry(self) -> str:
+        from wheelstep.console.figures import Figures, Gauges, render
+        return render(Figures(), Gauges(0, 0, 0), ())
+
+    def exclude(self, endpoint: str) -> bool:
+        return False
+
+    def include(self, endpoint: str) -> bool:
+        return False
 
 
-def open_console(core: Core) -> Front:
-    """What operators call, and what is counted for them."""
-    from wheelstep.console.figures import Figures
+async def open_console(address: Address) -> Front:
+    """Where operators call."""
     from wheelstep.console.front import Front
-    core.figures = Figures()
-    return Front(core)
+    front = Front(_Starting())
+    try:
+        await front.start(address)
+    except OSError as error:
+        raise ConfigError(f"console {address.host}:{address.port}: {error}") from error
+    return front
+
+
+async def obtain(config: Config, operator: Operator | None,
+                 terminated: asyncio.Event) -> tuple[Journal, Taker | None] | None:
+    """The journal, from the process that has it if there is one; None if this one is to end meanwhile."""
+    try:
+        return open_journal(config, operator), None
+    except ConfigError as error:
+        if not isinstance(error.__cause__, FolderInUseError):
+            raise
+    from wheelstep.upgrade.taker import take_over
+    found: list[Journal] = []
+
+    def free() -> bool:
+        try:
+            found.append(open_journal(config, operator))
+        except ConfigError as error:
+            if not isinstance(error.__cause__, FolderInUseError):
+                raise
+        return bool(found)
+    taking = asyncio.create_task(take_over(config.state, free))
+    ending = asyncio.create_task(terminated.wait())
+    await asyncio.wait({taking, ending}, return_when=asyncio.FIRST_COMPLETED)
+    ending.cancel()
+    if not taking.done():
+        taking.cancel()
+        return None
+    taker = taking.result()
+    return (found[0] if found else open_journal(config, operator)), taker
 
 
 def open_journal(config: Config, operator: Operator | None) -> Journal:
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -6,8 +6,8 @@
 import logging
 import time
 from collections import defaultdict
-from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import replace
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any, Protocol
 
 from wheelstep import Sender
@@ -15,6 +15,7 @@
 from wheelstep.courier.config import Address, Config
 from wheelstep.courier.outlet import Item, Outlet, Result
 from wheelstep.courier.platform import Notices
+from wheelstep.courier.rows import Row
 from wheelstep.interface import UNRUN, EndpointState, Outcome
 from wheelstep.journal import NoRoomError, Stored
 
@@ -23,6 +24,7 @@
     from wheelstep.recording.writer import Recorder
     from wheelstep.renewal.classes import ClassTable
 
+Told = Callable[[str, Sequence[tuple[Item, Result]]], None]
 _PROBE_TIMEOUT_US = 1_500_000
 _MOST_EVENTS = 2_000  # go to the module in one turn
 _OUT = ":out "  # before an endpoint's id: the mark that it is out by hand
@@ -60,6 +62,15 @@
     async def durable(self) -> None: ...
 
 
+@dataclass(frozen=True, slots=True)
+class CallsOut:
+    """A call under way: where, since when (Unix time), and its messages with their attempts."""
+
+    endpoint: str
+    sent_ms: int
+    attempts: list[tuple[str, int]]
+
+
 class Core:
     """One courier's state between its sockets, its journal and the module."""
 
@@ -88,6 +99,8 @@
         self.figures: Figures | None = None
         self._out: set[str] = set()  # endpoints out by hand, listed or not
         self.ready = self.stopping = False
+        self.frozen = False  # nothing is begun: another process is about to go on from here
+        self._tell: Told | None = None  # who owns the messages now, once another process does
 
     # --- what the sockets tell ---
 
@@ -259,8 +272,54 @@
         """Is there anything to wait for between writing an attempt down and its first byte?"""
         return self._journal.waits
 
-    def restore(self, marks: Mapping[str, Any], messages: Iterable[Stored]) -> None:
-        """Take up what a journal holds: the health of endpoints, and the messages in their order."""
+    # --- from one process to the next (wheelstep.upgrade) ---
+
+    def freeze(self) -> None:
+        """Begin nothing: calls under way go on, those that have not written a byte end as not sent."""
+        self.frozen = True
+
+    def thaw(self) -> None:
+        """Go on."""
+        self.frozen = False
+        if self._events and self._flush is None:
+            self._flush = asyncio.get_running_loop().call_soon(self._turn)
+
+    def calls_out(self) -> list[CallsOut]:
+        """The calls that have begun and have no outcome yet."""
+        found = []
+        for attempts in self.outlet.calls():
+            rows = [(name, number, held.out[number]) for name, number in attempts
+                    if (held := self._journal.messages.get(name)) is not None and number in held.out]
+            if rows:
+                found.append(CallsOut(rows[0][2][1], rows[0][2][0], [(name, number) for name, number, _ in rows]))
+        return found
+
+    def waits(self) -> dict[str, int]:
+        """Waits in force: microseconds left by endpoint."""
+        now = time.monotonic()
+        left = {name: self._waits.get(self._route(info), 0.0) - now for name, info in self._listed.items()}
+        return {name: int(left_s * 1e6) for name, left_s in left.items() if left_s > 0}
+
+    def rows(self) -> list[Row]:
+        """The list as it stands."""
+        return [(info, address) for name, info in self._listed.items()
+                if (address := self.outlet.address(name)) is not None]
+
+    def hand_over(self, tell: Told) -> None:
+        """The messages are another process's now: outcomes are told to it, and nothing is written down here."""
+        self._tell = tell
+        self._events.clear()
+        for timer in self._timers.values():
+            timer.cancel()
+        self._held.clear()
+        for endpoint in self._listed:
+            self.outlet.close_idle(endpoint)
+
+    def restore(self, marks: Mapping[str, Any], messages: Iterable[Stored],
+                calls: Sequence[CallsOut] = ()) -> None:
+        """Take up what a journal holds: the health of endpoints, and the messages in their order. `calls` are still
+        out at the process before, which will tell their outcomes."""
+        out = {name: (at, number, call) for at, call in enumerate(calls) for name, number in call.attempts}
         now_ms, messages = int(time.time() * 1000), list(messages)
         if _CLASSES in marks:
             self._restore_classes(marks[_CLASSES], messages)
@@ -283,11 +342,12 @@
                 self._end(message, "given_up", 0)
             else:
                 self._hold(message)
-                ran = message.may_have_run()
+                at, number, call = out.get(message.id, (0, None, None))
+                ran = message.may_have_run(but=number)
                 self._post(api.MessageRestored(
                     self._accepted(message, resubmitted=True), message.attempts,
-                    None if ran is None else max(0, int(time.time() * 1e6) - ran[0] * 1000),
-                    self._zone(ran[1]) if ran else 0))
+                    None if ran is None else _ago_us(ran[0]), self._zone(ran[1]) if ran else 0,
+                    None if call is None else api.CallOut(at, call.endpoint, _ago_us(call.sent_ms))))
 
     def _accepted(self, message: Stored, resubmitted: bool) -> api.MessageAccepted:
         place = self._class(message)
@@ -322,7 +382,7 @@
     def may_probe(self, endpoint: str) -> bool:
         """May anything new be written there?"""
         info = self._listed.get(endpoint)
-        if info is None or info.state is not EndpointState.UP or endpoint in self._out:
+        if info is None or info.state is not EndpointState.UP or endpoint in self._out or self.frozen:
             return False
         return time.monotonic() >= self._waits.get(self._route(info), 0.0)
 
@@ -350,6 +410,9 @@
 
     def ended(self, endpoint: str, results: Sequence[tuple[Item, Result]]) -> None:
         """The outcomes of one call."""
+        if self._tell is not None:
+            self._tell(endpoint, results)
+            return
         for item, result in results:
             held = self._held.get(item.message)
             if result.outcome is not Outcome.OK:
@@ -369,6 +432,8 @@
 
     def probed(self, endpoint: str, result: Result) -> None:
         """The outcome of a probe."""
+        if self._tell is not None:
+            return
         self._post(api.ProbeEnded(endpoint, result.outcome, result.spent_us, result.limit))
 
     def answered(self, messages: list[str]) -> None:
@@ -387,13 +452,15 @@
 
     def _post(self, event: api.Event) -> None:
         """Gather events for a tick: what goes to one endpoint in one turn shares a call."""
+        if self._tell is not None:
+            return  # the messages are another process's
         self._events.append(event)
         if self._flush is None:
             self._flush = asyncio.get_running_loop().call_later(self._s.tick_us / 1e6, self._turn)
 
     def _turn(self) -> None:
         self._flush = None
-        if self.stopping:
+        if self.stopping or self.frozen:
             return
         events, self._events = self._events[:_MOST_EVENTS], self._events[_MOST_EVENTS:]
         if self._events:  # guards the loop against 100,000 restored messages in one turn
@@ -485,5 +552,9 @@
             for name, cls in zip(config.names.classes, config.settings.classes, strict=True)}
 
 
+def _ago_us(at_ms: int) -> int:
+    return max(0, int(time.time() * 1e6) - at_ms * 1000)
+
+
 def _left_us(message: Stored) -> int:
     return max(0, message.deadline_ms * 1000 - int(time.time() * 1e6))
--- a/wheelstep/courier/inlet.py
+++ b/wheelstep/courier/inlet.py
@@ -25,8 +25,11 @@
 _ONCE = ("X-Request-Id", "X-Class", "X-Deadline-Ms", "X-Consignee", "Idempotency-Key", "X-Retry")
 _COME_BACK = {"Retry-After": "1"}
 _ACCEPT = 16  # connections taken on in one turn of the loop; the count may pass its limit by so many
+_TURNS = 20  # of the loop, in which what has come whole gets its answer
 _QUEUE = 512  # connections that wait in the kernel: a crowd may not make good clients dial again
 _ASK_S = 2.5  # for a request to come whole, from connecting or, on a kept connection, from its first byte
+_MOST_RAW = 16 * 1024  # bytes of a request under way that can be passed on to another process
+_SETTLE_S = 1.0  # for messages that are written down and not answered yet
 _IDLE_S = 20.0  # an idle connection is kept so long while there is room
 _SPARE_S = 2.0  # and is the first to go after this when there is none
 _SWEEP_S = 0.25
@@ -137,6 +140,8 @@
         self._handler: web.RequestHandler | None = None
         self.transport: asyncio.Transport | None = None
         self.phase, self.since = _Phase.SILENT, 0.0
+        self.raw: bytes | None = b""  # what came of the request under way, for another process; None: too much
+        self.taking = False  # its message is written down, and its client has not heard yet
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -146,6 +151,8 @@
     def data_received(self, data: bytes) -> None:
         if self.phase is not _Phase.ASKING:
             self._doors.turn(self, _Phase.ASKING)
+        if self._doors.keep and self.raw is not None:
+            self.raw = self.raw + data if len(self.raw) + len(data) <= _MOST_RAW else None
         if self._handler is None:
             assert self.transport is not None
             self._handler = self._doors.handler()
@@ -153,6 +160,7 @@
         self._handler.data_received(data)
 
     def answered(self) -> None:
+        self.raw = b""
         self._doors.turn(self, _Phase.IDLE)
 
     def eof_received(self) -> None:
@@ -182,8 +190,8 @@
     """All connections of clients. Guards descriptors and memory against crowds, silent or slow clients, and
     ones that keep what they don't use; when there is no room, the good ones are let in first."""
 
-    def __init__(self, server: web.Server, limit: int) -> None:
-        self._server, self._limit = server, max(_ACCEPT, limit - _ACCEPT)
+    def __init__(self, server: web.Server, limit: int, keep: bool) -> None:
+        self._server, self._limit, self.keep = server, max(_ACCEPT, limit - _ACCEPT), keep
         self._phases: dict[_Phase, dict[_Door, None]] = {phase: {} for phase in _Phase}
         self._turned_away = 0
 
@@ -239,6 +247,10 @@
             log.info("turned away %d connections", self._turned_away)
             self._turned_away = 0
 
+    def all(self) -> list[_Door]:
+        """Every connection."""
+        return [door for doors in self._phases.values() for door in doors]
+
     def close(self) -> None:
         """End those that wait for nothing."""
         for phase in (_Phase.SILENT, _Phase.IDLE):
@@ -258,10 +270,12 @@
     """The server for clients; they may hold about `most` connections."""
 
     def __init__(self, desk: Desk, classes: Mapping[str, bool], most: int,
-                 find: Callable[[int], Desk] | None = None) -> None:
-        """`find` gives the desk of a destination, where there are several; `desk` tells whether all are ready."""
+                 find: Callable[[int], Desk] | None = None, keep: bool = False) -> None:
+        """`find` gives the desk of a destination, where there are several; `desk` tells whether all are ready.
+        With `keep`, connections can be passed on to another process."""
         self._desk, self._classes, self._most = desk, classes, most
-        self._find = find
+        self._find, self._keep = find, keep
+        self._spare: socket.socket | None = None  # the listener, while nothing is taken on
         self.closing = False  # answers end their connections from now on
         self._bad = self._no_room = 0
         app = web.Application(client_max_size=MOST_BODY, middlewares=[self._answer])
@@ -278,13 +292,69 @@
         """Listen, at `listener` if it is given, and return the port."""
         await self._runner.setup()
         assert self._runner.server is not None
-        doors = self._doors = _Doors(self._runner.server, self._most)
+        doors = self._doors = self._doors or _Doors(self._runner.server, self._most, self._keep)
         listener = listener or bind(listen)
         self._server = await asyncio.get_running_loop().create_server(
             lambda: _Door(doors), sock=listener, backlog=_ACCEPT)
         listener.listen(_QUEUE)  # asyncio takes its backlog for the kernel's queue and its own turn alike
         return int(listener.getsockname()[1])
 
+    # --- from one process to the next (wheelstep.upgrade) ---
+
+    async def pause(self) -> socket.socket:
+        """Take no connection on and read nothing; what has come whole gets its answer. The listener: its queue goes on
+        taking connections."""
+        assert self._server is not None and self._doors is not None
+        self._spare = self._server.sockets[0].dup()
+        self._server.close()
+        for door in self._doors.all():
+            if door.transport is not None:
+                door.transport.pause_reading()
+        async with asyncio.timeout(_SETTLE_S):
+            for _ in range(_TURNS):
+                await asyncio.sleep(0)
+            while any(door.taking for door in self._doors.all()):
+                await asyncio.sleep(0.002)
+        return self._spare
+
+    async def resume(self) -> None:
+        """After all: go on."""
+        if self._spare is None or self._doors is None:
+            return
+        await self.start(Address("", 0), self._spare)
+        self._spare = None
+        for door in self._doors.all():
+            if door.transport is not None:
+                door.transport.resume_reading()
+
+    def connections(self) -> list[tuple[int, bool, bytes]]:
+        """Those that another process can go on with: descriptor, whether a request is expected only by and by, and what
+        came of one."""
+        assert self._doors is not None
+        return [(door.transport.get_extra_info("socket").fileno(), door.phase is _Phase.IDLE, door.raw)
+                for door in self._doors.all()
+                if door.transport is not None and not door.transport.is_closing() and door.raw is not None
+                and not door.taking and not door.transport.get_write_buffer_size()]
+
+    def let_go(self) -> None:
+        """Another process has them: this one's handles are closed."""
+        if self._spare is not None:
+            self._spare.close()
+        if self._doors is not None:
+            for door in self._doors.all():
+                if door.transport is not None and not door.transport.get_write_buffer_size():
+                    door.close()
+
+    async def adopt(self, connection: socket.socket, idle: bool, raw: bytes) -> None:
+        """Go on with one that another process had."""
+        assert self._doors is not None
+        doors = self._doors
+        _, door = await asyncio.get_running_loop().connect_accepted_socket(lambda: _Door(doors), connection)
+        if idle:
+            doors.turn(door, _Phase.IDLE)
+        if raw:
+            door.data_received(raw)
+
     async def sweep(self) -> None:
         """Keep clients to their time, for good."""
         while True:
@@ -360,10 +430,15 @@
             return web.Response(status=503, text="holds all it can\n", headers=_COME_BACK)
         if request.transport is None or request.transport.is_closing():
             return web.Response(status=503)  # nobody hears it
+        door = request.transport.get_protocol()
         try:
             desk.take(message)
+            if isinstance(door, _Door):
+                door.taking = True
             await self._durable(desk, message.id)
         except NoRoomError:
+            if isinstance(door, _Door):
+                door.taking = False
             self._no_room += 1
             desk.handed_in(message, 503)
             return web.Response(status=503, text="no room\n", headers=_COME_BACK)
@@ -377,5 +452,7 @@
             desk.withdraw(message.id)
             return answer
         desk.begin(message.id)
+        if isinstance(door, _Door):
+            door.taking = False
         desk.handed_in(message, 202)
         return answer
--- a/wheelstep/courier/outlet.py
+++ b/wheelstep/courier/outlet.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import builtins
 import logging
 import math
 import time
@@ -114,6 +115,11 @@
             self.close_idle(endpoint)
             self._hosts[endpoint] = _Host(address)
 
+    def address(self, endpoint: str) -> Address | None:
+        """Where it is, if it is listed."""
+        host = self._hosts.get(endpoint)
+        return host.address if host is not None else None
+
     def unlist(self, endpoint: str) -> None:
         """The endpoint is gone."""
         self.close_idle(endpoint)
@@ -141,6 +147,13 @@
         """Start one probe."""
         self._spawn(self._probe(endpoint, timeout_us))
 
+    def calls(self) -> Sequence[Sequence[tuple[str, int]]]:
+        """The calls under way: for each its messages, with their attempts."""
+        found: dict[asyncio.Task[None], builtins.list[tuple[str, int]]] = {}
+        for attempt, task in self._calls.items():
+            found.setdefault(task, []).append(attempt)
+        return [*found.values()]
+
     async def finish(self, timeout_s: float) -> None:
         """Wait for the calls under way, up to a time."""
         if self._tasks:
--- a/wheelstep/courier/platform.py
+++ b/wheelstep/courier/platform.py
@@ -71,6 +71,11 @@
         self._http, self._names, self._listed, self._seq = http, names, listed, seq
         self._place = _Place(discovery, "/v1/servers")
 
+    @property
+    def seq(self) -> int:
+        """The version of the list that is known."""
+        return self._seq
+
     def move(self, discovery: Address) -> None:
         """Follow discovery at another address, from its whole list on: it may count in its own way."""
         self._seq = 0
--- /dev/null
+++ b/wheelstep/courier/rows.py
@@ -0,0 +1,23 @@
+"""The list's rows on their way to another process of the same courier. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+from wheelstep import interface as api
+from wheelstep.courier.config import Address
+
+Row = tuple[api.EndpointInfo, Address]
+
+
+def write_rows(rows: Iterable[Row]) -> list[list[Any]]:
+    """A list's rows, for another process."""
+    return [[info.endpoint, info.destination, info.kind, info.zone, info.state.value, info.weight,
+             address.host, address.port] for info, address in rows]
+
+
+def read_rows(rows: Iterable[list[Any]]) -> list[Row]:
+    """The same, read."""
+    return [(api.EndpointInfo(endpoint, destination, kind, zone, api.EndpointState(state), weight),
+             Address(host, port)) for endpoint, destination, kind, zone, state, weight, host, port in rows]
--- a/wheelstep/interface.py
+++ b/wheelstep/interface.py
@@ -146,16 +146,28 @@
     resubmitted: bool = False  # the client, or a sender that died, had it before
 
 
+@dataclass(frozen=True, slots=True)
+class CallOut:
+    """A call that an earlier process still has out, and whose outcome it will tell. Messages with the same `number`
+    share it."""
+
+    number: int
+    endpoint: str
+    sent_ago_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class MessageRestored:
     """A message that this sender had taken on before its process was replaced. Of its attempts so far, those
-    without an outcome count among those that may have run; `ran_ago_us` is how long ago the first such was
-    sent (None: none may have run), `ran_zone` its endpoint's zone. Restored in the order of their taking."""
+    without an outcome count among those that may have run, but for one that is still `out`; `ran_ago_us` is how
+    long ago the first such was sent (None: none may have run), `ran_zone` its endpoint's zone. Restored in the order
+    of their taking."""
 
     accepted: MessageAccepted
     attempts: int = 0
     ran_ago_us: int | None = None
     ran_zone: int = 0
+    out: CallOut | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/wheelstep/journal/state.py
+++ b/wheelstep/journal/state.py
@@ -29,10 +29,10 @@
     home: int = field(default=0, compare=False)  # the segment that holds it whole
     weight: int = field(default=0, compare=False)  # what it counts among the live bytes, without its open attempts
 
-    def may_have_run(self) -> tuple[int, str] | None:
-        """The first attempt that may have run, one without an outcome included: when, and where."""
+    def may_have_run(self, but: int | None = None) -> tuple[int, str] | None:
+        """The first attempt that may have run, one without an outcome included, but for this one: when, and where."""
         known = [(self.ran_ms, self.ran_at or "")] if self.ran_ms is not None else []
-        return min([*known, *self.out.values()], default=None)
+        return min([*known, *(sent for number, sent in self.out.items() if number != but)], default=None)
 
     def doubt(self) -> None:
         """Damage may have swallowed an attempt of it: from now on it may have run, nobody knows when."""
--- a/wheelstep/logic.py
+++ b/wheelstep/logic.py
@@ -460,6 +460,7 @@
         self._lapses: list[tuple[float, int, int]] = []  # until when that holds
         self._stamp, self._bounding = 0, False
         self._endpoints: dict[str, Endpoint] = {}
+        self._resumed: dict[int, Call] = {}  # an earlier process's calls, `slots` at most
         self._chains: dict[str, Chain] = defaultdict(Chain)
         self._heap: list[tuple[int, int, Callable[[], None], Message | None]] = []
         self._dead = 0  # of these, so many are of messages that are over
@@ -590,9 +591,29 @@
         if event.ran_ago_us is not None:
             message.ran_us, message.ran_zone = self._now - event.ran_ago_us, event.ran_zone
             message.rest_us = self._now + self._s.order_settle_us
-        if not self._may_resend(message, self._now):
+        if event.out is not None:
+            self._resume(message, event.out)
+        elif not self._may_resend(message, self._now):
             self._end(message)
 
+    def _resume(self, message: Message, out: api.CallOut) -> None:
+        """Its call is out as if it had been sent here: it holds its slot, its endpoint and its key."""
+        self._unqueue(message)
+        destination = self._destination(message.destination)
+        if out.number not in self._resumed:
+            info = api.EndpointInfo(out.endpoint, message.destination, state=EndpointState.REMOVED)
+            endpoint = self._endpoints.get(out.endpoint) or Endpoint(
+                info, self._s, Pacer(self._s.senders, self._t1_us), self._promise_us, self._rng)
+            call = self._resumed[out.number] = Call(endpoint, self._now - out.sent_ago_us, endpoint.sick)
+            endpoint.calls[call] = None
+            destination.calls_out += 1
+            self._calls_out += 1
+            if not endpoint.watched:
+                self._watch(endpoint)
+        message.resumes = False
+        message.call = call = self._resumed[out.number]
+        call.size, call.open = call.size + 1, call.open + 1
+
     def _make_room(self) -> None:
         """Hand back what is worth least once its destination's backlog has gone, before others are turned
         away. So no backlog shuts out the rest; it harms one that is about to go faster than one in T1. Among
--- a/wheelstep/rehearsal/broken/order.py
+++ b/wheelstep/rehearsal/broken/order.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 
 from wheelstep import interface as api
-from wheelstep.courier.core import Core
+from wheelstep.courier.core import CallsOut, Core
 from wheelstep.journal import Stored
 from wheelstep.rehearsal.broken.patch import change_settings
 
@@ -22,9 +22,10 @@
     restoring = []
     restore = Core.restore
 
-    def note(self: Core, marks: Mapping[str, Any], messages: Iterable[Stored]) -> None:
+    def note(self: Core, marks: Mapping[str, Any], messages: Iterable[Stored],
+             calls: Sequence[CallsOut] = ()) -> None:
         restoring.append(self)
-        restore(self, marks, messages)
+        restore(self, marks, messages, calls)
         restoring.clear()
 
     def keyless(self: Core, message: Stored, resubmitted: bool) -> api.MessageAccepted:
--- a/wheelstep/rehearsal/broken/twice.py
+++ b/wheelstep/rehearsal/broken/twice.py
@@ -23,7 +23,10 @@
 
 def pays_after_restart() -> None:
     """What was out when the process ended counts as never sent."""
-    Stored.may_have_run = lambda self: None  # type: ignore[method-assign]
+    def never_ran(self: Stored, but: int | None = None) -> None:
+        return None
+
+    Stored.may_have_run = never_ran  # type: ignore[method-assign]
 
 
 def forgets_key_life() -> None:
--- /dev/null
+++ b/wheelstep/upgrade/giver.py
@@ -0,0 +1,165 @@
+"""The process that serves: hands everything over to a successor that asks."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import os
+import socket
+import sys
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+from wheelstep.courier.core import Core
+from wheelstep.courier.inlet import Inlet
+from wheelstep.courier.outlet import Item, Result
+from wheelstep.courier.rows import write_rows
+from wheelstep.upgrade import channel as channels
+from wheelstep.upgrade.channel import Channel, LostError
+from wheelstep.upgrade.steps import Do, Handover, Step
+
+_TAKES_S = 4.0  # for a successor to go through all steps
+
+log = logging.getLogger(__name__)
+
+
+class Giver:
+    """Waits for a successor, for good. `close` ends all that writes to the journal, and closes it."""
+
+    def __init__(self, folder: Path, core: Core, inlet: Inlet, seq: Callable[[], int],
+                 close: Callable[[], None]) -> None:
+        self._folder, self._core, self._inlet, self._seq, self._close = folder, core, inlet, seq, close
+        self._handover = Handover()
+        self._listener: socket.socket | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._channel: Channel | None = None
+        self._limit: asyncio.TimerHandle | None = None
+
+    @property
+    def given(self) -> bool:
+        """Are the messages another process's?"""
+        return self._handover.step in (Step.GIVEN, Step.DONE)
+
+    def start(self) -> None:
+        """Listen. Without the socket, an upgrade waits until this process has ended."""
+        try:
+            self._listener = channels.listen(self._folder)
+        except OSError as error:
+            log.warning("no upgrade under load: %s", error)
+            return
+        asyncio.get_running_loop().add_reader(self._listener.fileno(), self._accept)
+
+    def _accept(self) -> None:
+        assert self._listener is not None
+        with contextlib.suppress(OSError):
+            link, _ = self._listener.accept()
+            made: list[Channel] = []
+            made.append(Channel(link, lambda head, body, fds: self._heard(made[0], head, fds),
+                                lambda: self._lost(made[0])))
+
+    def _heard(self, channel: Channel, head: dict[str, Any], descriptors: list[int]) -> None:
+        for descriptor in descriptors:
+            os.close(descriptor)
+        match head.get("do"):
+            case "take over":
+                self._act(self._handover.asked(channel), channel)
+            case "received":
+                self._act(self._handover.received(channel), channel)
+            case "mine":
+                self._act(self._handover.mine(channel), channel)
+
+    def _lost(self, channel: Channel) -> None:
+        self._act(self._handover.lost(channel), channel)
+
+    def _act(self, what: Do, channel: Channel) -> None:
+        match what:
+            case Do.PAUSE:
+                self._channel = channel
+                self._limit = asyncio.get_running_loop().call_later(_TAKES_S, channel.close)
+                self._spawn(self._pause(channel))
+            case Do.CLOSE:
+                self._spawn(self._give(channel))
+            case Do.LET_GO:
+                self._let_go()
+            case Do.RESUME:
+                log.warning("the successor was lost: this process goes on")
+                self._end_limit()
+                self._core.thaw()
+                self._core.ready = True
+                self._spawn(self._inlet.resume())
+            case Do.BEGIN_ANEW:
+                log.error("the successor was lost while it took over: beginning anew from the folder")
+                os.execv(sys.executable, [sys.executable, *sys.orig_argv[1:]])
+            case Do.REFUSE:
+                channel.close()
+            case Do.NOTHING:
+                pass
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.get_running_loop().create_task(self._guarded(work))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _guarded(self, work: Any) -> None:
+        """Guards against a step that fails unheard: the taker's connection ends, and with it the handover."""
+        try:
+            await work
+        except LostError as error:
+            log.warning("the successor does not answer: %s", error)
+        except Exception:
+            log.exception("a step of the handover failed")
+            if self._channel is not None:
+                self._channel.close()
+
+    def _end_limit(self) -> None:
+        if self._limit is not None:
+            self._limit.cancel()
+
+    async def _pause(self, channel: Channel) -> None:
+        log.info("a successor takes over")
+        self._core.freeze()
+        self._core.ready = False
+        listener = await self._inlet.pause()
+        for descriptor, idle, raw in self._inlet.connections():
+            await channel.send({"is": "client", "idle": idle}, raw, (descriptor,))
+        await channel.send({"is": "listener"}, b"", (listener.fileno(),))
+        await channel.send_list({"is": "list", "seq": self._seq()}, write_rows(self._core.rows()))
+        await channel.send({"is": "connections"})
+
+    async def _give(self, channel: Channel) -> None:
+        calls = [[call.endpoint, call.sent_ms, call.attempts] for call in self._core.calls_out()]
+        waits = list(self._core.waits().items())
+        self._core.hand_over(self._tell)
+        self._close()  # from here on nothing is written by this process
+        await channel.send_list({"is": "calls"}, calls)
+        await channel.send_list({"is": "waits"}, waits)
+        await channel.send({"is": "yours"})
+
+    def _let_go(self) -> None:
+        self._end_limit()
+        self._inlet.let_go()
+        if self._listener is not None:
+            asyncio.get_running_loop().remove_reader(self._listener.fileno())
+            self._listener.close()
+        log.info("handed over, %d calls still out", len(self._core.outlet.calls()))
+
+    def _tell(self, endpoint: str, results: Sequence[tuple[Item, Result]]) -> None:
+        """Outcomes of calls that this process still had out."""
+        rows = [[item.message, item.attempt, result.outcome.value, result.spent_us, result.wait_us,
+                 [result.limit.left, result.limit.per_s] if result.limit is not None else None,
+                 result.over, result.exhausted] for item, result in results]
+        if self._channel is not None:
+            self._spawn(self._channel.send({"is": "ended", "endpoint": endpoint, "rows": rows}))
+
+    def stop(self) -> None:
+        """Close everything; what a successor has stays its."""
+        self._end_limit()
+        if self._listener is not None and self._handover.step is not Step.DONE:
+            asyncio.get_running_loop().remove_reader(self._listener.fileno())
+            self._listener.close()
+        for task in self._tasks:
+            task.cancel()
+        if self._channel is not None:
+            self._channel.close()
--- a/wheelstep/workers/supervisor.py
+++ b/wheelstep/workers/supervisor.py
@@ -20,12 +20,12 @@
 from wheelstep.courier.config import Address, Config, ConfigError
 from wheelstep.courier.inlet import bind
 from wheelstep.courier.platform import Watch, entries
+from wheelstep.courier.rows import Row, write_rows
 from wheelstep.journal.disk import Folder
 from wheelstep.workers import ownership
 from wheelstep.workers.frames import Frames
 from wheelstep.workers.layout import Layout, LayoutError, prepare
 from wheelstep.workers.ownership import Fleet, Limits, share_of
-from wheelstep.workers.parts import Row, write_rows
 
 if TYPE_CHECKING:
     from wheelstep.operator import Operator
--- a/wheelstep/workers/worker.py
+++ b/wheelstep/workers/worker.py
@@ -24,13 +24,14 @@
 from wheelstep.courier.core import Core
 from wheelstep.courier.inlet import Desk, Inlet
 from wheelstep.courier.platform import Notices
+from wheelstep.courier.rows import Row, read_rows
 from wheelstep.journal import FolderInUseError, Journal, NoRoomError, Stored
 from wheelstep.workers.frames import Frames
 from wheelstep.workers.hop import Counter, Passage, RemoteDesk
 from wheelstep.workers.journals import Journals
 from wheelstep.workers.layout import Layout
 from wheelstep.workers.ownership import share_of
-from wheelstep.workers.parts import Row, part_of, read_rows
+from wheelstep.workers.parts import part_of
 
 if TYPE_CHECKING:
     from wheelstep.operator import Operator
