--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -235,6 +235,7 @@
 
     await until(_WORK_ON_S)
     core.stopping = True
+    core.note_all()
     await core.outlet.finish(_CLOSE_S - _WORK_ON_S)
     inlet.closing = True
     await until(_CLOSE_S)
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -7,7 +7,7 @@
 import time
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import astuple, dataclass, replace
 from typing import TYPE_CHECKING, Any, Protocol
 
 from wheelstep import Sender
@@ -29,6 +29,7 @@
 _MOST_EVENTS = 2_000  # go to the module in one turn
 _OUT = ":out "  # before an endpoint's id: the mark that it is out by hand
 _CLASSES = ":classes"  # the mark of what `ClassTable.store` gives
+_MOST_NOTES = 1_000  # endpoints that are noted at the end of the process: a few hundred bytes each
 _MOST_OUT = 10_000  # endpoints out by hand
 _RESERVE = 32  # descriptors for the journal, discovery, notices, and what asyncio and Python keep open
 
@@ -278,6 +279,12 @@
         """Begin nothing: calls under way go on, those that have not written a byte end as not sent."""
         self.frozen = True
 
+    def note_all(self) -> None:
+        """Write down what a process that goes on from here must know of endpoints, those with most traffic first."""
+        notes = self._sender.notes(time.monotonic_ns() // 1000)
+        for note in sorted(notes, key=lambda note: -note.health.carried)[:_MOST_NOTES]:
+            self._carry_out_one(note, {})
+
     def thaw(self) -> None:
         """Go on."""
         self.frozen = False
@@ -494,8 +501,8 @@
                 self.outlet.cancel(name, attempt)
             case api.Probe(endpoint):
                 self.outlet.probe(endpoint, _PROBE_TIMEOUT_US)
-            case api.CloseIdle(endpoint):
-                self.outlet.close_idle(endpoint)
+            case api.CloseIdle(endpoint, idle_us):
+                self.outlet.close_idle(endpoint, idle_us)
             case api.SetTimer(timer, in_us):  # in place of a later one, which would wake it for nothing
                 if timer in self._timers:
                     self._timers[timer].cancel()
@@ -505,8 +512,7 @@
             case api.WriteLog(text):
                 log.info("%s", text)
             case api.NoteHealth(endpoint, health) if endpoint in self._listed:
-                self._journal.mark(endpoint, [int(time.time() * 1000), health.sick, health.returning,
-                                              health.base, health.rate])
+                self._journal.mark(endpoint, [int(time.time() * 1000), *astuple(health)])
 
     def _timer(self, timer: int) -> None:
         del self._timers[timer]
--- a/wheelstep/courier/outlet.py
+++ b/wheelstep/courier/outlet.py
@@ -125,11 +125,13 @@
         self.close_idle(endpoint)
         self._hosts.pop(endpoint, None)
 
-    def close_idle(self, endpoint: str) -> None:
-        """Close the idle connections to an endpoint."""
-        host = self._hosts.get(endpoint)
-        while host is not None and host.idle:
-            host.idle.pop().close()
+    def close_idle(self, endpoint: str, idle_us: int = 0) -> None:
+        """Close the connections to an endpoint that have been idle for so long."""
+        host, since = self._hosts.get(endpoint), time.monotonic() - idle_us / 1e6
+        for link in [link for link in host.idle if link.idle_since <= since] if host is not None else ():
+            assert host is not None
+            host.idle.remove(link)
+            link.close()
 
     def call(self, endpoint: str, items: Sequence[Item], timeout_us: int) -> None:
         """Start one call; every item gets its outcome through the gate."""
--- a/wheelstep/interface.py
+++ b/wheelstep/interface.py
@@ -205,13 +205,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Health:
-    """What must not be forgotten of an endpoint: is it out or on its way back, what it carried a second
-    before, and the paced rate of its route (0: unpaced)."""
+    """What must not be forgotten of an endpoint: is it out or on its way back, and for how long; what it carried a
+    second before; the paced rate of its route (0: unpaced), and what that carries a second now; its usual round trip;
+    of its destination the window of calls and the mean time of a call. 0 where nothing is known."""
 
     sick: bool
     returning: bool
     base: float
     rate: float
+    returning_us: int = 0
+    carried: float = 0.0
+    usual_us: int = 0
+    deviation_us: int = 0
+    window: float = 0.0
+    tau_us: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -290,9 +297,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CloseIdle:
-    """Close the idle connections to an endpoint."""
+    """Close the idle connections to an endpoint, those that have been idle for so long at least."""
 
     endpoint: str
+    idle_us: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/wheelstep/logic.py
+++ b/wheelstep/logic.py
@@ -39,6 +39,7 @@
 LOOKS = 1_000  # destinations with news are looked at in one batch, the others in the next ones
 TIMERS = 5_000  # timers fire in one batch, the others in the next ones
 LEAST_DEAD = 4_096  # timers of messages that are over are dropped from so many on, if they are the half
+OVERTAKEN = 3  # answers to later calls at an endpoint that tell a silent connection from a slow endpoint
 MEMORY_US = 10_000_000  # over this time the rate that an endpoint carries is averaged
 
 
@@ -128,17 +129,17 @@
 
     def __init__(self, slots: int) -> None:
         self._top, self._half = max(1, math.ceil(slots * 3 / 4) - 1), max(1, slots // 2)
-        self._size = max(1.0, slots // 4)
+        self.size = max(1.0, slots // 4)
 
     def judge(self, outcome: Outcome) -> None:
         if outcome is Outcome.OK:
-            self._size = min(self._size + 1, self._top)
+            self.size = min(self.size + 1, self._top)
         elif outcome in (Outcome.FULL, Outcome.TIMEOUT):
-            self._size = max(1.0, self._size / 2)
+            self.size = max(1.0, self.size / 2)
 
     def room(self, calls_out: int, doubtful: bool) -> bool:
         """A destination in doubt is held to half of the slots before its outcomes have shrunk the window."""
-        return calls_out < min(self._size, self._half if doubtful else self._top)
+        return calls_out < min(self.size, self._half if doubtful else self._top)
 
 
 class Pacer:
@@ -207,6 +208,9 @@
     size: int = 0
     open: int = 0
     judged: bool = False
+    messages: list[Message] = field(default_factory=list)
+    overtaken: int = 0  # calls that went to this endpoint later and were answered
+    given_up: bool = False
 
 
 class Endpoint:
@@ -229,6 +233,10 @@
     def overdue_us(self) -> float:
         return max(self._promise_us, self.usual_us + LATE_DEVIATIONS * self._deviation_us)
 
+    def late_us(self) -> float:
+        """How long a call may take beside others that are answered."""
+        return max(self._promise_us / 4, self.usual_us + LATE_DEVIATIONS * self._deviation_us)
+
     def silent_us(self) -> float:
         """When it counts as silent: calls out for far longer than usual, nothing back since."""
         oldest = next(iter(self.calls), None)
@@ -269,22 +277,32 @@
         self.sick, self._ramp_us = True, None
         self._next_us = self._later_us(now_us)
 
-    def health(self) -> api.Health:
+    def health(self, now_us: int, destination: Destination) -> api.Health:
         """What a later process must know of it."""
         rate = self.pacer.rate if self.pacer.rate < math.inf else 0.0
-        return api.Health(self.sick, self._ramp_us is not None, self._base, rate)
+        back_us = 0 if self._ramp_us is None else now_us - self._ramp_us
+        carried = round(self.pacer.carried.read(now_us) * 1e6 / MEMORY_US, 3)
+        return api.Health(
+            self.sick, self._ramp_us is not None, round(self._base, 3), round(rate, 3), back_us, carried,
+            int(self.usual_us), int(self._deviation_us), round(destination.window.size, 2),
+            int(destination.loop.tau_us))
 
     def restore(self, now_us: int, health: api.Health, ago_us: int) -> None:
         """Go on with what an earlier process saw. Guards a returning endpoint against a sender that has just
         started and would push it as if it were well; harms where it got well meanwhile, for one trial."""
+        back_us = ago_us + health.returning_us
         if health.sick:
             self.fall_sick(now_us)
-            self._base = health.base
-        elif health.returning and ago_us < self._s.cold_us:
-            self._base, self._ramp_us = health.base, now_us - ago_us
+        elif health.returning and back_us < self._s.cold_us:
+            self._ramp_us = now_us - back_us
             self._ramp(now_us, self._rng.random())
+        self._base = health.base
+        self.usual_us, self._deviation_us = float(health.usual_us), float(health.deviation_us)
         if ago_us < self._s.cold_us:
             self.pacer.resume(health.rate)
+            carried = Fading(MEMORY_US, health.carried * MEMORY_US / 1e6, now_us - ago_us)
+            if carried.read(now_us) > self.pacer.carried.read(now_us):
+                self.pacer.carried = carried
 
     def _later_us(self, now_us: int) -> float:
         """When to try again: at the pace that it could bear once it is back, cold, if every sender that
@@ -518,7 +536,7 @@
             case api.ProbeEnded() if event.endpoint in self._endpoints:
                 self._learn(self._endpoints[event.endpoint], event)
             case api.HealthRestored() if event.endpoint in self._endpoints:
-                self._endpoints[event.endpoint].restore(self._now, event.health, event.ago_us)
+                self._recall(self._endpoints[event.endpoint], event)
             case api.ClassesChanged():
                 self._classes(event.classes)
 
@@ -613,6 +631,7 @@
         message.resumes = False
         message.call = call = self._resumed[out.number]
         call.size, call.open = call.size + 1, call.open + 1
+        call.messages.append(message)
 
     def _make_room(self) -> None:
         """Hand back what is worth least once its destination's backlog has gone, before others are turned
@@ -725,6 +744,10 @@
             endpoint.used_us = self._now
             destination.calls_out -= 1
             self._calls_out -= 1
+            if outcome is Outcome.OK:
+                self._overtakes(call)
+            elif outcome is Outcome.TIMEOUT:  # what has idled since before may be as silent
+                self._actions.append(api.CloseIdle(endpoint.info.endpoint, event.spent_us))
             if not destination.waiting and endpoint.rarely_used(self._now):
                 endpoint.used_us = -1
                 self._actions.append(api.CloseIdle(endpoint.info.endpoint))
@@ -739,12 +762,37 @@
         # A time-out cut short by the message's own end, before the call was overdue, shows no trouble: it may
         # not shrink the window or mark the endpoint. Silence is still noticed.
         overdue = event.spent_us >= endpoint.overdue_us() * weight(call.size)
-        if call.judged or outcome is Outcome.TIMEOUT and not overdue and not call.trial:
+        if call.judged or outcome is Outcome.TIMEOUT and (not overdue or call.overtaken) and not call.trial:
             return
         call.judged = True
         destination.window.judge(outcome)
         self._learn(endpoint, event)
 
+    def _overtakes(self, answered: Call) -> None:
+        """Guards slots against connections that have fallen silent while their endpoint goes on answering on
+        others. Calls in one queue come back about in turn; it harms one that takes far longer than most."""
+        for call in answered.endpoint.calls:
+            if call.sent_us >= answered.sent_us:
+                break
+            call.overtaken += 1
+            if call.overtaken == OVERTAKEN:
+                self._give_up(call)
+
+    def _give_up(self, call: Call) -> None:
+        """Call it off once it is late; one that can't be repeated gets twice the time."""
+        endpoint = call.endpoint
+        if call.given_up or call not in endpoint.calls:
+            return
+        unsafe = any(message.cls.effect is Effect.UNSAFE for message in call.messages)
+        late_us = call.sent_us + weight(call.size) * endpoint.late_us() * (2 if unsafe else 1)
+        if self._now < late_us:
+            self._at(late_us, lambda: self._give_up(call))
+            return
+        call.given_up = True
+        first = call.messages[0]
+        self._actions.append(api.CancelAttempt(first.id, first.attempts - 1))
+        self._actions.append(api.CloseIdle(endpoint.info.endpoint, self._now - call.sent_us))
+
     def _safe_us(self) -> float:
         """For how long a connection may idle before its next call is at risk. Guards one-try messages
         against connections dropped unseen, by whatever stands between; costs handshakes while remembered."""
@@ -762,7 +810,23 @@
             self._note(endpoint)
 
     def _note(self, endpoint: Endpoint) -> None:
-        self._actions.append(api.NoteHealth(endpoint.info.endpoint, endpoint.health()))
+        health = endpoint.health(self._now, self._destination(endpoint.info.destination))
+        self._actions.append(api.NoteHealth(endpoint.info.endpoint, health))
+
+    def notes(self, now_us: int) -> list[api.NoteHealth]:
+        """What a process that goes on from here must know of all endpoints that anything is known of."""
+        self._now, self._actions = now_us, []
+        for endpoint in self._endpoints.values():
+            if endpoint.sick or endpoint.usual_us:
+                self._note(endpoint)
+        return [action for action in self._actions if isinstance(action, api.NoteHealth)]
+
+    def _recall(self, endpoint: Endpoint, event: api.HealthRestored) -> None:
+        endpoint.restore(self._now, event.health, event.ago_us)
+        destination = self._destination(endpoint.info.destination)
+        if event.ago_us < self._s.cold_us and event.health.window:
+            destination.window.size = max(1.0, min(event.health.window, self._s.slots))
+            destination.loop.tau_us = float(event.health.tau_us)
 
     def _again(self, message: Message, destination: Destination, told_us: int) -> None:
         """Wait, doubling from T1, then ask the loop; end at once what no later try could save."""
@@ -962,7 +1026,7 @@
             message.call = call
             if len(messages) < room:
                 messages += [m for m in self._heads(destination) if self._may_go(m, endpoint)][:1]
-        call.size = call.open = len(messages)
+        call.size, call.open, call.messages = len(messages), len(messages), messages
         for message in messages:
             message.attempts, message.resumes = message.attempts + 1, False
             patience = weight(call.size) * (2 - self._calls_out / self._s.slots)  # free slots can wait longer
--- a/wheelstep/simhost.py
+++ b/wheelstep/simhost.py
@@ -135,8 +135,8 @@
             return {"cmd": "UndoSend", "call": message, "seq_no": attempt}
         case api.Probe(endpoint):
             return {"cmd": "Inspect", "endpoint": endpoint}
-        case api.CloseIdle(endpoint):
-            return {"cmd": "LetGo", "endpoint": endpoint}
+        case api.CloseIdle(endpoint, idle_us):  # there no connection falls silent while others go on
+            return None if idle_us else {"cmd": "LetGo", "endpoint": endpoint}
         case api.SetTimer(timer, in_us):
             return {"cmd": "Schedule", "cookie": timer, "in_us": in_us}
         case api.Subscribe():
--- a/wheelstep/upgrade/giver.py
+++ b/wheelstep/upgrade/giver.py
@@ -129,6 +129,7 @@
         await channel.send({"is": "connections"})
 
     async def _give(self, channel: Channel) -> None:
+        self._core.note_all()
         calls = [[call.endpoint, call.sent_ms, call.attempts] for call in self._core.calls_out()]
         waits = list(self._core.waits().items())
         self._core.hand_over(self._tell)
