--- a/tests/test_inlet.py
+++ b/tests/test_inlet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Mapping
 
 import pytest
@@ -248,3 +249,29 @@
                         idle[-1][1].write(request(f"i{number}"))
             assert len(s.owner.begun) == 102
     run(work())
+
+
+def test_a_connection_that_opens_in_a_pause_is_passed_on_unread() -> None:
+    """The loop had accepted it before, and its transport came after. Once, it was read: its message was answered 202 by
+    a process whose journal another one had by then."""
+    async def work() -> None:
+        owner = Owner()
+        inlet = Inlet(owner, {"once": False}, 200, keep=True)
+        await inlet.start(Address("127.0.0.1", 0))
+        spare = await inlet.pause()
+        client, accepted = socket.socketpair()
+        client.sendall(b"POST /api HTTP/1.1\r\nHost: x\r\nX-Request-Id: m\r\nX-Class: once\r\nX-Deadline-Ms: 900\r\n"
+                       b"X-Consignee: dest=7\r\nContent-Length: 0\r\n\r\n")
+        await inlet.adopt(accepted, False, b"")  # what the loop does with one that it has accepted
+        for _ in range(20):
+            await asyncio.sleep(0)
+        ((_, idle, raw),) = inlet.connections()
+        assert (owner.taken, idle, raw) == ({}, False, b"")
+        await inlet.resume()
+        async with asyncio.timeout(LIMIT_S):
+            while not owner.begun:
+                await asyncio.sleep(0.01)
+        client.close()
+        await inlet.stop()
+        spare.close()
+    run(work())
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -296,3 +296,13 @@
 def test_a_folder_that_is_none_is_one_line(verb: str) -> None:
     done = call(verb, "/no/such/folder")
     assert done.returncode == 2 and "no folder" in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_a_closed_journal_takes_nothing(tmp_path: Path) -> None:
+    """Guards the folder's next owner: a message that came late would be written into a segment that is not ours."""
+    journal = Journal(tmp_path, LIMIT)
+    journal.close()
+    before = {path.name: path.read_bytes() for path in tmp_path.iterdir()}
+    with pytest.raises(NoRoomError):
+        journal.take(Stored("m", "cls", 7, 1000))
+    assert {path.name: path.read_bytes() for path in tmp_path.iterdir()} == before
--- a/tests/test_overtaken.py
+++ b/tests/test_overtaken.py
@@ -136,3 +136,32 @@
     old = Drive()
     old.at(0, api.HealthRestored("e0", note.health, 60 * S))  # too long ago to count
     assert old.sender.notes(0)[0].health.carried == 0
+
+
+def test_what_cannot_be_answered_in_its_time_is_ended_at_once_and_the_rest_is_sent() -> None:
+    """Once, a backlog as old as its deadline was sent in turn, each with less time than a call takes: none came back,
+    and none behind it."""
+    drive = Drive(slots=4)
+    usual(drive, 400 * MS)
+    actions = [*drive.submit("late", left_us=300 * MS), *drive.submit("fresh", left_us=5 * S)]
+    assert sends(actions) == ["fresh"]
+    assert any(isinstance(a, api.Refuse) and a.message == "late" for a in actions)
+
+
+def test_calls_that_fell_short_tell_how_long_one_takes() -> None:
+    """Nothing comes back: what is known of its round trip can't be from answers."""
+    drive = Drive()
+    for number in range(4):
+        drive.submit(f"m{number}", left_us=500 * MS)
+        drive.now += 490 * MS
+        drive.end(f"m{number}", Outcome.TIMEOUT, spent_us=490 * MS)
+    assert sends(drive.submit("next", left_us=500 * MS)) == []
+    assert sends(drive.submit("later", left_us=5 * S)) == ["later"]
+
+
+def test_a_call_takes_no_message_that_would_cut_it_short() -> None:
+    """Once, a call of five messages was given up when the first of them had run out of time."""
+    drive = Drive(kinds=(api.Kind(per_call=5),))
+    usual(drive, 400 * MS)
+    held = [api.MessageAccepted(f"m{n}", 0, 7, 5 * S if n else 380 * MS) for n in range(4)]
+    assert set(sends(drive.at(drive.now, *held))) == {"m1", "m2", "m3"}
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -67,6 +67,38 @@
     run(scene())
 
 
+def test_connections_that_come_during_a_handover_end_at_the_successor(tmp_path: Path) -> None:
+    """Once, one that was accepted in the turn of the pause was read on by the process before, which answered 202 for
+    messages that nobody owned."""
+    async def scene() -> None:
+        async with Scene(tmp_path, console=True) as s:
+            taken: list[str] = []
+            stop = asyncio.Event()
+
+            async def client(number: int) -> None:
+                for count in range(10_000):
+                    if stop.is_set():
+                        return
+                    with contextlib.suppress(aiohttp.ClientError, OSError):
+                        if await s.courier.hand_in(f"c{number}-{count}") == 202:  # a new connection each time
+                            taken.append(f"c{number}-{count}")
+            clients = [asyncio.create_task(client(number)) for number in range(8)]
+            async with upgraded(s) as after:
+                count = len(taken)
+                async with asyncio.timeout(LIMIT_S):
+                    while len(taken) < count + 100:
+                        await asyncio.sleep(0.01)
+                assert await s.courier.terminate() == 0
+                stop.set()
+                await asyncio.gather(*clients)
+                async with asyncio.timeout(LIMIT_S):
+                    while (await after.figures())["in_progress"]:
+                        await asyncio.sleep(0.01)
+                seen = [call.headers["x-request-id"] for call in s.endpoint.calls]
+                assert len(seen) == len(set(seen)) and set(taken) <= set(seen) | set(s.platform.notices_heard)
+    run(scene())
+
+
 def test_a_request_that_came_in_part_is_finished_at_the_successor(tmp_path: Path) -> None:
     async def scene() -> None:
         async with Scene(tmp_path, console=True) as s:
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -220,8 +220,9 @@
         self.outlet.unlist(endpoint)
 
     def full(self) -> bool:
-        """Is the hold limit reached? Notices owed count: their number needs a bound too."""
-        return len(self._journal.messages) >= self._s.hold_limit
+        """Is the hold limit reached? Notices owed count: their number needs a bound too. A process that has handed
+        over takes nothing on."""
+        return self._tell is not None or len(self._journal.messages) >= self._s.hold_limit
 
     def serves(self, destination: int) -> bool:
         """Has any list named it? Its endpoints may all be gone just now. Guards against messages that
--- a/wheelstep/courier/inlet.py
+++ b/wheelstep/courier/inlet.py
@@ -194,6 +194,7 @@
         self._server, self._limit, self.keep = server, max(_ACCEPT, limit - _ACCEPT), keep
         self._phases: dict[_Phase, dict[_Door, None]] = {phase: {} for phase in _Phase}
         self._turned_away = 0
+        self.paused = False
 
     def handler(self) -> web.RequestHandler:
         return self._server()
@@ -204,6 +205,8 @@
 
     def opened(self, door: _Door) -> None:
         door.since = time.monotonic()
+        if self.paused and door.transport is not None:  # accepted in the turn in which the pause began
+            door.transport.pause_reading()
         if sum(map(len, self._phases.values())) >= self._limit and not self._make_room():
             self._turned_away += 1
             door.close()
@@ -307,6 +310,7 @@
         assert self._server is not None and self._doors is not None
         self._spare = self._server.sockets[0].dup()
         self._server.close()
+        self._doors.paused = True
         for door in self._doors.all():
             if door.transport is not None:
                 door.transport.pause_reading()
@@ -322,7 +326,7 @@
         if self._spare is None or self._doors is None:
             return
         await self.start(Address("", 0), self._spare)
-        self._spare = None
+        self._spare, self._doors.paused = None, False
         for door in self._doors.all():
             if door.transport is not None:
                 door.transport.resume_reading()
--- a/wheelstep/journal/journal.py
+++ b/wheelstep/journal/journal.py
@@ -63,6 +63,7 @@
         self._careful = 2 * (self._target + codec.OVERHEAD) + 3 * 64 * 1024
         self._behind: dict[str, None] = {}  # messages and facts that memory knows better than the disk
         self._trouble = ""  # what the disk said when it began
+        self._closed = False
         self._distrusted = False  # a sync has failed: nothing new is taken on until the next start
         self._synced = 0  # bytes that a sync has covered
         self._drops: list[tuple[int, int]] = []  # once so many bytes are synced, this segment goes
@@ -185,6 +186,7 @@
                 self.sync_now()
         except OSError as error:
             self._distrust(error)
+        self._closed = True
         self._log.close()
         self._disk.unlock()
 
@@ -192,6 +194,8 @@
 
     def take(self, message: Stored) -> None:
         """Take a message on, or raise `NoRoomError` with nothing changed."""
+        if self._closed:
+            raise NoRoomError("the journal is closed")
         if self._distrusted:
             raise NoRoomError("a sync has failed: nothing new is taken on until the next start")
         known = self._state.messages.get(message.id)
--- a/wheelstep/logic.py
+++ b/wheelstep/logic.py
@@ -229,6 +229,7 @@
         self._ramp_us: int | None = None
         self._next_us, self._last_ok_us, self.used_us = 0.0, -math.inf, -1
         self._base, self._cold_share = 1.0, settings.fall_multiple * settings.cold_from
+        self._short_us = 0.0
 
     def overdue_us(self) -> float:
         return max(self._promise_us, self.usual_us + LATE_DEVIATIONS * self._deviation_us)
@@ -237,6 +238,15 @@
         """How long a call may take beside others that are answered."""
         return max(self._promise_us / 4, self.usual_us + LATE_DEVIATIONS * self._deviation_us)
 
+    def needs_us(self) -> float:
+        """How long a call takes: usually, and more than one that had no longer. Guards against calls with too
+        little time, none of which comes back to tell how long they take."""
+        return max(self.usual_us, self._short_us)
+
+    def fell_short(self, spent_us: int) -> None:
+        """A call was given so long, and that was not enough."""
+        self._short_us = max(self._short_us, 1.2 * spent_us)
+
     def silent_us(self) -> float:
         """When it counts as silent: calls out for far longer than usual, nothing back since."""
         oldest = next(iter(self.calls), None)
@@ -359,6 +369,7 @@
         brief = now_us - self._last_ok_us < 2 * self._promise_us
         self._last_answer_us = self._last_ok_us = now_us
         self._mark(now_us, False)
+        self._short_us = min(self._short_us, float(spent_us))
         if not self.usual_us:
             self.usual_us, self._deviation_us = float(spent_us), spent_us / 2
         self._deviation_us += (abs(spent_us - self.usual_us) - self._deviation_us) / 8
@@ -447,10 +458,15 @@
         self.lines: dict[api.MessageClass, Line] = defaultdict(lambda: Line(settings.decay))
         self.pacer: Pacer | None = None  # where the endpoints share one limit
         self.waiting = self.calls_out = 0
-        self.look_us = math.inf  # when it will be looked at again, if nothing happens before
+        self.look_us: float = math.inf  # when it will be looked at again, if nothing happens before
         self.stamp = 0  # which look at it the bound on what it can earn is from
 
 
+    def needs_us(self) -> float:
+        """How long a call takes at its quickest endpoint; 0 where that is not known."""
+        return min((endpoint.needs_us() for endpoint in self.endpoints), default=0.0)
+
+
 @dataclass(slots=True)
 class Chain:
     """The messages of one key, in the order in which they were taken."""
@@ -755,14 +771,17 @@
             self._safe_idle_us, self._reaped_us = min(self._safe_us(), call.pause_us / 2), self._now
         if outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
             destination.loop.answered(self._now, retried)
-        if outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
+        # A time-out cut short by the message's own end, before the call was overdue, shows no trouble: it may
+        # not shrink the window or mark the endpoint, and measures no call. Silence is still noticed.
+        overdue = event.spent_us >= endpoint.overdue_us() * weight(call.size)
+        cut_short = outcome is Outcome.TIMEOUT and not overdue
+        if outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and not cut_short:
             destination.loop.sample(event.spent_us)
         if event.wait_us:  # told anew with every message of a call: the longest holds
             endpoint.pacer.told_until_us = max(endpoint.pacer.told_until_us, self._now + event.wait_us)
-        # A time-out cut short by the message's own end, before the call was overdue, shows no trouble: it may
-        # not shrink the window or mark the endpoint. Silence is still noticed.
-        overdue = event.spent_us >= endpoint.overdue_us() * weight(call.size)
-        if call.judged or outcome is Outcome.TIMEOUT and (not overdue or call.overtaken) and not call.trial:
+        if cut_short and not call.overtaken:
+            endpoint.fell_short(event.spent_us)
+        if call.judged or (cut_short or outcome is Outcome.TIMEOUT and call.overtaken) and not call.trial:
             return
         call.judged = True
         destination.window.judge(outcome)
@@ -980,6 +999,12 @@
         doubtful = destination.loop.tau_us >= self._t1_us or any(e.sick for e in destination.endpoints)
         if not destination.window.room(destination.calls_out, doubtful):
             return False
+        if hopeless := [m for m in heads if self._now + destination.needs_us() > m.due_us]:
+            # Guards against a backlog that is as old as its deadline: sent in turn, every one would come too
+            # late, and the ones behind it as well. It harms one that would have been answered unusually soon.
+            for message in hopeless:
+                self._end(message)
+            return True
         ready = {endpoint: endpoint.ready_us() for endpoint in destination.endpoints}
         usable = [endpoint for endpoint, at_us in ready.items() if at_us <= self._now]
         for message in heads:
@@ -1025,7 +1050,9 @@
             self._unqueue(message)
             message.call = call
             if len(messages) < room:
-                messages += [m for m in self._heads(destination) if self._may_go(m, endpoint)][:1]
+                least_us = self._now + destination.needs_us()
+                messages += [m for m in self._heads(destination)
+                             if m.due_us >= least_us and self._may_go(m, endpoint)][:1]
         call.size, call.open, call.messages = len(messages), len(messages), messages
         for message in messages:
             message.attempts, message.resumes = message.attempts + 1, False
