--- a/wheelstep/logic.py
+++ b/wheelstep/logic.py
@@ -236,7 +236,7 @@
 
     def late_us(self) -> float:
         """How long a call may take beside others that are answered."""
-        return max(self._promise_us / 4, self.usual_us + LATE_DEVIATIONS * self._deviation_us)
+        return max(self._promise_us / 2, self.usual_us + LATE_DEVIATIONS * self._deviation_us)
 
     def needs_us(self) -> float:
         """How long a call takes: usually, and more than one that had no longer. Guards against calls with too
