Clients' requests are read by httptools and answered in the turn in which they came whole

The requests are now read by llhttp through httptools (which the daemon has for answers already), with the limits that were there: 64 KiB bodies, a head of 128 fields or 32 KiB, nothing read behind what can't be used. A request that has nothing to wait for is answered without a task; with syncs on it waits in one.

--- a/tests/test_inlet.py
+++ b/tests/test_inlet.py
@@ -17,7 +17,7 @@
 class Owner:
     """Stands for the core."""
 
-    ready = True
+    ready, syncs = True, False
 
     def __init__(self) -> None:
         self.taken: dict[str, Stored] = {}
--- a/wheelstep/courier/inlet.py
+++ b/wheelstep/courier/inlet.py
@@ -1,7 +1,8 @@
 """The clients' side: hands messages in, and tells whether the courier is ready.
 
-aiohttp reads requests and writes answers. Before it stands `_Doors`, which bounds how many connections
-clients hold and for how long one may owe a request.
+`request` reads requests and makes answers; a request that nothing has to be waited for is answered in the turn of the
+loop in which it came whole, without a task. `_Doors` bounds how many connections clients hold and for how long one may
+owe a request.
 """
 
 from __future__ import annotations
@@ -10,33 +11,30 @@
 import logging
 import socket
 import time
-from collections.abc import Callable, Mapping
+from collections import deque
+from collections.abc import Callable, Coroutine, Mapping
 from enum import Enum
-from typing import Protocol
-
-from aiohttp import HttpVersion10, HttpVersion11, web
-from aiohttp.typedefs import Handler
+from typing import Any, Protocol
 
 from wheelstep.courier.config import Address
+from wheelstep.courier.request import Request, RequestReader, answer
 from wheelstep.journal import NoRoomError, Stored
 
-MOST_BODY = 64 * 1024
 _MOST_DEADLINE_MS = 24 * 3600 * 1000
-_ONCE = ("X-Request-Id", "X-Class", "X-Deadline-Ms", "X-Consignee", "Idempotency-Key", "X-Retry")
-_COME_BACK = {"Retry-After": "1"}
+_ONCE = frozenset({"x-request-id", "x-class", "x-deadline-ms", "x-consignee", "idempotency-key", "x-retry"})
+_COME_BACK = (("Retry-After", "1"),)
 _ACCEPT = 16  # connections taken on in one turn of the loop; the count may pass its limit by so many
 _TURNS = 20  # of the loop, in which what has come whole gets its answer
 _QUEUE = 512  # connections that wait in the kernel: a crowd may not make good clients dial again
 _ASK_S = 2.5  # for a request to come whole, from connecting or, on a kept connection, from its first byte
 _MOST_RAW = 16 * 1024  # bytes of a request under way that can be passed on to another process
+_STOP_S = 0.5  # for requests under way at the end
 _SETTLE_S = 1.0  # for messages that are written down and not answered yet
 _IDLE_S = 20.0  # an idle connection is kept so long while there is room
 _SPARE_S = 2.0  # and is the first to go after this when there is none
 _SWEEP_S = 0.25
 
 log = logging.getLogger(__name__)
-_requests = log.getChild("requests")  # aiohttp's own, a traceback for each request that can't be read
-_requests.setLevel(logging.CRITICAL)
 
 
 class Desk(Protocol):
@@ -44,6 +42,10 @@
 
     ready: bool
 
+    @property
+    def syncs(self) -> bool:
+        """Does `durable` ever wait?"""
+
     def full(self) -> bool:
         """Is the hold limit reached?"""
 
@@ -77,33 +79,29 @@
     """Nobody knows whether it was taken on: no answer would be true."""
 
 
-def read_message(request: web.Request, body: bytes, classes: Mapping[str, bool]) -> Stored:
+def read_message(request: Request, classes: Mapping[str, bool]) -> Stored:
     """The message that a request hands in; `classes` tells which ones keep the order of their keys."""
-    headers = request.headers
-    if request._version not in (HttpVersion10, HttpVersion11):
-        request._version = HttpVersion11  # aiohttp would answer in the version that was asked for, once it is read
-        raise BadRequestError("this version of HTTP is not spoken here; expected 1.0 or 1.1")
-    for field in _ONCE:  # guards against owing one of two ids an end, and nobody knowing which
-        if len(headers.getall(field, ())) > 1:
-            raise BadRequestError(f"{field} is given twice")
-    name = headers.get("X-Request-Id", "")
+    given = request.once
+    if request.twice and (twice := request.twice & _ONCE):  # guards against owing one of two ids an end
+        raise BadRequestError(f"{min(twice)} is given twice")
+    name = given.get("x-request-id", "")
     if not name or len(name) > 128 or not name.isascii() or not name.isprintable() or " " in name:
         raise BadRequestError("X-Request-Id is missing or malformed")
-    message_class = headers.get("X-Class", "")
+    message_class = given.get("x-class", "")
     if message_class not in classes:
         raise BadRequestError("X-Class is missing or unknown")
-    left_ms = _whole(headers.get("X-Deadline-Ms", ""), "X-Deadline-Ms")
+    left_ms = _whole(given.get("x-deadline-ms", ""), "X-Deadline-Ms")
     if left_ms > _MOST_DEADLINE_MS:
         raise BadRequestError("X-Deadline-Ms is too far off")
-    token = headers.get("Idempotency-Key")
+    token = given.get("idempotency-key")
     if token is not None and (not token or len(token) > 128 or not token.isascii()
                               or not token.isprintable() or " " in token):
         raise BadRequestError("Idempotency-Key is malformed")
     return Stored(
-        id=name, message_class=message_class, destination=_destination(headers.get("X-Consignee", "")),
+        id=name, message_class=message_class, destination=_destination(given.get("x-consignee", "")),
         deadline_ms=int(time.time() * 1000) + left_ms,
-        key=_key(request.raw_path) if classes[message_class] else None,
-        token=token, resubmitted="X-Retry" in headers, body=body)
+        key=_key(request.target) if classes[message_class] else None,
+        token=token, resubmitted="x-retry" in given, body=request.body)
 
 
 def _key(path: str) -> str | None:
@@ -132,12 +130,14 @@
 
 
 class _Door(asyncio.Protocol):
-    """One client's connection: passes everything on to aiohttp's handler, which is made with the first byte,
-    and notes in which phase it is since when."""
+    """One client's connection: answers its requests in turn, and notes in which phase it is since when."""
 
     def __init__(self, doors: _Doors) -> None:
         self._doors = doors
-        self._handler: web.RequestHandler | None = None
+        self._reader: RequestReader | None = None  # made with the first byte
+        self._whole: deque[Request] = deque()  # of one piece of bytes, while the one before them has to wait
+        self._task: asyncio.Task[None] | None = None  # an answer that has to wait
+        self._clogged = self._ending = False
         self.transport: asyncio.Transport | None = None
         self.phase, self.since = _Phase.SILENT, 0.0
         self.raw: bytes | None = b""  # what came of the request under way, for another process; None: too much
@@ -149,39 +149,95 @@
         self._doors.opened(self)
 
     def data_received(self, data: bytes) -> None:
+        if self._ending:
+            return
         if self.phase is not _Phase.ASKING:
             self._doors.turn(self, _Phase.ASKING)
         if self._doors.keep and self.raw is not None:
             self.raw = self.raw + data if len(self.raw) + len(data) <= _MOST_RAW else None
-        if self._handler is None:
-            assert self.transport is not None
-            self._handler = self._doors.handler()
-            self._handler.connection_made(self.transport)
-        self._handler.data_received(data)
-
-    def answered(self) -> None:
-        self.raw = b""
-        self._doors.turn(self, _Phase.IDLE)
-
-    def eof_received(self) -> None:
-        if self._handler is not None:
-            self._handler.eof_received()
+        if self._reader is None:
+            self._reader = RequestReader()
+        self._whole += self._reader.feed(data)
+        if self._reader.wants_more and not self._whole and self.transport is not None:
+            self._reader.wants_more = False
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._serve()
+
+    def _serve(self) -> None:
+        """Answer what is whole, in turn."""
+        reader, served = self._reader, bool(self._whole)
+        assert reader is not None
+        while self._whole and self._task is None and not self._ending:
+            if (work := self._doors.serve(self._whole.popleft(), self)) is not None:
+                self._task = asyncio.get_running_loop().create_task(work)
+                self._task.add_done_callback(self._served)
+        if self._task is None and not self._whole and not self._ending:
+            if reader.refusal is not None:
+                self._doors.refused()
+                self.say(Request(), reader.refusal.status, reader.refusal.text + "\n", keep=False)
+            elif reader.inside:
+                if served:  # a part of the next came with it: its time begins now, its bytes can't be told apart
+                    self.raw = None
+                    self._doors.turn(self, _Phase.IDLE)
+                    self._doors.turn(self, _Phase.ASKING)
+            elif self.phase is _Phase.ASKING:
+                self.raw = b""
+                self._doors.turn(self, _Phase.IDLE)
+        self.flow()
+
+    def _served(self, task: asyncio.Task[None]) -> None:
+        self._task = None
+        if not task.cancelled() and (error := task.exception()) is not None:
+            log.error("a request failed unexpectedly", exc_info=error)
+            self.close()
+        elif not self._ending:
+            self._serve()
+
+    def say(self, request: Request, status: int, text: str = "", headers: tuple[tuple[str, str], ...] = (),
+            keep: bool = True) -> bool:
+        """Answer; False if there is nobody any more to hear it."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        keep = keep and request.keep and self._doors.keeps()
+        self.transport.write(answer(status, text, headers, keep, request.version))
+        heard = not self.transport.is_closing()  # a write that fails closes at once
+        if not keep:
+            self._ending = True
+            self.transport.close()
+        return heard
+
+    @property
+    def gone(self) -> bool:
+        """Is there nobody any more to hear an answer?"""
+        return self.transport is None or self.transport.is_closing()
+
+    def flow(self) -> None:
+        """Read on unless something has to be waited for first."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self._clogged or self._task is not None or self._doors.paused:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._doors.closed(self)
-        if self._handler is not None:
-            self._handler.connection_lost(exc)
+        self._ending = True
+        self._whole.clear()
+        if self._task is not None:
+            self._task.cancel()
 
     def pause_writing(self) -> None:
-        if self._handler is not None:
-            self._handler.pause_writing()
+        self._clogged = True  # guards memory against a client that asks on and reads no answer
+        self.flow()
 
     def resume_writing(self) -> None:
-        if self._handler is not None:
-            self._handler.resume_writing()
+        self._clogged = False
+        self.flow()
 
     def close(self) -> None:
         """At once: what a client still sends is not worth reading."""
+        self._ending = True
         if self.transport is not None:
             self.transport.abort()
 
@@ -190,14 +246,23 @@
     """All connections of clients. Guards descriptors and memory against crowds, silent or slow clients, and
     ones that keep what they don't use; when there is no room, the good ones are let in first."""
 
-    def __init__(self, server: web.Server, limit: int, keep: bool) -> None:
-        self._server, self._limit, self.keep = server, max(_ACCEPT, limit - _ACCEPT), keep
+    def __init__(self, inlet: Inlet, limit: int, keep: bool) -> None:
+        self._inlet, self._limit, self.keep = inlet, max(_ACCEPT, limit - _ACCEPT), keep
         self._phases: dict[_Phase, dict[_Door, None]] = {phase: {} for phase in _Phase}
         self._turned_away = 0
         self.paused = False
 
-    def handler(self) -> web.RequestHandler:
-        return self._server()
+    def serve(self, request: Request, door: _Door) -> Coroutine[Any, Any, None] | None:
+        """Answer it, or what has to be waited for first."""
+        return self._inlet.serve(request, door)
+
+    def refused(self) -> None:
+        """What came can't be used."""
+        self._inlet.bad += 1
+
+    def keeps(self) -> bool:
+        """May a connection go on after an answer?"""
+        return not self._inlet.closing and not self.crowded()
 
     def crowded(self) -> bool:
         """Is room short? Then an answer had better end its connection."""
@@ -205,8 +270,8 @@
 
     def opened(self, door: _Door) -> None:
         door.since = time.monotonic()
-        if self.paused and door.transport is not None:  # accepted in the turn in which the pause began
-            door.transport.pause_reading()
+        if self.paused:  # accepted in the turn in which the pause began
+            door.flow()
         if sum(map(len, self._phases.values())) >= self._limit and not self._make_room():
             self._turned_away += 1
             door.close()
@@ -280,22 +345,13 @@
         self._find, self._keep = find, keep
         self._spare: socket.socket | None = None  # the listener, while nothing is taken on
         self.closing = False  # answers end their connections from now on
-        self._bad = self._no_room = 0
-        app = web.Application(client_max_size=MOST_BODY, middlewares=[self._answer])
-        app.router.add_get("/healthz", self._health)
-        app.router.add_post("/{path:.*}", self._hand_in)
-        # Bodies go on as they came, and what is unread once an answer stands is not read at all.
-        self._runner = web.AppRunner(app, access_log=None, handle_signals=False, keepalive_timeout=3600.0,
-                                     shutdown_timeout=0.5, auto_decompress=False, lingering_time=0.0,
-                                     logger=_requests)
+        self.bad = self._no_room = 0
         self._doors: _Doors | None = None
         self._server: asyncio.Server | None = None
 
     async def start(self, listen: Address, listener: socket.socket | None = None) -> int:
         """Listen, at `listener` if it is given, and return the port."""
-        await self._runner.setup()
-        assert self._runner.server is not None
-        doors = self._doors = self._doors or _Doors(self._runner.server, self._most, self._keep)
+        doors = self._doors = self._doors or _Doors(self, self._most, self._keep)
         listener = listener or bind(listen)
         self._server = await asyncio.get_running_loop().create_server(
             lambda: _Door(doors), sock=listener, backlog=_ACCEPT)
@@ -312,8 +368,7 @@
         self._server.close()
         self._doors.paused = True
         for door in self._doors.all():
-            if door.transport is not None:
-                door.transport.pause_reading()
+            door.flow()
         async with asyncio.timeout(_SETTLE_S):
             for _ in range(_TURNS):
                 await asyncio.sleep(0)
@@ -328,8 +383,7 @@
         await self.start(Address("", 0), self._spare)
         self._spare, self._doors.paused = None, False
         for door in self._doors.all():
-            if door.transport is not None:
-                door.transport.resume_reading()
+            door.flow()
 
     def connections(self) -> list[tuple[int, bool, bytes]]:
         """Those that another process can go on with: descriptor, whether a request is expected only by and by, and what
@@ -365,9 +419,9 @@
             await asyncio.sleep(_SWEEP_S)
             if self._doors is not None:
                 self._doors.sweep()
-            if self._bad:
-                log.info("%d bad requests", self._bad)
-                self._bad = 0
+            if self.bad:
+                log.info("%d bad requests", self.bad)
+                self.bad = 0
             if self._no_room:
                 log.warning("no room for %d messages", self._no_room)
                 self._no_room = 0
@@ -376,87 +430,87 @@
         """Answer what is under way and end the connections."""
         if self._server is not None:
             self._server.close()
-        if self._doors is not None:
+        if self._doors is None:
+            return
+        self._doors.close()
+        until = asyncio.get_running_loop().time() + _STOP_S
+        while self._doors.all() and asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(0.01)
             self._doors.close()
-        await self._runner.cleanup()
+        for door in self._doors.all():
+            door.close()
 
-    @web.middleware
-    async def _answer(self, request: web.Request, handler: Handler) -> web.StreamResponse:
-        """Every answer's frame: whoever sent what can't be used has to connect again, and no break of a
-        client leaves more than a count in the log."""
+    # --- what requests ask ---
+
+    def serve(self, request: Request, door: _Door) -> Coroutine[Any, Any, None] | None:
+        """Answer one; where something has to be waited for first, the work that does both. Whoever sent what can't be
+        used has to connect again."""
         try:
-            answer = await handler(request)
-        except (web.HTTPException, BadRequestError) as error:
-            self._bad += 1
-            status = error.status if isinstance(error, web.HTTPException) else 400
-            answer = web.Response(status=status, text=f"{error}\n")
-            answer.force_close()
-        except (OSError, web.RequestPayloadError):  # it broke off, or its body can't be read
-            self._bad += 1
-            answer = web.Response(status=400)
-            answer.force_close()
-        except UnansweredError as error:
-            log.warning("no answer to a client: %s", error)
-            if request.transport is not None:
-                request.transport.abort()
-            answer = web.Response(status=500)
+            if request.method == "POST":
+                return self._hand_in(request, door)
+            if request.target.partition("?")[0] != "/healthz":
+                raise BadRequestError("no such path; expected /healthz, or a message by POST")
+            if request.method not in ("GET", "HEAD"):
+                raise BadRequestError("no such method; expected GET, or a message by POST")
+            door.say(request, 200 if self._desk.ready else 503)
+        except BadRequestError as error:
+            self.bad += 1
+            door.say(request, 400, f"{error}\n", keep=False)
         except Exception:
             log.exception("a request failed unexpectedly")
-            answer = web.Response(status=500)
-            answer.force_close()
-        if self.closing or self._doors is None or self._doors.crowded():
-            answer.force_close()
-        if request.transport is not None and isinstance(door := request.transport.get_protocol(), _Door):
-            door.answered()
-        return answer
-
-    async def _health(self, request: web.Request) -> web.StreamResponse:
-        return web.Response(status=200 if self._desk.ready else 503)
-
-    async def _durable(self, desk: Desk, name: str) -> None:
-        try:
-            await desk.durable()
-        except BaseException:  # also where its client went meanwhile: nobody was told that it is taken on
-            desk.withdraw(name)
-            raise
-
-    async def _hand_in(self, request: web.Request) -> web.StreamResponse:
-        if (request.content_length or 0) > MOST_BODY:
-            raise web.HTTPRequestEntityTooLarge(MOST_BODY, request.content_length or 0)
-        message = read_message(request, await request.read(), self._classes)
+            door.say(request, 500, keep=False)
+        return None
+
+    def _hand_in(self, request: Request, door: _Door) -> Coroutine[Any, Any, None] | None:
+        message = read_message(request, self._classes)
         desk = self._desk if self._find is None else self._find(message.destination)
         if desk.holds(message.id):  # handed in once more after a connection that crossed
-            return web.Response(status=202)
-        if not desk.serves(message.destination):
+            door.say(request, 202)
+        elif not desk.serves(message.destination):
             raise BadRequestError("no such destination")
-        if desk.full():
+        elif desk.full():
             desk.handed_in(message, 503)
-            return web.Response(status=503, text="holds all it can\n", headers=_COME_BACK)
-        if request.transport is None or request.transport.is_closing():
-            return web.Response(status=503)  # nobody hears it
-        door = request.transport.get_protocol()
-        try:
-            desk.take(message)
-            if isinstance(door, _Door):
+            door.say(request, 503, "holds all it can\n", _COME_BACK)
+        elif not door.gone:  # else nobody hears it
+            try:
+                desk.take(message)
+            except NoRoomError:
+                self._turn_away(request, message, desk, door)
+                return None
+            if desk.syncs:
                 door.taking = True
-            await self._durable(desk, message.id)
-        except NoRoomError:
-            if isinstance(door, _Door):
-                door.taking = False
-            self._no_room += 1
-            desk.handed_in(message, 503)
-            return web.Response(status=503, text="no room\n", headers=_COME_BACK)
-        answer = web.Response(status=202)
-        if self.closing or self._doors is None or self._doors.crowded():
-            answer.force_close()
+                return self._once_durable(request, message, desk, door)
+            self._taken(request, message, desk, door)
+        return None
+
+    async def _once_durable(self, request: Request, message: Stored, desk: Desk, door: _Door) -> None:
         try:
-            await answer.prepare(request)
-            await answer.write_eof()
-        except OSError:
+            await desk.durable()
+        except BaseException as error:  # also where its client went meanwhile: nobody was told that it is taken on
             desk.withdraw(message.id)
-            return answer
-        desk.begin(message.id)
-        if isinstance(door, _Door):
+            if isinstance(error, NoRoomError):
+                self._turn_away(request, message, desk, door)
+            elif isinstance(error, BadRequestError):
+                self.bad += 1
+                door.say(request, 400, f"{error}\n", keep=False)
+            elif isinstance(error, UnansweredError):
+                log.warning("no answer to a client: %s", error)
+                door.close()
+            else:
+                raise
+        else:
+            self._taken(request, message, desk, door)
+        finally:
             door.taking = False
-        desk.handed_in(message, 202)
-        return answer
+
+    def _taken(self, request: Request, message: Stored, desk: Desk, door: _Door) -> None:
+        if door.say(request, 202):
+            desk.begin(message.id)
+            desk.handed_in(message, 202)
+        else:
+            desk.withdraw(message.id)
+
+    def _turn_away(self, request: Request, message: Stored, desk: Desk, door: _Door) -> None:
+        self._no_room += 1
+        desk.handed_in(message, 503)
+        door.say(request, 503, "no room\n", _COME_BACK)
--- a/wheelstep/workers/hop.py
+++ b/wheelstep/workers/hop.py
@@ -100,6 +100,7 @@
     """Stands for the owner while one request is answered (inlet.Desk)."""
 
     ready = True
+    syncs = True  # its answer is waited for
 
     def __init__(self, passage: Passage) -> None:
         self._passage = passage
--- a/wheelstep/workers/worker.py
+++ b/wheelstep/workers/worker.py
@@ -48,6 +48,7 @@
     """The desk of a share that is open nowhere just now."""
 
     ready = False
+    syncs = False
 
     def full(self) -> bool:
         return True
