A message passed on to its worker costs no task, and two clients with one message are told apart

The door waits on a future in place of a task, the passage has one timer for all it asked. Questions and answers between workers carry numbers: a client that went and came again could take the answer to its first question. With syncs or workers on, a second client with the same message heard 202 while the first, gone before its answer, took the message back: it is now closed without an answer.

--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -87,6 +87,7 @@
         self._timers: dict[int, asyncio.TimerHandle] = {}
         self._held: dict[str, Stored] = {}  # what the module holds
         self._numbers: dict[str, int] = {}  # each one's next attempt
+        self._settles: set[str] = set()  # written down, and neither begun nor withdrawn
         self._listed: dict[str, api.EndpointInfo] = {}
         self._destinations: set[int] = set()  # those that any list has named
         self.knows_list = False  # has any list been read, also one with nothing in it for this courier?
@@ -232,16 +233,17 @@
     def take(self, message: Stored) -> None:
         """Write a new message down."""
         self._journal.take(message)
+        self._settles.add(message.id)
 
-    async def durable(self) -> None:
-        """Wait until what was written is safe by the operator's policy, or `NoRoomError`."""
-        if self._journal.waits:
-            await self._journal.durable()
+    def durable(self) -> asyncio.Future[None]:
+        """Done once what was written is safe by the operator's policy, or `NoRoomError`."""
+        return asyncio.ensure_future(self._journal.durable())
 
     async def safe(self) -> bool:
         """The same for attempts that were written down: False if they are not to be sent."""
         try:
-            await self.durable()
+            if self._journal.waits:
+                await self._journal.durable()
         except NoRoomError as error:
             log.warning("attempts are not sent: %s", error)
             return False
@@ -251,14 +253,20 @@
         """Was it taken on before, and is its end still owed?"""
         return message in self._journal.messages
 
+    def settles(self, message: str) -> bool:
+        """Is it written down for a client that has not heard so yet, and may still be withdrawn?"""
+        return message in self._settles
+
     def begin(self, name: str) -> None:
         """Act on a message whose client knows that it was taken on."""
+        self._settles.discard(name)
         message = self._journal.messages[name]
         self._hold(message)
         self._post(self._accepted(message, message.resubmitted))
 
     def withdraw(self, name: str) -> None:
         """Forget a message whose client went before it was answered."""
+        self._settles.discard(name)
         self._journal.over(name)
 
     def handed_in(self, message: Stored, status: int) -> None:
--- a/wheelstep/courier/inlet.py
+++ b/wheelstep/courier/inlet.py
@@ -8,13 +8,14 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 import socket
 import time
 from collections import deque
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Mapping
 from enum import Enum
-from typing import Any, Protocol
+from typing import Protocol
 
 from wheelstep.courier.config import Address
 from wheelstep.courier.request import Request, RequestReader, answer
@@ -58,8 +59,12 @@
     def holds(self, message: str) -> bool:
         """Was it taken on before, and is its end still owed?"""
 
-    async def durable(self) -> None:
-        """What was written outlasts what the operator wants it to, or `NoRoomError`."""
+    def settles(self, message: str) -> bool:
+        """Is it written down for a client that has not heard so yet, and may still be withdrawn?"""
+
+    def durable(self) -> asyncio.Future[None]:
+        """Done once what was written outlasts what the operator wants it to; or an error: `NoRoomError`,
+        `BadRequestError`, `UnansweredError`. Cancelled where nobody waits any more."""
 
     def begin(self, name: str) -> None:
         """Its client knows that it was taken on: act on it."""
@@ -136,7 +141,7 @@
         self._doors = doors
         self._reader: RequestReader | None = None  # made with the first byte
         self._whole: deque[Request] = deque()  # of one piece of bytes, while the one before them has to wait
-        self._task: asyncio.Task[None] | None = None  # an answer that has to wait
+        self._waits: asyncio.Future[None] | None = None  # what the answer under way has to wait for
         self._clogged = self._ending = False
         self.transport: asyncio.Transport | None = None
         self.phase, self.since = _Phase.SILENT, 0.0
@@ -167,11 +172,9 @@
         """Answer what is whole, in turn."""
         reader, served = self._reader, bool(self._whole)
         assert reader is not None
-        while self._whole and self._task is None and not self._ending:
-            if (work := self._doors.serve(self._whole.popleft(), self)) is not None:
-                self._task = asyncio.get_running_loop().create_task(work)
-                self._task.add_done_callback(self._served)
-        if self._task is None and not self._whole and not self._ending:
+        while self._whole and self._waits is None and not self._ending:
+            self._doors.serve(self._whole.popleft(), self)
+        if self._waits is None and not self._whole and not self._ending:
             if reader.refusal is not None:
                 self._doors.refused()
                 self.say(Request(), reader.refusal.status, reader.refusal.text + "\n", keep=False)
@@ -185,13 +188,20 @@
                 self._doors.turn(self, _Phase.IDLE)
         self.flow()
 
-    def _served(self, task: asyncio.Task[None]) -> None:
-        self._task = None
-        if not task.cancelled() and (error := task.exception()) is not None:
-            log.error("a request failed unexpectedly", exc_info=error)
-            self.close()
-        elif not self._ending:
-            self._serve()
+    def wait(self, work: asyncio.Future[None], served: Callable[[asyncio.Future[None]], None]) -> None:
+        """Read no further until the work is done; `served` answers."""
+        self._waits = work
+
+        def done(work: asyncio.Future[None]) -> None:
+            self._waits = None
+            try:
+                served(work)
+            except Exception:
+                log.exception("a request failed unexpectedly")
+                self.close()
+            if not self._ending:
+                self._serve()
+        work.add_done_callback(done)
 
     def say(self, request: Request, status: int, text: str = "", headers: tuple[tuple[str, str], ...] = (),
             keep: bool = True) -> bool:
@@ -215,7 +225,7 @@
         """Read on unless something has to be waited for first."""
         if self.transport is None or self.transport.is_closing():
             return
-        if self._clogged or self._task is not None or self._doors.paused:
+        if self._clogged or self._waits is not None or self._doors.paused:
             self.transport.pause_reading()
         else:
             self.transport.resume_reading()
@@ -224,8 +234,8 @@
         self._doors.closed(self)
         self._ending = True
         self._whole.clear()
-        if self._task is not None:
-            self._task.cancel()
+        if self._waits is not None:
+            self._waits.cancel()
 
     def pause_writing(self) -> None:
         self._clogged = True  # guards memory against a client that asks on and reads no answer
@@ -252,9 +262,9 @@
         self._turned_away = 0
         self.paused = False
 
-    def serve(self, request: Request, door: _Door) -> Coroutine[Any, Any, None] | None:
-        """Answer it, or what has to be waited for first."""
-        return self._inlet.serve(request, door)
+    def serve(self, request: Request, door: _Door) -> None:
+        """Answer it, or let its door wait."""
+        self._inlet.serve(request, door)
 
     def refused(self) -> None:
         """What came can't be used."""
@@ -442,30 +452,37 @@
 
     # --- what requests ask ---
 
-    def serve(self, request: Request, door: _Door) -> Coroutine[Any, Any, None] | None:
-        """Answer one; where something has to be waited for first, the work that does both. Whoever sent what can't be
-        used has to connect again."""
+    def serve(self, request: Request, door: _Door) -> None:
+        """Answer one, or let its door wait for what has to come first. Whoever sent what can't be used has to connect
+        again."""
         try:
             if request.method == "POST":
-                return self._hand_in(request, door)
+                self._hand_in(request, door)
+                return
             if request.target.partition("?")[0] != "/healthz":
                 raise BadRequestError("no such path; expected /healthz, or a message by POST")
             if request.method not in ("GET", "HEAD"):
                 raise BadRequestError("no such method; expected GET, or a message by POST")
             door.say(request, 200 if self._desk.ready else 503)
         except BadRequestError as error:
-            self.bad += 1
-            door.say(request, 400, f"{error}\n", keep=False)
+            self._bad(request, error, door)
         except Exception:
             log.exception("a request failed unexpectedly")
             door.say(request, 500, keep=False)
-        return None
 
-    def _hand_in(self, request: Request, door: _Door) -> Coroutine[Any, Any, None] | None:
+    def _bad(self, request: Request, error: BadRequestError, door: _Door) -> None:
+        self.bad += 1
+        door.say(request, 400, f"{error}\n", keep=False)
+
+    def _hand_in(self, request: Request, door: _Door) -> None:
         message = read_message(request, self._classes)
         desk = self._desk if self._find is None else self._find(message.destination)
         if desk.holds(message.id):  # handed in once more after a connection that crossed
-            door.say(request, 202)
+            if desk.settles(message.id):  # guards against 202 for what its first client still may withdraw
+                log.warning("no answer to a client: another one hands in %s just now", message.id)
+                door.close()
+            else:
+                door.say(request, 202)
         elif not desk.serves(message.destination):
             raise BadRequestError("no such destination")
         elif desk.full():
@@ -476,32 +493,29 @@
                 desk.take(message)
             except NoRoomError:
                 self._turn_away(request, message, desk, door)
-                return None
+                return
             if desk.syncs:
                 door.taking = True
-                return self._once_durable(request, message, desk, door)
-            self._taken(request, message, desk, door)
-        return None
-
-    async def _once_durable(self, request: Request, message: Stored, desk: Desk, door: _Door) -> None:
-        try:
-            await desk.durable()
-        except BaseException as error:  # also where its client went meanwhile: nobody was told that it is taken on
-            desk.withdraw(message.id)
-            if isinstance(error, NoRoomError):
-                self._turn_away(request, message, desk, door)
-            elif isinstance(error, BadRequestError):
-                self.bad += 1
-                door.say(request, 400, f"{error}\n", keep=False)
-            elif isinstance(error, UnansweredError):
-                log.warning("no answer to a client: %s", error)
-                door.close()
+                door.wait(desk.durable(), functools.partial(self._settled, request, message, desk, door))
             else:
-                raise
-        else:
+                self._taken(request, message, desk, door)
+
+    def _settled(self, request: Request, message: Stored, desk: Desk, door: _Door, work: asyncio.Future[None]) -> None:
+        door.taking = False
+        error = None if work.cancelled() else work.exception()
+        if not work.cancelled() and error is None:
             self._taken(request, message, desk, door)
-        finally:
-            door.taking = False
+            return
+        desk.withdraw(message.id)  # also where its client went meanwhile: nobody was told that it is taken on
+        if isinstance(error, NoRoomError):
+            self._turn_away(request, message, desk, door)
+        elif isinstance(error, BadRequestError):
+            self._bad(request, error, door)
+        elif isinstance(error, UnansweredError):
+            log.warning("no answer to a client: %s", error)
+            door.close()
+        elif error is not None:
+            raise error
 
     def _taken(self, request: Request, message: Stored, desk: Desk, door: _Door) -> None:
         if door.say(request, 202):
--- a/wheelstep/workers/hop.py
+++ b/wheelstep/workers/hop.py
@@ -1,13 +1,15 @@
 """Messages passed on from the worker that a client reached to the one that owns them: who answers 202 is the worker
 with the client, who owes the end is the owner, and its journal has the message before the client hears 202.
 
-Asked: `ask` (a message). Answered: `taken`, `known`, or a status with its reason. Then `begin` (the client has heard
-202) or `withdraw` (it went before). A connection that ends with neither counts as `begin`: the client may have heard.
+Asked: `ask` (a message, under a number). Answered: `taken`, `known`, `unsettled`, or `bad` or `full` with the reason.
+Then `begin` (the client has heard 202) or `withdraw` (it went before). A connection that ends with neither counts as
+`begin`: the client may have heard.
 """
 
 from __future__ import annotations
 
 import asyncio
+import itertools
 import logging
 from collections.abc import Callable
 from typing import Any
@@ -25,23 +27,18 @@
 
 
 class Passage:
-    """The way to one other worker. Dialled when first needed, and again after it broke."""
+    """The way to one other worker. Dialled when first needed, and again after it broke.
+
+    Each question has a number of its own, and its answer names it: a client that went and came again with the same
+    message may not take the answer to its first question for one to its second."""
 
     def __init__(self, path: str) -> None:
         self._path = path
         self._frames: Frames | None = None
         self._dialling: asyncio.Task[None] | None = None
-        self._asked: dict[str, asyncio.Future[dict[str, Any]]] = {}
-
-    async def connect(self) -> Frames:
-        """Raises `NoRoomError` where the other worker can't be reached just now: nothing was sent to it."""
-        if self._frames is None:  # told of the last one's end, so that no end is taken for that of the next
-            if self._dialling is None or self._dialling.done():
-                self._dialling = asyncio.create_task(self._dial())
-            await asyncio.shield(self._dialling)
-        if self._frames is None or not self._frames.open:
-            raise NoRoomError("the worker that owns it can't be reached")
-        return self._frames
+        self._numbers = itertools.count()
+        self._asked: dict[int, tuple[RemoteDesk, asyncio.Future[None], float]] = {}  # in order of their time
+        self._late: asyncio.TimerHandle | None = None
 
     async def _dial(self) -> None:
         frames = Frames(self._heard, self._lost)
@@ -52,46 +49,92 @@
         except (OSError, TimeoutError):
             self._frames = None
 
-    async def ask(self, message: Stored) -> dict[str, Any]:
-        """The owner's answer. Raises `NoRoomError` if it was not asked, `UnansweredError` if it may have taken it."""
+    def ask(self, desk: RemoteDesk, message: Stored) -> asyncio.Future[None]:
+        """Done once the owner has taken it. `NoRoomError` if it was not asked, `UnansweredError` if it may have
+        taken it. Without a task a message: a hop costs a third less so."""
+        answer: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         if len(self._asked) >= _MOST:
-            raise NoRoomError("too many messages are under way to the worker that owns it")
-        frames = await self.connect()
-        answer: asyncio.Future[dict[str, Any]] = asyncio.get_running_loop().create_future()
-        self._asked[message.id] = answer
-        try:
-            head = {"do": "ask", "id": message.id, "class": message.message_class, "dest": message.destination,
-                    "deadline": message.deadline_ms, "key": message.key, "token": message.token,
-                    "again": message.resubmitted}
-            if not frames.send(head, message.body):
-                raise NoRoomError("the worker that owns it can't be reached")
-            async with asyncio.timeout(_WAIT_S):
-                return await answer
-        except TimeoutError as error:
-            self.tell("withdraw", message.id)
-            raise UnansweredError(f"the worker that owns {message.id} did not answer") from error
-        finally:
-            self._asked.pop(message.id, None)
+            answer.set_exception(NoRoomError("too many messages are under way to the worker that owns it"))
+        elif self._frames is not None:
+            self._send(self._frames, desk, message, answer)
+        else:  # told of the last one's end, so that no end is taken for that of the next
+            if self._dialling is None or self._dialling.done():
+                self._dialling = asyncio.create_task(self._dial())
+
+            def dialled(_: asyncio.Task[None]) -> None:
+                if answer.done():
+                    return
+                if self._frames is None:
+                    answer.set_exception(NoRoomError("the worker that owns it can't be reached"))
+                else:
+                    self._send(self._frames, desk, message, answer)
+            self._dialling.add_done_callback(dialled)
+        return answer
+
+    def _send(self, frames: Frames, desk: RemoteDesk, message: Stored, answer: asyncio.Future[None]) -> None:
+        number = next(self._numbers)
+        head = {"do": "ask", "n": number, "id": message.id, "class": message.message_class,
+                "dest": message.destination, "deadline": message.deadline_ms, "key": message.key,
+                "token": message.token, "again": message.resubmitted}
+        if not frames.send(head, message.body):
+            answer.set_exception(NoRoomError("the worker that owns it can't be reached"))
+            return
+        loop = asyncio.get_running_loop()
+        desk.frames, desk.number = frames, number
+        self._asked[number] = desk, answer, loop.time() + _WAIT_S
+        if self._late is None:
+            self._late = loop.call_later(_WAIT_S, self._expire)
+
+    def _expire(self) -> None:
+        """One timer for all: they wait equally long, so the oldest is due first."""
+        loop = asyncio.get_running_loop()
+        self._late = None
+        while self._asked:
+            number, (desk, answer, due_s) = next(iter(self._asked.items()))
+            if due_s > loop.time() and not answer.done():
+                self._late = loop.call_at(due_s, self._expire)
+                return
+            del self._asked[number]
+            if not answer.done():
+                self.tell("withdraw", desk)
+                answer.set_exception(UnansweredError("the worker that owns it did not answer"))
 
-    def tell(self, what: str, message: str) -> None:
+    def tell(self, what: str, desk: RemoteDesk) -> None:
         """`begin` or `withdraw`; a connection that has ended meanwhile says the first by itself."""
-        if self._frames is not None:
-            self._frames.send({"do": what, "id": message})
+        if self._frames is not None and self._frames is desk.frames:
+            self._frames.send({"do": what, "n": desk.number})
 
     def _heard(self, head: dict[str, Any], body: bytes) -> None:
-        if (answer := self._asked.get(str(head.get("id")))) is not None and not answer.done():
-            answer.set_result(head)
+        desk, answer, _ = self._asked.pop(int(head["n"]), (None, None, 0.0))
+        if desk is None or answer is None or answer.done():  # it waits no more
+            return
+        match head["is"]:
+            case "taken":
+                answer.set_result(None)
+            case "known":
+                desk.known = True
+                answer.set_result(None)
+            case "bad":
+                answer.set_exception(BadRequestError(str(head["why"])))
+            case "unsettled":
+                desk.known = True
+                answer.set_exception(UnansweredError("another client hands it in just now"))
+            case _:
+                answer.set_exception(NoRoomError(str(head["why"])))
 
     def _lost(self) -> None:
         self._frames = None
-        for message, answer in self._asked.items():
+        asked, self._asked = self._asked, {}
+        for _, answer, _ in asked.values():
             if not answer.done():
-                answer.set_exception(UnansweredError(f"the worker that owns {message} ended"))
+                answer.set_exception(UnansweredError("the worker that owns it ended"))
 
     def close(self) -> None:
         """At once."""
         if self._dialling is not None:
             self._dialling.cancel()
+        if self._late is not None:
+            self._late.cancel()
         if self._frames is not None:
             self._frames.close()
 
@@ -105,7 +148,9 @@
     def __init__(self, passage: Passage) -> None:
         self._passage = passage
         self._message: Stored | None = None
-        self._known = False
+        self.frames: Frames | None = None  # where it was asked, if it was
+        self.number = -1
+        self.known = False  # the owner has it from another request: nothing of it is this one's to begin or withdraw
 
     def full(self) -> bool:
         return False
@@ -113,33 +158,27 @@
     def serves(self, destination: int) -> bool:
         return True
 
+    def settles(self, message: str) -> bool:
+        return False
+
     def holds(self, message: str) -> bool:
         return False
 
     def take(self, message: Stored) -> None:
         self._message = message
 
-    async def durable(self) -> None:
-        """Ask the owner, who writes it down; raises as the owner's own desk would."""
+    def durable(self) -> asyncio.Future[None]:
+        """Ask the owner, who writes it down; the errors are those of the owner's own desk."""
         assert self._message is not None
-        answer = await self._passage.ask(self._message)
-        match answer.get("is"):
-            case "taken":
-                pass
-            case "known":
-                self._known = True
-            case "bad":
-                raise BadRequestError(str(answer.get("why")))
-            case _:
-                raise NoRoomError(str(answer.get("why")))
+        return self._passage.ask(self, self._message)
 
     def begin(self, name: str) -> None:
-        if not self._known:
-            self._passage.tell("begin", name)
+        if not self.known:
+            self._passage.tell("begin", self)
 
     def withdraw(self, name: str) -> None:
-        if not self._known:
-            self._passage.tell("withdraw", name)
+        if not self.known:
+            self._passage.tell("withdraw", self)
 
     def handed_in(self, message: Stored, status: int) -> None:
         """The owner records it."""
@@ -151,67 +190,68 @@
     def __init__(self, find: Callable[[int], Core | None]) -> None:
         self._find = find
         self.frames = Frames(self._heard, self._lost)
-        self._pending: dict[str, tuple[Core, Stored]] = {}  # taken, and its client has not heard for all we know
-        self._tasks: dict[str, asyncio.Task[None]] = {}  # taken, and waiting for a sync
+        self._pending: dict[int, tuple[Core, Stored]] = {}  # taken, and its client has not heard for all we know
+        self._tasks: dict[int, asyncio.Task[None]] = {}  # taken, and waiting for a sync
 
     def _heard(self, head: dict[str, Any], body: bytes) -> None:
-        name = str(head["id"])
+        number = int(head["n"])
         match head["do"]:
             case "ask":
-                self._ask(Stored(name, str(head["class"]), int(head["dest"]), int(head["deadline"]), head["key"],
-                                 head["token"], bool(head["again"]), body))
-            case "begin" if name in self._pending:
-                core, message = self._pending.pop(name)
+                self._ask(number, Stored(str(head["id"]), str(head["class"]), int(head["dest"]), int(head["deadline"]),
+                                         head["key"], head["token"], bool(head["again"]), body))
+            case "begin" if number in self._pending:
+                core, message = self._pending.pop(number)
                 self._begin(core, message)
             case "withdraw":
-                if (task := self._tasks.pop(name, None)) is not None:
+                if (task := self._tasks.pop(number, None)) is not None:
                     task.cancel()
-                if name in self._pending:
-                    self._pending.pop(name)[0].withdraw(name)
+                if number in self._pending:
+                    core, message = self._pending.pop(number)
+                    core.withdraw(message.id)
 
     def _begin(self, core: Core, message: Stored) -> None:
         if core.holds(message.id):
             core.begin(message.id)
             core.handed_in(message, 202)
 
-    def _ask(self, message: Stored) -> None:
+    def _ask(self, number: int, message: Stored) -> None:
         core = self._find(message.destination)
         if core is None:
-            self._answer(message.id, "full", "its share is not open here just now")
+            self._answer(number, "full", "its share is not open here just now")
         elif core.holds(message.id):
-            self._answer(message.id, "known")
+            self._answer(number, "unsettled" if core.settles(message.id) else "known")
         elif not core.serves(message.destination):
-            self._answer(message.id, "bad", "no such destination")
+            self._answer(number, "bad", "no such destination")
         elif core.full():
             core.handed_in(message, 503)
-            self._answer(message.id, "full", "holds all it can")
+            self._answer(number, "full", "holds all it can")
         else:
             try:
                 core.take(message)
             except NoRoomError as error:
                 core.handed_in(message, 503)
-                self._answer(message.id, "full", str(error))
+                self._answer(number, "full", str(error))
                 return
-            self._pending[message.id] = core, message
+            self._pending[number] = core, message
             if core.syncs:
-                self._tasks[message.id] = asyncio.create_task(self._settle(core, message.id))
+                self._tasks[number] = asyncio.create_task(self._settle(core, number, message.id))
             else:
-                self._answer(message.id, "taken")
+                self._answer(number, "taken")
 
-    async def _settle(self, core: Core, name: str) -> None:
+    async def _settle(self, core: Core, number: int, name: str) -> None:
         try:
             await core.durable()
         except NoRoomError as error:
-            self._pending.pop(name, None)
+            self._pending.pop(number, None)
             core.withdraw(name)
-            self._answer(name, "full", str(error))
+            self._answer(number, "full", str(error))
         else:
-            self._answer(name, "taken")
+            self._answer(number, "taken")
         finally:
-            self._tasks.pop(name, None)
+            self._tasks.pop(number, None)
 
-    def _answer(self, name: str, what: str, why: str = "") -> None:
-        self.frames.send({"id": name, "is": what, "why": why})
+    def _answer(self, number: int, what: str, why: str = "") -> None:
+        self.frames.send({"n": number, "is": what, "why": why})
 
     def _lost(self) -> None:
         """Guards against a message that its client was told of, and nobody begins."""
@@ -219,8 +259,8 @@
             task.cancel()
         unanswered = set(self._tasks)
         pending, self._pending = self._pending, {}
-        for name, (core, message) in pending.items():
-            if name in unanswered:
-                core.withdraw(name)
+        for number, (core, message) in pending.items():
+            if number in unanswered:
+                core.withdraw(message.id)
             else:
                 self._begin(core, message)
--- a/wheelstep/workers/worker.py
+++ b/wheelstep/workers/worker.py
@@ -62,8 +62,11 @@
     def take(self, message: Stored) -> None:
         raise NoRoomError("its share is open nowhere just now")
 
-    async def durable(self) -> None:
-        pass
+    def settles(self, message: str) -> bool:
+        return False
+
+    def durable(self) -> asyncio.Future[None]:
+        raise NoRoomError("its share is open nowhere just now")  # nothing is taken, so nothing waits
 
     def begin(self, name: str) -> None:
         pass
