Workers at their limits: full disk, crowded or hanging at one only, doors used up, SIGTERM in a takeover

Each now has one on a whole courier of two workers; nothing had to be mended for them. In the takeover what the dead worker owed arrives once each, cut off after the kill, after it was parked and after its shares were opened elsewhere.

--- /dev/null
+++ b/tests/test_workers_edges.py
@@ -0,0 +1,159 @@
+"""A courier of several processes at its limits: what one worker lacks, the others have."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+from pathlib import Path
+from typing import Any
+
+import pytest
+from loopback import SETTINGS, Call, Endpoint, Reply, Scene, host, run
+from test_workers import operator
+
+from wheelstep.rehearsal.standins.process import _children
+from wheelstep.workers.ownership import assign, share_of
+
+SHARES = 4
+ALONE: dict[str, Any] = {**SETTINGS, "specifics": {**SETTINGS["specifics"], "per_call": [1]}}
+
+
+def elsewhere(destination: int, workers: int = 2) -> int:
+    """A destination whose worker is another one."""
+    owners = assign(range(SHARES), range(workers), {})
+    mine = owners[share_of(destination, SHARES)]
+    return next(number for number in range(8, 100) if owners[share_of(number, SHARES)] != mine)
+
+
+class Two(Scene):
+    """Destination 7 with `endpoint`, and one of the other worker's with `other`."""
+
+    def __init__(self, folder: Path, disk_mb: float = 3, settings: dict[str, Any] | None = None) -> None:
+        super().__init__(folder, operator(folder, 2, SHARES), disk_mb)
+        self.courier.settings = settings or ALONE
+        self.other, self.number = Endpoint(), elsewhere(7)
+
+    async def __aenter__(self) -> Two:
+        await self.platform.start()
+        self.platform.list(host("e0", await self.endpoint.start()), host("f0", await self.other.start(), self.number))
+        await self.courier.start()
+        return self
+
+    async def hand_in(self, name: str, destination: int, body: bytes = b"x") -> int:
+        """The answer that is not for want of a worker that was told who owns what."""
+        async with asyncio.timeout(20):
+            while True:
+                status = 0
+                with contextlib.suppress(OSError):  # its worker has just ended
+                    status = await self.courier.hand_in(name, body=body, X_Consignee=f"dest={destination}")
+                if status not in (0, 503):
+                    return status
+                await asyncio.sleep(0.02)
+
+    async def fill(self, destination: int, body: bytes) -> list[str]:
+        """Hand in until there is no room."""
+        taken: list[str] = []
+        async with asyncio.timeout(20):
+            while True:
+                name = f"fill{len(taken)}"
+                status, headers = await self.courier.hand_in_answer(name, body=body, X_Consignee=f"dest={destination}")
+                if status == 503 and taken:
+                    assert headers["Retry-After"] == "1"
+                    return taken
+                if status == 202:
+                    taken.append(name)
+
+
+def worker(supervisor: int, number: int) -> int:
+    """The process of a worker."""
+    return next(pid for pid in _children(supervisor)
+                if Path(f"/proc/{pid}/cmdline").read_bytes().split(b"\0")[-2] == str(number).encode())
+
+
+async def hang(call: Call) -> Reply | None:
+    return None
+
+
+def test_a_full_disk_at_one_worker_only(tmp_path: Path) -> None:
+    """The share's room is used up by what waits for destination 7; another worker's destination has its own."""
+    async def scene() -> None:
+        async with Two(tmp_path, disk_mb=1.2) as s:
+            s.platform.push(host("e0", s.endpoint.address, health="DRAINING"))
+            await asyncio.sleep(0.3)
+            taken = await s.fill(7, b"x" * 50_000)
+            assert 3 <= len(taken) <= 6  # 300 KB a share
+            for number in range(8):
+                assert await s.hand_in(f"m{number}", s.number, b"y" * 50_000) == 202
+            await s.other.wait(8)
+            s.platform.push(host("e0", s.endpoint.address))
+            calls = await s.endpoint.wait(len(taken))  # and what was taken goes once there is somewhere to go
+            assert sorted(call.headers["x-request-id"] for call in calls) == sorted(taken)
+            assert await s.hand_in("again", 7) == 202
+            assert await s.courier.terminate() == 0
+    run(scene())
+
+
+def test_messages_that_crowd_on_one_worker_leave_the_others_theirs(tmp_path: Path) -> None:
+    """All slots and all room of one worker are taken by a destination that hangs."""
+    async def scene() -> None:
+        async with Two(tmp_path) as s:
+            s.endpoint.reply = hang
+            taken = await s.fill(7, b"x")
+            assert len(taken) == 50  # half of what the courier holds
+            for number in range(100):
+                assert await s.hand_in(f"m{number}", s.number) == 202
+            assert len(await s.other.wait(100)) == 100
+            assert await s.courier.terminate() == 0
+    run(scene())
+
+
+def test_a_crowd_that_uses_up_every_door_lets_good_clients_in(tmp_path: Path) -> None:
+    """Each worker has its part of the descriptors; silent connections give way."""
+    async def scene() -> None:
+        async with Two(tmp_path) as s:
+            crowd = []
+            for _ in range(300):  # 256 descriptors, a third for clients
+                try:
+                    crowd.append(await asyncio.open_connection(*s.courier.address.rsplit(":", 1)))
+                except OSError:
+                    break
+            for number in range(20):
+                assert await s.hand_in(f"m{number}", s.number) == 202
+                assert await s.hand_in(f"n{number}", 7) == 202
+            assert len(await s.other.wait(20)) == len(await s.endpoint.wait(20)) == 20
+            for _, writer in crowd:
+                writer.close()
+            assert not any("Too many open files" in line or "Traceback" in line for line in s.courier.log)
+            assert await s.courier.terminate() == 0
+    run(scene())
+
+
+@pytest.mark.parametrize("at", ["killed", "parked", "opened"])
+def test_sigterm_while_shares_are_taken_over(tmp_path: Path, at: str) -> None:
+    """What a dead worker owed is delivered once, by whoever has its folder at last."""
+    async def scene() -> None:
+        async with Two(tmp_path) as s:
+            s.platform.push(host("e0", s.endpoint.address, health="DRAINING"),
+                            host("f0", s.other.address, s.number, health="DRAINING"))
+            await asyncio.sleep(0.3)
+            for number in range(5):
+                assert await s.hand_in(f"m{number}", 7) == 202
+                assert await s.hand_in(f"n{number}", s.number) == 202
+            for crash in range(1 if at == "killed" else 3):
+                os.kill(worker(s.courier.process.pid, 0), 9)
+                await s.courier.wait_log("ended with -9", crash + 1)
+                if crash < 2 and at != "killed":  # it has its two shares again, and they can be taken over as they are
+                    await s.courier.wait_log("is open after", SHARES + 2 * (crash + 1))
+            if at != "killed":
+                await s.courier.wait_log("parked; its shares")
+            if at == "opened":
+                await s.courier.wait_log("is open after", SHARES + 6)
+            assert await s.courier.terminate() == 0
+            s.platform.list(host("e0", s.endpoint.address), host("f0", s.other.address, s.number))
+            await s.courier.start()
+            mine, others = await s.endpoint.wait(5), await s.other.wait(5)
+            assert await s.courier.terminate() == 0
+            assert sorted(call.headers["x-request-id"] for call in mine) == [f"m{number}" for number in range(5)]
+            assert sorted(call.headers["x-request-id"] for call in others) == [f"n{number}" for number in range(5)]
+    run(scene())
