Serve without the platform, first path: a file, routes, tenants, and ends that can be asked for

The inlet has a front for it, the core tells deliveries as well where that is wanted. Off, nothing of it is imported.

--- /dev/null
+++ b/tests/test_standalone.py
@@ -0,0 +1,408 @@
+"""A courier without the platform: its file, its routes and shares, the ends of messages, and the whole on sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import os
+import signal
+import sys
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from loopback import LIMIT_S, ROOT, Call, Endpoint, Reply, run
+
+from wheelstep.standalone import start
+from wheelstep.standalone.ends import End, Ends
+from wheelstep.standalone.model import FileError, RoutePart, destination_number, parse
+from wheelstep.standalone.routes import Asked, Routes, Tenants, _weighted
+
+TOKEN, OTHER = "token-of-one", "token-of-two"
+DIGEST, OTHER_DIGEST = (hashlib.sha256(token.encode()).hexdigest() for token in (TOKEN, OTHER))
+FILE = f"""
+listen = "127.0.0.1:0"
+state = "state"
+[class.pay]
+effect = "unsafe"
+[class.update]
+effect = "keyed"
+ordered = true
+[class.note]
+effect = "safe"
+[destination.alpha]
+endpoints = ["127.0.0.1:1"]
+[destination.beta]
+endpoints = []
+[[route]]
+class = "note"
+path = "/copy/*"
+to = "alpha"
+mirror = "beta"
+[[route]]
+path = "/b/*"
+to = "beta"
+fallback = "alpha"
+[[route]]
+path = "/a/*"
+to = "alpha"
+[tenant.one]
+tokens = ["{DIGEST}"]
+[tenant.two]
+tokens = ["{OTHER_DIGEST}"]
+"""
+
+
+# --- the file ---
+
+
+@pytest.mark.parametrize(("old", "new", "expected"), [
+    ('listen = "127.0.0.1:0"', 'listen = "here"', "listen: 'here' is no address; expected host:port"),
+    ('effect = "unsafe"', 'effect = "once"', "class.pay.effect: 'once'; expected"),
+    ('effect = "unsafe"', 'effect = "unsafe"\naim = "40s"', "class.pay: aim is not between 0 and the deadline"),
+    ('effect = "unsafe"', 'effect = "unsafe"\naim = 3', "class.pay.aim: 3 is no time"),
+    ('"127.0.0.1:1"', '"127.0.0.1"', "endpoints[0]: '127.0.0.1' is no address"),
+    ('"127.0.0.1:1"', '"h:1", "h:1"', "endpoints[1]: 'h:1' is there twice"),
+    ('"127.0.0.1:1"]', '"h:1"]\ndrain = ["h:2"]', "drain[0]: 'h:2' is none of the endpoints"),
+    ('to = "beta"', 'to = "gamma"', "route[1].to: unknown destination 'gamma'; expected one of alpha, beta"),
+    ('class = "note"', 'class = "nothing"', "route[0].class: unknown class 'nothing'"),
+    ('class = "note"', 'class = "pay"', "route[0].mirror: class 'pay' is unsafe"),
+    ('class = "note"\n', '', "route[0].mirror: class 'pay' is unsafe"),
+    ('mirror = "beta"', 'mirror = "alpha"', "route[0].mirror: 'alpha' gets the message itself"),
+    (OTHER_DIGEST, DIGEST, "tenant.two.tokens: one of them is that of 'one' as well"),
+    (OTHER_DIGEST, "secret", "tokens[0]: is no sha256 in hex"),
+    ('state = "state"', 'state = "state"\ncolour = 1', "colour: unknown key"),
+    ('[class.pay]', '[class.Pay]', "class.Pay"), ('[[route]]', '[[route', "expected TOML")])
+def test_what_is_wrong_with_a_file_is_said_in_a_line(old: str, new: str, expected: str) -> None:
+    with pytest.raises(FileError) as found:
+        parse(FILE.replace(old, new, 1), "x.toml")
+    assert str(found.value).startswith("x.toml: ") and expected in str(found.value)
+    assert "\n" not in str(found.value) and "secret" not in str(found.value)
+
+
+def test_the_starting_file_is_fine_and_nothing_is_overwritten(tmp_path: Path) -> None:
+    token = start.init(tmp_path / "new")
+    path = tmp_path / "new" / "umberchute.toml"
+    found = parse(path.read_text(), str(path))
+    assert Tenants(found.tenants).named(token) == "first"
+    assert (tmp_path / "new" / "first.token").stat().st_mode & 0o077 == 0
+    with pytest.raises(FileError, match="is there already"):
+        start.init(tmp_path / "new")
+    shown = json.dumps(start.plain(found))
+    assert token not in shown and "unsafe" in shown
+
+
+def test_differences_tell_what_a_reload_changes() -> None:
+    old = start.plain(parse(FILE, "a"))
+    new = start.plain(parse(FILE.replace('"127.0.0.1:1"', '"h:2"').replace("[class.note]", "[class.extra]\neffect = "
+                                         '"safe"\n[class.note]\ndeadline = "9s"'), "b"))
+    assert list(start.differences(old, new)) == [
+        "class.note.deadline: 30000000 -> 9000000", "class.extra: new: " + str(new["class"]["extra"]),
+        "destination.alpha.endpoints[0]: 127.0.0.1:1 -> h:2"]
+
+
+def test_the_reference_page_is_what_the_model_says() -> None:
+    assert start.reference() in (ROOT / "docs" / "operations" / "standalone.md").read_text()
+
+
+# --- routes and shares ---
+
+NAMES = st.sampled_from(["a", "b", "c"])
+PATTERNS = st.none() | st.sampled_from(["*", "/x/*", "/y", "k*", "k1"])
+ROUTES = st.lists(st.builds(
+    RoutePart.model_construct, tenant=st.none() | st.sampled_from(["one", "two"]),
+    message_class=st.none() | st.sampled_from(["pay", "update"]), path=PATTERNS, key=PATTERNS,
+    headers=st.dictionaries(st.sampled_from(["X-A", "x-b"]), st.sampled_from(["1", "*"]), max_size=2),
+    to=st.dictionaries(NAMES, st.integers(1, 5), min_size=1, max_size=3), fallback=st.none() | NAMES,
+    mirror=st.none() | NAMES), max_size=5)
+ASKED = st.builds(Asked, st.sampled_from(["one", "two"]), st.sampled_from(["pay", "update", "note"]),
+                  st.sampled_from(["/x/1", "/y", "/z"]), st.none() | st.sampled_from(["k1", "k2", "q"]),
+                  st.dictionaries(st.sampled_from(["x-a", "x-b"]), st.sampled_from(["1", "2"]), max_size=2))
+
+
+@given(ROUTES, ASKED, st.sets(NAMES))
+def test_a_message_has_one_destination_or_none_and_an_unsafe_one_no_copy(
+        parts: list[RoutePart], asked: Asked, open_: set[str]) -> None:
+    found = parse(FILE, "x").model_copy(update={"routes": tuple(parts)})
+    routes = Routes(found)
+    way = routes.way(asked, "m", open_.__contains__)
+    assert way == routes.way(asked, "m", open_.__contains__)
+    matching = [part for part in parts if Routes(found.model_copy(update={"routes": (part,)})).way(
+        asked, "m", open_.__contains__) is not None]
+    assert (way is None) == (not matching)
+    if way is not None:
+        first = matching[0]
+        assert way.destination in first.weights or way.destination == first.fallback
+        if way.destination not in first.weights:
+            assert way.destination in open_
+        assert way.mirror == (None if asked.message_class == "pay" else first.mirror)
+
+
+def test_weights_hold_and_only_what_must_move_moves() -> None:
+    keys = [f"k{number}" for number in range(8_000)]
+    before = {key: _weighted({"a": 1, "b": 3}, key) for key in keys}
+    assert 0.22 < Counter(before.values())["a"] / len(keys) < 0.28
+    after = {key: _weighted({"a": 1, "b": 3, "c": 4}, key) for key in keys}
+    moved = [key for key in keys if before[key] != after[key]]
+    assert {after[key] for key in moved} == {"c"} and 0.45 < len(moved) / len(keys) < 0.55
+
+
+@settings(max_examples=60)
+@given(st.lists(st.tuples(st.sampled_from(["one", "two"]), st.booleans(), st.floats(0, 0.4)), max_size=80))
+def test_no_share_is_passed_by_more_than_one(steps: list[tuple[str, bool, float]]) -> None:
+    parts = parse(FILE, "x").tenants
+    parts = {"one": parts["one"].model_copy(update={"rate_per_s": 5.0, "burst": 3, "held_share": 0.3}),
+             "two": parts["two"].model_copy(update={"rate_per_s": 100.0, "held_share": 0.5})}
+    tenants, now, taken = Tenants(parts), 0.0, Counter[str]()
+    for name, ends, pause in steps:
+        now += pause
+        if ends and tenants.held[name]:
+            tenants.over(name)
+        wait_s = tenants.wait_s(name, 20, now)
+        assert wait_s >= 0
+        if not wait_s:
+            tenants.took(name)
+            taken[name] += 1
+        assert tenants.held["one"] <= 6 and tenants.held["two"] <= 10
+        assert taken["one"] <= 3 + 5.0 * now + 1
+
+
+# --- ends ---
+
+
+def test_ends_outlast_the_process_and_a_torn_line(tmp_path: Path) -> None:
+    async def work() -> None:
+        settled: list[str] = []
+        ends = Ends(tmp_path, 100, settled.extend)
+        for number in range(250):
+            ends.add(f"m{number}", End("delivered", number))
+            if not number % 20:
+                await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        ends.close()
+        assert settled == [f"m{number}" for number in range(250)]
+        assert (tmp_path / Ends.FILE).read_bytes().count(b"\n") <= 250
+        with open(tmp_path / Ends.FILE, "ab") as file:
+            file.write(b'{"message": "m250", "en')
+        ends = Ends(tmp_path, 100, settled.extend)
+        assert ends.get("m149") is None and ends.get("m150") == End("delivered", 150)
+        assert ends.get("m250") is None  # its journal owes it still, and tells it again
+        ends.add("m250", End("failed", 1, 7))
+        await asyncio.sleep(0)
+        ends.close()
+        ends = Ends(tmp_path, 100, settled.extend)
+        assert ends.get("m250") == End("failed", 1, 7)
+        ends.close()
+    run(work())
+
+
+def test_ends_that_can_not_be_written_stay_owed_until_they_are(tmp_path: Path) -> None:
+    class Full:
+        room = 10
+
+        def write(self, data: bytes) -> int:
+            if self.room <= 0:
+                raise OSError(28, "No space left on device")
+            took, self.room = min(len(data), self.room), 0
+            return real.write(data[:took]) or 0
+
+        def close(self) -> None:
+            real.close()
+
+    async def work() -> None:
+        settled: list[str] = []
+        ends = Ends(tmp_path, 100, settled.extend)
+        ends._file = Full()  # type: ignore[assignment]
+        waiting = ends.wait("m1", 60)
+        ends.add("m1", End("refused", 5))
+        await waiting  # its client hears all the same
+        ends.flush()
+        assert settled == [] and ends.get("m1") == End("refused", 5)
+        ends._file = real
+        ends.add("m2", End("delivered", 6))
+        ends.flush()
+        assert settled == ["m1", "m2"]
+        ends.close()
+        again = Ends(tmp_path, 100, settled.extend)
+        assert again.get("m1") == End("refused", 5) and again.get("m2") == End("delivered", 6)
+        again.close()
+    real = open(tmp_path / Ends.FILE, "ab", buffering=0)  # noqa: SIM115
+    run(work())
+
+
+# --- the whole ---
+
+
+class Standalone:
+    """A courier's process on a file of its own, and two partners."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.log = folder, list[str]()
+        self.alpha, self.beta = Endpoint(), Endpoint()
+        self.text = FILE
+
+    async def __aenter__(self) -> Standalone:
+        self.text = self.text.replace("127.0.0.1:1", await self.alpha.start())
+        await self.beta.start()
+        await self.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        if self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+
+    async def start(self) -> None:
+        (self.folder / "umberchute.toml").write_text(self.text)
+        environ = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "wheelstep.cli", "serve", "--config", str(self.folder / "umberchute.toml"), cwd=ROOT,
+            env=environ, stderr=asyncio.subprocess.PIPE)
+        self._reading = asyncio.create_task(self._read())
+        await self.wait_log("serves on", sum("serves on" in line for line in self.log) + 1)
+        line = next(line for line in reversed(self.log) if "serves on" in line)
+        self.url = "http://" + line.partition("serves on ")[2].partition(",")[0]
+
+    async def _read(self) -> None:
+        assert self.process.stderr is not None
+        while line := (await self.process.stderr.readline()).decode():
+            self.log.append(line)
+
+    async def wait_log(self, text: str, count: int = 1) -> None:
+        async with asyncio.timeout(LIMIT_S):
+            while sum(text in line for line in self.log) < count:
+                assert self.process.returncode is None, self.log
+                await asyncio.sleep(0.01)
+
+    async def stop(self, how: int = signal.SIGTERM) -> None:
+        self.process.send_signal(how)
+        await asyncio.wait_for(self.process.wait(), LIMIT_S)
+
+    async def renew(self, old: str, new: str) -> None:
+        assert old in self.text
+        self.text = self.text.replace(old, new)
+        (self.folder / "new").write_text(self.text)
+        (self.folder / "new").replace(self.folder / "umberchute.toml")
+        self.process.send_signal(signal.SIGHUP)
+
+    async def ask(self, method: str, path: str, token: str = TOKEN, **headers: str) -> tuple[int, Any]:
+        given = {name.replace("_", "-"): value for name, value in headers.items()}
+        if token:
+            given["Authorization"] = f"Bearer {token}"
+        async with aiohttp.ClientSession() as http, http.request(
+                method, self.url + path, headers=given, data=b"x" if method == "POST" else None) as answer:
+            text = await answer.text()
+            is_json = answer.content_type == "application/json"
+            return answer.status, json.loads(text) if is_json else dict(answer.headers)
+
+    async def post(self, name: str, path: str, cls: str = "pay", token: str = TOKEN) -> int:
+        return (await self.ask("POST", path, token, X_Request_Id=name, X_Class=cls))[0]
+
+
+def test_from_a_file_to_a_delivery_and_its_end(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with Standalone(tmp_path) as s:
+            assert await s.post("m1", "/a/1") == 202
+            status, end = await s.ask("GET", "/messages/m1?wait=20")
+            assert (status, end["message"], end["end"]) == (200, "m1", "delivered")
+            assert (await s.alpha.wait(1))[0].headers["x-request-id"] == "one~m1"
+            assert await s.post("m1", "/a/1") == 200 and len(s.alpha.calls) == 1  # the same message, not another
+            assert await s.post("m2", "/b/1", "update") == 202  # beta has no endpoint: the fallback's
+            call = (await s.alpha.wait(2))[1]
+            assert call.headers["idempotency-key"] == "one~m2"
+            assert (await s.ask("GET", "/messages/m1", OTHER))[0] == 404  # another tenant's
+            assert (await s.ask("GET", "/messages/m1", "wrong"))[0] == 401
+            assert (await s.ask("GET", "/messages/m1", ""))[0] == 401
+            assert await s.post("m3", "/nowhere") == 404
+            assert await s.post("m4", "/a/1", "none") == 400 and await s.post("m~4", "/a/1") == 400
+            assert not any(TOKEN in line for line in s.log)
+            await s.stop(signal.SIGKILL)
+            await s.start()
+            assert (await s.ask("GET", "/messages/m1"))[1]["end"] == "delivered"
+            assert await s.post("m1", "/a/1") == 200 and len(s.alpha.calls) == 2
+            await s.stop()
+            assert s.process.returncode == 0
+    run(scene())
+
+
+def test_an_unsafe_message_that_may_have_run_fails_and_is_told_over_sigkill(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with Standalone(tmp_path) as s:
+            arrived = asyncio.Event()
+
+            async def hang(call: Call) -> Reply | None:
+                arrived.set()
+                return None
+            s.alpha.reply = hang
+            assert await s.post("m1", "/a/1") == 202
+            await asyncio.wait_for(arrived.wait(), LIMIT_S)
+            assert (await s.ask("GET", "/messages/m1?wait=0.05"))[0] == 202
+            await s.stop(signal.SIGKILL)
+            await s.start()
+            assert (await s.ask("GET", "/messages/m1?wait=20"))[1]["end"] == "failed"
+            assert len(s.alpha.calls) == 1
+    run(scene())
+
+
+def test_a_reload_brings_endpoints_routes_tokens_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with Standalone(tmp_path) as s:
+            await s.renew("endpoints = []", f'endpoints = ["{s.beta.address}"]')
+            await s.wait_log("read again")
+            assert await s.post("m1", "/b/1") == 202
+            await s.beta.wait(1)
+            assert await s.post("m2", "/copy/1", "note") == 202
+            assert sorted([(await s.beta.wait(2))[1].headers["x-request-id"],
+                           (await s.alpha.wait(1))[0].headers["x-request-id"]]) == ["one~m2", "one~m2~mirror"]
+            assert (await s.ask("GET", "/messages/m2?wait=20"))[1]["end"] == "delivered"
+            text = s.text
+            await s.renew('to = "beta"', 'to = "gamma"')
+            await s.wait_log("route[1].to: unknown destination 'gamma'")
+            assert await s.post("m3", "/b/1") == 202
+            await s.beta.wait(3)
+            s.text = text
+            await s.renew(DIGEST, start.new_token()[1])  # revoked; what it handed in goes on
+            await s.wait_log("read again", 2)
+            assert await s.post("m4", "/b/1") == 401 and await s.post("m5", "/b/1", token=OTHER) == 202
+            await s.renew(f'endpoints = ["{s.beta.address}"]', f'endpoints = ["{s.beta.address}"]\ndrain = '
+                          f'["{s.beta.address}"]')
+            await s.wait_log("read again", 3)
+            assert await s.post("m6", "/b/1", token=OTHER) == 202  # it drains: the fallback's
+            await s.alpha.wait(2)
+            await s.stop()
+    run(scene())
+
+
+def test_a_tenant_over_its_share_is_told_when_to_come_back_and_others_are_served(tmp_path: Path) -> None:
+    async def scene() -> None:
+        s = Standalone(tmp_path)
+        s.text = s.text.replace("[tenant.two]", "held_share = 0.3\n[tenant.two]").replace(
+            "[class.pay]", "[limits]\nheld = 10\n[class.pay]")
+        async with s:
+            released = asyncio.Event()
+
+            async def slow(call: Call) -> Reply | None:
+                await released.wait()
+                return 200, {}, b""
+            s.alpha.reply = slow
+            for number in range(3):
+                assert await s.post(f"m{number}", "/a/1") == 202
+            status, headers = await s.ask("POST", "/a/1", X_Request_Id="m3", X_Class="pay")
+            assert status == 429 and headers["Retry-After"] == "1"
+            assert await s.post("m3", "/a/1", token=OTHER) == 202
+            released.set()
+            for number in range(3):
+                assert (await s.ask("GET", f"/messages/m{number}?wait=20"))[1]["end"] == "delivered"
+            assert await s.post("m3", "/a/1") == 202
+            await s.stop()
+    run(scene())
+
+
+def test_numbers_of_destinations_do_not_hang_on_their_place() -> None:
+    assert destination_number("alpha") == destination_number("alpha") != destination_number("beta")
+    assert destination_number("alpha") < 1 << 48
--- a/wheelstep/cli/__main__.py
+++ b/wheelstep/cli/__main__.py
@@ -20,16 +20,27 @@
     demo.add_argument("--length", type=float, metavar="SECONDS", help="a shorter or longer demo")
     serve = commands.add_parser("serve", help="run the daemon that the RELAY_* environment describes")
     serve.add_argument("--operator", metavar="FILE", help="the operator's own file")
+    serve.add_argument("--config", metavar="FILE.toml", help="without the platform: all that the courier is told")
     serve.add_argument("--workers", type=int, metavar="N", help="so many worker processes (0: none)")
     workers = commands.add_parser("workers", help="the folder of a courier with workers, while none runs on it")
     workers_verbs = workers.add_subparsers(dest="verb", required=True, metavar="VERB")
     merge = workers_verbs.add_parser("merge", help="back to one journal, for a courier without workers")
     merge.add_argument("folder", help="RELAY_STATE of a courier that does not run")
+    init = commands.add_parser("init", help="write a starting file for a courier without the platform")
+    init.add_argument("folder")
+    keys = commands.add_parser("keys", help="tokens of tenants")
+    keys.add_argument("verb", choices=["new"], help="new: a token, and what the file holds of it")
     config = commands.add_parser("config", help="configuration files")
     config_commands = config.add_subparsers(dest="what", required=True, metavar="WHAT")
     check = config_commands.add_parser("check", help="check an operator's file, a configuration or a scenario")
     check.add_argument("file")
     check.add_argument("--json", action="store_true", help="one JSON object")
+    show = config_commands.add_parser("show", help="a standalone courier's file with every default, as JSON")
+    show.add_argument("file")
+    diff = config_commands.add_parser("diff", help="what a reload would change; exit code 1 if anything")
+    diff.add_argument("old")
+    diff.add_argument("new")
+    config_commands.add_parser("reference", help="all fields of a standalone courier's file, as Markdown")
     rehearse = commands.add_parser("rehearse", help="play scenarios and judge a courier")
     verbs = rehearse.add_subparsers(dest="verb", required=True, metavar="VERB")
     listing = verbs.add_parser("list", help="the shipped scenarios and the broken couriers")
@@ -92,7 +103,13 @@
     """Run one command and return its exit code."""
     given = parser().parse_args(arguments)
     try:
+        if given.command in ("init", "keys") or given.command == "serve" and given.config is not None \
+                or given.command == "config" and given.what in ("show", "diff", "reference"):
+            return _standalone(given)
         if given.command == "serve":
+            if not os.environ.get("RELAY_CONFIG") and not os.environ.get("RELAY_STATE"):
+                raise InputError("serve: neither RELAY_CONFIG and RELAY_STATE nor --config; expected the platform's "
+                                 "environment, or --config FILE.toml (`umberchute init FOLDER` writes one)")
             from wheelstep.courier.__main__ import main as serve
             if given.workers is not None and not 0 <= given.workers <= 64:
                 raise InputError(f"--workers: {given.workers}; expected 0 to 64")
@@ -126,5 +143,20 @@
         return OK
 
 
+def _standalone(given: argparse.Namespace) -> int:
+    try:
+        from wheelstep.standalone.model import FileError
+    except ModuleNotFoundError as error:
+        if error.name and error.name.startswith("wheelstep"):
+            raise
+        raise InputError(f"{error.name} is not installed; expected the extra: "
+                         "pip install 'umberchute[standalone]'") from error
+    from wheelstep.cli import standalone_commands
+    try:
+        return standalone_commands.run(given)
+    except FileError as error:
+        raise InputError(str(error)) from error
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/wheelstep/cli/commands.py
+++ b/wheelstep/cli/commands.py
@@ -130,7 +130,15 @@
             head = path.read_text(encoding="utf-8")
         except (OSError, UnicodeDecodeError) as error:
             raise InputError(f"{path}: can't be read: {error}") from error
-        if "[[partner]]" in head or "[[class]]" in head:
+        if "[[route]]" in head or "[tenant." in head:
+            from wheelstep.standalone.model import FileError
+            from wheelstep.standalone.model import load as load_standalone
+            what = "standalone courier"
+            try:
+                load_standalone(path)
+            except FileError as error:
+                raise InputError(str(error)) from error
+        elif "[[partner]]" in head or "[[class]]" in head:
             what = "scenario"
             scenario.parse(head, str(path))
         else:
--- /dev/null
+++ b/wheelstep/cli/standalone_commands.py
@@ -0,0 +1,37 @@
+"""`umberchute init`, `keys`, `serve --config` and `config show|diff|reference`: a courier without the platform."""
+
+from __future__ import annotations
+
+import argparse
+import json
+from pathlib import Path
+
+from wheelstep.cli.exits import BROKEN, OK, InputError
+from wheelstep.standalone import start
+from wheelstep.standalone.model import load
+
+
+def run(given: argparse.Namespace) -> int:
+    """Carry out a parsed command. Raises `FileError`."""
+    if given.command == "serve":
+        if given.operator is not None or given.workers:
+            raise InputError("serve: --operator and --workers are for the platform's couriers; expected --config alone")
+        from wheelstep.standalone.serve import main
+        return main(given.config)
+    if given.command == "init":
+        folder = Path(given.folder)
+        token = start.init(folder)
+        print(f"{folder / 'umberchute.toml'}: written; the token of tenant first is {token} "
+              f"(also in {folder / 'first.token'})")
+    elif given.command == "keys":
+        token, digest = start.new_token()
+        print(f"token {token}\nsha256 {digest}")
+    elif given.what == "show":
+        print(json.dumps(start.plain(load(Path(given.file))), indent=2))
+    elif given.what == "diff":
+        lines = list(start.differences(start.plain(load(Path(given.old))), start.plain(load(Path(given.new)))))
+        print("\n".join(lines) if lines else "nothing changes")
+        return BROKEN if lines else OK
+    else:
+        print(start.reference())
+    return OK
--- a/wheelstep/courier/config.py
+++ b/wheelstep/courier/config.py
@@ -90,12 +90,18 @@
         raise ConfigError(f"{path}: {error}") from error
     if not Path(state).is_dir():
         raise ConfigError(f"RELAY_STATE: {state} is no folder")
+    return from_data(data, Path(state), path, environ, again)
+
+
+def from_data(data: Mapping[str, Any], state: Path, source: str = "configuration",
+              environ: Mapping[str, str] | None = None, again: bool = False) -> Config:
+    """The same from what a file holds; `source` names it in a `ConfigError`."""
     try:
-        return _config(data, Path(state), environ, again)
+        return _config(data, state, environ or {}, again)
     except KeyError as error:
-        raise ConfigError(f"{path}: missing {error.args[0]!r}") from error
+        raise ConfigError(f"{source}: missing {error.args[0]!r}") from error
     except (WireError, TypeError, ValueError, AttributeError, OverflowError) as error:
-        raise ConfigError(f"{path}: {error}") from error
+        raise ConfigError(f"{source}: {error}") from error
 
 
 def _config(data: Mapping[str, Any], state: Path, environ: Mapping[str, str], again: bool) -> Config:
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -14,7 +14,6 @@
 from wheelstep import interface as api
 from wheelstep.courier.config import Address, Config
 from wheelstep.courier.outlet import Item, Outlet, Result
-from wheelstep.courier.platform import Notices
 from wheelstep.courier.rows import Row
 from wheelstep.interface import UNRUN, EndpointState, Outcome
 from wheelstep.journal import NoRoomError, Stored
@@ -63,6 +62,13 @@
     async def durable(self) -> None: ...
 
 
+class Notices(Protocol):
+    """Who is told of ends; once it has heard, `Core.answered`."""
+
+    def owe(self, message: str, outcome: str, retry_ms: int) -> None:
+        """Tell of this one as soon as can be."""
+
+
 @dataclass(frozen=True, slots=True)
 class CallsOut:
     """A call under way: where, since when (Unix time), and its messages with their attempts."""
@@ -97,6 +103,7 @@
         self.outlet = Outlet(self, config.dial_timeout_us, config.settings.conn_idle_us, config.names.report,
                              max(16, config.sockets - config.sockets // 3 - _RESERVE))
         self.notices: Notices | None = None
+        self.tells_deliveries = False  # are notices owed of what was delivered as well?
         self.recorder: Recorder | None = None
         self.figures: Figures | None = None
         self._out: set[str] = set()  # endpoints out by hand, listed or not
@@ -439,7 +446,11 @@
                 if self.figures is not None and not result.over:
                     self.figures.passed[held.message_class] += 1
                 del self._held[item.message], self._numbers[item.message]
-                self._journal.over(item.message)
+                if self.tells_deliveries:
+                    self._journal.end(item.message, "delivered", 0)
+                    self._owe(held)
+                else:
+                    self._journal.over(item.message)
             elif held is not None and item.attempt in held.out:
                 self._journal.outcome(item.message, item.attempt, result.outcome not in UNRUN)
             self._post(api.AttemptEnded(
--- a/wheelstep/courier/inlet.py
+++ b/wheelstep/courier/inlet.py
@@ -35,6 +35,8 @@
 _SPARE_S = 2.0  # and is the first to go after this when there is none
 _SWEEP_S = 0.25
 
+_HELD_S = 65.0
+
 log = logging.getLogger(__name__)
 
 
@@ -80,6 +82,39 @@
     """What is wrong with a request, for its client."""
 
 
+class RefusedError(Exception):
+    """Any other answer than that a message is taken on."""
+
+    def __init__(self, status: int, text: str, headers: tuple[tuple[str, str], ...] = ()) -> None:
+        super().__init__(text)
+        self.status, self.text, self.headers = status, text, headers
+
+
+class Door(Protocol):
+    """Where a request came in."""
+
+    def say(self, request: Request, status: int, text: str = "", headers: tuple[tuple[str, str], ...] = (),
+            keep: bool = True) -> bool:
+        """Answer; False if there is nobody any more to hear it."""
+
+    def wait(self, work: asyncio.Future[None], served: Callable[[asyncio.Future[None]], None],
+             held: bool = False) -> None:
+        """Read no further until the work is done; `served` answers. `held`: it may take a minute."""
+
+
+class Front(Protocol):
+    """What requests mean where it is not the platform's clients that send them (wheelstep.standalone)."""
+
+    def message(self, request: Request) -> Stored:
+        """What is handed in; raises `BadRequestError` and `RefusedError`."""
+
+    def other(self, request: Request, door: Door) -> None:
+        """Answer what is neither that nor asks for health; raises the same."""
+
+    def taken(self, message: Stored) -> None:
+        """Its client has heard 202."""
+
+
 class UnansweredError(Exception):
     """Nobody knows whether it was taken on: no answer would be true."""
 
@@ -105,11 +140,11 @@
     return Stored(
         id=name, message_class=message_class, destination=_destination(given.get("x-consignee", "")),
         deadline_ms=int(time.time() * 1000) + left_ms,
-        key=_key(request.target) if classes[message_class] else None,
+        key=key_of(request.target) if classes[message_class] else None,
         token=token, resubmitted="x-retry" in given, body=request.body)
 
 
-def _key(path: str) -> str | None:
+def key_of(path: str) -> str | None:
     """The last part of the path, as it was sent: a key may hold an escaped slash."""
     return path.partition("?")[0].rpartition("/")[2][:256] or None
 
@@ -132,6 +167,10 @@
     SILENT = "silent"  # connected, and nothing came yet
     ASKING = "asking"  # a request has begun
     IDLE = "idle"  # the last request was answered
+    HELD = "held"  # its request waits for something that may take a minute
+
+
+_MOST_S = {_Phase.IDLE: _IDLE_S, _Phase.HELD: _HELD_S}
 
 
 class _Door(asyncio.Protocol):
@@ -183,14 +222,17 @@
                     self.raw = None
                     self._doors.turn(self, _Phase.IDLE)
                     self._doors.turn(self, _Phase.ASKING)
-            elif self.phase is _Phase.ASKING:
+            elif self.phase in (_Phase.ASKING, _Phase.HELD):
                 self.raw = b""
                 self._doors.turn(self, _Phase.IDLE)
         self.flow()
 
-    def wait(self, work: asyncio.Future[None], served: Callable[[asyncio.Future[None]], None]) -> None:
-        """Read no further until the work is done; `served` answers."""
+    def wait(self, work: asyncio.Future[None], served: Callable[[asyncio.Future[None]], None],
+             held: bool = False) -> None:
+        """Read no further until the work is done; `served` answers. `held`: it may take a minute."""
         self._waits = work
+        if held:
+            self._doors.turn(self, _Phase.HELD)
 
         def done(work: asyncio.Future[None]) -> None:
             self._waits = None
@@ -318,7 +360,7 @@
         """Close what has owed a request, or been idle, for too long."""
         now = time.monotonic()
         for phase, doors in self._phases.items():
-            most_s = _IDLE_S if phase is _Phase.IDLE else _ASK_S
+            most_s = _MOST_S.get(phase, _ASK_S)
             for door in [door for door in doors if now - door.since >= most_s]:
                 self._close(door)
         if self._turned_away:
@@ -348,9 +390,10 @@
     """The server for clients; they may hold about `most` connections."""
 
     def __init__(self, desk: Desk, classes: Mapping[str, bool], most: int,
-                 find: Callable[[int], Desk] | None = None, keep: bool = False) -> None:
+                 find: Callable[[int], Desk] | None = None, keep: bool = False, front: Front | None = None) -> None:
         """`find` gives the desk of a destination, where there are several; `desk` tells whether all are ready.
-        With `keep`, connections can be passed on to another process."""
+        With `keep`, connections can be passed on to another process. `front` reads what clients hand in."""
+        self._front = front
         self._desk, self._classes, self._most = desk, classes, most
         self._find, self._keep = find, keep
         self._spare: socket.socket | None = None  # the listener, while nothing is taken on
@@ -460,12 +503,17 @@
                 self._hand_in(request, door)
                 return
             if request.target.partition("?")[0] != "/healthz":
+                if self._front is not None:
+                    self._front.other(request, door)
+                    return
                 raise BadRequestError("no such path; expected /healthz, or a message by POST")
             if request.method not in ("GET", "HEAD"):
                 raise BadRequestError("no such method; expected GET, or a message by POST")
             door.say(request, 200 if self._desk.ready else 503)
         except BadRequestError as error:
             self._bad(request, error, door)
+        except RefusedError as error:
+            door.say(request, error.status, error.text, error.headers)
         except Exception:
             log.exception("a request failed unexpectedly")
             door.say(request, 500, keep=False)
@@ -475,7 +523,7 @@
         door.say(request, 400, f"{error}\n", keep=False)
 
     def _hand_in(self, request: Request, door: _Door) -> None:
-        message = read_message(request, self._classes)
+        message = self._front.message(request) if self._front is not None else read_message(request, self._classes)
         desk = self._desk if self._find is None else self._find(message.destination)
         if desk.holds(message.id):  # handed in once more after a connection that crossed
             if desk.settles(message.id):  # guards against 202 for what its first client still may withdraw
@@ -521,6 +569,8 @@
         if door.say(request, 202):
             desk.begin(message.id)
             desk.handed_in(message, 202)
+            if self._front is not None:
+                self._front.taken(message)
         else:
             desk.withdraw(message.id)
 
--- a/wheelstep/courier/request.py
+++ b/wheelstep/courier/request.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Iterable
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from email.utils import formatdate
 from http import HTTPStatus
@@ -177,7 +177,7 @@
 _STARTS = {status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode() for status in HTTPStatus}
 
 
-def answer(status: int, text: str = "", headers: Iterable[tuple[str, str]] = (), keep: bool = True,
+def answer(status: int, text: str = "", headers: Sequence[tuple[str, str]] = (), keep: bool = True,
            version: str = "1.1") -> bytes:
     """One answer, ready to be written."""
     parts = [_STARTS[status], _dates.line()]
@@ -188,7 +188,9 @@
     parts += [f"{name}: {value}\r\n".encode("latin-1") for name, value in headers]
     if text:
         body = text.encode("utf-8", "replace")
-        parts.append(b"Content-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        if not any(name == "Content-Type" for name, _ in headers):
+            parts.append(b"Content-Type: text/plain; charset=utf-8\r\n")
+        parts.append(b"Content-Length: %d\r\n\r\n" % len(body) + body)
     else:
         parts.append(b"Content-Length: 0\r\n\r\n")
     return b"".join(parts)
--- /dev/null
+++ b/wheelstep/standalone/model.py
@@ -0,0 +1,223 @@
+"""The file of a standalone courier: its fields, their checks, and what spans several of them.
+
+docs/operations/standalone.md has a reference of all fields, made from this module by `umberchute config reference`.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import re
+import tomllib
+from collections.abc import Iterable, Mapping
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+from pydantic import Field, ValidationError, model_validator
+
+from wheelstep.fields import Part, Time, explain
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9_-]{0,39}$")]
+_ADDRESS = re.compile(r"(\[[0-9a-fA-F:.]+\]|[^\s:/@]+):(\d{1,5})")
+
+
+class FileError(Exception):
+    """The file can't be used: `file: key: what was found; expected what`."""
+
+
+class ClassPart(Part):
+    """A class of messages: what a repeated delivery does, and what time means to it."""
+
+    effect: Annotated[Literal["safe", "keyed", "unsafe"], Field(
+        description="what a second delivery does: nothing bad, nothing where the partner knows the key, harm")]
+    aim: Annotated[Time, Field(description="delivered within this it has its full worth")] = 2_000_000
+    deadline: Annotated[Time, Field(description="after this it is given up; clients may ask for less")] = 30_000_000
+    worth: Annotated[float, Field(gt=0, le=1000, description="beside messages of other classes")] = 1.0
+    late_worth: Annotated[float, Field(ge=0, le=1000, description="what is left of it at the deadline")] = 0.3
+    key_life: Annotated[Time, Field(description="keyed: partners remember a key for so long")] = 60_000_000
+    ordered: Annotated[bool, Field(description="messages of one key go one after another")] = False
+
+    @model_validator(mode="after")
+    def _fits(self) -> ClassPart:
+        if not 0 < self.aim <= self.deadline:
+            raise ValueError("aim is not between 0 and the deadline; expected aim <= deadline")
+        if self.late_worth > self.worth:
+            raise ValueError("late_worth is more than worth; expected at most as much")
+        return self
+
+
+class DestinationPart(Part):
+    """A partner: the endpoints that serve it."""
+
+    endpoints: Annotated[tuple[str, ...], Field(description="host:port of each")] = ()
+    drain: Annotated[tuple[str, ...], Field(description="those of them that get nothing new")] = ()
+    batch: Annotated[int, Field(ge=1, le=1000, description="messages in a call at most")] = 1
+    routes_apart: Annotated[bool, Field(description="a wait told by one endpoint does not bind the others")] = False
+
+    @model_validator(mode="after")
+    def _fits(self) -> DestinationPart:
+        for number, text in enumerate(self.endpoints):
+            found = _ADDRESS.fullmatch(text)
+            if found is None or not 0 < int(found[2]) <= 65535:
+                raise ValueError(f"endpoints[{number}]: {text!r} is no address; expected host:port")
+            if text in self.endpoints[:number]:
+                raise ValueError(f"endpoints[{number}]: {text!r} is there twice; expected each once")
+        for number, text in enumerate(self.drain):
+            if text not in self.endpoints:
+                raise ValueError(f"drain[{number}]: {text!r} is none of the endpoints; expected one of them")
+        return self
+
+
+class RoutePart(Part):
+    """What it takes, and where that goes. The first route that matches counts; one without conditions takes all."""
+
+    tenant: Annotated[Name | None, Field(description="only this tenant's")] = None
+    message_class: Annotated[Name | None, Field(alias="class", description="only of this class")] = None
+    path: Annotated[str | None, Field(description="only this path; * stands for anything")] = None
+    key: Annotated[str | None, Field(description="only keys like this; * stands for anything")] = None
+    headers: Annotated[dict[str, str], Field(description="only with these; * stands for anything")] = {}
+    to: Annotated[Name | dict[Name, Annotated[int, Field(ge=1, le=10_000)]], Field(
+        description="a destination, or several with weights: one key always goes the same way")]
+    fallback: Annotated[Name | None, Field(description="where to when that has no endpoint left")] = None
+    mirror: Annotated[Name | None, Field(
+        description="a copy goes there too, whose end nobody is told; never of an unsafe class")] = None
+
+    @property
+    def weights(self) -> Mapping[str, int]:
+        """Destinations with their weights."""
+        return {self.to: 1} if isinstance(self.to, str) else self.to
+
+
+class TenantPart(Part):
+    """A client: what it proves itself by, and its share."""
+
+    tokens: Annotated[tuple[str, ...], Field(min_length=1, description=(
+        "sha256 of each bearer token in hex (`umberchute keys new`); two while one is replaced"))]
+    rate_per_s: Annotated[float, Field(gt=0, le=100_000, description="messages that it may hand in")] = 1000.0
+    burst: Annotated[int, Field(ge=1, le=100_000, description="and so many at once")] = 100
+    held_share: Annotated[float, Field(gt=0, le=1, description="of the messages that may be held")] = 1.0
+
+    @model_validator(mode="after")
+    def _fits(self) -> TenantPart:
+        for number, text in enumerate(self.tokens):
+            if not re.fullmatch(r"[0-9a-f]{64}", text):
+                raise ValueError(f"tokens[{number}]: is no sha256 in hex; expected what `umberchute keys new` prints")
+        return self
+
+
+class LimitsPart(Part):
+    """What the courier may use."""
+
+    held: Annotated[int, Field(ge=1, le=10_000_000, description="messages whose end is owed")] = 10_000
+    slots: Annotated[int, Field(ge=1, le=100_000, description="calls to partners at once")] = 256
+    attempts: Annotated[int, Field(ge=1, le=1000, description="for a message at most")] = 20
+    descriptors: Annotated[int, Field(ge=64, le=1_000_000, description="a third of them for clients")] = 1024
+    disk_mb: Annotated[float, Field(ge=1, le=1_000_000, description="for the journal")] = 64.0
+    kept_ends: Annotated[int, Field(ge=100, le=10_000_000, description="ends that can be asked for")] = 10_000
+    idle: Annotated[Time, Field(description="partners close connections that were idle for so long")] = 15_000_000
+    dial: Annotated[Time, Field(description="for a connection to a partner to come up")] = 1_000_000
+
+
+class Standalone(Part):
+    """The whole file."""
+
+    name: Annotated[Name, Field(description="of this courier")] = "umberchute"
+    listen: Annotated[str, Field(description="host:port for clients")]
+    state: Annotated[Path, Field(description="folder of the journal, relative to the file")]
+    limits: LimitsPart = LimitsPart()
+    classes: Annotated[dict[Name, ClassPart], Field(alias="class", min_length=1)]
+    destinations: Annotated[dict[Name, DestinationPart], Field(alias="destination", min_length=1)]
+    routes: Annotated[tuple[RoutePart, ...], Field(alias="route", min_length=1)]
+    tenants: Annotated[dict[Name, TenantPart], Field(alias="tenant", min_length=1)]
+
+
+def destination_number(name: str) -> int:
+    """What the module and the journal know a destination by: the same at every start, whatever its place."""
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=6).digest(), "big")
+
+
+def parse(text: str, source: str) -> Standalone:
+    """Read and check; `source` names the file in a `FileError`."""
+    try:
+        found = Standalone.model_validate(tomllib.loads(text))
+    except tomllib.TOMLDecodeError as error:
+        raise FileError(f"{source}: {error}; expected TOML") from error
+    except ValidationError as error:
+        raise FileError(f"{source}: {explain(error, 'docs/operations/standalone.md')}") from error
+    for key, what in _crossings(found):
+        raise FileError(f"{source}: {key}: {what}")
+    return found
+
+
+def load(path: Path) -> Standalone:
+    """The file, its folder of state made absolute. Raises `FileError`."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise FileError(f"{path}: can't be read: {error}; expected TOML in UTF-8") from error
+    found = parse(text, str(path))
+    return found.model_copy(update={"state": (path.parent / found.state).absolute()})
+
+
+def _crossings(found: Standalone) -> Iterable[tuple[str, str]]:
+    """What only shows when parts are held against each other."""
+    match = _ADDRESS.fullmatch(found.listen)
+    if match is None or int(match[2]) > 65535:
+        yield "listen", f"{found.listen!r} is no address; expected host:port"
+    numbers: dict[int, str] = {}
+    for name in found.destinations:
+        if (other := numbers.setdefault(destination_number(name), name)) != name:
+            yield f"destination.{name}", f"can't be told from {other!r}; expected another name"
+    seen: dict[str, str] = {}
+    for name, tenant in found.tenants.items():
+        for token in tenant.tokens:
+            if (other := seen.setdefault(token, name)) != name:
+                yield f"tenant.{name}.tokens", f"one of them is that of {other!r} as well; expected different ones"
+    for number, route in enumerate(found.routes):
+        at = f"route[{number}]"
+        known = ", ".join(found.destinations)
+        named = [("to", name) for name in route.weights] + [("fallback", route.fallback), ("mirror", route.mirror)]
+        for key, wanted in named:
+            if wanted is not None and wanted not in found.destinations:
+                yield f"{at}.{key}", f"unknown destination {wanted!r}; expected one of {known}"
+        if not route.weights:
+            yield f"{at}.to", "names no destination; expected one at least"
+        if route.message_class is not None and route.message_class not in found.classes:
+            yield f"{at}.class", f"unknown class {route.message_class!r}; expected one of {', '.join(found.classes)}"
+        if route.tenant is not None and route.tenant not in found.tenants:
+            yield f"{at}.tenant", f"unknown tenant {route.tenant!r}; expected one of {', '.join(found.tenants)}"
+        if route.mirror is not None:
+            classes = [route.message_class] if route.message_class is not None else list(found.classes)
+            if unsafe := [name for name in classes if found.classes[name].effect == "unsafe"]:
+                yield f"{at}.mirror", f"class {unsafe[0]!r} is unsafe; expected a route of other classes only"
+            if route.mirror in route.weights or route.mirror == route.fallback:
+                yield f"{at}.mirror", f"{route.mirror!r} gets the message itself; expected another destination"
+
+
+def settings(found: Standalone) -> dict[str, Any]:
+    """The same in the form of the platform's configuration, which the daemon's core is given."""
+    effects = {"safe": "repeatable", "keyed": "by_key", "unsafe": "once"}
+    kinds = sorted({(part.batch, part.routes_apart) for part in found.destinations.values()})
+    return {
+        "name": found.name, "listen": found.listen, "discovery": "127.0.0.1:1", "seed": "1",
+        "limits": {"disk_mb": found.limits.disk_mb, "sockets": found.limits.descriptors},
+        "settings": {
+            "services": [{
+                "name": name, "promise_us": part.aim, "deadline_us": part.deadline, "effect": effects[part.effect],
+                "group": "all", "key_ttl_us": part.key_life, "by_arrival": part.ordered, "worth": part.worth,
+                "late_value": part.late_worth} for name, part in found.classes.items()],
+            "kinds": [kind_name(batch, apart) for batch, apart in kinds], "areas": ["a"],
+            "specifics": {"calls_out": found.limits.slots, "per_call": [batch for batch, _ in kinds],
+                          "kind_apart": [apart for _, apart in kinds], "late": "even"},
+            "report": {"columns": ["x0", "x1"], "source": "inline"},
+            "caps": {"open_cap": found.limits.held, "most_tries": found.limits.attempts,
+                     "conn_idle_us": found.limits.idle, "dial_timeout_us": found.limits.dial,
+                     "may_duplicate": True, "may_probe": False, "cancel": True, "retry_after": True,
+                     "max_retry_after_us": 60_000_000},
+            "rules": {"order_settle_us": 300_000, "cold_us": 10_000_000, "cold_from": 0.3, "fall_multiple": 1.5,
+                      "overload_for_us": 3_000_000, "drain_grace_us": 250_000, "answer_slack_us": 20_000},
+            "prices": {"handshake": 0.06, "probe": 0.01}, "tick_us": 2000}}
+
+
+def kind_name(batch: int, apart: bool) -> str:
+    """The kind of destinations with this batch and these routes."""
+    return f"{batch}{'-apart' if apart else ''}"
--- /dev/null
+++ b/wheelstep/standalone/serve.py
@@ -0,0 +1,152 @@
+"""Start, signals and wiring of a standalone courier."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import signal
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+from wheelstep import interface as api
+from wheelstep.courier.__main__ import leave, open_journal
+from wheelstep.courier.config import Address, Config, ConfigError, from_data
+from wheelstep.courier.core import Core
+from wheelstep.courier.inlet import Inlet
+from wheelstep.courier.rows import Row
+from wheelstep.standalone.ends import End, Ends
+from wheelstep.standalone.front import Front, mirrored, tenant_of
+from wheelstep.standalone.model import FileError, Standalone, destination_number, kind_name, load, settings
+
+_WORDS = {"delivered": "delivered", "handed_back": "refused", "given_up": "failed"}
+_FIXED = ("name", "listen", "state", "limits")  # what a reload can't change
+
+log = logging.getLogger("wheelstep.standalone")
+
+
+def rows_of(found: Standalone, names: Sequence[str]) -> list[Row]:
+    """The file's endpoints as the list that the core is given; `names` are the kinds in the order of the settings."""
+    return [(api.EndpointInfo(
+        endpoint=f"{name}/{text}", destination=destination_number(name),
+        kind=names.index(kind_name(part.batch, part.routes_apart)),
+        state=api.EndpointState.DRAINING if text in part.drain else api.EndpointState.UP), Address.parse(text))
+        for name, part in found.destinations.items() for text in part.endpoints]
+
+
+def config_of(found: Standalone) -> Config:
+    """What the daemon's parts are given. Raises `ConfigError` where the folder can't be made."""
+    try:
+        found.state.mkdir(parents=True, exist_ok=True)
+    except OSError as error:
+        raise ConfigError(f"state: {error}; expected a folder that can be made") from error
+    return from_data(settings(found), found.state)
+
+
+class Told:
+    """In the place of the platform's notices: every end goes to `Ends`, and its tenant has room again."""
+
+    def __init__(self, ends: Ends, front: Front, core: Core) -> None:
+        self._ends, self._front, self._core = ends, front, core
+
+    def owe(self, message: str, outcome: str, retry_ms: int) -> None:
+        """It has ended."""
+        if mirrored(message):
+            asyncio.get_running_loop().call_soon(self._core.answered, [message])
+            return
+        self._front.tenants.over(tenant_of(message))
+        self._ends.add(message, End.now(_WORDS[outcome], retry_ms))
+
+
+class Courier:
+    """One standalone courier."""
+
+    def __init__(self, path: Path, found: Standalone) -> None:
+        self._path, self._found = path, found
+        self._config = config_of(found)
+
+    async def serve(self, renewed: asyncio.Event) -> None:
+        """Run until SIGTERM. Raises `ConfigError`."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, renewed.set)
+        terminated = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, terminated.set)
+        config = self._config
+        journal = open_journal(config, None)
+        core = self._core = Core(config, journal)
+        try:
+            ends = Ends(config.state, self._found.limits.kept_ends, core.answered)
+        except OSError as error:
+            raise ConfigError(f"{config.state / Ends.FILE}: {error}") from error
+        front = self._front = Front(self._found, core, ends)
+        core.notices, core.tells_deliveries = Told(ends, front, core), True
+        for name in journal.messages:
+            if not mirrored(name):
+                front.tenants.took(tenant_of(name))
+        core.listed(api.ListKind.WHOLE, rows_of(self._found, config.names.kinds))
+        core.knows_list = True
+        core.restore(journal.marks, journal.messages.values())
+        gc.freeze()
+        inlet = Inlet(core, core.ordered, config.sockets // 3, front=front)
+        async with asyncio.TaskGroup() as group:
+            tasks = [group.create_task(work) for work in (
+                core.outlet.sweep(), inlet.sweep(), journal.compact_for_good(), self._follow(renewed))]
+            try:
+                port = await inlet.start(config.listen)
+            except OSError as error:
+                raise ConfigError(f"listen: {self._found.listen}: {error}") from error
+            core.ready = True
+            log.info("%s serves on %s:%d, %d messages restored", config.name, config.listen.host, port,
+                     len(journal.messages))
+            await terminated.wait()
+            await leave(core, inlet)
+            for task in tasks:
+                task.cancel()
+        ends.close()
+        journal.close()
+
+    async def _follow(self, renewed: asyncio.Event) -> None:
+        """Read the file again at each SIGHUP. One that can't be used changes nothing and says where it fails."""
+        while True:
+            await renewed.wait()
+            renewed.clear()
+            try:
+                self._renew(await asyncio.to_thread(load, self._path))
+            except (FileError, ConfigError) as error:
+                log.error("the new file is not used: %s", " ".join(str(error).split()))
+
+    def _renew(self, fresh: Standalone) -> None:
+        for name in _FIXED:
+            if getattr(fresh, name) != getattr(self._found, name):
+                log.warning("%s: %s changes at the next start only", self._path, name)
+        config = from_data(settings(fresh), self._config.state)
+        if config.names.kinds != self._config.names.kinds:
+            raise ConfigError(f"{self._path}: destination: another batch or routes_apart than any had at the start "
+                              "needs a restart; expected those that are there")
+        self._core.renew(config)
+        self._core.listed(api.ListKind.WHOLE, rows_of(fresh, config.names.kinds))
+        self._front.renew(fresh)
+        self._found = fresh
+        log.info("%s read again: %d destinations, %d routes, %d tenants", self._path, len(fresh.destinations),
+                 len(fresh.routes), len(fresh.tenants))
+
+
+def main(file: str) -> int:
+    """Run the courier that the file describes; 2 and one line where it can't be used."""
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO,
+                        format="%(asctime)s %(levelname)s %(name)s %(message)s")
+    renewed = asyncio.Event()
+    signal.signal(signal.SIGHUP, lambda *_: renewed.set())
+    path, failed = Path(file), ""
+    try:
+        asyncio.run(Courier(path, load(path)).serve(renewed))
+    except* (FileError, ConfigError) as group:
+        error: BaseException = group
+        while isinstance(error, BaseExceptionGroup):
+            error = error.exceptions[0]
+        failed = " ".join(str(error).split())
+    if failed:
+        print(f"umberchute: {failed}", file=sys.stderr)
+    return 2 if failed else 0
