--- a/tests/test_standalone.py
+++ b/tests/test_standalone.py
@@ -17,11 +17,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from loopback import LIMIT_S, ROOT, Call, Endpoint, Reply, run
+from test_rehearsal import rehearse
 
 from wheelstep.standalone import start
 from wheelstep.standalone.ends import End, Ends
+from wheelstep.standalone.front import Front
 from wheelstep.standalone.model import FileError, RoutePart, destination_number, parse
 from wheelstep.standalone.routes import Asked, Routes, Tenants, _weighted
+from wheelstep.standalone.serve import Told
 
 TOKEN, OTHER = "token-of-one", "token-of-two"
 DIGEST, OTHER_DIGEST = (hashlib.sha256(token.encode()).hexdigest() for token in (TOKEN, OTHER))
@@ -77,6 +80,9 @@
     (OTHER_DIGEST, DIGEST, "tenant.two.tokens: one of them is that of 'one' as well"),
     (OTHER_DIGEST, "secret", "tokens[0]: is no sha256 in hex"),
     ('state = "state"', 'state = "state"\ncolour = 1', "colour: unknown key"),
+    ('state = "state"', 'state = "state"\nnotify = "there"', "notify: 'there' is no address"),
+    ("[tenant.two]", "open = true\n[tenant.two]\nopen = true", "tenant.two.open: 'one' is that already"),
+    (f'tokens = ["{DIGEST}"]', "rate_per_s = 2", "tenant.one: tokens is missing"),
     ('[class.pay]', '[class.Pay]', "class.Pay"), ('[[route]]', '[[route', "expected TOML")])
 def test_what_is_wrong_with_a_file_is_said_in_a_line(old: str, new: str, expected: str) -> None:
     with pytest.raises(FileError) as found:
@@ -163,7 +169,7 @@
         now += pause
         if ends and tenants.held[name]:
             tenants.over(name)
-        wait_s = tenants.wait_s(name, 20, now)
+        wait_s = tenants.wait_s(name, name, 20, now)
         assert wait_s >= 0
         if not wait_s:
             tenants.took(name)
@@ -403,6 +409,43 @@
     run(scene())
 
 
+@pytest.mark.parametrize("scenario", ["twice-restart", "drains-leaves", "lost-kill"])
+def test_the_rules_are_kept_on_this_front(scenario: str) -> None:
+    """The others are a command: `umberchute rehearse run NAME --front standalone`."""
+    code, report = rehearse("run", scenario, "--front", "standalone")
+    assert (code, report["findings"]) == (0, [])
+
+
+def test_an_end_is_owed_until_the_file_and_the_notified_have_it(tmp_path: Path) -> None:
+    class Core:
+        over: list[str] = []
+
+        def answered(self, names: list[str]) -> None:
+            self.over += names
+
+    class Notices:
+        owed: list[str] = []
+
+        def owe(self, message: str, outcome: str, retry_ms: int) -> None:
+            self.owed.append(message)
+
+    async def work() -> None:
+        core, notices = Core(), Notices()
+        told = Told(Front(parse(FILE, "x"), core), core)  # type: ignore[arg-type]
+        told.ends, told.notices = Ends(tmp_path, 100, told.settled), notices  # type: ignore[assignment]
+        told.owe("one~a", "given_up", 0)
+        told.owe("one~b", "delivered", 0)
+        told.ends.flush()
+        assert (core.over, notices.owed) == (["one~b"], ["one~a"])
+        told.settled(["one~a"])  # answered
+        assert core.over == ["one~b", "one~a"]
+        told.owe("one~b~mirror", "given_up", 0)
+        await asyncio.sleep(0)
+        assert core.over[-1] == "one~b~mirror" and told.ends.get("one~b~mirror") is None
+        told.ends.close()
+    run(work())
+
+
 def test_numbers_of_destinations_do_not_hang_on_their_place() -> None:
     assert destination_number("alpha") == destination_number("alpha") != destination_number("beta")
     assert destination_number("alpha") < 1 << 48
--- a/wheelstep/cli/__main__.py
+++ b/wheelstep/cli/__main__.py
@@ -96,6 +96,7 @@
 def _courier(to: argparse.ArgumentParser) -> None:
     which = to.add_mutually_exclusive_group()
     which.add_argument("--courier", metavar="COMMAND", help="any program that keeps to the RELAY_* environment")
+    which.add_argument("--front", choices=["platform", "standalone"], help="ours, behind this front")
     which.add_argument("--broken", metavar="NAME", help="one of the couriers made to break a rule")
 
 
--- a/wheelstep/cli/commands.py
+++ b/wheelstep/cli/commands.py
@@ -51,6 +51,8 @@
         if given.broken not in BUILDS:
             raise InputError(f"--broken: no broken courier {given.broken!r}; expected one of {', '.join(BUILDS)}")
         return rig.module_command("wheelstep.rehearsal.broken", given.broken), f"broken: {given.broken}"
+    if given.front == "standalone":
+        return rig.module_command("wheelstep.rehearsal.fronts.standalone"), "ours, standalone"
     if given.courier is not None:
         try:
             if not shlex.split(given.courier):
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -467,7 +467,7 @@
         """The platform has heard of the end of these."""
         for name in messages:
             if message := self._journal.messages.get(name):
-                if message.key is not None:
+                if message.key in self._unsettled:
                     self._unsettled[message.key].discard(name)
                     if not self._unsettled[message.key]:
                         del self._unsettled[message.key]
@@ -566,7 +566,7 @@
 
     def _owe(self, message: Stored) -> None:
         if message.notice is not None and self.notices is not None:
-            if message.key is not None:
+            if message.key is not None and message.notice[0] != "delivered":
                 self._unsettled[message.key].add(message.id)
             self.notices.owe(message.id, *message.notice)
 
--- a/wheelstep/standalone/front.py
+++ b/wheelstep/standalone/front.py
@@ -31,8 +31,8 @@
 
 
 def tenant_of(name: str) -> str:
-    """Whose message it is."""
-    return name.partition(_BETWEEN)[0]
+    """Whose message it is; empty for the tenant with plain names."""
+    return name.rpartition(_BETWEEN)[0]
 
 
 def mirrored(name: str) -> bool:
@@ -40,12 +40,17 @@
     return name.endswith(_MIRROR)
 
 
+def _own(name: str) -> str:
+    """What its client calls it."""
+    return name.rpartition(_BETWEEN)[2]
+
+
 class Front:
     """What the inlet asks of an operator's own file."""
 
-    def __init__(self, found: Standalone, core: Core, ends: Ends,
-                 now_s: Callable[[], float] = time.monotonic) -> None:
-        self._core, self._ends, self._now_s = core, ends, now_s
+    def __init__(self, found: Standalone, core: Core, now_s: Callable[[], float] = time.monotonic) -> None:
+        self._core, self._now_s = core, now_s
+        self.ends: Ends | None = None  # set before anything is served
         self.tenants = Tenants(found.tenants)
         self._copies: dict[str, Stored] = {}  # by the name of what they copy
         self.renew(found)
@@ -63,9 +68,9 @@
         message that has it already."""
         tenant = self._tenant(request)
         given = request.once
-        name = _name(tenant, given.get("x-request-id", ""))
-        if (end := self._ends.get(name)) is not None:
-            raise RefusedError(200, json.dumps(end.row(name.partition(_BETWEEN)[2])) + "\n", _JSON)
+        name = self._name(tenant, given.get("x-request-id", ""))
+        if (end := self._kept.get(name)) is not None:
+            raise RefusedError(200, json.dumps(end.row(_own(name))) + "\n", _JSON)
         message_class = given.get("x-class", "") or next(iter(self._found.classes))
         part = self._found.classes.get(message_class)
         if part is None:
@@ -93,7 +98,7 @@
             token=token, resubmitted="x-retry" in given, body=request.body)
         if self._core.holds(name):
             return found
-        if (wait_s := self.tenants.wait_s(tenant, self._found.limits.held, self._now_s())) > 0:
+        if (wait_s := self.tenants.wait_s(tenant, tenant_of(name), self._found.limits.held, self._now_s())) > 0:
             raise RefusedError(429, "more than your share\n", (("Retry-After", str(max(1, math.ceil(wait_s)))),))
         if way.mirror is not None:
             self._copies[name] = replace(found, id=name + _MIRROR, key=None,
@@ -108,13 +113,13 @@
         if request.method not in ("GET", "HEAD") or not path.startswith("/messages/"):
             raise BadRequestError("no such path; expected /healthz, /messages/ID, or a message by POST")
         tenant = self._tenant(request)
-        name = _name(tenant, path.removeprefix("/messages/"))
+        name = self._name(tenant, path.removeprefix("/messages/"))
         try:
             wait_s = min(_MOST_WAIT_S, max(0.0, float(parse_qs(query).get("wait", ["0"])[0])))
         except ValueError:
             raise BadRequestError("wait is no number of seconds") from None
-        if self._ends.get(name) is None and wait_s > 0 and self._core.holds(name):
-            door.wait(self._ends.wait(name, wait_s), lambda _: self._say_end(request, name, door), held=True)
+        if self._kept.get(name) is None and wait_s > 0 and self._core.holds(name):
+            door.wait(self._kept.wait(name, wait_s), lambda _: self._say_end(request, name, door), held=True)
         else:
             self._say_end(request, name, door)
 
@@ -130,19 +135,27 @@
 
     # --- inside ---
 
+    @property
+    def _kept(self) -> Ends:
+        assert self.ends is not None
+        return self.ends
+
     def _tenant(self, request: Request) -> str:
-        scheme, _, token = request.once.get("authorization", "").partition(" ")
         if "authorization" in request.twice:
             raise BadRequestError("authorization is given twice")
-        tenant = self.tenants.named(token.strip()) if scheme.lower() == "bearer" else None
+        if "authorization" in request.once:
+            scheme, _, token = request.once["authorization"].partition(" ")
+            tenant = self.tenants.named(token.strip()) if scheme.lower() == "bearer" else None
+        else:
+            tenant = self.tenants.open_to_all()
         if tenant is None:
             raise RefusedError(401, "no known token; expected `Authorization: Bearer TOKEN`\n",
                                (("WWW-Authenticate", "Bearer"),))
         return tenant
 
     def _say_end(self, request: Request, name: str, door: Door) -> None:
-        own = name.partition(_BETWEEN)[2]
-        if (end := self._ends.get(name)) is not None:
+        own = _own(name)
+        if (end := self._kept.get(name)) is not None:
             door.say(request, 200, json.dumps(end.row(own)) + "\n", _JSON)
         elif self._core.holds(name):
             door.say(request, 202, json.dumps({"message": own}) + "\n", _JSON)
@@ -150,8 +163,8 @@
             door.say(request, 404, "no such message\n")
 
 
-def _name(tenant: str, own: str) -> str:
-    if not 0 < len(own) <= 80 or not own.isascii() or not own.isprintable() or set(own) & set(" ~/?#%"):
-        raise BadRequestError("X-Request-Id is missing or malformed; expected 1 to 80 visible ASCII characters "
-                              "without / ? # % ~")
-    return f"{tenant}{_BETWEEN}{own}"
+    def _name(self, tenant: str, own: str) -> str:
+        if not 0 < len(own) <= 80 or not own.isascii() or not own.isprintable() or set(own) & set(" ~/?#%"):
+            raise BadRequestError("X-Request-Id is missing or malformed; expected 1 to 80 visible ASCII characters "
+                                  "without / ? # % ~")
+        return own if self._found.tenants[tenant].plain_names else f"{tenant}{_BETWEEN}{own}"
--- a/wheelstep/standalone/model.py
+++ b/wheelstep/standalone/model.py
@@ -90,20 +90,38 @@
 class TenantPart(Part):
     """A client: what it proves itself by, and its share."""
 
-    tokens: Annotated[tuple[str, ...], Field(min_length=1, description=(
-        "sha256 of each bearer token in hex (`umberchute keys new`); two while one is replaced"))]
+    tokens: Annotated[tuple[str, ...], Field(description=(
+        "sha256 of each bearer token in hex (`umberchute keys new`); two while one is replaced"))] = ()
+    open: Annotated[bool, Field(description="whoever names no token is this tenant; one at most")] = False
+    plain_names: Annotated[bool, Field(description=(
+        "partners hear its messages' names as they are, not TENANT~NAME; one at most"))] = False
     rate_per_s: Annotated[float, Field(gt=0, le=100_000, description="messages that it may hand in")] = 1000.0
     burst: Annotated[int, Field(ge=1, le=100_000, description="and so many at once")] = 100
     held_share: Annotated[float, Field(gt=0, le=1, description="of the messages that may be held")] = 1.0
 
     @model_validator(mode="after")
     def _fits(self) -> TenantPart:
+        if not self.tokens and not self.open:
+            raise ValueError("tokens is missing; expected one at least where open is not true")
         for number, text in enumerate(self.tokens):
             if not re.fullmatch(r"[0-9a-f]{64}", text):
                 raise ValueError(f"tokens[{number}]: is no sha256 in hex; expected what `umberchute keys new` prints")
         return self
 
 
+class RulesPart(Part):
+    """What holds between this courier and its partners."""
+
+    settle: Annotated[Time, Field(description="a key rests for so long after a call of it broke")] = 300_000
+    drain_grace: Annotated[Time, Field(description="calls may still begin so long after an endpoint drains")] = 250_000
+    cold: Annotated[Time, Field(description="an endpoint that was started anew is as fast as before after this")] = \
+        10_000_000
+    cold_from: Annotated[float, Field(gt=0, le=1, description="what it does at first, of that")] = 0.3
+    fall_multiple: Annotated[float, Field(ge=1, description="it falls over at so many times what it can do")] = 1.5
+    fall_for: Annotated[Time, Field(description="and stays down for so long")] = 3_000_000
+    probes: Annotated[bool, Field(description="partners may be asked GET /healthz where they seem sick")] = False
+
+
 class LimitsPart(Part):
     """What the courier may use."""
 
@@ -123,7 +141,10 @@
     name: Annotated[Name, Field(description="of this courier")] = "umberchute"
     listen: Annotated[str, Field(description="host:port for clients")]
     state: Annotated[Path, Field(description="folder of the journal, relative to the file")]
+    notify: Annotated[str | None, Field(description=(
+        "host:port where undelivered ends are posted to /v1/outcomes, a JSON line each, until answered 204"))] = None
     limits: LimitsPart = LimitsPart()
+    rules: RulesPart = RulesPart()
     classes: Annotated[dict[Name, ClassPart], Field(alias="class", min_length=1)]
     destinations: Annotated[dict[Name, DestinationPart], Field(alias="destination", min_length=1)]
     routes: Annotated[tuple[RoutePart, ...], Field(alias="route", min_length=1)]
@@ -160,13 +181,16 @@
 
 def _crossings(found: Standalone) -> Iterable[tuple[str, str]]:
     """What only shows when parts are held against each other."""
-    match = _ADDRESS.fullmatch(found.listen)
-    if match is None or int(match[2]) > 65535:
-        yield "listen", f"{found.listen!r} is no address; expected host:port"
+    for key, text in (("listen", found.listen), ("notify", found.notify)):
+        if text is not None and ((match := _ADDRESS.fullmatch(text)) is None or int(match[2]) > 65535):
+            yield key, f"{text!r} is no address; expected host:port"
     numbers: dict[int, str] = {}
     for name in found.destinations:
         if (other := numbers.setdefault(destination_number(name), name)) != name:
             yield f"destination.{name}", f"can't be told from {other!r}; expected another name"
+    for key in ("open", "plain_names"):
+        if len(names := [name for name, tenant in found.tenants.items() if getattr(tenant, key)]) > 1:
+            yield f"tenant.{names[1]}.{key}", f"{names[0]!r} is that already; expected one at most"
     seen: dict[str, str] = {}
     for name, tenant in found.tenants.items():
         for token in tenant.tokens:
@@ -211,10 +235,12 @@
             "report": {"columns": ["x0", "x1"], "source": "inline"},
             "caps": {"open_cap": found.limits.held, "most_tries": found.limits.attempts,
                      "conn_idle_us": found.limits.idle, "dial_timeout_us": found.limits.dial,
-                     "may_duplicate": True, "may_probe": False, "cancel": True, "retry_after": True,
+                     "may_duplicate": True, "may_probe": found.rules.probes, "cancel": True, "retry_after": True,
                      "max_retry_after_us": 60_000_000},
-            "rules": {"order_settle_us": 300_000, "cold_us": 10_000_000, "cold_from": 0.3, "fall_multiple": 1.5,
-                      "overload_for_us": 3_000_000, "drain_grace_us": 250_000, "answer_slack_us": 20_000},
+            "rules": {"order_settle_us": found.rules.settle, "cold_us": found.rules.cold,
+                      "cold_from": found.rules.cold_from, "fall_multiple": found.rules.fall_multiple,
+                      "overload_for_us": found.rules.fall_for, "drain_grace_us": found.rules.drain_grace,
+                      "answer_slack_us": 20_000},
             "prices": {"handshake": 0.06, "probe": 0.01}, "tick_us": 2000}}
 
 
--- a/wheelstep/standalone/routes.py
+++ b/wheelstep/standalone/routes.py
@@ -97,6 +97,10 @@
         self.tenants = tenants
         self._buckets = {name: bucket for name, bucket in self._buckets.items() if name in tenants}
 
+    def open_to_all(self) -> str | None:
+        """Who those are that name no token."""
+        return next((name for name, part in self.tenants.items() if part.open), None)
+
     def named(self, token: str) -> str | None:
         """Whose token this is."""
         digest = hashlib.sha256(token.encode("utf-8", "surrogateescape")).hexdigest()
@@ -107,10 +111,11 @@
                     found = name
         return found
 
-    def wait_s(self, tenant: str, hold_limit: int, now_s: float) -> float:
-        """0 where it may hand one more in, which then counts; else after what time to come back."""
+    def wait_s(self, tenant: str, holder: str, hold_limit: int, now_s: float) -> float:
+        """0 where it may hand one more in, which then counts; else after what time to come back. `holder` is what its
+        messages are held under (`front.tenant_of`)."""
         part = self.tenants[tenant]
-        if self.held[tenant] >= max(1, int(part.held_share * hold_limit)):
+        if self.held[holder] >= max(1, int(part.held_share * hold_limit)):
             return 1.0
         bucket = self._buckets.setdefault(tenant, _Bucket(part.burst, now_s))
         bucket.left = min(part.burst, bucket.left + max(0.0, now_s - bucket.at_s) * part.rate_per_s)
@@ -120,12 +125,12 @@
         bucket.left -= 1
         return 0.0
 
-    def took(self, tenant: str) -> None:
+    def took(self, holder: str) -> None:
         """One of its messages is held."""
-        self.held[tenant] += 1
+        self.held[holder] += 1
 
-    def over(self, tenant: str) -> None:
+    def over(self, holder: str) -> None:
         """One of them has its end."""
-        self.held[tenant] -= 1
-        if not self.held[tenant]:
-            del self.held[tenant]
+        self.held[holder] -= 1
+        if not self.held[holder]:
+            del self.held[holder]
--- a/wheelstep/standalone/serve.py
+++ b/wheelstep/standalone/serve.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import logging
 import signal
@@ -15,13 +16,14 @@
 from wheelstep.courier.config import Address, Config, ConfigError, from_data
 from wheelstep.courier.core import Core
 from wheelstep.courier.inlet import Inlet
+from wheelstep.courier.platform import Notices
 from wheelstep.courier.rows import Row
 from wheelstep.standalone.ends import End, Ends
 from wheelstep.standalone.front import Front, mirrored, tenant_of
 from wheelstep.standalone.model import FileError, Standalone, destination_number, kind_name, load, settings
 
 _WORDS = {"delivered": "delivered", "handed_back": "refused", "given_up": "failed"}
-_FIXED = ("name", "listen", "state", "limits")  # what a reload can't change
+_FIXED = ("name", "listen", "state", "notify", "limits", "rules")  # what a reload can't change
 
 log = logging.getLogger("wheelstep.standalone")
 
@@ -45,18 +47,40 @@
 
 
 class Told:
-    """In the place of the platform's notices: every end goes to `Ends`, and its tenant has room again."""
-
-    def __init__(self, ends: Ends, front: Front, core: Core) -> None:
-        self._ends, self._front, self._core = ends, front, core
+    """In the place of the platform's notices: every end goes to `Ends`, undelivered ones to `notices` as well where
+    the file wants that, and its tenant has room again. The journal owes it until all of them have it."""
+
+    def __init__(self, front: Front, core: Core) -> None:
+        self._front, self._core = front, core
+        self.ends: Ends | None = None
+        self.notices: Notices | None = None
+        self._half: set[str] = set()  # one of the two has them; bounded by what may be held
+
+    def settled(self, names: list[str]) -> None:
+        """One of them has these."""
+        done = []
+        for name in names:
+            if self.notices is None or name in self._half:
+                self._half.discard(name)
+                done.append(name)
+            else:
+                self._half.add(name)
+        if done:
+            self._core.answered(done)
 
     def owe(self, message: str, outcome: str, retry_ms: int) -> None:
         """It has ended."""
         if mirrored(message):
             asyncio.get_running_loop().call_soon(self._core.answered, [message])
             return
+        assert self.ends is not None
         self._front.tenants.over(tenant_of(message))
-        self._ends.add(message, End.now(_WORDS[outcome], retry_ms))
+        self.ends.add(message, End.now(_WORDS[outcome], retry_ms))
+        if self.notices is not None:
+            if outcome == "delivered":
+                self.settled([message])
+            else:
+                self.notices.owe(message, outcome, retry_ms)
 
 
 class Courier:
@@ -76,27 +100,34 @@
         config = self._config
         journal = open_journal(config, None)
         core = self._core = Core(config, journal)
+        front = self._front = Front(self._found, core)
+        told = Told(front, core)
         try:
-            ends = Ends(config.state, self._found.limits.kept_ends, core.answered)
+            ends = front.ends = told.ends = Ends(config.state, self._found.limits.kept_ends, told.settled)
         except OSError as error:
             raise ConfigError(f"{config.state / Ends.FILE}: {error}") from error
-        front = self._front = Front(self._found, core, ends)
-        core.notices, core.tells_deliveries = Told(ends, front, core), True
+        core.notices, core.tells_deliveries = told, True
         for name in journal.messages:
             if not mirrored(name):
                 front.tenants.took(tenant_of(name))
-        core.listed(api.ListKind.WHOLE, rows_of(self._found, config.names.kinds))
-        core.knows_list = True
-        core.restore(journal.marks, journal.messages.values())
-        gc.freeze()
         inlet = Inlet(core, core.ordered, config.sockets // 3, front=front)
-        async with asyncio.TaskGroup() as group:
+        async with contextlib.AsyncExitStack() as stack, asyncio.TaskGroup() as group:
+            if self._found.notify is not None:
+                import aiohttp
+                http = await stack.enter_async_context(aiohttp.ClientSession(auto_decompress=False, trust_env=False))
+                told.notices = Notices(http, Address.parse(self._found.notify), told.settled)
+            core.listed(api.ListKind.WHOLE, rows_of(self._found, config.names.kinds))
+            core.knows_list = True
+            core.restore(journal.marks, journal.messages.values())
+            gc.freeze()  # what was restored lives long: a collection that walked it all would stop the loop
             tasks = [group.create_task(work) for work in (
                 core.outlet.sweep(), inlet.sweep(), journal.compact_for_good(), self._follow(renewed))]
             try:
                 port = await inlet.start(config.listen)
             except OSError as error:
                 raise ConfigError(f"listen: {self._found.listen}: {error}") from error
+            if told.notices is not None:
+                tasks.append(group.create_task(told.notices.run()))
             core.ready = True
             log.info("%s serves on %s:%d, %d messages restored", config.name, config.listen.host, port,
                      len(journal.messages))
--- a/wheelstep/standalone/start.py
+++ b/wheelstep/standalone/start.py
@@ -111,6 +111,7 @@
 
     from wheelstep.standalone import model
     for part, title in ((model.Standalone, "The file itself"), (model.LimitsPart, "`[limits]`"),
+                        (model.RulesPart, "`[rules]`"),
                         (model.ClassPart, "`[class.NAME]`"), (model.DestinationPart, "`[destination.NAME]`"),
                         (model.RoutePart, "`[[route]]`"), (model.TenantPart, "`[tenant.NAME]`")):
         table(part, title)
