--- a/tests/test_standalone.py
+++ b/tests/test_standalone.py
@@ -301,7 +301,7 @@
         if token:
             given["Authorization"] = f"Bearer {token}"
         async with aiohttp.ClientSession() as http, http.request(
-                method, self.url + path, headers=given, data=b"x" if method == "POST" else None) as answer:
+                method, self.url + path, headers=given, data=b'"x"' if method == "POST" else None) as answer:
             text = await answer.text()
             is_json = answer.content_type == "application/json"
             return answer.status, json.loads(text) if is_json else dict(answer.headers)
--- a/wheelstep/courier/outlet.py
+++ b/wheelstep/courier/outlet.py
@@ -105,6 +105,7 @@
         self._hosts: dict[str, _Host] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._calls: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self.sign: Callable[[str, Item], Sequence[tuple[str, str]]] | None = None  # further headers of single calls
 
     def list(self, endpoint: str, address: Address) -> None:
         """Calls to the endpoint go to this address from now on."""
@@ -202,7 +203,8 @@
             if not live:
                 return None
             self._gate.starting(endpoint, live)
-            return _request(live, self._name(endpoint), max(1, math.ceil((end - time.monotonic()) * 1e3)))
+            further = self.sign(endpoint, live[0]) if self.sign is not None and len(live) == 1 else ()
+            return _request(live, self._name(endpoint), max(1, math.ceil((end - time.monotonic()) * 1e3)), further)
 
         async def work() -> Answer | None:
             await self._gate.settled(items)
@@ -337,7 +339,7 @@
         return Outcome.CONNECT_FAILED
 
 
-def _request(items: Sequence[Item], host: str, wait_ms: int) -> bytes:
+def _request(items: Sequence[Item], host: str, wait_ms: int, further: Sequence[tuple[str, str]] = ()) -> bytes:
     """A call, ready to be written. Ids and tokens hold visible ASCII only: the inlet takes no others."""
     if len(items) == 1:
         target, body = "/inbox", items[0].body
@@ -348,6 +350,7 @@
         body = b"".join(
             f"{item.message} {item.token or '-'} {len(item.body)}\r\n".encode() + item.body + b"\r\n"
             for item in items)
+    names += "".join(f"{name}: {value}\r\n" for name, value in further)
     return (f"POST {target} HTTP/1.1\r\nHost: {host}\r\nX-Deadline-Ms: {wait_ms}\r\n{names}"
             f"Content-Length: {len(body)}\r\n\r\n").encode("ascii") + body
 
--- a/wheelstep/standalone/model.py
+++ b/wheelstep/standalone/model.py
@@ -51,6 +51,8 @@
     endpoints: Annotated[tuple[str, ...], Field(description="host:port of each")] = ()
     drain: Annotated[tuple[str, ...], Field(description="those of them that get nothing new")] = ()
     batch: Annotated[int, Field(ge=1, le=1000, description="messages in a call at most")] = 1
+    sign: Annotated[tuple[str, ...], Field(max_length=4, description=(
+        "keys that calls are signed with (Standard Webhooks): `file:NAME` beside this file, or `env:NAME`"))] = ()
     routes_apart: Annotated[bool, Field(description="a wait told by one endpoint does not bind the others")] = False
 
     @model_validator(mode="after")
@@ -61,6 +63,11 @@
                 raise ValueError(f"endpoints[{number}]: {text!r} is no address; expected host:port")
             if text in self.endpoints[:number]:
                 raise ValueError(f"endpoints[{number}]: {text!r} is there twice; expected each once")
+        for number, text in enumerate(self.sign):
+            if not re.fullmatch(r"(file|env):.+", text):
+                raise ValueError(f"sign[{number}]: is no place of a key; expected file:NAME or env:NAME")
+        if self.sign and self.batch > 1:
+            raise ValueError("batch is more than 1 where calls are signed; expected 1: a signature is of one message")
         for number, text in enumerate(self.drain):
             if text not in self.endpoints:
                 raise ValueError(f"drain[{number}]: {text!r} is none of the endpoints; expected one of them")
--- a/wheelstep/standalone/serve.py
+++ b/wheelstep/standalone/serve.py
@@ -6,8 +6,10 @@
 import contextlib
 import gc
 import logging
+import os
 import signal
 import sys
+import time
 from collections.abc import Sequence
 from pathlib import Path
 
@@ -16,11 +18,13 @@
 from wheelstep.courier.config import Address, Config, ConfigError, from_data
 from wheelstep.courier.core import Core
 from wheelstep.courier.inlet import Inlet
+from wheelstep.courier.outlet import Item
 from wheelstep.courier.platform import Notices
 from wheelstep.courier.rows import Row
 from wheelstep.standalone.ends import End, Ends
 from wheelstep.standalone.front import Front, mirrored, tenant_of
 from wheelstep.standalone.model import FileError, Standalone, destination_number, kind_name, load, settings
+from wheelstep.standalone.signing import KeyFileError, Signer, read_signers
 
 _WORDS = {"delivered": "delivered", "handed_back": "refused", "given_up": "failed"}
 _FIXED = ("name", "listen", "state", "notify", "limits", "rules")  # what a reload can't change
@@ -83,11 +87,21 @@
                 self.notices.owe(message, outcome, retry_ms)
 
 
+def signers_of(path: Path, found: Standalone) -> dict[str, Signer]:
+    """Those of its destinations that sign; raises `FileError`."""
+    try:
+        return read_signers({name: part.sign for name, part in found.destinations.items() if part.sign}, path.parent,
+                            os.environ)
+    except KeyFileError as error:
+        raise FileError(f"{path}: {error}") from error
+
+
 class Courier:
     """One standalone courier."""
 
     def __init__(self, path: Path, found: Standalone) -> None:
         self._path, self._found = path, found
+        self._signers = signers_of(path, found)
         self._config = config_of(found)
 
     async def serve(self, renewed: asyncio.Event) -> None:
@@ -107,6 +121,7 @@
         except OSError as error:
             raise ConfigError(f"{config.state / Ends.FILE}: {error}") from error
         core.notices, core.tells_deliveries = told, True
+        self._sign()
         for name in journal.messages:
             if not mirrored(name):
                 front.tenants.took(tenant_of(name))
@@ -138,17 +153,29 @@
         ends.close()
         journal.close()
 
+    def _sign(self) -> None:
+        """Calls are signed from now on, if any destination's are."""
+        self._core.outlet.sign = self._headers if self._signers else None
+
+    def _headers(self, endpoint: str, item: Item) -> Sequence[tuple[str, str]]:
+        signer = self._signers.get(endpoint.partition("/")[0])
+        return signer.headers(item.message, item.body, int(time.time())) if signer is not None else ()
+
+    def _read(self) -> tuple[Standalone, dict[str, Signer]]:
+        found = load(self._path)
+        return found, signers_of(self._path, found)
+
     async def _follow(self, renewed: asyncio.Event) -> None:
         """Read the file again at each SIGHUP. One that can't be used changes nothing and says where it fails."""
         while True:
             await renewed.wait()
             renewed.clear()
             try:
-                self._renew(await asyncio.to_thread(load, self._path))
+                self._renew(*await asyncio.to_thread(self._read))
             except (FileError, ConfigError) as error:
                 log.error("the new file is not used: %s", " ".join(str(error).split()))
 
-    def _renew(self, fresh: Standalone) -> None:
+    def _renew(self, fresh: Standalone, signers: dict[str, Signer]) -> None:
         for name in _FIXED:
             if getattr(fresh, name) != getattr(self._found, name):
                 log.warning("%s: %s changes at the next start only", self._path, name)
@@ -159,7 +186,8 @@
         self._core.renew(config)
         self._core.listed(api.ListKind.WHOLE, rows_of(fresh, config.names.kinds))
         self._front.renew(fresh)
-        self._found = fresh
+        self._found, self._signers = fresh, signers
+        self._sign()
         log.info("%s read again: %d destinations, %d routes, %d tenants", self._path, len(fresh.destinations),
                  len(fresh.routes), len(fresh.tenants))
 
--- a/wheelstep/standalone/start.py
+++ b/wheelstep/standalone/start.py
@@ -5,13 +5,14 @@
 import hashlib
 import os
 import secrets
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from pathlib import Path
 from typing import Any
 
 from pydantic import BaseModel
 
 from wheelstep.standalone.model import FileError, Standalone
+from wheelstep.standalone.signing import fingerprint, new_key, read_key
 
 STARTER = '''# A courier of one's own. `umberchute config check FILE` tells what is wrong; at SIGHUP it is read again.
 
@@ -52,20 +53,35 @@
     return token, hashlib.sha256(token.encode()).hexdigest()
 
 
+def write_key(path: Path) -> str:
+    """A new key for signatures, in a new file that only its owner can read; its fingerprint. Raises `FileError`."""
+    key = new_key()
+    _write({path: (key + "\n", 0o600)})
+    return fingerprint(read_key(f"file:{path.name}", path.parent, {}))
+
+
+def _write(files: Mapping[Path, tuple[str, int]]) -> None:
+    """New files with their modes; nothing is overwritten."""
+    for path, (text, mode) in files.items():
+        try:
+            handle = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, mode)
+            with os.fdopen(handle, "w", encoding="utf-8") as file:
+                file.write(text)
+        except FileExistsError as error:
+            raise FileError(f"{path}: is there already; expected a new name") from error
+        except OSError as error:
+            raise FileError(f"{path}: {error}; expected a folder that can be written") from error
+
+
 def init(folder: Path) -> str:
     """Write a starting file and the token of its tenant; the token. Raises `FileError`: nothing is overwritten."""
     token, digest = new_token()
     try:
         folder.mkdir(parents=True, exist_ok=True)
-        for name, text, mode in (("umberchute.toml", STARTER.format(digest=digest), 0o644),
-                                 ("first.token", token + "\n", 0o600)):
-            handle = os.open(folder / name, os.O_WRONLY | os.O_CREAT | os.O_EXCL, mode)
-            with os.fdopen(handle, "w", encoding="utf-8") as file:
-                file.write(text)
-    except FileExistsError as error:
-        raise FileError(f"{error.filename}: is there already; expected a folder without it") from error
     except OSError as error:
-        raise FileError(f"{folder}: {error}; expected a folder that can be written") from error
+        raise FileError(f"{folder}: {error}; expected a folder that can be made") from error
+    _write({folder / "umberchute.toml": (STARTER.format(digest=digest), 0o644),
+            folder / "first.token": (token + "\n", 0o600)})
     return token
 
 
