--- a/tests/test_standalone.py
+++ b/tests/test_standalone.py
@@ -384,6 +384,61 @@
     run(scene())
 
 
+def test_endpoints_from_a_folder_and_what_can_not_be_used_changes_nothing(tmp_path: Path) -> None:
+    async def scene() -> None:
+        s = Standalone(tmp_path)
+        s.text = s.text.replace('state = "state"', 'state = "state"\nendpoints_from = "there"')
+        (tmp_path / "there").mkdir()
+
+        def write(text: str) -> None:
+            (tmp_path / "there" / ".new").write_text(text)
+            (tmp_path / "there" / ".new").replace(tmp_path / "there" / "beta.toml")
+        async with s:
+            write(f'endpoints = ["{s.beta.address}"]')
+            await s.wait_log("endpoints have changed")
+            assert await s.post("m1", "/b/1") == 202
+            await s.beta.wait(1)
+            for text, expected in (("endpoints = [", "expected TOML"), ('endpoints = ["h"]', "'h' is no address"),
+                                   ('endpoints = []\nto = "h:1"', "to: unknown key")):
+                write(text)
+                await s.wait_log(expected)
+            (tmp_path / "there" / "beta.toml").unlink()
+            await s.wait_log("has gone")
+            assert await s.post("m2", "/b/1") == 202
+            await s.beta.wait(2)
+            write("endpoints = []")
+            await s.wait_log("endpoints have changed", 2)
+            assert await s.post("m3", "/b/1") == 202  # the fallback's
+            await s.alpha.wait(1)
+            assert len(s.beta.calls) == 2
+            await s.stop()
+    run(scene())
+
+
+def test_a_partner_that_moves_gets_no_call_twice(tmp_path: Path) -> None:
+    """Its endpoint is replaced while it has an unsafe call: that one ends where it is, the next goes to the new one."""
+    async def scene() -> None:
+        async with Standalone(tmp_path) as s:
+            released = asyncio.Event()
+
+            async def slow(call: Call) -> Reply | None:
+                await released.wait()
+                return 200, {}, b""
+            s.alpha.reply = slow
+            assert await s.post("m1", "/a/1") == 202
+            await s.alpha.wait(1)
+            await s.renew(f'endpoints = ["{s.alpha.address}"]', f'endpoints = ["{s.beta.address}"]')
+            await s.wait_log("read again")
+            assert await s.post("m2", "/a/1") == 202
+            assert (await s.beta.wait(1))[0].headers["x-request-id"] == "one~m2"
+            released.set()
+            for name in ("m1", "m2"):
+                assert (await s.ask("GET", f"/messages/{name}?wait=20"))[1]["end"] == "delivered"
+            assert len(s.alpha.calls) == len(s.beta.calls) == 1
+            await s.stop()
+    run(scene())
+
+
 def test_a_tenant_over_its_share_is_told_when_to_come_back_and_others_are_served(tmp_path: Path) -> None:
     async def scene() -> None:
         s = Standalone(tmp_path)
--- a/wheelstep/cli/commands.py
+++ b/wheelstep/cli/commands.py
@@ -39,6 +39,8 @@
             return _demo(given)
         if given.command == "config":
             return _check(given)
+        if given.verb == "partners":
+            return _partners(given)
         return {"list": _list, "run": _run, "replay": _replay, "record": _record, "verify": _verify,
                 "matrix": _matrix}[given.verb](given)
     except (ScenarioError, RecordError, HistoryError, OperatorError, NoStartError) as error:
@@ -279,6 +281,16 @@
     return BAD_INPUT if record.damage else OK
 
 
+def _partners(given: argparse.Namespace) -> int:
+    from wheelstep.rehearsal.partners import serve
+    from wheelstep.standalone.model import FileError
+    try:
+        asyncio.run(serve(Path(given.file)))
+    except FileError as error:
+        raise InputError(str(error)) from error
+    return OK
+
+
 def _matrix(given: argparse.Namespace) -> int:
     """Every scenario against ours and the broken ones, several at once, each in a process of its own."""
     names = given.scenarios or [name for name in scenario.shipped() if name not in ("demo", "monday")]
--- a/wheelstep/cli/standalone_commands.py
+++ b/wheelstep/cli/standalone_commands.py
@@ -21,7 +21,7 @@
         return main(given.config)
     if given.command == "init":
         folder = Path(given.folder)
-        token = start.init(folder)
+        token = start.init(folder, given.listen)
         print(f"{folder / 'umberchute.toml'}: written; the token of tenant first is {token} "
               f"(also in {folder / 'first.token'})")
     elif given.command == "keys" and given.verb == "check":
--- a/wheelstep/standalone/model.py
+++ b/wheelstep/standalone/model.py
@@ -45,32 +45,43 @@
         return self
 
 
-class DestinationPart(Part):
-    """A partner: the endpoints that serve it."""
+class EndpointsPart(Part):
+    """The endpoints that serve a partner."""
 
     endpoints: Annotated[tuple[str, ...], Field(description="host:port of each")] = ()
     drain: Annotated[tuple[str, ...], Field(description="those of them that get nothing new")] = ()
-    batch: Annotated[int, Field(ge=1, le=1000, description="messages in a call at most")] = 1
-    sign: Annotated[tuple[str, ...], Field(max_length=4, description=(
-        "keys that calls are signed with (Standard Webhooks): `file:NAME` beside this file, or `env:NAME`"))] = ()
-    routes_apart: Annotated[bool, Field(description="a wait told by one endpoint does not bind the others")] = False
 
     @model_validator(mode="after")
-    def _fits(self) -> DestinationPart:
+    def _addresses(self) -> EndpointsPart:
+        known = set()
         for number, text in enumerate(self.endpoints):
             found = _ADDRESS.fullmatch(text)
             if found is None or not 0 < int(found[2]) <= 65535:
                 raise ValueError(f"endpoints[{number}]: {text!r} is no address; expected host:port")
-            if text in self.endpoints[:number]:
+            if text in known:
                 raise ValueError(f"endpoints[{number}]: {text!r} is there twice; expected each once")
+            known.add(text)
+        for number, text in enumerate(self.drain):
+            if text not in known:
+                raise ValueError(f"drain[{number}]: {text!r} is none of the endpoints; expected one of them")
+        return self
+
+
+class DestinationPart(EndpointsPart):
+    """A partner: the endpoints that serve it."""
+
+    batch: Annotated[int, Field(ge=1, le=1000, description="messages in a call at most")] = 1
+    sign: Annotated[tuple[str, ...], Field(max_length=4, description=(
+        "keys that calls are signed with (Standard Webhooks): `file:NAME` beside this file, or `env:NAME`"))] = ()
+    routes_apart: Annotated[bool, Field(description="a wait told by one endpoint does not bind the others")] = False
+
+    @model_validator(mode="after")
+    def _fits(self) -> DestinationPart:
         for number, text in enumerate(self.sign):
             if not re.fullmatch(r"(file|env):.+", text):
                 raise ValueError(f"sign[{number}]: is no place of a key; expected file:NAME or env:NAME")
         if self.sign and self.batch > 1:
             raise ValueError("batch is more than 1 where calls are signed; expected 1: a signature is of one message")
-        for number, text in enumerate(self.drain):
-            if text not in self.endpoints:
-                raise ValueError(f"drain[{number}]: {text!r} is none of the endpoints; expected one of them")
         return self
 
 
@@ -148,6 +159,8 @@
     name: Annotated[Name, Field(description="of this courier")] = "umberchute"
     listen: Annotated[str, Field(description="host:port for clients")]
     state: Annotated[Path, Field(description="folder of the journal, relative to the file")]
+    endpoints_from: Annotated[Path | None, Field(description=(
+        "a folder that is watched: NAME.toml has `endpoints` and `drain` of destination NAME"))] = None
     notify: Annotated[str | None, Field(description=(
         "host:port where undelivered ends are posted to /v1/outcomes, a JSON line each, until answered 204"))] = None
     limits: LimitsPart = LimitsPart()
@@ -183,7 +196,9 @@
     except (OSError, UnicodeDecodeError) as error:
         raise FileError(f"{path}: can't be read: {error}; expected TOML in UTF-8") from error
     found = parse(text, str(path))
-    return found.model_copy(update={"state": (path.parent / found.state).absolute()})
+    return found.model_copy(update={
+        "state": (path.parent / found.state).absolute(), "endpoints_from":
+        None if found.endpoints_from is None else (path.parent / found.endpoints_from).absolute()})
 
 
 def _crossings(found: Standalone) -> Iterable[tuple[str, str]]:
--- a/wheelstep/standalone/serve.py
+++ b/wheelstep/standalone/serve.py
@@ -11,6 +11,7 @@
 import sys
 import time
 from collections.abc import Sequence
+from dataclasses import replace
 from pathlib import Path
 
 from wheelstep import interface as api
@@ -22,12 +23,14 @@
 from wheelstep.courier.platform import Notices
 from wheelstep.courier.rows import Row
 from wheelstep.standalone.ends import End, Ends
+from wheelstep.standalone.folder import Folder, merged
 from wheelstep.standalone.front import Front, mirrored, tenant_of
 from wheelstep.standalone.model import FileError, Standalone, destination_number, kind_name, load, settings
 from wheelstep.standalone.signing import KeyFileError, Signer, read_signers
 
 _WORDS = {"delivered": "delivered", "handed_back": "refused", "given_up": "failed"}
-_FIXED = ("name", "listen", "state", "notify", "limits", "rules")  # what a reload can't change
+_LOOK_S = 0.5  # between looks at the folder of endpoints
+_FIXED = ("name", "listen", "state", "endpoints_from", "notify", "limits", "rules")  # what a reload can't change
 
 log = logging.getLogger("wheelstep.standalone")
 
@@ -41,6 +44,15 @@
         for name, part in found.destinations.items() for text in part.endpoints]
 
 
+def changes(before: Sequence[Row], after: Sequence[Row]) -> list[Row]:
+    """What became of the one list on the way to the other: first those that have gone or drain."""
+    known, wanted = {row[0].endpoint: row for row in before}, {row[0].endpoint: row for row in after}
+    gone = [(replace(info, state=api.EndpointState.REMOVED), address) for name, (info, address) in known.items()
+            if name not in wanted]
+    fresh = [row for name, row in wanted.items() if known.get(name) != row]
+    return gone + sorted(fresh, key=lambda row: row[0].state is api.EndpointState.UP)
+
+
 def config_of(found: Standalone) -> Config:
     """What the daemon's parts are given. Raises `ConfigError` where the folder can't be made."""
     try:
@@ -102,6 +114,9 @@
     def __init__(self, path: Path, found: Standalone) -> None:
         self._path, self._found = path, found
         self._signers = signers_of(path, found)
+        self._folder: Folder | None = None
+        self._rows: list[Row] = []
+        self.loads = 0  # files taken since the start
         self._config = config_of(found)
 
     async def serve(self, renewed: asyncio.Event) -> None:
@@ -131,7 +146,13 @@
                 import aiohttp
                 http = await stack.enter_async_context(aiohttp.ClientSession(auto_decompress=False, trust_env=False))
                 told.notices = Notices(http, Address.parse(self._found.notify), told.settled)
-            core.listed(api.ListKind.WHOLE, rows_of(self._found, config.names.kinds))
+            if self._found.endpoints_from is not None:
+                self._folder = Folder(self._found.endpoints_from)
+                for text in self._folder.look()[1]:
+                    log.error("%s", text)
+            self._rows = rows_of(self._merged(), config.names.kinds)
+            core.listed(api.ListKind.WHOLE, self._rows)
+            front.renew(self._merged())
             core.knows_list = True
             core.restore(journal.marks, journal.messages.values())
             gc.freeze()  # what was restored lives long: a collection that walked it all would stop the loop
@@ -141,6 +162,8 @@
                 port = await inlet.start(config.listen)
             except OSError as error:
                 raise ConfigError(f"listen: {self._found.listen}: {error}") from error
+            if self._folder is not None:
+                tasks.append(group.create_task(self._watch(self._folder)))
             if told.notices is not None:
                 tasks.append(group.create_task(told.notices.run()))
             core.ready = True
@@ -153,6 +176,28 @@
         ends.close()
         journal.close()
 
+    def _merged(self) -> Standalone:
+        return self._found if self._folder is None else merged(self._found, self._folder.parts)
+
+    def _list(self) -> None:
+        """Tell the core what has changed of the list."""
+        fresh = rows_of(self._merged(), self._config.names.kinds)
+        if changed := changes(self._rows, fresh):
+            self._core.listed(api.ListKind.CHANGES, changed)
+        self._rows = fresh
+        self._front.renew(self._merged())
+
+    async def _watch(self, folder: Folder) -> None:
+        """Follow the folder of endpoints, for good."""
+        while True:
+            await asyncio.sleep(_LOOK_S)
+            changed, told = await asyncio.to_thread(folder.look)
+            for text in told:
+                log.error("%s", text)
+            if changed:
+                self._list()
+                log.info("%s: endpoints have changed", folder.path)
+
     def _sign(self) -> None:
         """Calls are signed from now on, if any destination's are."""
         self._core.outlet.sign = self._headers if self._signers else None
@@ -184,10 +229,10 @@
             raise ConfigError(f"{self._path}: destination: another batch or routes_apart than any had at the start "
                               "needs a restart; expected those that are there")
         self._core.renew(config)
-        self._core.listed(api.ListKind.WHOLE, rows_of(fresh, config.names.kinds))
-        self._front.renew(fresh)
         self._found, self._signers = fresh, signers
+        self._list()
         self._sign()
+        self.loads += 1
         log.info("%s read again: %d destinations, %d routes, %d tenants", self._path, len(fresh.destinations),
                  len(fresh.routes), len(fresh.tenants))
 
--- a/wheelstep/standalone/start.py
+++ b/wheelstep/standalone/start.py
@@ -11,13 +11,14 @@
 
 from pydantic import BaseModel
 
-from wheelstep.standalone.model import FileError, Standalone
+from wheelstep.standalone.model import FileError, Standalone, parse
 from wheelstep.standalone.signing import fingerprint, new_key, read_key
 
 STARTER = '''# A courier of one's own. `umberchute config check FILE` tells what is wrong; at SIGHUP it is read again.
 
-listen = "127.0.0.1:8350"
+listen = "{listen}"
 state = "state"                  # beside this file
+endpoints_from = "endpoints"     # NAME.toml there has the endpoints of destination NAME, and is watched
 
 [class.payment]                  # a second delivery does harm: one try whose outcome is unclear is the last
 effect = "unsafe"
@@ -30,10 +31,9 @@
 ordered = true
 
 [destination.alpha]
-endpoints = ["127.0.0.1:8351", "127.0.0.1:8352"]
+# endpoints = ["10.0.0.5:8080"]  # where the folder has no file for it
 
 [destination.beta]
-endpoints = ["127.0.0.1:8353"]
 
 [[route]]                        # the first that matches counts
 path = "/beta/*"
@@ -73,14 +73,16 @@
             raise FileError(f"{path}: {error}; expected a folder that can be written") from error
 
 
-def init(folder: Path) -> str:
+def init(folder: Path, listen: str = "127.0.0.1:8350") -> str:
     """Write a starting file and the token of its tenant; the token. Raises `FileError`: nothing is overwritten."""
     token, digest = new_token()
+    text = STARTER.format(digest=digest, listen=listen)
+    parse(text, "--listen")
     try:
-        folder.mkdir(parents=True, exist_ok=True)
+        (folder / "endpoints").mkdir(parents=True, exist_ok=True)
     except OSError as error:
         raise FileError(f"{folder}: {error}; expected a folder that can be made") from error
-    _write({folder / "umberchute.toml": (STARTER.format(digest=digest), 0o644),
+    _write({folder / "umberchute.toml": (text, 0o644),
             folder / "first.token": (token + "\n", 0o600)})
     return token
 
