--- a/benchmarks/standalone_reload.py
+++ b/benchmarks/standalone_reload.py
@@ -78,6 +78,7 @@
         for version in range(1, given.reloads + 1):
             path.with_suffix(".new").write_text(text(given.destinations, version, given.held))
             path.with_suffix(".new").replace(path)
+            await asyncio.sleep(0.05)  # the turn that made the file is none of the courier's
             turns.take()
             began = time.perf_counter()
             renewed.set()
--- a/tests/test_standalone.py
+++ b/tests/test_standalone.py
@@ -21,7 +21,7 @@
 
 from wheelstep.standalone import start
 from wheelstep.standalone.ends import End, Ends
-from wheelstep.standalone.front import Front
+from wheelstep.standalone.front import Front, Policy
 from wheelstep.standalone.model import FileError, RoutePart, destination_number, parse
 from wheelstep.standalone.routes import Asked, Routes, Tenants, _weighted
 from wheelstep.standalone.serve import Told
@@ -486,7 +486,7 @@
 
     async def work() -> None:
         core, notices = Core(), Notices()
-        told = Told(Front(parse(FILE, "x"), core), core)  # type: ignore[arg-type]
+        told = Told(Front(Policy.of(parse(FILE, "x")), core), core)  # type: ignore[arg-type]
         told.ends, told.notices = Ends(tmp_path, 100, told.settled), notices  # type: ignore[assignment]
         told.owe("one~a", "given_up", 0)
         told.owe("one~b", "delivered", 0)
--- a/wheelstep/standalone/front.py
+++ b/wheelstep/standalone/front.py
@@ -12,7 +12,7 @@
 import math
 import time
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from urllib.parse import parse_qs
 
 from wheelstep.courier.core import Core
@@ -45,21 +45,35 @@
     return name.rpartition(_BETWEEN)[2]
 
 
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """What a file means for clients, worked out once."""
+
+    found: Standalone
+    routes: Routes
+    open: frozenset[str]  # destinations with an endpoint that takes something new
+
+    @classmethod
+    def of(cls, found: Standalone) -> Policy:
+        """Of a file with the endpoints that count."""
+        return cls(found, Routes(found), frozenset(
+            name for name, part in found.destinations.items() if set(part.endpoints) - set(part.drain)))
+
+
 class Front:
     """What the inlet asks of an operator's own file."""
 
-    def __init__(self, found: Standalone, core: Core, now_s: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, policy: Policy, core: Core, now_s: Callable[[], float] = time.monotonic) -> None:
         self._core, self._now_s = core, now_s
         self.ends: Ends | None = None  # set before anything is served
-        self.tenants = Tenants(found.tenants)
+        self.tenants = Tenants(policy.found.tenants)
         self._copies: dict[str, Stored] = {}  # by the name of what they copy
-        self.renew(found)
+        self.use(policy)
 
-    def renew(self, found: Standalone) -> None:
+    def use(self, policy: Policy) -> None:
         """Another file from now on. What is held keeps the destination that it was taken on for."""
-        self._found, self._routes = found, Routes(found)
-        self._open = {name for name, part in found.destinations.items() if set(part.endpoints) - set(part.drain)}
-        self.tenants.renew(found.tenants)
+        self._found, self._routes, self._open = policy.found, policy.routes, policy.open
+        self.tenants.renew(policy.found.tenants)
 
     # --- courier.inlet.Front ---
 
--- a/wheelstep/standalone/serve.py
+++ b/wheelstep/standalone/serve.py
@@ -10,8 +10,8 @@
 import signal
 import sys
 import time
-from collections.abc import Sequence
-from dataclasses import replace
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 from wheelstep import interface as api
@@ -24,11 +24,13 @@
 from wheelstep.courier.rows import Row
 from wheelstep.standalone.ends import End, Ends
 from wheelstep.standalone.folder import Folder, merged
-from wheelstep.standalone.front import Front, mirrored, tenant_of
+from wheelstep.standalone.front import Front, Policy, mirrored, tenant_of
 from wheelstep.standalone.model import FileError, Standalone, destination_number, kind_name, load, settings
 from wheelstep.standalone.signing import KeyFileError, Signer, read_signers
 
 _WORDS = {"delivered": "delivered", "handed_back": "refused", "given_up": "failed"}
+_SWITCH_S = 0.0005  # for so long the loop waits for a thread that reads a file (5 ms else)
+_MOST_ROWS = 100  # told to the core in one turn of the loop
 _LOOK_S = 0.5  # between looks at the folder of endpoints
 _FIXED = ("name", "listen", "state", "endpoints_from", "notify", "limits", "rules")  # what a reload can't change
 
@@ -108,6 +110,18 @@
         raise FileError(f"{path}: {error}") from error
 
 
+@dataclass(frozen=True, slots=True)
+class _Fresh:
+    """What a reload brings, worked out and not yet in use."""
+
+    found: Standalone
+    config: Config
+    policy: Policy
+    signers: dict[str, Signer]
+    rows: list[Row]
+    changed: list[Row]
+
+
 class Courier:
     """One standalone courier."""
 
@@ -116,6 +130,7 @@
         self._signers = signers_of(path, found)
         self._folder: Folder | None = None
         self._rows: list[Row] = []
+        self._changing = asyncio.Lock()
         self.loads = 0  # files taken since the start
         self._config = config_of(found)
 
@@ -129,7 +144,7 @@
         config = self._config
         journal = open_journal(config, None)
         core = self._core = Core(config, journal)
-        front = self._front = Front(self._found, core)
+        front = self._front = Front(Policy.of(self._found), core)
         told = Told(front, core)
         try:
             ends = front.ends = told.ends = Ends(config.state, self._found.limits.kept_ends, told.settled)
@@ -150,9 +165,10 @@
                 self._folder = Folder(self._found.endpoints_from)
                 for text in self._folder.look()[1]:
                     log.error("%s", text)
-            self._rows = rows_of(self._merged(), config.names.kinds)
-            core.listed(api.ListKind.WHOLE, self._rows)
-            front.renew(self._merged())
+            first = self._prepare(lambda: self._found)
+            self._rows = first.rows
+            core.listed(api.ListKind.WHOLE, first.rows)
+            front.use(first.policy)
             core.knows_list = True
             core.restore(journal.marks, journal.messages.values())
             gc.freeze()  # what was restored lives long: a collection that walked it all would stop the loop
@@ -176,16 +192,41 @@
         ends.close()
         journal.close()
 
-    def _merged(self) -> Standalone:
-        return self._found if self._folder is None else merged(self._found, self._folder.parts)
-
-    def _list(self) -> None:
-        """Tell the core what has changed of the list."""
-        fresh = rows_of(self._merged(), self._config.names.kinds)
-        if changed := changes(self._rows, fresh):
-            self._core.listed(api.ListKind.CHANGES, changed)
-        self._rows = fresh
-        self._front.renew(self._merged())
+    async def _change(self, read: Callable[[], Standalone]) -> _Fresh:
+        """Read and work out off the loop what changes, then let it count. Raises `FileError`, `ConfigError`."""
+        async with self._changing:
+            gc.disable()  # a collection in the thread would stop the loop for as long as it walks what is held
+            interval = sys.getswitchinterval()
+            sys.setswitchinterval(_SWITCH_S)
+            try:
+                fresh = await asyncio.to_thread(self._prepare, read)
+            finally:
+                sys.setswitchinterval(interval)
+                gc.enable()
+            if fresh.found is not self._found:
+                for name in _FIXED:
+                    if getattr(fresh.found, name) != getattr(self._found, name):
+                        log.warning("%s: %s changes at the next start only", self._path, name)
+                self._core.renew(fresh.config)
+            self._found, self._signers, self._rows = fresh.found, fresh.signers, fresh.rows
+            for at in range(0, len(fresh.changed), _MOST_ROWS):
+                self._core.listed(api.ListKind.CHANGES, fresh.changed[at:at + _MOST_ROWS])
+                await asyncio.sleep(0)
+            self._front.use(fresh.policy)
+            self._sign()
+            return fresh
+
+    def _prepare(self, read: Callable[[], Standalone]) -> _Fresh:
+        """All that takes long, without touching what the loop works with."""
+        found = read()
+        signers = signers_of(self._path, found) if found is not self._found else self._signers
+        config = from_data(settings(found), self._config.state)
+        if config.names.kinds != self._config.names.kinds:
+            raise ConfigError(f"{self._path}: destination: another batch or routes_apart than any had at the start "
+                              "needs a restart; expected those that are there")
+        whole = found if self._folder is None else merged(found, self._folder.parts)
+        rows = rows_of(whole, config.names.kinds)
+        return _Fresh(found, config, Policy.of(whole), signers, rows, changes(self._rows, rows))
 
     async def _watch(self, folder: Folder) -> None:
         """Follow the folder of endpoints, for good."""
@@ -195,7 +236,7 @@
             for text in told:
                 log.error("%s", text)
             if changed:
-                self._list()
+                await self._change(lambda: self._found)
                 log.info("%s: endpoints have changed", folder.path)
 
     def _sign(self) -> None:
@@ -206,35 +247,19 @@
         signer = self._signers.get(endpoint.partition("/")[0])
         return signer.headers(item.message, item.body, int(time.time())) if signer is not None else ()
 
-    def _read(self) -> tuple[Standalone, dict[str, Signer]]:
-        found = load(self._path)
-        return found, signers_of(self._path, found)
-
     async def _follow(self, renewed: asyncio.Event) -> None:
         """Read the file again at each SIGHUP. One that can't be used changes nothing and says where it fails."""
         while True:
             await renewed.wait()
             renewed.clear()
             try:
-                self._renew(*await asyncio.to_thread(self._read))
+                found = (await self._change(lambda: load(self._path))).found
             except (FileError, ConfigError) as error:
                 log.error("the new file is not used: %s", " ".join(str(error).split()))
-
-    def _renew(self, fresh: Standalone, signers: dict[str, Signer]) -> None:
-        for name in _FIXED:
-            if getattr(fresh, name) != getattr(self._found, name):
-                log.warning("%s: %s changes at the next start only", self._path, name)
-        config = from_data(settings(fresh), self._config.state)
-        if config.names.kinds != self._config.names.kinds:
-            raise ConfigError(f"{self._path}: destination: another batch or routes_apart than any had at the start "
-                              "needs a restart; expected those that are there")
-        self._core.renew(config)
-        self._found, self._signers = fresh, signers
-        self._list()
-        self._sign()
-        self.loads += 1
-        log.info("%s read again: %d destinations, %d routes, %d tenants", self._path, len(fresh.destinations),
-                 len(fresh.routes), len(fresh.tenants))
+                continue
+            self.loads += 1
+            log.info("%s read again: %d destinations, %d routes, %d tenants", self._path, len(found.destinations),
+                     len(found.routes), len(found.tenants))
 
 
 def main(file: str) -> int:
