--- a/wheelstep/cli/__main__.py
+++ b/wheelstep/cli/__main__.py
@@ -115,7 +115,8 @@
                 or given.command == "config" and given.what in ("show", "diff", "reference"):
             return _standalone(given)
         if given.command == "serve":
-            if not os.environ.get("RELAY_CONFIG") and not os.environ.get("RELAY_STATE"):
+            if given.operator is None and not any(os.environ.get(name) for name in (
+                    "RELAY_CONFIG", "RELAY_STATE", "UMBERCHUTE_OPERATOR")):
                 raise InputError("serve: neither RELAY_CONFIG and RELAY_STATE nor --config; expected the platform's "
                                  "environment, or --config FILE.toml (`umberchute init FOLDER` writes one)")
             from wheelstep.courier.__main__ import main as serve
