--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -181,6 +181,9 @@
         return f"127.0.0.1:{found.getsockname()[1]}"
 
 
+started: list[asyncio.subprocess.Process] = []  # couriers of the test that runs; conftest.py ends what it left
+
+
 class Courier:
     """The real process; `address` changes with each start."""
 
@@ -252,6 +255,7 @@
             env["UMBERCHUTE_OPERATOR"] = str(self.operator)
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "wheelstep.courier", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE)
+        started.append(self.process)
         self._serving: asyncio.Future[str] = asyncio.get_running_loop().create_future()
         self._reading = asyncio.create_task(self._read_log(self._serving))
 
--- a/tests/test_standalone.py
+++ b/tests/test_standalone.py
@@ -17,7 +17,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from loopback import LIMIT_S, ROOT, Call, Endpoint, Reply, run
+from loopback import LIMIT_S, ROOT, Call, Endpoint, Reply, run, started
 from test_rehearsal import rehearse
 
 from wheelstep.standalone import start
@@ -270,6 +270,7 @@
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "wheelstep.cli", "serve", "--config", str(self.folder / "umberchute.toml"), cwd=ROOT,
             env=environ, stderr=asyncio.subprocess.PIPE)
+        started.append(self.process)
         self._reading = asyncio.create_task(self._read())
         await self.wait_log("serves on", sum("serves on" in line for line in self.log) + 1)
         line = next(line for line in reversed(self.log) if "serves on" in line)
