Standalone front: no protocol header twice; ends survive a write one byte short and a failed renewal

Found on re-reading. The front read headers by a check of its own that left out the one for headers given twice, so that of two ids nobody knew which was owed an end: given_once and token_of now serve both fronts. A write behind a torn line that lacked its last byte passed for whole. The ends' file was closed before a rename that may fail, after which every end raised. A copy made for a message that was turned away could go out with a later one of that name.

--- a/tests/test_standalone.py
+++ b/tests/test_standalone.py
@@ -208,6 +208,50 @@
     run(work())
 
 
+def test_a_write_that_lacks_its_last_byte_is_torn(tmp_path: Path) -> None:
+    """Behind a torn line the new one's first byte is a line break: a write one byte short passed for whole."""
+    class Short:
+        def write(self, data: bytes) -> int:
+            return real.write(data[:-1]) or 0
+
+    async def work() -> None:
+        settled: list[str] = []
+        (tmp_path / Ends.FILE).write_bytes(b'{"mess')
+        ends = Ends(tmp_path, 100, settled.extend)
+        whole, ends._file = ends._file, Short()  # type: ignore[assignment]
+        ends.add("m1", End("failed", 5))
+        ends.flush()
+        assert settled == []
+        ends._file = whole
+        ends.flush()
+        assert settled == ["m1"]
+        ends.close()
+        assert Ends(tmp_path, 100, settled.extend).get("m1") == End("failed", 5)
+    real = open(tmp_path / Ends.FILE, "ab", buffering=0)  # noqa: SIM115
+    run(work())
+
+
+def test_a_renewal_that_fails_loses_no_later_end(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The old file was closed before the rename that failed: every later end raised."""
+    async def work() -> None:
+        settled: list[str] = []
+        ends = Ends(tmp_path, 2, settled.extend)
+
+        def full(self: Path, target: Path) -> Path:
+            raise OSError(28, "No space left on device")
+        with monkeypatch.context() as broken:
+            broken.setattr(Path, "replace", full)
+            for number in range(6):
+                ends.add(f"m{number}", End("delivered", number))
+                ends.flush()
+        ends.add("m6", End("failed", 6))
+        ends.flush()
+        ends.close()
+        assert settled == [f"m{number}" for number in range(7)]
+        assert Ends(tmp_path, 2, settled.extend).get("m6") == End("failed", 6)
+    run(work())
+
+
 def test_ends_that_can_not_be_written_stay_owed_until_they_are(tmp_path: Path) -> None:
     class Full:
         room = 10
@@ -327,6 +371,9 @@
             assert (await s.ask("GET", "/messages/m1", "wrong"))[0] == 401
             assert (await s.ask("GET", "/messages/m1", ""))[0] == 401
             assert await s.post("m3", "/nowhere") == 404
+            async with aiohttp.ClientSession() as http, http.post(s.url + "/a/1", headers=[
+                    ("Authorization", f"Bearer {TOKEN}"), ("X-Request-Id", "m4"), ("X-Request-Id", "m5")]) as answer:
+                assert answer.status == 400  # which of the two would be owed an end?
             assert await s.post("m4", "/a/1", "none") == 400 and await s.post("m~4", "/a/1") == 400
             assert not any(TOKEN in line for line in s.log)
             await s.stop(signal.SIGKILL)
--- a/wheelstep/courier/inlet.py
+++ b/wheelstep/courier/inlet.py
@@ -121,9 +121,7 @@
 
 def read_message(request: Request, classes: Mapping[str, bool]) -> Stored:
     """The message that a request hands in; `classes` tells which ones keep the order of their keys."""
-    given = request.once
-    if request.twice and (twice := request.twice & _ONCE):  # guards against owing one of two ids an end
-        raise BadRequestError(f"{min(twice)} is given twice")
+    given = given_once(request)
     name = given.get("x-request-id", "")
     if not name or len(name) > 128 or not name.isascii() or not name.isprintable() or " " in name:
         raise BadRequestError("X-Request-Id is missing or malformed")
@@ -133,10 +131,7 @@
     left_ms = _whole(given.get("x-deadline-ms", ""), "X-Deadline-Ms")
     if left_ms > _MOST_DEADLINE_MS:
         raise BadRequestError("X-Deadline-Ms is too far off")
-    token = given.get("idempotency-key")
-    if token is not None and (not token or len(token) > 128 or not token.isascii()
-                              or not token.isprintable() or " " in token):
-        raise BadRequestError("Idempotency-Key is malformed")
+    token = token_of(given)
     return Stored(
         id=name, message_class=message_class, destination=_destination(given.get("x-consignee", "")),
         deadline_ms=int(time.time() * 1000) + left_ms,
@@ -144,6 +139,22 @@
         token=token, resubmitted="x-retry" in given, body=request.body)
 
 
+def given_once(request: Request) -> Mapping[str, str]:
+    """Its headers, none of ours twice. Guards against owing one of two ids an end, and nobody knowing which."""
+    if request.twice and (twice := request.twice & _ONCE):
+        raise BadRequestError(f"{min(twice)} is given twice")
+    return request.once
+
+
+def token_of(given: Mapping[str, str]) -> str | None:
+    """The client's own key for partners that know repeats by it."""
+    token = given.get("idempotency-key")
+    if token is not None and (not token or len(token) > 128 or not token.isascii()
+                              or not token.isprintable() or " " in token):
+        raise BadRequestError("Idempotency-Key is malformed")
+    return token
+
+
 def key_of(path: str) -> str | None:
     """The last part of the path, as it was sent: a key may hold an escaped slash."""
     return path.partition("?")[0].rpartition("/")[2][:256] or None
--- a/wheelstep/standalone/ends.py
+++ b/wheelstep/standalone/ends.py
@@ -97,10 +97,10 @@
         """All that ended in a turn goes out in one write."""
         self._flush = None
         names = self._unwritten
-        data = b"".join(json.dumps(end.row(name)).encode() + b"\n" for name in names if (end := self._ends.get(name)))
+        data = b"\n" if self._torn else b""
+        data += b"".join(json.dumps(end.row(name)).encode() + b"\n" for name in names if (end := self._ends.get(name)))
         try:
-            written = self._file.write((b"\n" if self._torn else b"") + data)
-            self._torn = written < len(data)
+            self._torn = self._file.write(data) < len(data)
             if self._torn:
                 raise OSError("only a part could be written")
             self._unwritten = []
@@ -125,8 +125,8 @@
             file.writelines(json.dumps(end.row(name)).encode() + b"\n" for name, end in self._ends.items())
             file.flush()
             os.fsync(file.fileno())  # before the rename, or a power loss could leave neither
-        self._file.close()
         fresh.replace(self._path)
+        self._file.close()  # only now: where the rename fails, the old one goes on
         self._file = open(self._path, "ab", buffering=0)  # noqa: SIM115
         self._lines = len(self._ends)
 
--- a/wheelstep/standalone/front.py
+++ b/wheelstep/standalone/front.py
@@ -16,7 +16,7 @@
 from urllib.parse import parse_qs
 
 from wheelstep.courier.core import Core
-from wheelstep.courier.inlet import BadRequestError, Door, RefusedError, key_of
+from wheelstep.courier.inlet import BadRequestError, Door, RefusedError, given_once, key_of, token_of
 from wheelstep.courier.request import Request
 from wheelstep.journal import NoRoomError, Stored
 from wheelstep.standalone.ends import Ends
@@ -81,7 +81,7 @@
         """The message that a request hands in. Raises `BadRequestError` and `RefusedError`, also with the end of a
         message that has it already."""
         tenant = self._tenant(request)
-        given = request.once
+        given = given_once(request)
         name = self._name(tenant, given.get("x-request-id", ""))
         if (end := self._kept.get(name)) is not None:
             raise RefusedError(200, json.dumps(end.row(_own(name))) + "\n", _JSON)
@@ -95,10 +95,7 @@
             if not (text.isascii() and text.isdigit() and len(text) <= 12 and int(text)):
                 raise BadRequestError("X-Deadline-Ms is no whole number above 0")
             left_ms = min(left_ms, int(text))
-        token = given.get("idempotency-key")
-        if token is not None and (not 0 < len(token) <= 128 or not token.isascii() or not token.isprintable()
-                                  or " " in token):
-            raise BadRequestError("Idempotency-Key is malformed")
+        token = token_of(given)
         if token is None and part.effect == "keyed":
             token = name  # the same message has the same name, so partners know a repeat by it
         path = request.target.partition("?")[0]
@@ -114,6 +111,7 @@
             return found
         if (wait_s := self.tenants.wait_s(tenant, tenant_of(name), self._found.limits.held, self._now_s())) > 0:
             raise RefusedError(429, "more than your share\n", (("Retry-After", str(max(1, math.ceil(wait_s)))),))
+        self._copies.pop(name, None)  # of an earlier try that was turned away
         if way.mirror is not None:
             self._copies[name] = replace(found, id=name + _MIRROR, key=None,
                                          destination=destination_number(way.mirror))
@@ -176,7 +174,6 @@
         else:  # also another tenant's: nobody learns that it exists
             door.say(request, 404, "no such message\n")
 
-
     def _name(self, tenant: str, own: str) -> str:
         if not 0 < len(own) <= 80 or not own.isascii() or not own.isprintable() or set(own) & set(" ~/?#%"):
             raise BadRequestError("X-Request-Id is missing or malformed; expected 1 to 80 visible ASCII characters "
--- a/wheelstep/standalone/model.py
+++ b/wheelstep/standalone/model.py
@@ -20,6 +20,12 @@
 _ADDRESS = re.compile(r"(\[[0-9a-fA-F:.]+\]|[^\s:/@]+):(\d{1,5})")
 
 
+def _port(text: str) -> int | None:
+    """The port of a host:port; None where it is none."""
+    found = _ADDRESS.fullmatch(text)
+    return int(found[2]) if found is not None and int(found[2]) <= 65535 else None
+
+
 class FileError(Exception):
     """The file can't be used: `file: key: what was found; expected what`."""
 
@@ -55,8 +61,7 @@
     def _addresses(self) -> EndpointsPart:
         known = set()
         for number, text in enumerate(self.endpoints):
-            found = _ADDRESS.fullmatch(text)
-            if found is None or not 0 < int(found[2]) <= 65535:
+            if not _port(text):
                 raise ValueError(f"endpoints[{number}]: {text!r} is no address; expected host:port")
             if text in known:
                 raise ValueError(f"endpoints[{number}]: {text!r} is there twice; expected each once")
@@ -204,7 +209,7 @@
 def _crossings(found: Standalone) -> Iterable[tuple[str, str]]:
     """What only shows when parts are held against each other."""
     for key, text in (("listen", found.listen), ("notify", found.notify)):
-        if text is not None and ((match := _ADDRESS.fullmatch(text)) is None or int(match[2]) > 65535):
+        if text is not None and _port(text) is None:
             yield key, f"{text!r} is no address; expected host:port"
     numbers: dict[int, str] = {}
     for name in found.destinations:
