One meter of turns for two benchmarks, one place where the commands tell of a bad file

Two benchmarks had a Turns each, and two commands caught FileError beside the place that catches the other files' errors.

--- a/benchmarks/scale_edges.py
+++ b/benchmarks/scale_edges.py
@@ -21,6 +21,8 @@
 from dataclasses import replace
 from pathlib import Path
 
+from turns import Turns
+
 from wheelstep import Sender, Settings
 from wheelstep import interface as api
 from wheelstep.courier.config import Address, load
@@ -88,28 +90,6 @@
           f"{int(memory) / 1024:.0f} MB", flush=True)
 
 
-class Turns:
-    """The longest turn of the running loop."""
-
-    def __init__(self) -> None:
-        self.worst = 0.0
-        self._last = time.perf_counter()
-        self._turn()
-
-    def _turn(self) -> None:
-        now = time.perf_counter()
-        self.worst, self._last = max(self.worst, now - self._last), now
-        self._handle = asyncio.get_running_loop().call_soon(self._turn)
-
-    def take(self) -> float:
-        """The longest since the last time, in milliseconds."""
-        worst, self.worst = self.worst, 0.0
-        return worst * 1e3
-
-    def stop(self) -> None:
-        self._handle.cancel()
-
-
 async def lists(count: int) -> None:
     """All rows replaced, with 20,000 messages held."""
     with tempfile.TemporaryDirectory(prefix="umberchute-edges-") as folder:
@@ -133,14 +113,14 @@
         await asyncio.sleep(2)
         turns.take()
         await asyncio.sleep(1)
-        before = turns.take()
+        before = turns.take()[0]
         core.listed(api.ListKind.WHOLE, old)
         await asyncio.sleep(2)
-        whole = turns.take()
+        whole = turns.take()[0]
         for part in range(0, count, 100):
             core.listed(api.ListKind.CHANGES, [*gone[part:part + 100], *new[part:part + 100]])
             await asyncio.sleep(0.02)
-        changes = turns.take()
+        changes = turns.take()[0]
         turns.stop()
         journal.close()
     print(f"{count} rows, 20,000 held: longest turn {before:.1f} ms before, {whole:.1f} ms with one list that replaces "
--- a/benchmarks/standalone_reload.py
+++ b/benchmarks/standalone_reload.py
@@ -16,6 +16,8 @@
 import time
 from pathlib import Path
 
+from turns import Turns
+
 from wheelstep.journal import Journal, Stored
 from wheelstep.standalone import model, serve
 
@@ -31,26 +33,6 @@
     return "\n".join([*lines, "[tenant.t]", "open = true", f"rate_per_s = {1000 + version}", ""])
 
 
-class Turns:
-    """The turns of the running loop, in milliseconds."""
-
-    def __init__(self) -> None:
-        self.all: list[float] = []
-        self._last = time.perf_counter()
-        self._turn()
-
-    def _turn(self) -> None:
-        now = time.perf_counter()
-        self.all.append((now - self._last) * 1e3)
-        self._last = now
-        self._handle = asyncio.get_running_loop().call_later(0.0005, self._turn)
-
-    def take(self) -> list[float]:
-        """Those since the last time, longest first."""
-        found, self.all = sorted(self.all, reverse=True), []
-        return found
-
-
 async def work(given: argparse.Namespace) -> None:
     """Run one courier in this process."""
     with tempfile.TemporaryDirectory(prefix="umberchute-reload-") as folder:
--- a/wheelstep/cli/commands.py
+++ b/wheelstep/cli/commands.py
@@ -28,6 +28,8 @@
 from wheelstep.rehearsal.report import EXITS, Result, Screen
 from wheelstep.rehearsal.scenario import ScenarioError
 from wheelstep.rehearsal.standins.process import NoStartError
+from wheelstep.standalone.model import FileError
+from wheelstep.standalone.model import load as load_standalone
 
 _DESCRIPTORS = 16_384  # the rig's sockets, as far as the system allows
 
@@ -43,7 +45,7 @@
             return _partners(given)
         return {"list": _list, "run": _run, "replay": _replay, "record": _record, "verify": _verify,
                 "matrix": _matrix}[given.verb](given)
-    except (ScenarioError, RecordError, HistoryError, OperatorError, NoStartError) as error:
+    except (ScenarioError, RecordError, HistoryError, OperatorError, FileError, NoStartError) as error:
         raise InputError(str(error)) from error
 
 
@@ -135,13 +137,8 @@
         except (OSError, UnicodeDecodeError) as error:
             raise InputError(f"{path}: can't be read: {error}") from error
         if "[[route]]" in head or "[tenant." in head:
-            from wheelstep.standalone.model import FileError
-            from wheelstep.standalone.model import load as load_standalone
             what = "standalone courier"
-            try:
-                load_standalone(path)
-            except FileError as error:
-                raise InputError(str(error)) from error
+            load_standalone(path)
         elif "[[partner]]" in head or "[[class]]" in head:
             what = "scenario"
             scenario.parse(head, str(path))
@@ -283,11 +280,7 @@
 
 def _partners(given: argparse.Namespace) -> int:
     from wheelstep.rehearsal.partners import serve
-    from wheelstep.standalone.model import FileError
-    try:
-        asyncio.run(serve(Path(given.file)))
-    except FileError as error:
-        raise InputError(str(error)) from error
+    asyncio.run(serve(Path(given.file)))
     return OK
 
 
