--- a/wheelstep/courier/platform.py
+++ b/wheelstep/courier/platform.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import random
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from typing import Any
@@ -13,9 +14,10 @@
 
 from wheelstep import interface as api
 from wheelstep.courier.config import UNREADABLE, Address, Names
+from wheelstep.courier.spread import wait_s
 
 _SILENT_S = 4.5  # a watch says something every 2 s, and changes count as told after 6 s
-_AGAIN_S = 0.25
+_AGAIN_S = 0.25  # before a notice that was not taken is sent again: the agent beside us takes it, at no cost
 _MOST_LINES = 200  # notices in one request
 _MOST_LINE = 1 << 20  # bytes of a line of the list
 
@@ -64,11 +66,13 @@
 
 
 class Watch:
-    """Follows discovery for good: through silence, garbage and broken connections."""
+    """Follows discovery for good: through silence, garbage and broken connections. `rng` spreads the calls of many
+    couriers that lost it at the same moment."""
 
     def __init__(self, http: aiohttp.ClientSession, discovery: Address, names: Names, seq: int,
-                 listed: Listed) -> None:
+                 listed: Listed, couriers: int = 1, rng: random.Random | None = None) -> None:
         self._http, self._names, self._listed, self._seq = http, names, listed, seq
+        self._couriers, self._rng, self._failures = couriers, rng or random.Random(), 0
         self._place = _Place(discovery, "/v1/servers")
 
     @property
@@ -83,12 +87,14 @@
 
     async def run(self) -> None:
         """Watch, and begin again from the last version whenever a watch ends."""
+        await asyncio.sleep(wait_s(self._couriers, 0, self._rng))
         while True:
+            self._failures += 1
             try:
                 await self._follow()
             except (aiohttp.ClientError, OSError, TimeoutError, ValueError, RecursionError) as error:
                 log.info("discovery: watch ended: %.200r", error)
-            await asyncio.sleep(_AGAIN_S)
+            await asyncio.sleep(wait_s(self._couriers, max(1, self._failures), self._rng))
 
     async def _follow(self) -> None:
         limits = aiohttp.ClientTimeout(total=None, sock_connect=2.0, sock_read=_SILENT_S)
@@ -98,6 +104,7 @@
             if answer.status != 200:
                 raise ValueError(f"status {answer.status}")
             while line := await answer.content.readline():
+                self._failures = 0
                 if line.strip():
                     self._take(line)
 
