--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -6,8 +6,8 @@
 import random
 
 import aiohttp
-
 from loopback import run
+
 from wheelstep.courier.config import Address, Names
 from wheelstep.courier.platform import Watch
 from wheelstep.courier.spread import AGAIN_S, CALL_S, FIRST_MOST_S, STEPS, wait_s
