The first report sets a courier's pace, and pauses after refusals stay short in a large fleet

A courier cut its guess of 6/40 calls a second by half and paused for the inverse of that, up to ten seconds, and the first report did not raise it. To blame: Pacer.report took the smaller of guess and part; Pacer.refused held for 1/rate where nothing was reported. Change: the first report sets the rate; before it the pause is one to three quiet spans in fleets of more than four.

--- a/wheelstep/logic.py
+++ b/wheelstep/logic.py
@@ -176,7 +176,7 @@
         if not (0 < per_s < 1e9 and 0 <= left <= 1):
             return
         if self._limit == math.inf:
-            self.rate = min(self.rate, CALM * per_s / self._senders)
+            self.rate = CALM * per_s / self._senders
         else:
             self.rate = min(self.rate * per_s / self._limit, per_s)
         self._limit, self.even = per_s, per_s / self._senders
@@ -208,7 +208,9 @@
             self._fair = max(used, LEAST_FAIR)
         least = cold_share * self.carried.read(now_us) * 1e6 / MEMORY_US
         self.rate = max(min(self.rate, used) * SLOWER, self.even * (LOW if self.reported else 1 / 8), least)
-        pause_us = self._quiet_us * self._rng.uniform(0.5, 1.5) if self.reported else math.inf
+        pause_us = self._quiet_us * self._rng.uniform(0.5, 1.5)
+        if not self.reported:  # the first report may be a second away, and its rate far from the guess
+            pause_us = 2 * pause_us if self._senders > CROWD else math.inf
         self.hold(now_us + min(1e6 / self.rate, pause_us))
 
     def resume(self, rate: float) -> None:
