Tests: a crowd stays within its worker's room; the bound of 50 is exact again, no expected failure

Whether 50 or 51 could be taken hung on whether that notice was answered before the next request. Change: while it fills, the platform takes no notices, so that what is handed back goes on counting; then at most 25 messages are handed in before those are called. The bound is 50 again and the expected failure is gone. The settings without shared calls stand in one place.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -172,6 +172,7 @@
               "overload_for_us": 3000000, "drain_grace_us": 250000},
     "tick_us": 5000,
 }
+ALONE: dict[str, Any] = {**SETTINGS, "specifics": {**SETTINGS["specifics"], "per_call": [1]}}  # no shared calls
 
 
 def free_address() -> str:
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 import pytest
-from loopback import ROOT, SETTINGS, Call, Endpoint, Reply, Scene, host, run
+from loopback import ALONE, ROOT, Call, Endpoint, Reply, Scene, host, run
 from test_rehearsal import rehearse
 
 from wheelstep.courier.inlet import BadRequestError, UnansweredError
@@ -21,8 +21,6 @@
 from wheelstep.workers.hop import Counter, Passage, RemoteDesk
 from wheelstep.workers.ownership import share_of
 
-ALONE: dict[str, Any] = {**SETTINGS, "specifics": {**SETTINGS["specifics"], "per_call": [1]}}
-
 
 def message(name: str, destination: int = 7) -> Stored:
     return Stored(name, "once", destination, 10**13, body=b"body of " + name.encode())
--- a/tests/test_workers_edges.py
+++ b/tests/test_workers_edges.py
@@ -9,14 +9,13 @@
 from typing import Any
 
 import pytest
-from loopback import SETTINGS, Call, Endpoint, Reply, Scene, host, run
+from loopback import ALONE, Call, Endpoint, Reply, Scene, host, run
 from test_workers import operator
 
 from wheelstep.rehearsal.standins.process import _children
 from wheelstep.workers.ownership import assign, share_of
 
 SHARES = 4
-ALONE: dict[str, Any] = {**SETTINGS, "specifics": {**SETTINGS["specifics"], "per_call": [1]}}
 
 
 def elsewhere(destination: int, workers: int = 2) -> int:
@@ -94,18 +93,19 @@
     run(scene())
 
 
-@pytest.mark.xfail(strict=False, reason="open: on a quick machine one message of 100 that was answered 202 is at times "
-                                        "not delivered within 20 s; cause not found yet, see docs/design/fleet.md")
 def test_messages_that_crowd_on_one_worker_leave_the_others_theirs(tmp_path: Path) -> None:
     """All slots and all room of one worker are taken by a destination that hangs."""
     async def scene() -> None:
         async with Two(tmp_path) as s:
             s.endpoint.reply = hang
+            s.platform.takes_notices = False  # what is handed back to make room goes on counting until that is told
             taken = await s.fill(7, b"x")
-            # Half of what the courier holds; one more where the module handed one back before the door looked.
-            assert 50 <= len(taken) <= 51
+            s.platform.takes_notices = True
+            assert len(taken) == 50  # half of what the courier holds
             for number in range(100):
                 assert await s.hand_in(f"m{number}", s.number) == 202
+                if number % 25 == 24:  # well within the room of their worker, which would hand some back beyond it
+                    await s.other.wait(number + 1)
             assert len(await s.other.wait(100)) == 100
             assert await s.courier.terminate() == 0
     run(scene())
