--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
+from pathlib import Path
 
 import aiohttp
-from loopback import Call, Endpoint, Reply, run
+import pytest
+from loopback import SETTINGS, Call, Courier, Endpoint, Platform, Reply, host, run
 
+from wheelstep import Settings
+from wheelstep import interface as api
+from wheelstep.courier import platform
 from wheelstep.courier.config import Address, Names
 from wheelstep.courier.platform import Watch
-from wheelstep.courier.spread import AGAIN_S, CALL_S, FIRST_MOST_S, STEPS, wait_s
+from wheelstep.courier.spread import AGAIN_S, CALL_S, FIRST_MOST_S, STEPS, callers, wait_s
 
 FLEET = 40
 
@@ -59,3 +65,68 @@
         gaps = [after - before for before, after in zip(calls, calls[1:], strict=False)]
         assert gaps[1] >= AGAIN_S and gaps[2] >= 1.9 * AGAIN_S
     run(scene())
+
+
+def test_only_where_each_courier_asks_for_the_list_are_the_calls_of_all_spread() -> None:
+    """An agent that is told by itself counts a change as told at once: a watch that begins 5 s late breaks the rule."""
+    classes = (api.MessageClass(2_000_000, 20_000_000, api.Effect.SAFE),)
+    asking, told = (Settings(classes=classes, slots=4, senders=200, ask_for_list=asks) for asks in (True, False))
+    assert callers(asking) == 200 and callers(told) == 1
+    rng = random.Random(3)
+    assert wait_s(1, 0, rng) == 0.0  # a start
+    assert wait_s(1, 1, rng, lasted_s=30.0) == 0.0  # a watch that was long open and broke
+    assert wait_s(1, 1, rng, lasted_s=0.1) == AGAIN_S - 0.1  # one that ends at once is no busy loop
+
+
+def test_a_watch_that_moves_begins_as_at_a_start_not_as_after_a_failure(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene() -> None:
+        asked = []
+
+        def wait(couriers: int, failures: int, rng: random.Random, lasted_s: float = 0.0) -> float:
+            asked.append(failures)
+            return 0.0
+        monkeypatch.setattr(platform, "wait_s", wait)
+        first, second = Platform(), Platform()
+        address = Address.parse(await first.start())
+        async with aiohttp.ClientSession() as http:
+            watch = Watch(http, address, Names((), (), (), ()), 0, lambda kind, rows: None, couriers=1, seed=5)
+            running = asyncio.create_task(watch.run())
+            await first.wait_watches(1)
+            watch.move(Address.parse(await second.start()))
+            await second.wait_watches(1)
+            running.cancel()
+        assert asked == [0, 0]
+        await first.stop()
+        await second.stop()
+    run(scene())
+
+
+class _OldList(Courier):
+    """What its configuration knows of the list is old."""
+
+    old: tuple[dict[str, object], ...] = ()
+
+    def config(self, platform: Platform) -> str:
+        data = json.loads(super().config(platform))
+        return json.dumps({**data, "known": {"seq": 0, "whole": True, "hosts": self.old or data["known"]["hosts"]}})
+
+
+def test_what_a_restart_restores_goes_by_the_list_of_now_not_by_the_one_of_before(tmp_path: Path) -> None:
+    async def scene() -> None:
+        discovery, gone, there = Platform(), Endpoint(), Endpoint()
+        await discovery.start()
+        at = await gone.start()
+        discovery.list(host("e0", at, health="DRAINING"))
+        courier = _OldList(tmp_path, discovery, {**SETTINGS, "discovery": "automatic", "tick_us": 1})
+        await courier.start()
+        assert await courier.hand_in("m1") == 202  # and is held: nothing new goes to what drains
+        await courier.kill()
+        courier.old = (host("e0", at),)
+        discovery.seq += 1
+        discovery.list(host("e1", await there.start()))
+        await courier.start()
+        await there.wait(1)
+        assert gone.calls == []
+        await courier.kill()
+        await discovery.stop()
+    run(scene())
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -19,6 +19,7 @@
 from wheelstep.courier.core import Core
 from wheelstep.courier.inlet import Inlet
 from wheelstep.courier.platform import Notices, Watch, entries
+from wheelstep.courier.spread import callers
 from wheelstep.journal import FolderInUseError, Journal
 from wheelstep.journal.codec import FormatError
 from wheelstep.journal.journal import Sync
@@ -32,6 +33,7 @@
 
 _WORK_ON_S = 2.0  # from SIGTERM until no new attempt starts
 _CLOSE_S = 2.8  # until clients' connections are ended
+_FIRST_LIST_S = 0.2  # the agent beside the courier answers at once, unless discovery is down
 _LEAVE_S = 3.2  # until calls still under way are left to the next process
 
 log = logging.getLogger(__name__)
@@ -66,14 +68,16 @@
         if taker is not None and taker.taken.rows:
             seq, rows = taker.taken.seq, taker.taken.rows
         watch = Watch(http, config.discovery, config.names, seq if isinstance(seq, int) else 0, core.listed,
-                      config.settings.senders, config.seed)
+                      callers(config.settings), config.seed)
         core.listed(api.ListKind.RESTORED, rows)
-        core.restore(journal.marks, journal.messages.values(), taker.taken.calls if taker is not None else ())
-        gc.freeze()  # what was restored lives long: a collection that walked it all would stop the loop
         async with asyncio.TaskGroup() as group:  # a task that dies ends the process with its traceback
             tasks = [group.create_task(work) for work in
                      (core.notices.run(), watch.run(), core.outlet.sweep(), inlet.sweep(),
                       journal.compact_for_good(), follow_config(config, renewed, watch, core.notices, core=core))]
+            if taker is None:  # what is restored may not go to an endpoint that the list has lost meanwhile
+                await watch.told(_FIRST_LIST_S)
+            core.restore(journal.marks, journal.messages.values(), taker.taken.calls if taker is not None else ())
+            gc.freeze()  # what was restored lives long: a collection that walked it all would stop the loop
             port = await inlet.start(config.listen, taker.taken.listener if taker is not None else None)
             if taker is not None:
                 await taker.go_on(core, inlet)
--- a/wheelstep/courier/platform.py
+++ b/wheelstep/courier/platform.py
@@ -7,7 +7,7 @@
 import logging
 import random
 from collections.abc import AsyncIterator, Callable, Mapping
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from typing import Any
 
 import aiohttp
@@ -66,14 +66,15 @@
 
 
 class Watch:
-    """Follows discovery for good: through silence, garbage and broken connections. The seed spreads the calls of many
-    couriers that lost it at the same moment."""
+    """Follows discovery for good: through silence, garbage and broken connections. The seed spreads the calls of
+    `couriers` (see `spread.callers`) that lost it at the same moment."""
 
     def __init__(self, http: aiohttp.ClientSession, discovery: Address, names: Names, seq: int,
                  listed: Listed, couriers: int = 1, seed: int = 0) -> None:
         self._http, self._names, self._listed, self._seq = http, names, listed, seq
         self._couriers, self._rng, self._failures = couriers, random.Random(f"watch {seed}"), 0
-        self._place = _Place(discovery, "/v1/servers")
+        self._place, self._moved = _Place(discovery, "/v1/servers"), False
+        self._answered = asyncio.Event()
 
     @property
     def seq(self) -> int:
@@ -82,18 +83,27 @@
 
     def move(self, discovery: Address) -> None:
         """Follow discovery at another address, from its whole list on: it may count in its own way."""
-        self._seq = 0
+        self._seq, self._moved = 0, True
         self._place.move(discovery)
 
+    async def told(self, within_s: float) -> None:
+        """Wait for the first answer, for so long at most. At once where calls are spread."""
+        if self._couriers <= 1:
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self._answered.wait(), within_s)
+
     async def run(self) -> None:
         """Watch, and begin again from the last version whenever a watch ends."""
+        loop, lasted_s = asyncio.get_running_loop(), 0.0
         while True:
-            await asyncio.sleep(wait_s(self._couriers, self._failures, self._rng))
+            await asyncio.sleep(wait_s(self._couriers, self._failures, self._rng, lasted_s))
+            began_s, self._moved = loop.time(), False
             try:
                 await self._follow()
             except (aiohttp.ClientError, OSError, TimeoutError, ValueError, RecursionError) as error:
                 log.info("discovery: watch ended: %.200r", error)
-            self._failures += 1  # in a row, with this one
+            self._failures = 0 if self._moved else self._failures + 1  # in a row, with this one
+            lasted_s = loop.time() - began_s
 
     async def _follow(self) -> None:
         limits = aiohttp.ClientTimeout(total=None, sock_connect=2.0, sock_read=_SILENT_S)
@@ -106,6 +116,7 @@
                 self._failures = 0
                 if line.strip():
                     self._take(line)
+                self._answered.set()
 
     def _take(self, line: bytes) -> None:
         data = json.loads(line)
--- a/wheelstep/workers/supervisor.py
+++ b/wheelstep/workers/supervisor.py
@@ -21,6 +21,7 @@
 from wheelstep.courier.inlet import bind
 from wheelstep.courier.platform import Watch, entries
 from wheelstep.courier.rows import Row, write_rows
+from wheelstep.courier.spread import callers
 from wheelstep.journal.disk import Folder
 from wheelstep.workers import ownership
 from wheelstep.workers.frames import Frames
@@ -68,7 +69,7 @@
         async with aiohttp.ClientSession(auto_decompress=False, trust_env=False) as http, \
                 asyncio.TaskGroup() as self._group:
             watch = Watch(http, self._config.discovery, self._config.names, seq if isinstance(seq, int) else 0,
-                          self._listed, self._config.settings.senders, self._config.seed)
+                          self._listed, callers(self._config.settings), self._config.seed)
             tasks = [self._group.create_task(work) for work in (
                 self._tick(), watch.run(),
                 follow_config(self._config, renewed, watch, self, heeded=self._reload))]
