--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -215,3 +215,14 @@
 def crowded(seed: int, senders: int = 200) -> Fleet:
     """Sixteen places for 200 senders, twelve busy at the mean rate; two thirds of the limit are wanted."""
     return Fleet(seed, Limit(72), 48, senders, table=Table(16)).run(20 * S)
+
+
+def uneven(seed: int, senders: int = 200) -> Fleet:
+    """Half as much again as the limit is offered; a few senders have several times the mean, many nearly nothing.
+    An even part is a call in five seconds. The limit is halved from 10 to 16 s."""
+    rng = random.Random(seed)
+    weights = [rng.expovariate(1) ** 2 + 0.05 for _ in range(senders)]
+    fleet = Fleet(seed, Limit(40), 60, senders, weights)
+    for at_s, per_s in ((10, 20.0), (16, 40.0)):
+        fleet.at(at_s * S, lambda now, per_s=per_s: setattr(fleet.limit, "per_s", per_s))
+    return fleet.run(25 * S)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,7 +7,7 @@
 from statistics import median
 
 import pytest
-from fleet import MS, Fleet, Limit, S, crowded, halved, hot, restarted, small
+from fleet import MS, Fleet, Limit, S, crowded, halved, hot, restarted, small, uneven
 from helpers import Drive
 
 from wheelstep import interface as api
@@ -78,6 +78,18 @@
         assert fleet.unfair() <= 4.0
 
 
+def test_where_an_even_part_is_a_call_in_seconds_the_busy_ones_still_grow_to_use_the_limit() -> None:
+    """Before: 17 to 29 of 40 a second in the nine seconds after the limit is back, 22 in the middle."""
+    used = []
+    for seed in SEEDS:
+        fleet = uneven(seed)
+        used.append(fleet.rate(16, 25, True))
+        assert fleet.refused(3, 10) <= 0.1
+        assert fleet.refused(18, 25) <= 0.15
+    assert median(used) >= 29
+    assert min(used) >= 25
+
+
 @pytest.mark.parametrize(("senders", "report", "slower"), [
     (200, None, False), (200, api.LimitReport(40.0, 0.0), True), (3, None, True)])
 def test_in_a_large_fleet_only_a_refusal_with_a_report_slows_the_pace(
--- a/wheelstep/logic.py
+++ b/wheelstep/logic.py
@@ -240,7 +240,7 @@
     def _grow(self, now_us: int) -> None:
         """By time, not by deliveries: a sender that sends little gets back as fast as one that sends much.
         Only one that has sent of late, within the gap of its pace, goes beyond CALM."""
-        for_s = min(now_us - self._grown_us, 2_000_000) / 1e6
+        for_s = min(now_us - self._grown_us, max(2_000_000.0, 1e6 / self.rate)) / 1e6
         self._grown_us, calm = now_us, CALM * self.even
         if self.rate < calm:
             self.rate = min(calm, self.rate + RECOVERY * self.even * for_s)
@@ -421,8 +421,8 @@
         return was_sick != self.sick
 
     def _crowded_out(self, now_us: int) -> None:
-        """A refusal without a report where answers hold them shows no limit: mostly its table of connections is
-        full. Guards a destination's pace against that; it harms where one that is shut tells nothing else."""
+        """A refusal without a report where answers hold them shows no limit: mostly its table of connections
+        is full. Guards a destination's pace against that; it harms where one that is shut tells no more."""
         pause_us = self.pacer.spread_us() * 2 ** min(self._crowded, 3)
         self._crowded += 1
         self._next_us = max(self._next_us, now_us + pause_us)
@@ -827,7 +827,7 @@
                 self._overtakes(call)
             elif outcome is Outcome.TIMEOUT:  # what has idled since before may be as silent
                 self._actions.append(api.CloseIdle(endpoint.info.endpoint, event.spent_us))
-            # Where many senders share a table of connections, one that only waits for its pace keeps others out.
+            # Where many senders share a table of connections, one that waits for its pace keeps others out.
             pausing = self._s.senders > CROWD and endpoint.ready_us() > self._now + endpoint.usual_us
             if (pausing or not destination.waiting) and endpoint.rarely_used(self._now):
                 endpoint.used_us = -1
