--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -100,6 +100,11 @@
         self._count += 1
         heapq.heappush(self._queue, (when_us, self._count, what))
 
+    def limited(self, *steps: tuple[int, float]) -> None:
+        """From these seconds on, so many calls a second."""
+        for at_s, per_s in steps:
+            self.at(at_s * S, lambda now, per_s=per_s: setattr(self.limit, "per_s", per_s))
+
     def tell(self, number: int, now_us: int, *events: api.Event) -> None:
         """Hand a module what has happened, and carry out its answer."""
         calls: dict[str, list[str]] = {}
@@ -194,8 +199,7 @@
 def halved(seed: int, senders: int = 40) -> Fleet:
     """The limit is halved from 8 to 17 s."""
     fleet = hot(seed, senders, 190)
-    for at_s, per_s in ((8, 24.0), (17, 48.0)):
-        fleet.at(at_s * S, lambda now, per_s=per_s: setattr(fleet.limit, "per_s", per_s))
+    fleet.limited((8, 24.0), (17, 48.0))
     return fleet.run(26 * S)
 
 
@@ -223,6 +227,5 @@
     rng = random.Random(seed)
     weights = [rng.expovariate(1) ** 2 + 0.05 for _ in range(senders)]
     fleet = Fleet(seed, Limit(40), 60, senders, weights)
-    for at_s, per_s in ((10, 20.0), (16, 40.0)):
-        fleet.at(at_s * S, lambda now, per_s=per_s: setattr(fleet.limit, "per_s", per_s))
+    fleet.limited((10, 20.0), (16, 40.0))
     return fleet.run(25 * S)
