--- a/wheelstep/cli/__main__.py
+++ b/wheelstep/cli/__main__.py
@@ -92,6 +92,16 @@
         tool.add_argument("--json", action="store_true", help="one JSON object")
         if verb == "inspect":
             tool.add_argument("--messages", action="store_true", help="each message, without its body")
+    account = commands.add_parser("account", help="where worth was lost, from the logs of couriers that tell it")
+    kinds = account.add_subparsers(dest="verb", required=True, metavar="VERB")
+    shown = kinds.add_parser("show", help="the sums, over all couriers")
+    shown.add_argument("logs", nargs="+", metavar="LOG", help="a courier's log, or a folder of them")
+    shown.add_argument("--by", choices=["cause", "second", "class", "courier"], default="cause")
+    shown.add_argument("--json", action="store_true", help="one JSON object, with all tables")
+    trace = kinds.add_parser("trace", help="one message's course through all couriers")
+    trace.add_argument("message", metavar="ID")
+    trace.add_argument("logs", nargs="+", metavar="LOG", help="a courier's log, or a folder of them")
+    trace.add_argument("--json", action="store_true", help="a JSON object a line")
     return top
 
 
@@ -130,6 +140,9 @@
             except LayoutError as error:
                 raise InputError(str(error)) from error
             return OK
+        if given.command == "account":
+            from wheelstep.cli import account_commands
+            return account_commands.run(given)
         if given.command == "journal":
             from wheelstep.cli import journal_commands
             return journal_commands.run(given)
--- /dev/null
+++ b/wheelstep/cli/account_commands.py
@@ -0,0 +1,131 @@
+"""`umberchute account`: needs nothing but the account's package."""
+
+from __future__ import annotations
+
+import argparse
+import json
+from collections.abc import Iterator, Sequence
+from dataclasses import asdict
+from pathlib import Path
+from typing import Any
+
+from wheelstep.account.lines import Line, LineError, read
+from wheelstep.account.tally import Account, Book
+from wheelstep.cli.exits import OK, InputError
+
+_WORDS = {
+    "take": "taken on: class {1}, destination {2}, {4} ms left", "back": "found in the journal: {4} ms left",
+    "door": "turned away at the door: status {2}", "go": "attempt {1} begins at {2}",
+    "out": "attempt {1} at {2}: {3} after {4} ms", "end": "ends undelivered: {1}"}
+
+
+def run(given: argparse.Namespace) -> int:
+    """Carry out a parsed command: 0, or 2 where logs can't be read or tell nothing."""
+    files = list(_files(given.logs))
+    if given.verb == "trace":
+        return _trace(given.message, files, given.json)
+    book = Book()
+    for file in files:
+        take = book.courier(file.name)
+        for text in _lines(file):
+            take(text)
+    if not book.read:
+        raise InputError(f"{given.logs[0]}: no line of an account in {len(files)} files; expected logs of couriers "
+                         "with [account] on = true in the operator's file")
+    account = book.account()
+    if given.json:
+        print(json.dumps(_plain(account, book.damaged), sort_keys=True))
+    else:
+        _show(account, book.damaged, given.by)
+    return OK
+
+
+def _files(names: Sequence[str]) -> Iterator[Path]:
+    for name in names:
+        path = Path(name)
+        if path.is_dir():
+            yield from sorted(file for file in path.rglob("*") if file.is_file())
+        elif path.is_file():
+            yield path
+        else:
+            raise InputError(f"{name}: is not there; expected a courier's log, or a folder of them")
+
+
+def _lines(file: Path) -> Iterator[str]:
+    try:
+        with open(file, encoding="utf-8", errors="replace") as lines:
+            yield from lines
+    except OSError as error:
+        raise InputError(f"{file}: can't be read: {error}") from error
+
+
+def _trace(message: str, files: Sequence[Path], as_json: bool) -> int:
+    """One message's course through all logs, by time."""
+    found: list[tuple[int, str, Line]] = []
+    for file in files:
+        courier = file.name
+        for text in _lines(file):
+            try:
+                line = read(text)
+            except LineError:
+                continue
+            if line is not None and line.kind == "head":
+                courier = str(line.fields[0])
+            elif line is not None and line.kind in _WORDS and str(line.fields[0]) == message:
+                found.append((line.at_ms, courier, line))
+    if not found:
+        raise InputError(f"{message}: in none of {len(files)} logs; expected a message's id as couriers log it")
+    found.sort(key=lambda row: row[0])
+    for at_ms, courier, line in found:
+        words = _WORDS[line.kind].format(*line.fields)
+        if as_json:
+            print(json.dumps({"at_ms": at_ms, "courier": courier, "kind": line.kind, "text": words}))
+        else:
+            print(f"{(at_ms - found[0][0]) / 1000:9.3f} s  {courier:8} {words}"
+                  + (", over" if line.kind == "out" and line.fields[5] else ""))
+    return OK
+
+
+def _plain(account: Account, damaged: int) -> dict[str, Any]:
+    return {
+        "messages": account.messages, "pending": account.pending, "worth": round(account.worth, 3),
+        "lost": round(account.lost, 3), "how": dict(account.how), "damaged_lines": damaged,
+        "causes": _rounded(account.causes), "classes": {name: _rounded(row) for name, row in account.classes.items()},
+        "couriers": _rounded(account.couriers),
+        "seconds": {second: _rounded(row) for second, row in sorted(account.seconds.items())},
+        "fleet": {second: asdict(row) for second, row in sorted(account.fleet.items())}}
+
+
+def _rounded(row: dict[str, float]) -> dict[str, float]:
+    return {name: round(value, 3) for name, value in sorted(row.items(), key=lambda pair: -pair[1])}
+
+
+def _show(account: Account, damaged: int, by: str) -> None:
+    share = account.lost / account.worth if account.worth else 0.0
+    print(f"{account.messages} messages, worth {account.worth:.1f}; lost {account.lost:.1f} ({share:.1%}); "
+          + ", ".join(f"{many} {how}" for how, many in account.how.most_common())
+          + (f"; {account.pending} whose time was not over" if account.pending else "")
+          + (f"; {damaged} damaged lines passed over" if damaged else ""))
+    names = list(_rounded(account.causes))
+    if by == "cause":
+        for name in names:
+            print(f"  {account.causes[name]:10.1f}  {account.causes[name] / max(account.lost, 1e-9):6.1%}  {name}")
+    elif by == "class":
+        _grid("class", names, sorted(account.classes.items()))
+    elif by == "courier":
+        for courier, lost in list(_rounded(account.couriers).items())[:30]:
+            print(f"  {lost:10.1f}  {courier}")
+    else:
+        _grid("second", names, sorted(account.seconds.items()))
+    print("fleet: second, calls, refused, of these without a report, probes, handshakes, list calls, connections")
+    for second, row in sorted(account.fleet.items()):
+        print(f"  {second:6} {row.calls:7} {row.refused:7} {row.untold:7} {row.probes:7} {row.handshakes:7} "
+              f"{row.lists:7} {row.links:7}")
+
+
+def _grid(head: str, names: Sequence[str], rows: Sequence[tuple[object, dict[str, float]]]) -> None:
+    shown = names[:8]
+    print(f"  {head:>8} {'all':>8}  " + "  ".join(shown))
+    for name, row in rows:
+        cells = "  ".join(f"{row.get(cause, 0.0):{len(cause)}.1f}" for cause in shown)
+        print(f"  {name!s:>8} {sum(row.values()):8.1f}  {cells}")
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -25,6 +25,7 @@
 from wheelstep.journal.journal import Sync
 
 if TYPE_CHECKING:  # what is off is not imported
+    from wheelstep.account.writer import Account
     from wheelstep.console.front import Front
     from wheelstep.operator import Operator
     from wheelstep.recording.writer import Recorder
@@ -56,7 +57,7 @@
         journal, taker = got
     core = Core(config, journal)
     if operator is not None:
-        core.recorder = recorder(operator, config)
+        core.recorder, core.account = recorder(operator, config), account(operator, config)
     inlet = Inlet(core, core.ordered, config.sockets // 3, keep=console is not None)
     giver: Giver | None = None
     if console is not None:
@@ -74,6 +75,9 @@
             tasks = [group.create_task(work) for work in
                      (core.notices.run(), watch.run(), core.outlet.sweep(), inlet.sweep(),
                       journal.compact_for_good(), follow_config(config, renewed, watch, core.notices, core=core))]
+            if core.account is not None:
+                tasks.append(group.create_task(core.account.run(core.gauge)))
+                watch.account = core.account
             if taker is None:  # what is restored may not go to an endpoint that the list has lost meanwhile
                 await watch.told(_FIRST_LIST_S)
             core.restore(journal.marks, journal.messages.values(), taker.taken.calls if taker is not None else ())
@@ -194,6 +198,15 @@
     return Recorder(recording.file, head, int(recording.max_mb * 1_000_000), recording.bodies)
 
 
+def account(operator: Operator, config: Config) -> Account | None:
+    """Where the operator's file asks for the account's lines."""
+    if not operator.account.on:
+        return None
+    from wheelstep.account.writer import Account
+    classes = dict(zip(config.names.classes, config.settings.classes, strict=True))
+    return Account(config.name, classes, config.settings.decay)
+
+
 class Moves(Protocol):
     """What has its place at discovery."""
 
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -19,6 +19,7 @@
 from wheelstep.journal import NoRoomError, Stored
 
 if TYPE_CHECKING:  # what is off is not imported
+    from wheelstep.account.writer import Account
     from wheelstep.console.figures import Figures
     from wheelstep.recording.writer import Recorder
     from wheelstep.renewal.classes import ClassTable
@@ -106,6 +107,7 @@
         self.tells_deliveries = False  # are notices owed of what was delivered as well?
         self.recorder: Recorder | None = None
         self.figures: Figures | None = None
+        self.account: Account | None = None
         self._out: set[str] = set()  # endpoints out by hand, listed or not
         self.ready = self.stopping = False
         self.frozen = False  # nothing is begun: another process is about to go on from here
@@ -169,6 +171,11 @@
         skipped = sum(name in self._out or bool(marks.get(name, (0, False))[1]) for name in self._listed)
         return render(self.figures or Figures(), Gauges(len(self._held), len(self._listed), skipped), self.ordered)
 
+    def gauge(self) -> tuple[int, int, int, list[tuple[int, api.Holdup, int]]]:
+        """Slots out, connections open, handshakes since the start, and what holds messages up."""
+        held = self._sender.holdups(time.monotonic_ns() // 1000)
+        return len(self.outlet.calls()), self.outlet.links(), self.outlet.dials, held
+
     # --- settings that change (SIGHUP) ---
 
     def renew(self, config: Config) -> None:
@@ -278,6 +285,12 @@
 
     def handed_in(self, message: Stored, status: int) -> None:
         """Count a refusal, and record it where the operator wants that."""
+        if self.account is not None:
+            if status == 202:
+                self.account.taken(message.id, message.message_class, message.destination, message.key,
+                                   _left_us(message) // 1000, message.resubmitted)
+            else:
+                self.account.turned_away(message.id, message.message_class, status)
         if self.figures is not None and status == 503:
             self.figures.ended(message.message_class, "handed_back")
         if self.recorder is not None:
@@ -365,6 +378,9 @@
                 self._end(message, "given_up", 0)
             else:
                 self._hold(message)
+                if self.account is not None:
+                    self.account.taken(message.id, message.message_class, message.destination, message.key,
+                                       _left_us(message) // 1000, message.resubmitted, restored=True)
                 at, number, call = out.get(message.id, (0, None, None))
                 ran = message.may_have_run(but=number)
                 self._post(api.MessageRestored(
@@ -419,6 +435,8 @@
         now_ms = int(time.time() * 1000)
         for item in items:
             self._journal.attempt(item.message, item.attempt, now_ms, endpoint)
+            if self.account is not None:
+                self.account.starting(item.message, item.attempt, endpoint)
 
     def told_to_wait(self, endpoint: str, wait_us: int) -> None:
         """Nothing more goes there for so long, also of what is being dialled."""
@@ -442,6 +460,10 @@
                 log.info("%s attempt %d at %s: %s after %d ms%s", item.message, item.attempt, endpoint,
                          result.outcome.value, result.spent_us // 1000, ", over" if result.over else "")
             complete = result.outcome is Outcome.OK or result.over or held is None
+            if self.account is not None:
+                self.account.ended(item.message, item.attempt, endpoint, result.outcome.value, result.spent_us,
+                                   result.outcome is Outcome.OK or result.over,
+                                   None if result.limit is None else result.limit.left)
             if held is not None and complete:
                 if self.figures is not None and not result.over:
                     self.figures.passed[held.message_class] += 1
@@ -461,6 +483,8 @@
         """The outcome of a probe."""
         if self._tell is not None:
             return
+        if self.account is not None:
+            self.account.probed(endpoint, result.outcome.value)
         self._post(api.ProbeEnded(endpoint, result.outcome, result.spent_us, result.limit))
 
     def answered(self, messages: list[str]) -> None:
@@ -562,6 +586,8 @@
         self._journal.end(message.id, outcome, retry_ms)
         if self.figures is not None:
             self.figures.ended(message.message_class, outcome)
+        if self.account is not None:
+            self.account.final(message.id, outcome)
         self._owe(message)
 
     def _owe(self, message: Stored) -> None:
--- a/wheelstep/courier/outlet.py
+++ b/wheelstep/courier/outlet.py
@@ -105,6 +105,7 @@
         self._hosts: dict[str, _Host] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._calls: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self.dials = 0  # handshakes begun
         self.sign: Callable[[str, Item], Sequence[tuple[str, str]]] | None = None  # further headers of single calls
 
     def list(self, endpoint: str, address: Address) -> None:
@@ -155,6 +156,10 @@
             found.setdefault(task, []).append(attempt)
         return [*found.values()]
 
+    def links(self) -> int:
+        """Connections: with a call, or being dialled, and idle."""
+        return len(self._tasks) + sum(len(host.idle) for host in self._hosts.values())
+
     async def finish(self, timeout_s: float) -> None:
         """Wait for the calls under way, up to a time."""
         if self._tasks:
@@ -299,11 +304,12 @@
         # Guards the descriptors: every task here holds one connection at most.
         if len(self._tasks) > self._most:
             raise BrokenError("too many connections of this courier")
-        if len(self._tasks) + sum(len(host.idle) for host in self._hosts.values()) > self._most:
+        if self.links() > self._most:
             oldest = min((host for host in self._hosts.values() if host.idle),
                          key=lambda host: host.idle[0].idle_since)
             oldest.idle.pop(0).close()
         progress.dialled = True
+        self.dials += 1
         try:
             async with asyncio.timeout(self._dial_s):
                 return await Connection.dial(host.address)
--- a/wheelstep/courier/platform.py
+++ b/wheelstep/courier/platform.py
@@ -8,7 +8,7 @@
 import random
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager, suppress
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
 
@@ -16,6 +16,9 @@
 from wheelstep.courier.config import UNREADABLE, Address, Names
 from wheelstep.courier.spread import wait_s
 
+if TYPE_CHECKING:  # what is off is not imported
+    from wheelstep.account.writer import Account
+
 _SILENT_S = 4.5  # a watch says something every 2 s, and changes count as told after 6 s
 _AGAIN_S = 0.25  # before a notice that was not taken is sent again: the agent beside us takes it, at no cost
 _MOST_LINES = 200  # notices in one request
@@ -75,6 +78,7 @@
         self._couriers, self._rng, self._failures = couriers, random.Random(f"watch {seed}"), 0
         self._place, self._moved = _Place(discovery, "/v1/servers"), False
         self._answered = asyncio.Event()
+        self.account: Account | None = None
 
     @property
     def seq(self) -> int:
@@ -108,6 +112,8 @@
     async def _follow(self) -> None:
         limits = aiohttp.ClientTimeout(total=None, sock_connect=2.0, sock_read=_SILENT_S)
         params = {"watch": "1", "after": str(self._seq)}
+        if self.account is not None:
+            self.account.lists += 1
         async with self._place.exchange() as url, self._http.get(
                 url, params=params, timeout=limits, read_bufsize=_MOST_LINE) as answer:
             if answer.status != 200:
--- a/wheelstep/interface.py
+++ b/wheelstep/interface.py
@@ -50,6 +50,20 @@
     REMOVED = "removed"
 
 
+class Holdup(Enum):
+    """What keeps the messages that wait for a destination from going just now."""
+
+    NOTHING = "nothing"  # the next batch sends one
+    SLOTS = "slots"  # all of this sender's slots are out
+    WINDOW = "window"  # so many calls are out to this destination as it may have at once
+    LIMIT = "limit"  # the pace of its limit, or a wait that was told
+    SICK = "sick"  # its endpoints are out, and the next trial is not due
+    RETURNING = "returning"  # an endpoint on its way back gets its traffic back step by step
+    CROWDED = "crowded"  # an endpoint rests after a refusal that told of no limit
+    GONE = "gone"  # the list names no endpoint that is up
+    DOUBT = "doubt"  # an endpoint could take a call, but none of the messages may go there
+
+
 class ListKind(Enum):
     """What a membership event carries."""
 
--- a/wheelstep/logic.py
+++ b/wheelstep/logic.py
@@ -378,6 +378,18 @@
             return math.inf
         return max(self._next_us, self.pacer.ready_us())
 
+    def holdup(self, now_us: int) -> api.Holdup:
+        """What keeps a call from going here now."""
+        if self.info.state is not EndpointState.UP:
+            return api.Holdup.GONE
+        if self.ready_us() <= now_us:
+            return api.Holdup.DOUBT
+        if self.sick:
+            return api.Holdup.SICK
+        if self.pacer.ready_us() >= self._next_us:
+            return api.Holdup.LIMIT
+        return api.Holdup.CROWDED if self._ramp_us is None else api.Holdup.RETURNING
+
     def _ramp(self, now_us: int, work: float) -> None:
         """Keep the ramp's pace for so much work; past its end there is none."""
         if self._ramp_us is not None and now_us - self._ramp_us >= self._s.cold_us:
@@ -905,6 +917,24 @@
                 self._note(endpoint)
         return [action for action in self._actions if isinstance(action, api.NoteHealth)]
 
+    def holdups(self, now_us: int) -> list[tuple[int, api.Holdup, int]]:
+        """For the operators: each destination that messages wait for, why they do, and how many they are."""
+        return [(destination.number, self._holdup(destination, now_us), destination.waiting)
+                for destination in self._backlog.values()]
+
+    def _holdup(self, destination: Destination, now_us: int) -> api.Holdup:
+        if self._calls_out >= self._s.slots:
+            return api.Holdup.SLOTS
+        if not destination.window.room(destination.calls_out, self._doubtful(destination)):
+            return api.Holdup.WINDOW
+        if destination.number in self._ready:
+            return api.Holdup.NOTHING
+        first = min(destination.endpoints, key=Endpoint.ready_us, default=None)
+        return api.Holdup.GONE if first is None else first.holdup(now_us)
+
+    def _doubtful(self, destination: Destination) -> bool:
+        return destination.loop.tau_us >= self._t1_us or any(e.sick for e in destination.endpoints)
+
     def _recall(self, endpoint: Endpoint, event: api.HealthRestored) -> None:
         endpoint.restore(self._now, event.health, event.ago_us)
         destination = self._destination(endpoint.info.destination)
@@ -1061,8 +1091,7 @@
             self._at(silent_us, lambda: self._watch(endpoint))
 
     def _send_one(self, destination: Destination, heads: list[Message]) -> bool:
-        doubtful = destination.loop.tau_us >= self._t1_us or any(e.sick for e in destination.endpoints)
-        if not destination.window.room(destination.calls_out, doubtful):
+        if not destination.window.room(destination.calls_out, self._doubtful(destination)):
             return False
         if hopeless := [m for m in heads if self._now + destination.needs_us() > m.due_us]:
             # Guards against a backlog that is as old as its deadline: sent in turn, every one would come too
--- a/wheelstep/operator.py
+++ b/wheelstep/operator.py
@@ -35,6 +35,12 @@
     segment_kb: Annotated[int, Field(ge=0, le=1_000_000)] = 0
 
 
+class AccountPart(Part):
+    """Whether the log tells what the account is made from (`umberchute account`)."""
+
+    on: bool = False
+
+
 class WorkersPart(Part):
     """Whether the courier runs on several cores, and what is done about workers in trouble."""
 
@@ -48,6 +54,7 @@
 class Operator(Part):
     """The whole file."""
 
+    account: AccountPart = AccountPart()
     journal: JournalPart = JournalPart()
     recording: RecordingPart = RecordingPart()
     workers: WorkersPart = WorkersPart()
--- a/wheelstep/workers/worker.py
+++ b/wheelstep/workers/worker.py
@@ -19,7 +19,7 @@
 import aiohttp
 
 from wheelstep import interface as api
-from wheelstep.courier.__main__ import leave, open_journal, recorder
+from wheelstep.courier.__main__ import account, leave, open_journal, recorder
 from wheelstep.courier.config import Address, Config, ConfigError, load
 from wheelstep.courier.core import Core
 from wheelstep.courier.inlet import Desk, Inlet
@@ -95,7 +95,7 @@
         self._leaving = asyncio.Event()
         self._control = Frames(self._told, self._orphaned)
         if operator is not None:
-            self._core.recorder = recorder(operator, config)
+            self._core.recorder, self._core.account = recorder(operator, config), account(operator, config)
 
     # --- for the door ---
 
@@ -203,6 +203,8 @@
             counters = await loop.create_unix_server(lambda: Counter(self._ours).frames, self._path)
             self._tasks = [self._group.create_task(work) for work in (
                 self._beat(), inlet.sweep(), self._notices.run(), self._core.outlet.sweep())]
+            if self._core.account is not None:
+                self._tasks.append(self._group.create_task(self._core.account.run(self._core.gauge)))
             await loop.create_unix_connection(lambda: self._control, sock=control)
             await inlet.start(self._config.listen, listener)
             await self._leaving.wait()
