--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -158,6 +158,19 @@
              for name in ("order", "limit waited for")}
     assert parts["order"] == pytest.approx(2 * parts["limit waited for"]) and rows["then"].lost == pytest.approx(1.0)
     assert {span.cause.value for span, _ in rows["first"].parts} == {"limit waited for"}
+    assert dict(story.account().behind) == {"limit waited for": pytest.approx(parts["order"])}
+
+
+def test_behind_many_of_a_key_the_first_one_s_cause_is_told_and_no_stack_grows() -> None:
+    story = Story()
+    for number in range(3000):
+        story.say("n0", number, "take", f"m{number}", "ordered", 7, "k", 10_000, False)
+    story.held("n0", 6000, Holdup.SICK)
+    for number in range(3000):
+        story.say("n0", 6000 + number, "out", f"m{number}", 0, "e0", "ok", 0, True, None, None)
+    account = story.account()
+    assert account.how == {"late": 3000}
+    assert account.behind["sick destination"] >= 0.6 * account.causes["order"] > 0
 
 
 def test_what_was_in_time_costs_nothing_and_a_failed_call_costs_its_length() -> None:
--- a/wheelstep/account/course.py
+++ b/wheelstep/account/course.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left, bisect_right
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -75,6 +75,15 @@
     from_ms: int
     to_ms: int
     cause: Cause
+    behind: Cause | None = None  # ORDER: what the message in front spent the time on
+
+    def within(self, from_ms: int, to_ms: int) -> Span:
+        """The part of it in these bounds; empty where there is none."""
+        start_ms = min(max(self.from_ms, from_ms), to_ms)
+        return Span(start_ms, max(min(self.to_ms, to_ms), start_ms), self.cause, self.behind)
+
+
+Turns = dict[str, tuple[int, str]]
 
 
 class Log:
@@ -113,15 +122,16 @@
         self._first_ms = line.at_ms if self._first_ms is None else self._first_ms
         self.last_ms = max(self.last_ms, line.at_ms)
 
-    def turns(self) -> dict[str, int]:
-        """Until when each message had others of its key before it. Once all lines are taken."""
-        found: dict[str, int] = {}
+    def turns(self) -> Turns:
+        """Until when each message had others of its key before it, and the last of these. Once all lines are taken."""
+        found: Turns = {}
         for messages in self._keys.values():
-            until_ms = 0
+            until_ms, last = 0, ""
             for message in messages:
                 if until_ms:
-                    found[message] = until_ms
-                until_ms = max(until_ms, self._closed.get(message, 0))
+                    found[message] = until_ms, last
+                if self._closed.get(message, 0) >= until_ms:
+                    until_ms, last = self._closed.get(message, 0), message
         return found
 
     def waited(self, span: Span, destination: int) -> Iterator[Span]:
@@ -146,11 +156,11 @@
             if up_ms <= at_ms:
                 continue
             if down_ms > at_ms:
-                yield Span(at_ms, down_ms, span.cause)
+                yield span.within(at_ms, down_ms)
             at_ms = min(up_ms, span.to_ms)
             yield Span(max(down_ms, span.from_ms), at_ms, Cause.RESTART)
         if at_ms < span.to_ms:
-            yield Span(at_ms, span.to_ms, span.cause)
+            yield span.within(at_ms, span.to_ms)
 
 
 @dataclass(slots=True)
@@ -192,8 +202,9 @@
                 owed.discard(courier)
         return not owed
 
-    def spans(self, logs: dict[str, Log], turns: dict[str, dict[str, int]], until_ms: int) -> list[Span]:
-        """All its time, up to its delivery or `until_ms`."""
+    def spans(self, logs: dict[str, Log], turns: dict[str, Turns], until_ms: int,
+              front: Callable[[str], Sequence[Span]]) -> list[Span]:
+        """All its time, up to its delivery or `until_ms`. `front` gives the spans of a message before it."""
         found: list[Span] = []
         over_ms = min(self.delivered_ms() or until_ms, until_ms)
         for at, (at_ms, _, courier, line) in enumerate(self.lines):
@@ -201,10 +212,12 @@
                 break
             later = self.lines[at + 1] if at + 1 < len(self.lines) else None
             to_ms = min(later[0] if later is not None else over_ms, over_ms)
-            found += self._after(line, at, Span(at_ms, to_ms, Cause.UNKNOWN), logs[courier], turns[courier])
-        return [span for span in found if span.to_ms > span.from_ms]
+            turn = turns[courier].get(self.message, (0, ""))
+            found += self._after(line, at, Span(at_ms, to_ms, Cause.UNKNOWN), logs[courier], turn, front)
+        return joined(found)
 
-    def _after(self, line: Line, at: int, span: Span, log: Log, turns: dict[str, int]) -> Iterable[Span]:
+    def _after(self, line: Line, at: int, span: Span, log: Log, turn: tuple[int, str],
+               front: Callable[[str], Sequence[Span]]) -> Iterable[Span]:
         """What the time from this line to the next went on."""
         match line.kind:
             case "door":
@@ -221,9 +234,9 @@
             case _:
                 cause = Cause.CONNECTION  # on its way to one: nothing holds its destination up
         parts: list[Span] = []
-        turn_ms = min(turns.get(self.message, 0), span.to_ms)
+        turn_ms = min(turn[0], span.to_ms)
         if turn_ms > span.from_ms:
-            parts.append(Span(span.from_ms, turn_ms, Cause.ORDER))
+            parts += behind(front(turn[1]), span.from_ms, turn_ms)
         start_ms = max(span.from_ms, turn_ms)
         parts += log.waited(Span(start_ms, span.to_ms, cause), self.destination)
         return [piece for part in parts for piece in log.without_downs(part)]
@@ -242,35 +255,96 @@
     parts: list[tuple[Span, float]]
 
 
-def loss(course: Course, logs: dict[str, Log], turns: dict[str, dict[str, int]], classes: dict[str, Class],
-         until_ms: int) -> Loss | None:
-    """What became of it; None while its time has not passed, or where no log tells its class."""
-    cls = classes.get(course.cls)
-    if cls is None:
-        return None
-    began_ms = course.began_ms(classes)
-    due_ms = began_ms + cls.deadline_ms
-    delivered_ms, courier = course.delivered_ms(), course.lines[-1][2]
-    if delivered_ms is not None:
-        lost = cls.worth - cls.worth_after(delivered_ms - began_ms)
-        how = "late" if lost > 0 else "in time"
-    elif not course.answered():
-        if until_ms < due_ms + SLACK_MS:
+def joined(spans: Iterable[Span]) -> list[Span]:
+    """The same with neighbours of one cause as one, and without empty ones. Guards against messages of a long queue,
+    each of which would carry the pieces of all in front."""
+    found: list[Span] = []
+    for span in spans:
+        last = found[-1] if found else None
+        if last is not None and (last.to_ms, last.cause, last.behind) == (span.from_ms, span.cause, span.behind):
+            found[-1] = Span(last.from_ms, span.to_ms, last.cause, last.behind)
+        elif span.to_ms > span.from_ms:
+            found.append(span)
+    return found
+
+
+def behind(spans: Sequence[Span], from_ms: int, to_ms: int) -> Iterator[Span]:
+    """The time in which a message waited for its turn, by what the one in front spent it on."""
+    at_ms = from_ms
+    for span in (span.within(from_ms, to_ms) for span in spans):
+        if span.from_ms > at_ms:  # rest between two ends, or time that no line tells of
+            yield Span(at_ms, span.from_ms, Cause.ORDER)
+        if span.to_ms > span.from_ms:
+            yield Span(span.from_ms, span.to_ms, Cause.ORDER, span.behind or span.cause)
+        at_ms = max(at_ms, span.to_ms)
+    if at_ms < to_ms:
+        yield Span(at_ms, to_ms, Cause.ORDER)
+
+
+class Courses:
+    """All of them, with the spans of each worked out once. `until_ms`: when the logs end."""
+
+    def __init__(self, courses: dict[str, Course], logs: dict[str, Log]) -> None:
+        self._courses, self._logs, self._spans = courses, logs, dict[str, list[Span]]()
+        self._turns = {name: log.turns() for name, log in logs.items()}
+        self._until_ms = max((log.last_ms for log in logs.values()), default=0)
+        self.classes: dict[str, Class] = {}
+        for log in logs.values():
+            self.classes.update(log.classes)
+
+    def _due_ms(self, course: Course) -> int:
+        return course.began_ms(self.classes) + self.classes[course.cls].deadline_ms
+
+    def _fronts(self, course: Course) -> set[str]:
+        return {turn[1] for _, _, courier, _ in course.lines
+                if (turn := self._turns[courier].get(course.message)) is not None}
+
+    def spans(self, message: str) -> list[Span]:
+        """What its time went on. Those in front come first; a stack of its own, since a key may have thousands."""
+        stack = [message]
+        opened: set[str] = set()
+        while stack:
+            course = self._courses[stack[-1]]
+            if course.message in self._spans or course.cls not in self.classes:
+                stack.pop()
+            elif course.message not in opened:
+                opened.add(course.message)
+                stack += [front for front in self._fronts(course) if front not in opened]
+            else:
+                until_ms = min(self._until_ms, self._due_ms(course))
+                self._spans[stack.pop()] = course.spans(
+                    self._logs, self._turns, until_ms, lambda front: self._spans.get(front, ()))
+        return self._spans.get(message, [])
+
+    def loss(self, course: Course) -> Loss | None:
+        """What became of it; None while its time has not passed, or where no log tells its class."""
+        cls = self.classes.get(course.cls)
+        if cls is None:
             return None
-        return Loss(course.message, course.cls, cls.worth, cls.worth, "never", courier,
-                    [(Span(course.lines[-1][0], due_ms, Cause.NEVER), cls.worth)])
-    else:
-        ends = [row[3] for row in course.lines if row[3].kind in ("end", "door")]
-        lost, how = cls.worth, str(ends[-1].fields[1]) if ends[-1].kind == "end" else "refused at the door"
-    spans = course.spans(logs, turns, min(until_ms, due_ms))
-    return Loss(course.message, course.cls, cls.worth, lost, how, courier, share(spans, lost, course.lines[-1][0]))
+        began_ms, due_ms = course.began_ms(self.classes), self._due_ms(course)
+        delivered_ms, courier = course.delivered_ms(), course.lines[-1][2]
+        if delivered_ms is not None:
+            lost = cls.worth - cls.worth_after(delivered_ms - began_ms)
+            how = "late" if lost > 0 else "in time"
+        elif not course.answered():
+            if self._until_ms < due_ms + SLACK_MS:
+                return None
+            return Loss(course.message, course.cls, cls.worth, cls.worth, "never", courier,
+                        [(Span(course.lines[-1][0], due_ms, Cause.NEVER), cls.worth)])
+        else:
+            ends = [row[3] for row in course.lines if row[3].kind in ("end", "door")]
+            lost, how = cls.worth, str(ends[-1].fields[1]) if ends[-1].kind == "end" else "refused at the door"
+        return Loss(course.message, course.cls, cls.worth, lost, how, courier,
+                    share(self.spans(course.message), lost, course.lines[-1][0]))
 
 
 def share(spans: Sequence[Span], lost: float, at_ms: int) -> list[tuple[Span, float]]:
-    """Put a loss on spans by their length; where there is none, on what nobody tells."""
+    """Put a loss on spans by their length, second by second; where there is none, on what nobody tells."""
     if not lost:
         return []
     total_ms = sum(span.to_ms - span.from_ms for span in spans)
     if not total_ms:
         return [(Span(at_ms, at_ms, Cause.UNKNOWN), lost)]
-    return [(span, lost * (span.to_ms - span.from_ms) / total_ms) for span in spans]
+    seconds = [span.within(at_s * 1000, at_s * 1000 + 1000) for span in spans
+               for at_s in range(span.from_ms // 1000, (span.to_ms - 1) // 1000 + 1)]
+    return [(span, lost * (span.to_ms - span.from_ms) / total_ms) for span in seconds]
--- a/wheelstep/account/tally.py
+++ b/wheelstep/account/tally.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from wheelstep.account.course import Class, Course, Log, Loss, loss
+from wheelstep.account.course import Cause, Course, Courses, Log, Loss
 from wheelstep.account.lines import Line, LineError, read
 
 _OF_MESSAGE = frozenset({"take", "back", "door", "go", "out", "end"})
@@ -35,6 +35,7 @@
     lost: float = 0.0
     how: Counter[str] = field(default_factory=Counter)
     causes: dict[str, float] = field(default_factory=lambda: defaultdict(float))
+    behind: dict[str, float] = field(default_factory=lambda: defaultdict(float))  # of order: what those in front did
     seconds: dict[int, dict[str, float]] = field(default_factory=lambda: defaultdict(lambda: defaultdict(float)))
     classes: dict[str, dict[str, float]] = field(default_factory=lambda: defaultdict(lambda: defaultdict(float)))
     couriers: dict[str, float] = field(default_factory=lambda: defaultdict(float))
@@ -99,15 +100,11 @@
     def account(self) -> Account:
         """Add up. Seconds are counted from the first line."""
         found = Account()
-        classes: dict[str, Class] = {}
-        for log in self.logs.values():
-            classes.update(log.classes)
-        turns = {name: log.turns() for name, log in self.logs.items()}
-        until_ms = max((log.last_ms for log in self.logs.values()), default=0)
+        courses = Courses(self.courses, self.logs)
         first_s = min(self._fleet, default=0)
         for course in self.courses.values():
             found.messages += 1
-            row = loss(course, self.logs, turns, classes, until_ms)
+            row = courses.loss(course)
             if row is None:
                 found.pending += 1
                 continue
@@ -119,6 +116,8 @@
                 found.losses.append(row)
             for span, lost in row.parts:
                 found.causes[span.cause.value] += lost
+                if span.cause is Cause.ORDER:
+                    found.behind[(span.behind or Cause.UNKNOWN).value] += lost
                 found.classes[row.cls][span.cause.value] += lost
                 found.seconds[span.from_ms // 1000 - first_s][span.cause.value] += lost
         for (second, _), links in self._links.items():
--- a/wheelstep/cli/account_commands.py
+++ b/wheelstep/cli/account_commands.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from typing import Any
 
+from wheelstep.account.course import Cause
 from wheelstep.account.lines import Line, LineError, read
 from wheelstep.account.tally import Account, Book
 from wheelstep.cli.exits import OK, InputError
@@ -90,7 +91,8 @@
     return {
         "messages": account.messages, "pending": account.pending, "worth": round(account.worth, 3),
         "lost": round(account.lost, 3), "how": dict(account.how), "damaged_lines": damaged,
-        "causes": _rounded(account.causes), "classes": {name: _rounded(row) for name, row in account.classes.items()},
+        "causes": _rounded(account.causes), "order_behind": _rounded(account.behind),
+        "classes": {name: _rounded(row) for name, row in account.classes.items()},
         "couriers": _rounded(account.couriers),
         "seconds": {second: _rounded(row) for second, row in sorted(account.seconds.items())},
         "fleet": {second: asdict(row) for second, row in sorted(account.fleet.items())}}
@@ -110,6 +112,8 @@
     if by == "cause":
         for name in names:
             print(f"  {account.causes[name]:10.1f}  {account.causes[name] / max(account.lost, 1e-9):6.1%}  {name}")
+            for cause, lost in list(_rounded(account.behind).items())[:5] if name == Cause.ORDER.value else ():
+                print(f"  {lost:10.1f}          of it behind a message that waited for: {cause}")
     elif by == "class":
         _grid("class", names, sorted(account.classes.items()))
     elif by == "courier":
