--- a/wheelstep/account/course.py
+++ b/wheelstep/account/course.py
@@ -92,8 +92,7 @@
     def __init__(self, courier: str) -> None:
         self.courier = courier
         self.classes: dict[str, Class] = {}
-        self._first_ms: int | None = None
-        self.last_ms = 0
+        self.last_ms = 0  # 0: no line yet
         self.downs: list[tuple[int, int]] = []  # from the last line of a process to the first of the next
         self._gauges: list[int] = []
         self._holds: list[dict[int, Cause]] = []
@@ -104,7 +103,7 @@
         """The next line, whatever its kind."""
         match line.kind:
             case "head":
-                if self._first_ms is not None:
+                if self.last_ms:
                     self.downs.append((self.last_ms, line.at_ms))
                 self._keys.clear()  # a process hashes keys in its own way
                 self.classes.update({name: Class(*values) for name, values in line.fields[1].items()})
@@ -119,7 +118,6 @@
                 self._closed[line.fields[0]] = line.at_ms
             case "end":
                 self._closed[line.fields[0]] = line.at_ms
-        self._first_ms = line.at_ms if self._first_ms is None else self._first_ms
         self.last_ms = max(self.last_ms, line.at_ms)
 
     def turns(self) -> Turns:
@@ -182,7 +180,6 @@
 
     def began_ms(self, classes: dict[str, Class]) -> int:
         """When its client first asked anybody, also where that was before the first line."""
-        self.lines.sort(key=lambda row: row[:2])
         first = self.lines[0][3]
         if first.kind in ("take", "back") and first.fields[5] and self.cls in classes:
             return first.at_ms - max(0, classes[self.cls].deadline_ms - int(first.fields[4]))
@@ -291,6 +288,8 @@
         self.classes: dict[str, Class] = {}
         for log in logs.values():
             self.classes.update(log.classes)
+        for course in courses.values():  # by time: its lines came courier by courier
+            course.lines.sort(key=lambda row: row[:2])
 
     def _due_ms(self, course: Course) -> int:
         return course.began_ms(self.classes) + self.classes[course.cls].deadline_ms
--- a/wheelstep/cli/account_commands.py
+++ b/wheelstep/cli/account_commands.py
@@ -9,8 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-from wheelstep.account.course import Cause
-from wheelstep.account.lines import Line, LineError, read
+from wheelstep.account.course import Cause, Course
 from wheelstep.account.tally import Account, Book
 from wheelstep.cli.exits import OK, InputError
 
@@ -23,13 +22,17 @@
 def run(given: argparse.Namespace) -> int:
     """Carry out a parsed command: 0, or 2 where logs can't be read or tell nothing."""
     files = list(_files(given.logs))
-    if given.verb == "trace":
-        return _trace(given.message, files, given.json)
     book = Book()
     for file in files:
         take = book.courier(file.name)
         for text in _lines(file):
             take(text)
+    if given.verb == "trace":
+        if given.message not in book.courses:
+            raise InputError(f"{given.message}: in none of {len(files)} logs; expected a message's id as couriers "
+                             "log it")
+        _trace(book.courses[given.message], given.json)
+        return OK
     if not book.read:
         raise InputError(f"{given.logs[0]}: no line of an account in {len(files)} files; expected logs of couriers "
                          "with [account] on = true in the operator's file")
@@ -60,31 +63,16 @@
         raise InputError(f"{file}: can't be read: {error}") from error
 
 
-def _trace(message: str, files: Sequence[Path], as_json: bool) -> int:
-    """One message's course through all logs, by time."""
-    found: list[tuple[int, str, Line]] = []
-    for file in files:
-        courier = file.name
-        for text in _lines(file):
-            try:
-                line = read(text)
-            except LineError:
-                continue
-            if line is not None and line.kind == "head":
-                courier = str(line.fields[0])
-            elif line is not None and line.kind in _WORDS and str(line.fields[0]) == message:
-                found.append((line.at_ms, courier, line))
-    if not found:
-        raise InputError(f"{message}: in none of {len(files)} logs; expected a message's id as couriers log it")
-    found.sort(key=lambda row: row[0])
-    for at_ms, courier, line in found:
+def _trace(course: Course, as_json: bool) -> None:
+    """One message's lines of all couriers, by time."""
+    rows = sorted(course.lines, key=lambda row: row[:2])
+    for at_ms, _, courier, line in rows:
         words = _WORDS[line.kind].format(*line.fields)
         if as_json:
             print(json.dumps({"at_ms": at_ms, "courier": courier, "kind": line.kind, "text": words}))
         else:
-            print(f"{(at_ms - found[0][0]) / 1000:9.3f} s  {courier:8} {words}"
+            print(f"{(at_ms - rows[0][0]) / 1000:9.3f} s  {courier:8} {words}"
                   + (", over" if line.kind == "out" and line.fields[5] else ""))
-    return OK
 
 
 def _plain(account: Account, damaged: int) -> dict[str, Any]:
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -285,18 +285,21 @@
 
     def handed_in(self, message: Stored, status: int) -> None:
         """Count a refusal, and record it where the operator wants that."""
-        if self.account is not None:
-            if status == 202:
-                self.account.taken(message.id, message.message_class, message.destination, message.key,
-                                   _left_us(message) // 1000, message.resubmitted)
-            else:
-                self.account.turned_away(message.id, message.message_class, status)
+        if status == 202:
+            self._account_for(message)
+        elif self.account is not None:
+            self.account.turned_away(message.id, message.message_class, status)
         if self.figures is not None and status == 503:
             self.figures.ended(message.message_class, "handed_back")
         if self.recorder is not None:
             self.recorder.note(message.message_class, message.destination, message.key, message.token is not None,
                                message.body, _left_us(message) // 1000, status, message.resubmitted)
 
+    def _account_for(self, message: Stored, restored: bool = False) -> None:
+        if self.account is not None:
+            self.account.taken(message.id, message.message_class, message.destination, message.key,
+                               _left_us(message) // 1000, message.resubmitted, restored)
+
     @property
     def syncs(self) -> bool:
         """Is there anything to wait for between writing an attempt down and its first byte?"""
@@ -378,9 +381,7 @@
                 self._end(message, "given_up", 0)
             else:
                 self._hold(message)
-                if self.account is not None:
-                    self.account.taken(message.id, message.message_class, message.destination, message.key,
-                                       _left_us(message) // 1000, message.resubmitted, restored=True)
+                self._account_for(message, restored=True)
                 at, number, call = out.get(message.id, (0, None, None))
                 ran = message.may_have_run(but=number)
                 self._post(api.MessageRestored(
@@ -462,8 +463,7 @@
             complete = result.outcome is Outcome.OK or result.over or held is None
             if self.account is not None:
                 self.account.ended(item.message, item.attempt, endpoint, result.outcome.value, result.spent_us,
-                                   result.outcome is Outcome.OK or result.over,
-                                   result.limit)
+                                   result.outcome is Outcome.OK or result.over, result.limit)
             if held is not None and complete:
                 if self.figures is not None and not result.over:
                     self.figures.passed[held.message_class] += 1
--- a/wheelstep/logic.py
+++ b/wheelstep/logic.py
@@ -221,12 +221,12 @@
             self._fair = max(used, LEAST_FAIR)
         least = cold_share * self.carried.read(now_us) * 1e6 / MEMORY_US
         self.rate = max(min(self.rate, used) * SLOWER, self.even * (LOW if self.reported else 1 / 8), least)
-        pause_us = self.spread_us()
+        pause_us, gap_us = self.spread_us(), 1e6 / self.rate
         if not self.reported:  # the first report may be a second away, and its rate far from the guess
             pause_us = 2 * pause_us if self._senders > CROWD else math.inf
         elif self._empty:
-            pause_us = min(COUNTED * pause_us, self._rng.uniform(0.5, 1.5) * 1e6 / self.rate)
-        self.hold(now_us + (pause_us if self._empty else min(1e6 / self.rate, pause_us)))
+            pause_us, gap_us = COUNTED * pause_us, self._rng.uniform(0.5, 1.5) * gap_us
+        self.hold(now_us + min(pause_us, gap_us))
 
     def resume(self, rate: float) -> None:
         """Go on from the rate that an earlier process had come down to."""
