Design of channels that couriers own and move together, and the types that travel

Need: separate parts (membership, ownership, contracts, moves, the rig, the simulation) are to be built side by side; states, interfaces and who owes a message at each step are agreed first. Measured: nothing yet; nothing imports it.

--- /dev/null
+++ b/wheelstep/moves/types.py
@@ -0,0 +1,83 @@
+"""What the two sides of a move tell each other; the steps are in docs/design/channels.md. No I/O; imports msgspec
+alone.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Piece(msgspec.Struct, frozen=True, array_like=True):
+    """Something of a part by name ("m:" a message, "c:" a channel's position); a later one replaces it, empty data
+    removes it. What the data mean is for the content's owner to know."""
+
+    name: str
+    data: bytes
+
+
+class Offer(msgspec.Struct, frozen=True, array_like=True, tag=20):
+    """Will you take this part, which I own since `epoch`? `state` is the version of its pieces."""
+
+    part: int
+    epoch: int
+    state: int
+    pieces: int
+    size: int
+
+
+class Chunk(msgspec.Struct, frozen=True, array_like=True, tag=21):
+    """Pieces, the chunks of a move counted from 0."""
+
+    part: int
+    epoch: int
+    place: int
+    pieces: tuple[Piece, ...]
+
+
+class Seal(msgspec.Struct, frozen=True, array_like=True, tag=22):
+    """The last pieces; with them the part is whole, and has this digest. Nothing changes any more at the giver."""
+
+    part: int
+    epoch: int
+    place: int
+    digest: str
+    pieces: tuple[Piece, ...]
+
+
+class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=23):
+    """The move is off: forget what you have of it."""
+
+    part: int
+    epoch: int
+
+
+class Given(msgspec.Struct, frozen=True, array_like=True, tag=24):
+    """The register says that you own it since `epoch` (the new one)."""
+
+    part: int
+    epoch: int
+
+
+class Late(msgspec.Struct, frozen=True, array_like=True, tag=25):
+    """What became of a call that was out when the part was handed over, or a message that the part's former owner finds
+    on its disk (`piece`): the present owner decides by the contract."""
+
+    part: int
+    epoch: int  # under which the teller had it
+    message: str
+    outcome: str  # an `Outcome` value; empty for a found message
+    piece: bytes = b""
+
+
+class Moved(msgspec.Struct, frozen=True, array_like=True, tag=26):
+    """The answer to all of these. `ok` false: `why` tells, on one line; `again_us` when to come again, 0 never."""
+
+    part: int
+    epoch: int
+    ok: bool
+    place: int = -1  # of the last chunk that is safe on this disk
+    why: str = ""
+    again_us: int = 0
+
+
+Move = Offer | Chunk | Seal | Cancel | Given | Late
