Core and inlet split by concern; no behaviour changed

Change: core.py into ports, endpoints, classes, turns, carrier and core; inlet.py into desk, reading, doors, listen and inlet. No behaviour changes; two tests and two broken couriers name the new places.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -42,7 +42,7 @@
     async def scene() -> None:
         config = configured(tmp_path)
         core, told = Core(config, Journal(config.state, config.disk_bytes)), Told()
-        core._sender = told  # type: ignore[assignment]
+        core.turns.sender = told  # type: ignore[assignment]
         told.actions = [api.SetTimer(0, 50_000), api.SetTimer(0, 1000), api.StartAttempt("unknown", "e0", 5)]
         core.probed("e0", Result(Outcome.OK))
         done = asyncio.get_running_loop().time() + 0.2
@@ -65,5 +65,5 @@
             core.listed(api.ListKind.CHANGES, entries({"hosts": [row]}, config.names))
             core.told_to_wait(f"e{number}", 1)
             await asyncio.sleep(0.001)
-        assert len(core._waits) < 50
+        assert len(core.endpoints.told) < 50
     run(scene())
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -14,7 +14,7 @@
 from loopback import ALONE, ROOT, Call, Endpoint, Reply, Scene, host, run
 from test_rehearsal import rehearse
 
-from wheelstep.courier.inlet import BadRequestError, UnansweredError
+from wheelstep.courier.desk import BadRequestError, UnansweredError
 from wheelstep.journal import NoRoomError, Stored
 from wheelstep.rehearsal.rig import module_command
 from wheelstep.rehearsal.standins.process import _children
--- a/wheelstep/console/front.py
+++ b/wheelstep/console/front.py
@@ -7,7 +7,7 @@
 
 from wheelstep.console.commands import MOST_LINE, Desk, reply
 from wheelstep.courier.config import Address
-from wheelstep.courier.inlet import bind
+from wheelstep.courier.listen import bind
 
 MOST = 20  # connections at once; one more ends the one that has owed its call for longest
 _WAIT_S = 5.0  # from connecting until all is over
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -252,8 +252,7 @@
         await asyncio.sleep(max(0.0, began + after_s - asyncio.get_running_loop().time()))
 
     await until(_WORK_ON_S)
-    core.stopping = True
-    core.note_all()
+    core.stop()
     await core.outlet.finish(_CLOSE_S - _WORK_ON_S)
     inlet.closing = True
     await until(_CLOSE_S)
--- /dev/null
+++ b/wheelstep/courier/carrier.py
@@ -0,0 +1,223 @@
+"""What goes out: the module's actions are carried out, calls are let go and their outcomes told. No policy here.
+
+Beneath `core.Core`, which has what comes in.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import defaultdict
+from collections.abc import Sequence
+from dataclasses import astuple
+from typing import TYPE_CHECKING
+
+from wheelstep import Sender
+from wheelstep import interface as api
+from wheelstep.courier.classes import Classes
+from wheelstep.courier.config import Config
+from wheelstep.courier.endpoints import Endpoints
+from wheelstep.courier.outlet import Item, Outlet, Result
+from wheelstep.courier.ports import Book, CallsOut, Notices, Told
+from wheelstep.courier.turns import Sends, Turns
+from wheelstep.interface import UNRUN, Outcome
+from wheelstep.journal import NoRoomError, Stored
+
+if TYPE_CHECKING:  # what is off is not imported
+    from wheelstep.account.writer import Account
+    from wheelstep.console.figures import Figures
+
+_PROBE_TIMEOUT_US = 1_500_000
+_RESERVE = 32  # descriptors for the journal, discovery, notices, and what asyncio and Python keep open
+
+log = logging.getLogger(__name__)
+
+
+class Carrier:
+    """The messages that the module holds, and their calls."""
+
+    def __init__(self, config: Config, journal: Book) -> None:
+        self._config, self._s, self._journal = config, config.settings, journal
+        self.turns = Turns(Sender(config.settings, config.seed), config.settings.tick_us, self._carry_out, self._call)
+        self.endpoints = Endpoints(config.settings, journal, self.turns.post)
+        self.classes = Classes(config, journal, self.turns.post)
+        self.ordered = self.classes.ordered
+        self._held: dict[str, Stored] = {}  # what the module holds
+        self._numbers: dict[str, int] = {}  # each one's next attempt
+        self._unsettled: dict[str, set[str]] = defaultdict(set)  # key -> messages whose notice is owed
+        self._settled = asyncio.Event()  # set, and replaced, whenever notices were answered
+        self.outlet = Outlet(self, config.dial_timeout_us, config.settings.conn_idle_us, config.names.report,
+                             max(16, config.sockets - config.sockets // 3 - _RESERVE))
+        self.notices: Notices | None = None
+        self.tells_deliveries = False  # are notices owed of what was delivered as well?
+        self.figures: Figures | None = None
+        self.account: Account | None = None
+        self._tell: Told | None = None  # who owns the messages now, once another process does
+
+    # --- what calls ask and tell (outlet.Gate) ---
+
+    @property
+    def syncs(self) -> bool:
+        """Is there anything to wait for between writing an attempt down and its first byte?"""
+        return self._journal.waits
+
+    async def safe(self) -> bool:
+        """Wait until the attempts that were written down are safe; False if they are not to be sent."""
+        try:
+            if self._journal.waits:
+                await self._journal.durable()
+        except NoRoomError as error:
+            log.warning("attempts are not sent: %s", error)
+            return False
+        return True
+
+    async def settled(self, items: Sequence[Item]) -> None:
+        """Guards the order of a key: a message that ended by a notice is over only once that is answered."""
+        keys = {key for item in items if (key := self._key(item.message)) is not None}
+        while any(self._unsettled.get(key) for key in keys):
+            await self._settled.wait()
+
+    def _key(self, message: str) -> str | None:
+        held = self._held.get(message)
+        return held.key if held is not None else None  # only messages that keep an order have one
+
+    def may_start(self, endpoint: str, item: Item) -> bool:
+        """May the attempt's first byte still be written?"""
+        return item.message in self._held and self.may_probe(endpoint)
+
+    def may_probe(self, endpoint: str) -> bool:
+        """May anything new be written there?"""
+        return not self.turns.frozen and self.endpoints.may_write(endpoint, time.monotonic())
+
+    def written(self, messages: int) -> None:
+        """So many were written whole to an endpoint."""
+        if self.figures is not None:
+            self.figures.upstream_tries += messages
+
+    def starting(self, endpoint: str, items: Sequence[Item]) -> None:
+        """Write the attempts down before their first byte."""
+        now_ms = int(time.time() * 1000)
+        for item in items:
+            self._journal.attempt(item.message, item.attempt, now_ms, endpoint)
+            if self.account is not None:
+                self.account.starting(item.message, item.attempt, endpoint)
+
+    def told_to_wait(self, endpoint: str, wait_us: int) -> None:
+        """Nothing more goes there for so long, also of what is being dialled."""
+        self.endpoints.told_to_wait(endpoint, time.monotonic(), wait_us / 1e6)
+
+    def ended(self, endpoint: str, results: Sequence[tuple[Item, Result]]) -> None:
+        """The outcomes of one call."""
+        if self._tell is not None:
+            self._tell(endpoint, results)
+            return
+        for item, result in results:
+            held = self._held.get(item.message)
+            if result.outcome is not Outcome.OK:
+                log.info("%s attempt %d at %s: %s after %d ms%s", item.message, item.attempt, endpoint,
+                         result.outcome.value, result.spent_us // 1000, ", over" if result.over else "")
+            complete = result.outcome is Outcome.OK or result.over or held is None
+            if self.account is not None:
+                self.account.ended(item.message, item.attempt, endpoint, result.outcome.value, result.spent_us,
+                                   result.outcome is Outcome.OK or result.over, result.limit)
+            if held is not None and complete:
+                if self.figures is not None and not result.over:
+                    self.figures.passed[held.message_class] += 1
+                del self._held[item.message], self._numbers[item.message]
+                if self.tells_deliveries:
+                    self._journal.end(item.message, "delivered", 0)
+                    self._owe(held)
+                else:
+                    self._journal.over(item.message)
+            elif held is not None and item.attempt in held.out:
+                self._journal.outcome(item.message, item.attempt, result.outcome not in UNRUN)
+            self.turns.post(api.AttemptEnded(
+                item.message, item.attempt, endpoint, result.outcome, result.spent_us, complete,
+                result.wait_us, result.limit, result.exhausted))
+
+    def probed(self, endpoint: str, result: Result) -> None:
+        """The outcome of a probe."""
+        if self._tell is not None:
+            return
+        if self.account is not None:
+            self.account.probed(endpoint, result.outcome.value)
+        self.turns.post(api.ProbeEnded(endpoint, result.outcome, result.spent_us, result.limit))
+
+    def answered(self, messages: list[str]) -> None:
+        """The platform has heard of the end of these."""
+        for name in messages:
+            if message := self._journal.messages.get(name):
+                if message.key in self._unsettled:
+                    self._unsettled[message.key].discard(name)
+                    if not self._unsettled[message.key]:
+                        del self._unsettled[message.key]
+                self._journal.over(name)
+        self._settled.set()
+        self._settled = asyncio.Event()
+
+    def calls_out(self) -> list[CallsOut]:
+        """The calls that have begun and have no outcome yet."""
+        found = []
+        for attempts in self.outlet.calls():
+            rows = [(name, number, held.out[number]) for name, number in attempts
+                    if (held := self._journal.messages.get(name)) is not None and number in held.out]
+            if rows:
+                found.append(CallsOut(rows[0][2][1], rows[0][2][0], [(name, number) for name, number, _ in rows]))
+        return found
+
+    # --- what the module wants ---
+
+    def _carry_out(self, action: api.Action, calls: Sends) -> None:
+        match action:
+            case api.StartAttempt(name, endpoint, timeout_us):
+                self._start(name, endpoint, timeout_us, calls)
+            case api.Refuse(name, retry_after_us):
+                self._final(name, "handed_back", retry_after_us // 1000)
+            case api.Fail(name):
+                self._final(name, "given_up", 0)
+            case api.CancelAttempt(name, attempt):
+                self.outlet.cancel(name, attempt)
+            case api.Probe(endpoint):
+                self.outlet.probe(endpoint, _PROBE_TIMEOUT_US)
+            case api.CloseIdle(endpoint, idle_us):
+                self.outlet.close_idle(endpoint, idle_us)
+            case api.Subscribe():
+                pass  # the watch is always on
+            case api.WriteLog(text):
+                log.info("%s", text)
+            case api.NoteHealth(endpoint, health) if endpoint in self.endpoints.listed:
+                self._journal.mark(endpoint, [int(time.time() * 1000), *astuple(health)])
+
+    def _start(self, name: str, endpoint: str, timeout_us: int, calls: Sends) -> None:
+        message = self._held[name]
+        number = self._numbers[name]
+        self._numbers[name] = number + 1
+        sends = calls.setdefault(endpoint, [])
+        sends.append((Item(name, number, message.token, message.body), timeout_us))
+        info = self.endpoints.listed.get(endpoint)
+        kind = self.endpoints.kind(info) if info else api.Kind()
+        if len(sends) >= kind.per_call:
+            self._call(endpoint, calls.pop(endpoint))
+
+    def _call(self, endpoint: str, sends: Sequence[tuple[Item, int]]) -> None:
+        self.outlet.call(endpoint, [item for item, _ in sends], min(timeout_us for _, timeout_us in sends))
+
+    def _final(self, name: str, outcome: str, retry_ms: int) -> None:
+        message = self._held.pop(name)
+        del self._numbers[name]
+        self._end(message, outcome, retry_ms)
+
+    def _end(self, message: Stored, outcome: str, retry_ms: int) -> None:
+        self._journal.end(message.id, outcome, retry_ms)
+        if self.figures is not None:
+            self.figures.ended(message.message_class, outcome)
+        if self.account is not None:
+            self.account.final(message.id, outcome)
+        self._owe(message)
+
+    def _owe(self, message: Stored) -> None:
+        if message.notice is not None and self.notices is not None:
+            if message.key is not None and message.notice[0] != "delivered":
+                self._unsettled[message.key].add(message.id)
+            self.notices.owe(message.id, *message.notice)
--- a/wheelstep/rehearsal/broken/order.py
+++ b/wheelstep/rehearsal/broken/order.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 from wheelstep import interface as api
-from wheelstep.courier.core import CallsOut, Core
+from wheelstep.courier.core import Core
+from wheelstep.courier.ports import CallsOut
 from wheelstep.journal import Stored
 from wheelstep.rehearsal.broken.patch import change_settings
 
--- a/wheelstep/rehearsal/broken/twice.py
+++ b/wheelstep/rehearsal/broken/twice.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from wheelstep.courier.core import Core
+from wheelstep.courier.carrier import Carrier
 from wheelstep.courier.outlet import _Progress
 from wheelstep.interface import Outcome
 from wheelstep.journal import Stored
@@ -37,9 +37,9 @@
 
 def hands_back_what_ran() -> None:
     """Every end is told as a refusal that is safe to repeat."""
-    end = Core._end
+    end = Carrier._end
 
-    def handed_back(self: Core, message: Stored, outcome: str, retry_ms: int) -> None:
+    def handed_back(self: Carrier, message: Stored, outcome: str, retry_ms: int) -> None:
         end(self, message, "handed_back", retry_ms)
 
-    Core._end = handed_back  # type: ignore[method-assign]
+    Carrier._end = handed_back  # type: ignore[method-assign]
--- a/wheelstep/standalone/front.py
+++ b/wheelstep/standalone/front.py
@@ -16,7 +16,8 @@
 from urllib.parse import parse_qs
 
 from wheelstep.courier.core import Core
-from wheelstep.courier.inlet import BadRequestError, Door, RefusedError, given_once, key_of, token_of
+from wheelstep.courier.desk import BadRequestError, Door, RefusedError
+from wheelstep.courier.reading import given_once, key_of, token_of
 from wheelstep.courier.request import Request
 from wheelstep.journal import NoRoomError, Stored
 from wheelstep.standalone.ends import Ends
--- a/wheelstep/upgrade/taker.py
+++ b/wheelstep/upgrade/taker.py
@@ -13,9 +13,10 @@
 from typing import Any
 
 from wheelstep import interface as api
-from wheelstep.courier.core import CallsOut, Core
+from wheelstep.courier.core import Core
 from wheelstep.courier.inlet import Inlet
 from wheelstep.courier.outlet import Item, Result
+from wheelstep.courier.ports import CallsOut
 from wheelstep.courier.rows import Row, read_rows
 from wheelstep.interface import Outcome
 from wheelstep.upgrade import channel as channels
--- a/wheelstep/workers/hop.py
+++ b/wheelstep/workers/hop.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from wheelstep.courier.core import Core
-from wheelstep.courier.inlet import BadRequestError, UnansweredError
+from wheelstep.courier.desk import BadRequestError, UnansweredError
 from wheelstep.journal import NoRoomError, Stored
 from wheelstep.workers.frames import Frames
 
--- a/wheelstep/workers/supervisor.py
+++ b/wheelstep/workers/supervisor.py
@@ -18,7 +18,7 @@
 from wheelstep import interface as api
 from wheelstep.courier.__main__ import follow_config
 from wheelstep.courier.config import Address, Config, ConfigError
-from wheelstep.courier.inlet import bind
+from wheelstep.courier.listen import bind
 from wheelstep.courier.platform import Watch, entries
 from wheelstep.courier.rows import Row, write_rows
 from wheelstep.courier.spread import callers
--- a/wheelstep/workers/worker.py
+++ b/wheelstep/workers/worker.py
@@ -22,7 +22,8 @@
 from wheelstep.courier.__main__ import account, leave, open_journal, recorder
 from wheelstep.courier.config import Address, Config, ConfigError, load
 from wheelstep.courier.core import Core
-from wheelstep.courier.inlet import Desk, Inlet
+from wheelstep.courier.desk import Desk
+from wheelstep.courier.inlet import Inlet
 from wheelstep.courier.platform import Notices
 from wheelstep.courier.rows import Row, read_rows
 from wheelstep.journal import FolderInUseError, Journal, NoRoomError, Stored
