--- /dev/null
+++ b/tests/move_world.py
@@ -0,0 +1,141 @@
+"""Two couriers, `g` and `t`, a register and a partner in virtual time, for one part that `g` gives to `t` while clients
+hand in. What has to hold is asserted at each act of serving; all of it is the same again from the same arguments."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from itertools import count
+
+from move_courier import LEASE_US, MS, PART, Courier
+
+from wheelstep.fleet.types import Holding
+from wheelstep.moves.giver import Giver
+from wheelstep.moves.steps import Ended, Limits
+from wheelstep.moves.taker import Taker
+
+LIMITS = Limits(chunk_pieces=3, pace_us=1 * MS, tail=2, rounds=3, call_bound_us=40 * MS, shut_bound_us=400 * MS,
+                silence_us=300 * MS, tries=3, backoff_us=10 * MS, poll_us=2 * MS, commit_us=80 * MS,
+                undecided_us=3_000 * MS)
+START_US, AFTER_US, END_US = 20 * MS, 60 * MS, 3_500 * MS
+
+
+class World:
+    """`crash` says who crashes ("g", "t" or "gt") before which event after the move's start, for `down_us`. `fault`
+    tells what happens to a message, by its number and itself: "", "lost", "dup" (again, later) or "late";
+    `register_fault` the same for an asking of the register, by who asks, when and for which owner, or "unheard" (done,
+    but not told). `call_us` is for the first calls, one of which is out when the part is shut."""
+
+    def __init__(self, crash: dict[int, str] | None = None, down_us: int = 50 * MS,
+                 fault: Callable[[int, object], str] = lambda number, message: "",
+                 register_fault: Callable[[str, int, str], str] = lambda asker, now_us, owner: "",
+                 call_us: int = 6 * MS, link_us: int = MS, limits: Limits = LIMITS,
+                 giver_class: type[Giver] = Giver, taker_class: type[Taker] = Taker) -> None:
+        self.crash, self.down_us, self.fault, self.register_fault = crash or {}, down_us, fault, register_fault
+        self.call_us, self.link_us, self.limits = call_us, link_us, limits
+        self.giver_class, self.taker_class = giver_class, taker_class
+        self.now_us, self.events, self.messages = 0, 0, 0  # events count from the move's start
+        self.move_events = 0  # until some time after its end
+        self._heap: list[tuple[int, int, Callable[[], object]]] = []
+        self._order = count()
+        self.holding, self.lease_us, self.owners = Holding(1, "g"), LEASE_US, {1: "g"}
+        self.top = 0  # the newest epoch that anybody has served under
+        self.owed: set[int] = set()
+        self.next = 1  # what the channel's newest 202 told
+        self.attempts: list[int] = []
+        self.unclear: set[int] = set()
+        self.opens: list[tuple[int, str, int]] = []
+        self.ended: list[Ended] = []
+        self.ended_us = -1
+        self.couriers = {name: Courier(self, name) for name in "gt"}
+        g = self.couriers["g"]
+        g.known, g.lease_us = self.holding, LEASE_US * 9 // 10
+        g.store.open(PART, 1)
+
+    def at(self, delay_us: int, do: Callable[[], object]) -> None:
+        heapq.heappush(self._heap, (self.now_us + delay_us, next(self._order), do))
+
+    def run(self, end_us: int = END_US) -> World:
+        """Clients hand in often at first, then now and then; the move begins at `START_US`."""
+        for when_us in [*range(0, 310 * MS, 7 * MS), *range(310 * MS, end_us, 500 * MS), end_us]:
+            self.at(when_us, self.hand_in)
+        self.at(START_US, lambda: self.couriers["g"].give("t"))
+        moving = False
+        while self._heap and self._heap[0][0] <= end_us + 100 * MS:
+            now_us, _, do = heapq.heappop(self._heap)
+            self.now_us = now_us
+            moving = moving or now_us >= START_US
+            if moving:
+                for name in self.crash.get(self.events, ""):
+                    self.couriers[name].crash()
+                self.events += 1
+            if self.ended_us < 0 or now_us < self.ended_us + AFTER_US:
+                self.move_events = self.events
+            if self.ended_us < 0 and self.ended:
+                self.ended_us = now_us
+            do()
+        return self
+
+    def hand_in(self) -> None:
+        for courier in self.couriers.values():
+            if courier.serves():
+                return courier.hand_in()
+
+    def send(self, message: object, to: Courier, arrive: Callable[[], object]) -> None:
+        fault = self.fault(self.messages, message)
+        self.messages += 1
+        for delay_us in {"": (0,), "lost": (), "dup": (0, 250 * MS), "late": (250 * MS,)}[fault]:
+            self.at(self.link_us + delay_us, lambda: arrive() if to.alive else None)
+
+    def register(self, asker: Courier, epoch: int, owner: str, heard: Callable[[Holding], object]) -> None:
+        """For `owner` the epoch after `epoch`, if that stands and no lease forbids it; the answer is what stands."""
+        fault = self.register_fault(asker.name, self.now_us, owner)
+        life = asker.life
+        delay_us = self.link_us + (150 * MS if fault == "late" else 0)
+
+        def arrive() -> None:
+            if self.holding.epoch == epoch and (asker.name == self.holding.owner or self.now_us >= self.lease_us):
+                self.holding = Holding(epoch + 1, owner)
+                self.owners[epoch + 1] = owner
+                self.lease_us = self.now_us + LEASE_US
+            elif self.holding.owner == asker.name:
+                self.lease_us = self.now_us + LEASE_US
+            held = self.holding
+            if fault != "unheard":
+                self.at(self.link_us, lambda: heard(held) if asker.alive and asker.life == life else None)
+        if fault != "lost":
+            self.at(delay_us, arrive)
+
+    # --- what has to hold ---
+
+    def served(self, courier: Courier) -> None:
+        """A 202 is given, or the first byte of an attempt is written."""
+        epoch = courier.store.epoch
+        assert [each.name for each in self.couriers.values() if each.serves()] == [courier.name], "two serve"
+        assert epoch >= self.top and self.owners[epoch] == courier.name, f"{courier.name} serves under {epoch}"
+        self.top = epoch
+
+    def ended_unclear(self, number: int) -> None:
+        self.owed.discard(number)
+        self.unclear.add(number)
+
+    def opened(self, courier: Courier, epoch: int) -> None:
+        assert self.holding == Holding(epoch, courier.name), f"{courier.name} opens {epoch}, but {self.holding} stands"
+        here = {int(name[2:]) for name in courier.disk if name[0] == "m"}
+        assert self.owed <= here, f"{courier.name} opens {epoch} without {sorted(self.owed - here)}"
+        position = int(courier.disk.get("c:p", b"1"))
+        assert position >= self.next, f"{courier.name} opens {epoch} at {position}, the channel stood at {self.next}"
+        again = {number for number in self.attempts if courier.disk.get(f"m:{number}") == b"w"}
+        assert not again, f"{courier.name} opens {epoch}, and would send {sorted(again)} again"
+        self.opens.append((self.now_us, courier.name, epoch))
+
+    def settled(self) -> None:
+        """At the end: one serves and has done all it owes, nothing of the move is left anywhere."""
+        serving = [courier for courier in self.couriers.values() if courier.serves()]
+        assert len(serving) == 1, f"nobody serves; {self.holding}"
+        assert not self.owed, f"still owed: {sorted(self.owed)}"
+        assert self.attempts == sorted(set(self.attempts)), "twice, or out of order"
+        for courier in self.couriers.values():
+            assert courier.giver is None or courier.giver.over
+            assert courier.taker.sealed(PART) is None, f"{courier.name} keeps a whole copy"
+            assert courier in serving or not courier.disk, f"{courier.name} keeps pieces of a part that is another's"
--- /dev/null
+++ b/tests/test_contracts.py
@@ -0,0 +1,130 @@
+"""What operators may declare of channels, how bad files are told, and which contract a message falls under."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from wheelstep.channels.contracts import ContractError, changes, channel_name, part_of, read
+
+STRICT = {"name": "orders", "order": "strict"}
+
+
+def one(**fields: Any) -> list[dict[str, Any]]:
+    return [{**STRICT, **fields}]
+
+
+BAD = [
+    (one(colour="red"), "contract[0].colour: unknown key; expected one of those in docs/design/channels.md"),
+    ([{"order": "strict"}], "contract[0].name: missing; expected a value"),
+    ([{"name": "a"}], "contract[0].order: missing; expected a value"),
+    (one(name="a/b"), "contract[0].name: 'a/b'; expected: String should match pattern '^[a-z0-9][a-z0-9_-]{0,39}$'"),
+    (one(order="fifo"), "contract[0].order: 'fifo'; expected: Input should be 'strict', 'window', 'latest' or 'none'"),
+    (one(open=2), 'contract[0].open: 2 with order "strict"; expected it with order "window" alone'),
+    (one(order="window"), 'contract[0].open: missing; expected a number, since order is "window"'),
+    (one(order="window", open=0), "contract[0].open: 0; expected: Input should be greater than or equal to 1"),
+    (one(order="window", open=-3), "contract[0].open: -3; expected: Input should be greater than or equal to 1"),
+    (one(order="window", open=10**9), "contract[0].open: 1000000000; expected: Input should be less than or equal to "
+     "128"),
+    (one(order="window", open="many"), "contract[0].open: 'many'; expected: Input should be a valid integer"),
+    (one(gap="skip"), 'contract[0].gap_after: missing; expected a time, since gap is "skip"'),
+    (one(gap_after="2s"), 'contract[0].gap_after: a time with gap "hold"; expected it with gap "skip" alone'),
+    (one(gap="fail", gap_after="2s"),
+     'contract[0].gap_after: a time with gap "fail"; expected it with gap "skip" alone'),
+    (one(gap="skip", gap_after="2 weeks"), "contract[0].gap_after: '2 weeks' is no time; expected a number with a "
+     'unit, such as "250ms", "2s" or "1.5min"'),
+    (one(gap="skip", gap_after="0s"), "contract[0].gap_after: '0s'; expected: Input should be greater than or equal "
+     "to 1000"),
+    (one(order="latest", gap="hold"), 'contract[0].gap: "hold" with order "latest", where a newer one goes past any '
+     'gap; expected "fail" or none'),
+    (one(order="latest", gap="skip", gap_after="1s"), 'contract[0].gap: "skip" with order "latest", where a newer one '
+     'goes past any gap; expected "fail" or none'),
+    (one(gap="fail", ahead=4),
+     'contract[0].ahead: 4 with gap "fail", which takes the next number alone; expected none'),
+    (one(ahead=129), "contract[0].ahead: 129; expected: Input should be less than or equal to 128"),
+    (one(unclear="go"), 'contract[0].unclear: "go" with order "strict", where one is out at a time and the next waits '
+     'for its end; expected "hold" or "rest"'),
+    (one(order="none", unclear="hold"), 'contract[0].unclear: "hold" with order "none", where nothing follows '
+     "anything; expected none"),
+    (one(unclear="rest"), 'contract[0].rest: missing; expected a time, since unclear is "rest"'),
+    (one(rest="1s"), 'contract[0].rest: a time without unclear = "rest"; expected it with that alone'),
+    (one(unclear="rest", rest="2s", keep="1s"), "contract[0].keep: shorter than rest; expected at least as long"),
+    (one(gap="skip", gap_after="2s", keep="1s"), "contract[0].keep: shorter than gap_after; expected at least as long"),
+    (one(destinations=[-1]), "contract[0].destinations[0]: -1; expected: Input should be greater than or equal to 0"),
+    (one(destinations=["x"]), "contract[0].destinations[0]: 'x'; expected: Input should be a valid integer"),
+    (one(keys=[""]), "contract[0].keys[0]: ''; expected: String should have at least 1 character"),
+    ([STRICT, STRICT], "contract[1].name: 'orders' is there twice; expected different names"),
+    ([STRICT, {"name": "b", "order": "none", "keys": ["x"]}], "contract[1].name: 'b' never matches, 'orders' before it "
+     "takes all of it; expected it before that, or to match something else"),
+]
+
+
+@pytest.mark.parametrize(("tables", "line"), BAD, ids=[line[:60] for _, line in BAD])
+def test_bad_contracts_are_told_on_one_line(tables: Any, line: str) -> None:
+    with pytest.raises(ContractError) as caught:
+        read(tables)
+    assert str(caught.value) == line
+
+
+@pytest.mark.parametrize(("first", "second", "hidden"), [
+    ({"classes": ["a", "b"]}, {"classes": ["a"]}, True),
+    ({"classes": ["a"]}, {"classes": ["a", "b"]}, False),
+    ({"classes": ["a"]}, {}, False),
+    ({"keys": ["acct-*"]}, {"keys": ["acct-7"]}, True),
+    ({"keys": ["acct-*"]}, {"keys": ["acct-7*"]}, False),  # not told: needs more than a look
+    ({"keys": ["*"], "destinations": [1]}, {"keys": ["x"], "destinations": [1]}, True),
+    ({"keys": ["*"], "destinations": [1]}, {"keys": ["x"], "destinations": [2]}, False),
+    ({"paths": ["/a/*"]}, {"paths": ["/a/*"], "keys": ["k"]}, True),
+])
+def test_a_contract_that_can_never_match_is_refused(first: Any, second: Any, hidden: bool) -> None:
+    tables = [{**STRICT, **first}, {"name": "second", "order": "none", **second}]
+    if not hidden:
+        assert len(read(tables)) == 2
+        return
+    with pytest.raises(ContractError, match="'second' never matches"):
+        read(tables)
+
+
+def test_the_first_that_matches_counts() -> None:
+    contracts = read([
+        {"name": "vip", "order": "strict", "classes": ["pay"], "keys": ["vip-*", "gold"]},
+        {"name": "seven", "order": "none", "destinations": [7], "paths": ["/t/acme/*"]},
+        {"name": "pay", "order": "window", "open": 3, "classes": ["pay", "bill"]}])
+
+    def name(cls: str, destination: int, key: str | None, path: str) -> str | None:
+        found = contracts.match(cls, destination, key, path)
+        return None if found is None else found.name
+
+    assert name("pay", 7, "vip-1", "/t/acme/x") == "vip"
+    assert name("pay", 7, "gold", "/") == "vip" and name("pay", 7, "golden", "/") == "pay"
+    assert name("pay", 7, "other", "/t/acme/x") == "seven" and name("pay", 8, "other", "/t/acme/x") == "pay"
+    assert name("else", 7, None, "/t/acme/x") == "seven" and name("else", 7, None, "/t/other/x") is None
+    assert name("bill", 1, None, "/") == "pay" and name("else", 1, None, "/") is None
+
+
+def test_terms_are_filled_in() -> None:
+    contracts = read([{"name": "w", "order": "window", "open": 3, "gap": "skip", "gap_after": "1500us",
+                       "unclear": "rest", "rest": "2s", "repeat": "once", "keep": "1min", "keys": ["k"]},
+                      {"name": "f", "order": "latest", "gap": "fail"}])
+    first, second = contracts.named("w"), contracts.named("f")
+    assert first is not None and second is not None
+    assert (first.open, first.gap_after_ms, first.rest_ms, first.ahead, first.keep_ms) == (3, 2, 2_000, 16, 60_000)
+    assert (second.open, second.gap, second.unclear, second.ahead, second.keep_ms) == (1, "fail", "hold", 0, 3_600_000)
+    assert channel_name(first, 7, "k/1") == "w/7/k/1" and channel_name(second, 7, None) == "f/7/"
+
+
+def test_a_channel_keeps_its_part_for_good() -> None:
+    """Positions stand on disks and travel: another mapping would look for them at the wrong courier."""
+    assert [part_of(name, 64) for name in ("orders/1/a", "orders/1/b", "orders/2/a", "w/7/")] == [5, 42, 12, 34]
+
+
+def test_a_reload_tells_what_changes_and_what_stays() -> None:
+    old = read([STRICT, {"name": "gone", "order": "none", "classes": ["x"]}][::-1])
+    new = read([{"name": "fresh", "order": "latest", "classes": ["y"]}, {**STRICT, "gap": "fail"}])
+    assert changes(old, new) == [
+        "contract 'gone' is gone; channels that hold messages of it keep its terms",
+        "contract 'orders': gap 'hold' -> 'fail', ahead 16 -> 0; channels that hold messages keep the old until they "
+        "are empty",
+        "contract 'fresh' is new"]
+    assert changes(new, new) == []
--- /dev/null
+++ b/tests/test_fleet_log.py
@@ -0,0 +1,135 @@
+"""The fleet's log over a disk that crashes, loses power, fails and flips bits."""
+
+from __future__ import annotations
+
+import errno
+import random
+
+import pytest
+
+from wheelstep.fleet.log import NAME, SLACK, Log, LogBrokenError, LogDamagedError
+from wheelstep.rehearsal.faulty_disk import CrashError, FaultyDisk
+
+
+def written(disk: FaultyDisk, said: list[list[bytes]], safe: list[int]) -> None:
+    """Three starts, appends of several sizes with and without a sync, and compactions; `safe` is how many batches of
+    `said` must be found again. A compaction keeps everything, as one batch."""
+    for start in range(3):
+        log, _ = Log.open(disk)
+        for place in range(4):
+            batch = [bytes([65 + start, place]) * size for size in (1, 40, 700)]
+            said.append(batch)
+            log.append(batch)
+            if place % 2:
+                log.sync()
+                safe[0] = len(said)
+        log.sync()
+        safe[0] = len(said)
+        log.compact([record for batch in said for record in batch])
+        log.close()
+
+
+def test_a_power_loss_or_crash_at_any_operation_loses_nothing_that_was_synced_and_invents_nothing() -> None:
+    whole = FaultyDisk(0)
+    written(whole, [], [0])
+    assert whole.count > 40
+    for crash_at in range(1, whole.count + 1):
+        for power in (True, False):
+            for seed in range(4):
+                disk, said, safe = FaultyDisk(seed), [], [0]
+                disk.crash_at = crash_at
+                with pytest.raises(CrashError):
+                    written(disk, said, safe)
+                log, found = Log.open(disk.after_crash(power))
+                possible = [[record for batch in said[:count] for record in batch]
+                            for count in range(safe[0], len(said) + 1)]
+                assert found in possible, (crash_at, power, seed)
+                assert log.boot >= 1
+
+
+def test_the_boot_number_rises_at_each_start_and_after_a_damaged_log_too() -> None:
+    disk = FaultyDisk(1)
+    boots = []
+    for _ in range(3):
+        log, _ = Log.open(disk)
+        boots.append(log.boot)
+        log.append([b"x"])
+        log.sync()
+        log.close()
+    log, _ = Log.open(disk, least_boot=500)
+    log.close()
+    assert [*boots, log.boot] == [1, 2, 3, 500]
+    disk.files[NAME].data[40] ^= 1
+    with pytest.raises(LogDamagedError) as damaged:
+        Log.open(disk)
+    assert damaged.value.boot == 500
+    assert Log.anew(disk, damaged.value.boot + 1).boot == 501
+    log, found = Log.open(disk)
+    assert (log.boot, found) == (502, [])
+
+
+def test_a_flipped_bit_is_found_wherever_it_is_but_in_the_last_frame_that_it_costs() -> None:
+    disk = FaultyDisk(2)
+    log, _ = Log.open(disk)
+    said = [[bytes([place]) * 30] for place in range(6)]
+    ends = []
+    for batch in said:
+        log.append(batch)
+        log.sync()
+        ends.append(len(disk.files[NAME].data))
+    log.close()
+    sound = bytes(disk.files[NAME].data)
+    rng = random.Random(5)
+    for at in range(len(sound)):
+        disk.files[NAME].data[:] = sound
+        disk.files[NAME].data[at] ^= 1 << rng.randrange(8)
+        if at < ends[-2]:
+            with pytest.raises(LogDamagedError, match=r"fleet\.log: damaged at byte \d+ of"):
+                Log.open(disk)
+        else:
+            log, found = Log.open(disk)
+            log.close()
+            assert found == [record for batch in said[:-1] for record in batch]
+
+
+def test_the_size_is_bounded_by_what_is_live_also_over_restarts() -> None:
+    disk = FaultyDisk(3)
+    live, most = [b"r" * 100] * 50, 0
+    for _ in range(20):
+        log, _ = Log.open(disk)
+        for _ in range(200):
+            log.append([b"c" * 200])
+            log.sync()
+            most = max(most, len(disk.files[NAME].data))
+            if log.bloated:
+                log.compact(live)
+        log.close()
+    assert SLACK < most < 2 * 6_000 + SLACK + 1_000
+
+
+def test_a_full_disk_is_an_error_and_does_no_lasting_harm() -> None:
+    disk = FaultyDisk(4, room=4096)
+    log, _ = Log.open(disk)
+    log.append([b"first"])
+    log.sync()
+    with pytest.raises(OSError, match="no space") as full:
+        log.append([b"x" * 8000])
+    assert full.value.errno == errno.ENOSPC
+    disk.room = None
+    log.append([b"second"])
+    log.sync()
+    log.close()
+    assert Log.open(disk)[1] == [b"first", b"second"]
+
+
+def test_after_a_failed_sync_nothing_more_is_written() -> None:
+    disk = FaultyDisk(5)
+    log, _ = Log.open(disk)
+    log.append([b"first"])
+    disk.broken = {"sync"}
+    with pytest.raises(OSError, match="sync is broken"):
+        log.sync()
+    disk.broken = set()
+    for act in (lambda: log.append([b"more"]), log.sync, lambda: log.compact([])):
+        with pytest.raises(LogBrokenError):
+            act()
--- /dev/null
+++ b/tests/test_packets.py
@@ -0,0 +1,168 @@
+"""The seal of packets between couriers: honest ones open once in any order; all else is refused for the right reason
+and changes nothing."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wheelstep.fleet.packets import (
+    DATAGRAM,
+    DATAGRAM_BYTES,
+    NOTE_EVERY_US,
+    SENDERS,
+    STREAM,
+    STREAM_BYTES,
+    WINDOW,
+    Elder,
+    PacketError,
+    Reason,
+    Seal,
+)
+from wheelstep.fleet.types import Hello, Member, Ping, Stand, State, Votes
+
+KEY, OTHER = b"k" * 32, b"o" * 32
+
+
+def seal(me: str, boot: int = 5, key: bytes | list[bytes] = KEY, fleet: str = "fleet", lane: str = "datagram") -> Seal:
+    return Seal(key, fleet, me, boot, lane=lane)
+
+
+def refusal(receiver: Seal, data: bytes) -> Reason:
+    """Why it was refused; it was counted once."""
+    before = receiver.refused.total()
+    with pytest.raises(PacketError) as refused:
+        receiver.open(data, DATAGRAM)
+    assert receiver.refused.total() == before + 1 and receiver.refused[refused.value.reason]
+    return refused.value.reason
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.randoms(use_true_random=False), st.integers(1, 40))
+def test_honest_packets_open_once_in_any_order(rng: random.Random, count: int) -> None:
+    sender, receiver = seal("a"), seal("b")
+    packets = [(number, sender.pack("b", Ping(number))) for number in range(count)]
+    rng.shuffle(packets)
+    for number, data in packets:
+        opened = receiver.open(data, DATAGRAM)
+        assert (opened.sender, opened.boot, opened.payload) == ("a", 5, Ping(number))
+    for _, data in packets:
+        assert refusal(receiver, data) is Reason.REPLAY
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.data())
+def test_a_damaged_packet_is_refused_and_the_whole_one_still_opens(data: st.DataObject) -> None:
+    packet = seal("a").pack("b", Ping(7, (Member("a", 1, State.ALIVE, "127.0.0.1:1", "http://127.0.0.1:2"),)))
+    receiver = seal("b")
+    place = data.draw(st.integers(0, len(packet) - 1))
+    flipped = bytes(byte ^ (data.draw(st.integers(1, 255)) if at == place else 0) for at, byte in enumerate(packet))
+    assert refusal(receiver, flipped) in ({Reason.VERSION, Reason.SEAL} if place == 0 else {Reason.SEAL})
+    assert refusal(receiver, packet[:place]) is Reason.SEAL
+    assert refusal(receiver, packet + b"x") is Reason.SEAL
+    assert receiver.open(packet, DATAGRAM).payload.seq == 7  # type: ignore[union-attr]
+
+
+@pytest.mark.parametrize(("made", "reason"), [
+    (lambda: seal("a", key=OTHER).pack("b", Ping(1)), Reason.SEAL),
+    (lambda: seal("a", fleet="other").pack("b", Ping(1)), Reason.FLEET),
+    (lambda: seal("a", lane="stream").pack("b", Ping(1)), Reason.FLEET),
+    (lambda: seal("a").pack("c", Ping(1)), Reason.RECEIVER),
+    (lambda: seal("a", boot=6).pack("b", Stand()), Reason.MALFORMED),
+    (lambda: seal("a", boot=6).pack("b", Ping("one")), Reason.MALFORMED),  # type: ignore[arg-type]
+    (lambda: seal("a", boot=4).pack("b", Ping(1)), Reason.OLD_BOOT),
+    (lambda: b"\x02" + seal("a").pack("b", Ping(1))[1:], Reason.VERSION),
+    (lambda: bytes(DATAGRAM_BYTES + 1), Reason.SIZE),
+    (lambda: b"", Reason.SEAL)])
+def test_each_refusal_has_its_reason_and_changes_nothing(made: Callable[[], bytes], reason: Reason) -> None:
+    sender, receiver = seal("a"), seal("b")
+    receiver.open(sender.pack("b", Ping(1)), DATAGRAM)
+    assert refusal(receiver, made()) is reason
+    assert receiver.open(sender.pack("b", Ping(2)), DATAGRAM).payload == Ping(2)
+    assert receiver.refused == {reason: 1}
+
+
+def test_a_later_life_replaces_an_earlier_one() -> None:
+    early, late, receiver = seal("a", 5), seal("a", 6), seal("b")
+    first, held = early.pack("b", Ping(1)), early.pack("b", Ping(2))
+    receiver.open(first, DATAGRAM)
+    assert receiver.open(late.pack("b", Ping(3)), DATAGRAM).boot == 6
+    assert refusal(receiver, held) is Reason.OLD_BOOT
+    assert refusal(receiver, first) is Reason.OLD_BOOT
+
+
+def test_a_window_remembers_a_bounded_number() -> None:
+    sender, receiver = seal("a"), seal("b")
+    packets = [sender.pack("b", Ping(number)) for number in range(WINDOW + 2)]
+    receiver.open(packets[-1], DATAGRAM)
+    assert refusal(receiver, packets[0]) is Reason.REPLAY  # never seen, and too old to tell
+    receiver.open(packets[2], DATAGRAM)
+    assert refusal(receiver, packets[2]) is Reason.REPLAY
+
+
+def test_only_a_hello_may_have_no_receiver() -> None:
+    sender, receiver = seal("a"), seal("b")
+    assert receiver.open(sender.pack("", Hello()), DATAGRAM).payload == Hello()
+    with pytest.raises(ValueError, match="unknown receiver"):
+        sender.pack("", Ping(1))
+
+
+def test_a_key_is_replaced_while_both_are_known() -> None:
+    old, both, new = seal("a", key=KEY), seal("b", key=[KEY, OTHER]), seal("c", key=[OTHER, KEY])
+    both.open(old.pack("b", Ping(1)), DATAGRAM)
+    both.open(new.pack("b", Ping(1)), DATAGRAM)
+    assert refusal(old, new.pack("a", Ping(2))) is Reason.SEAL
+    old.open(both.pack("a", Ping(1)), DATAGRAM)
+
+
+def test_an_emptied_disk_is_told_of_its_elder_life() -> None:
+    receiver, again = seal("b"), seal("a", boot=1)
+    receiver.open(seal("a", boot=9).pack("b", Ping(1)), DATAGRAM)
+    assert refusal(receiver, again.pack("b", Ping(1))) is Reason.OLD_BOOT
+    told = receiver.stale_boot("a", 0)
+    assert told is not None and receiver.stale_boot("a", 999_999) is None
+    assert receiver.stale_boot("a", 1_000_000) is not None
+    elder = again.open(told, DATAGRAM).payload
+    assert isinstance(elder, Elder) and again.heard_elder(elder, 0) and again.boot == 10
+    assert receiver.open(again.pack("b", Ping(1)), DATAGRAM).boot == 10
+    # Neither what is known nor more than one in ten seconds raises it.
+    assert not again.heard_elder(Elder(10), 20_000_000)
+    assert not again.heard_elder(Elder(99), NOTE_EVERY_US - 1) and again.heard_elder(Elder(99), NOTE_EVERY_US)
+    assert not again.heard_elder(Elder(1 << 62), 40_000_000)
+
+
+def test_the_table_of_senders_is_bounded_and_needs_a_good_seal() -> None:
+    receiver = seal("b")
+    for number in range(SENDERS + 5):
+        refusal(receiver, seal(f"forged{number}", key=OTHER).pack("b", Ping(1)))
+    assert not receiver._windows
+    for number in range(SENDERS + 5):
+        receiver.open(seal(f"s{number}").pack("b", Ping(1)), DATAGRAM)
+    assert len(receiver._windows) == SENDERS
+
+
+def test_lines_come_once_a_reason_in_ten_seconds() -> None:
+    receiver = seal("b")
+    for _ in range(3):
+        refusal(receiver, b"x" * 100)
+    assert receiver.notes(0) == ["fleet fleet, datagram: packet of unknown sender refused (version): expected "
+                                 "version 1 or older; 3 since the last line"]
+    refusal(receiver, b"x" * 100)
+    assert receiver.notes(NOTE_EVERY_US - 1) == []
+    assert receiver.notes(NOTE_EVERY_US)[0].endswith("1 since the last line")
+    assert receiver.notes(3 * NOTE_EVERY_US) == []
+
+
+def test_sizes_and_names_are_bounded() -> None:
+    with pytest.raises(ValueError, match="1200 at most"):
+        seal("a").pack("b", Hello(tuple(Member(f"m{n}", 1, State.ALIVE, "x" * 60, "y" * 60) for n in range(9))))
+    stream = Seal(KEY, "fleet", "a", 1, lane="stream", most_bytes=STREAM_BYTES)
+    other = Seal(KEY, "fleet", "b", 1, lane="stream", most_bytes=STREAM_BYTES)
+    assert other.open(stream.pack("b", Votes((), 3)), STREAM).payload == Votes((), 3)
+    for bad in (lambda: seal(""), lambda: seal("n" * 65), lambda: seal("a", key=b"short"), lambda: seal("a", key=[])):
+        with pytest.raises(ValueError, match="expected"):
+            bad()
--- /dev/null
+++ b/tests/test_positions.py
@@ -0,0 +1,119 @@
+"""A channel's position: what comes back from a disk or another courier is what went there, or is refused."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wheelstep.channels.position import MOST, Position, PositionError, read_number
+from wheelstep.channels.stored import from_data
+from wheelstep.channels.terms import Contract
+
+TERMS = Contract("orders", "strict", ahead=4)
+
+
+def sample() -> Position:
+    position = Position(TERMS)
+    for number in (1, 2, 3, 5, 6):
+        position.take(number, f"m{number}", number == 3)
+    position.fence(9)
+    position.end(1, "delivered")
+    position.doubt(3)
+    position.free(2)
+    position.end(6, "skipped")
+    position.rest(True)
+    return position
+
+
+def changed(place: int, value: Any) -> list[Any]:
+    data = sample().to_data()
+    data[place] = value
+    return data
+
+
+def test_a_position_comes_back_as_it_was() -> None:
+    first = sample()
+    for way in (json, msgspec.msgpack):
+        data = way.loads(way.dumps(first.to_data())) if way is json else way.decode(way.encode(first.to_data()))
+        again = from_data(data)
+        assert again.to_data() == first.to_data() and again.terms == TERMS
+        assert [again.state(number) for number in range(1, 11)] == [
+            "ended", "free", "held", "free", "held", "ended", "free", "free", "beyond", "beyond"]
+        assert again.entries[3].given and again.entries[3].unclear and not again.entries[5].unclear
+        assert (again.next, again.session, again.rests, again.unused()) == (4, 9, True, 7)
+
+
+@pytest.mark.parametrize(("data", "line"), [
+    (None, "no position: Expected `array`, got `null`"),
+    ([], "no position: Expected `array` of at least length 16, got 0"),
+    (changed(0, 2), "a position of version 2; expected 1"),
+    (changed(0, "x"), "a position of version x; expected 1"),
+    (changed(1, -4), "no position: Expected `int` >= 1 - at `$[1]`"),
+    (changed(1, 2**60), "no position: Expected `int` <= 9007199254740993 - at `$[1]`"),
+    (changed(1, "4"), "no position: Expected `int`, got `str` - at `$[1]`"),
+    (changed(2, True), "no position: Expected `int`, got `bool` - at `$[2]`"),
+    (changed(3, 1.5), "no position: Expected `int`, got `float` - at `$[3]`"),
+    (changed(9, [0, 3]), "no position: Expected `int` >= 1 - at `$[9][0]`"),
+    (changed(9, [3, 3]), "no position: a number of messages is there twice; expected each once"),
+    (changed(9, [3]), "no position: lists that belong together differ in length; expected the same"),
+    (changed(9, [3, 8]), "no position: 8 of a message; expected one that was taken"),
+    (changed(9, [3, 2]), "no position: 2 handed back or lost; expected one that is not held"),
+    (changed(5, [4]), "no position: 4 above; expected more than 4"),
+    (changed(6, [9]), "no position: 9 lost; expected less than 4"),
+    (changed(6, [2]), "no position: a number freed or lost is there twice; expected each once"),
+    (changed(14, "dx"), "no position: Expected `str` matching regex '^[drfsp]*$' - at `$[14]`"),
+    (changed(13, ["a"] * 3000), "no position: Expected `array` of length <= 1024 - at `$[13]`"),
+    (changed(15, ["orders", "fifo"]), "no position: Invalid enum value 'fifo' - at `$[15][1]`"),
+    ([*sample().to_data(), 1], "no position: Expected `array` of at most length 16, got 17"),
+])
+def test_what_can_be_no_position_is_refused(data: Any, line: str) -> None:
+    with pytest.raises(PositionError) as caught:
+        from_data(data)
+    assert str(caught.value) == line
+
+
+@pytest.mark.parametrize("text", ["", "0", "-1", "1.0", "x", " 1", "٣", "9007199254740993", "1" * 400, "0x1"])
+def test_a_header_that_is_no_number_is_refused(text: str) -> None:
+    with pytest.raises(PositionError, match=r"expected 1 to 2\*\*53") as caught:
+        read_number(text)
+    assert len(str(caught.value)) < 120
+
+
+def test_a_header_that_is_a_number() -> None:
+    assert [read_number(text) for text in ("1", "007", str(MOST))] == [1, 7, MOST]
+
+
+def test_the_last_number_is_the_last() -> None:
+    position = Position(TERMS, MOST)
+    position.lost.clear()
+    position.take(MOST, "m", False)
+    assert position.state(MOST) == "held" and position.state(position.unused()) == "beyond"
+    assert from_data(position.to_data()).next == MOST + 1
+
+
+@given(st.lists(st.tuples(st.sampled_from(["take", "end", "free", "skip"]), st.integers(1, 40)), max_size=80))
+def test_a_position_never_goes_back_and_stays_bounded(steps: list[tuple[str, int]]) -> None:
+    position = Position(TERMS)
+    ended: set[int] = set()
+    for what, number in steps:
+        before = (position.next, position.revision)
+        state = position.state(number)
+        if what == "take" and state == "free":
+            assert number not in ended, "an ended number may be taken again"
+            position.take(number, f"m{number}", False)
+        elif what == "end" and state == "held":
+            position.end(number, "delivered")
+            ended.add(number)
+        elif what == "free" and state == "held":
+            position.free(number)
+        elif what == "skip" and number <= position.next + TERMS.ahead:
+            position.skip(number)
+            ended |= set(range(1, number)) - position.entries.keys()
+        assert (position.next, position.revision) >= before and position.next >= before[0]
+        assert len(position.answers) <= TERMS.ahead + 64 and len(position.above) <= TERMS.ahead + 1
+        assert from_data(json.loads(json.dumps(position.to_data()))).to_data() == position.to_data()
--- /dev/null
+++ b/tests/test_register.py
@@ -0,0 +1,221 @@
+"""A voter: what it promises, accepts and refuses, what has to be on disk, and how it comes back after it forgot."""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+import pytest
+
+from wheelstep.fleet.register import Voter, replay
+from wheelstep.fleet.rows import BEGUN, FLEET, NEW, Row, Rows
+from wheelstep.fleet.types import Accept, Accepted, Ballot, Holding, Prepare, Promise, Refused, Stood, Votes
+
+LEASE_US, DRIFT = 1_000_000, 0.02
+GRANT_US = math.ceil(LEASE_US * (1 + DRIFT))
+BEGAN_US = 10 * LEASE_US  # a voter that started at 0 is no longer quiet
+
+
+def begun(name: str = "a", others: str = "bc", rows: Rows | None = None) -> Voter:
+    rows = rows or Rows({FLEET: Row(BEGUN, place=1)}, 1)
+    return Voter(name, list(others), 4, LEASE_US, DRIFT, rows, rows.place, 0)
+
+
+def blank(name: str, others: str) -> Voter:
+    return Voter(name, list(others), 4, LEASE_US, DRIFT, None, 0, 0)
+
+
+def say(voter: Voter, now_us: int, asker: str, *asks: Prepare | Accept, seen: int = 0) -> tuple[list, list[bytes]]:
+    voted, records = voter.heard(now_us, asker, Votes(asks, seen))
+    return list(voted.answers), records
+
+
+def holding(voter: Voter, owner: str = "x", epoch: int = 5, number: int = 3, now_us: int = BEGAN_US) -> Accept:
+    """The voter has granted this."""
+    accept = Accept(0, Ballot(number, owner), Holding(epoch, owner))
+    answers, records = say(voter, now_us, owner, accept)
+    assert answers == [Accepted(0, accept.ballot)] and records
+    voter.saved(voter.place)
+    return accept
+
+
+def test_nobody_but_the_owner_prepares_or_has_accepted_while_the_grant_runs_longer_by_the_drift() -> None:
+    voter = begun()
+    held = holding(voter)
+    mine, other = Prepare(0, Ballot(9, "y")), Accept(0, Ballot(9, "y"), Holding(6, "y"))
+    for ask in (mine, other):
+        assert say(voter, BEGAN_US + 20_000, "y", ask)[0] == [Refused(0, "lease", held.ballot, GRANT_US - 20_000,
+                                                                     held.holding)]
+    assert say(voter, BEGAN_US + GRANT_US - 1, "y", mine)[0][0].left_us == 1
+    assert say(voter, BEGAN_US + GRANT_US, "y", mine)[0] == [Promise(0, mine.ballot, held.ballot, held.holding)]
+    owners = Prepare(0, Ballot(10, "x"))
+    assert say(voter, BEGAN_US + 1, "x", owners)[0] == [Promise(0, owners.ballot, held.ballot, held.holding)]
+
+
+def test_a_renewal_runs_the_grant_anew_and_writes_nothing() -> None:
+    voter = begun()
+    held = holding(voter)
+    place = voter.place
+    assert say(voter, BEGAN_US + 500_000, "x", held) == ([Accepted(0, held.ballot)], [])
+    assert voter.place == place
+    refused, = say(voter, BEGAN_US + GRANT_US, "y", Prepare(0, Ballot(9, "y")))[0]
+    assert refused.left_us == 500_000
+
+
+def test_lower_and_equal_ballots_are_refused_and_one_ballot_has_one_holding() -> None:
+    voter = begun()
+    say(voter, BEGAN_US, "x", Prepare(0, Ballot(7, "x")))
+    for asker, ask in (("x", Prepare(0, Ballot(7, "x"))), ("a", Prepare(0, Ballot(7, "a"))),
+                       ("x", Accept(0, Ballot(6, "x"), Holding(1, "x")))):
+        refused, = say(voter, BEGAN_US, asker, ask)[0]
+        assert (refused.why, refused.promised) == ("ballot", Ballot(7, "x"))
+    holding(voter, epoch=1, number=7)
+    refused, = say(voter, BEGAN_US, "x", Accept(0, Ballot(7, "x"), Holding(2, "x")))[0]
+    assert refused.why == "ballot"
+
+
+@pytest.mark.parametrize("lower", [Holding(4, "y"), Holding(5, "y")])
+def test_an_epoch_never_falls_and_has_one_owner(lower: Holding) -> None:
+    voter = begun()
+    held = holding(voter)
+    refused, = say(voter, BEGAN_US + GRANT_US, "y", Accept(0, Ballot(9, "y"), lower))[0]
+    assert (refused.why, refused.holding) == ("ballot", held.holding)
+
+
+def test_after_a_start_everybody_waits_a_whole_lease_but_known_holdings_are_renewed() -> None:
+    first = begun()
+    held = holding(first)
+    again = begun(rows=replay(first.snapshot()))
+    assert again.place == first.place
+    assert say(again, 10, "x", held) == ([Accepted(0, held.ballot)], [])
+    for asker, part in (("x", 0), ("y", 0), ("y", 1)):
+        refused, = say(again, GRANT_US - 1, asker, Prepare(part, Ballot(9, asker)))[0]
+        assert refused.why == "lease" and refused.left_us >= 1
+    assert isinstance(say(again, GRANT_US, "y", Prepare(1, Ballot(9, "y")))[0][0], Promise)
+
+
+def test_an_answer_that_rests_on_an_unsaved_record_carries_it_again() -> None:
+    voter = begun()
+    accept = Accept(0, Ballot(3, "x"), Holding(5, "x"))
+    first = say(voter, BEGAN_US, "x", accept)[1]
+    assert say(voter, BEGAN_US, "x", accept)[1] == first
+    assert say(voter, BEGAN_US, "y", Prepare(0, Ballot(1, "y")))[1] == first  # the refusal tells the holding
+    assert say(voter, BEGAN_US, "y", Prepare(1, Ballot(0, "y")))[1] == []
+    assert voter.heard(BEGAN_US, "z", Votes(()))[0].place == 1  # what is on disk, not what is on its way
+    voter.saved(voter.place)
+    assert say(voter, BEGAN_US, "x", accept)[1] == []
+    assert voter.heard(BEGAN_US, "z", Votes(()))[0].place == 2
+
+
+def test_records_give_back_the_state_that_they_were_made_from() -> None:
+    voter = begun()
+    records = []
+    for part in range(3):
+        records += say(voter, BEGAN_US, "x", Prepare(part, Ballot(2, "x")))[1]
+    records += say(voter, BEGAN_US, "x", Accept(1, Ballot(2, "x"), Holding(1, "x")))[1]
+    state = replay(records)
+    assert state.place == voter.place == 5
+    assert state.rows[1] == Row(Ballot(2, "x"), Ballot(2, "x"), Holding(1, "x"), 5)
+    assert replay(voter.snapshot()).rows == state.rows | {FLEET: Row(BEGUN, place=1)}
+    with pytest.raises(msgspec.DecodeError):
+        replay([b"\x93\x01"])
+
+
+@pytest.mark.parametrize("ask", [
+    Prepare(-1, Ballot(1, "x")), Prepare(4, Ballot(1, "x")), Prepare(0, Ballot(0, "x")), Prepare(0, Ballot(-4, "x")),
+    Prepare(0, Ballot(1 << 60, "x")), Prepare(0, Ballot(1, "y")), Accept(0, Ballot(1, "x"), Holding(0, "x")),
+    Accept(0, Ballot(1, "x"), Holding(1 << 50, "x")), Accept(0, Ballot(1, "x"), Holding(1, ""))])
+def test_bad_asks_are_refused_counted_and_change_nothing(ask: Prepare | Accept) -> None:
+    voter = begun()
+    assert say(voter, BEGAN_US, "x", ask) == ([Refused(ask.part, "ballot")], [])
+    assert (voter.bad, voter.place) == (1, 1)
+
+
+def test_a_place_that_no_log_reaches_is_counted_and_not_believed() -> None:
+    voter = begun()
+    answers, _ = say(voter, BEGAN_US, "x", Prepare(0, Ballot(1, "x")), seen=1 << 60)
+    assert isinstance(answers[0], Promise) and voter.bad == 1 and not voter.blank
+
+
+# --- a voter that forgot ---
+
+def meet(now_us: int, *voters: Voter) -> None:
+    """Each asks the others that it wants to ask."""
+    known = {voter.name: voter for voter in voters}
+    for voter in voters:
+        for name, _ in voter.recover(now_us):
+            if name in known:
+                voter.stood(now_us, name, known[name].stand(voter.name))
+                voter.saved(voter.place)
+
+
+def test_a_voter_that_has_forgotten_votes_once_both_others_told_it_and_a_lease_has_passed() -> None:
+    b, c = begun("b", "ac"), begun("c", "ab")
+    held = holding(b)
+    say(c, BEGAN_US, "y", Prepare(0, Ballot(2, "y")), Prepare(2, Ballot(8, "y")))
+    a = begun("a", "bc")
+    assert say(a, BEGAN_US, "x", held, seen=40)[0] == [Refused(0, "behind")]
+    assert say(a, BEGAN_US, "x", held, seen=0)[0] == [Refused(0, "blank")]
+    assert a.behind == 1 and a.stand("b").blank
+    assert [name for name, _ in a.recover(BEGAN_US)] == ["b", "c"]
+    assert a.stood(BEGAN_US, "b", b.stand("a")) == [] and a.blank  # one other is not enough
+    assert a.stood(BEGAN_US, "c", Stood(True)) == [] and a.blank  # nor one that is blank itself
+    state = replay(a.stood(BEGAN_US, "c", c.stand("a", 50)))
+    assert not a.blank and a.place > 50 and state.place == a.place
+    assert (state.rows[0].promised, state.rows[0].holding) == (Ballot(3, "x"), held.holding)
+    assert state.rows[2].promised == Ballot(8, "y")
+    refused, = say(a, BEGAN_US + GRANT_US - 1, "x", Prepare(0, Ballot(20, "x")))[0]
+    assert (refused.why, refused.left_us) == ("lease", 1)
+    assert isinstance(say(a, BEGAN_US + GRANT_US, "y", Prepare(0, Ballot(20, "y")))[0][0], Promise)
+
+
+def test_of_five_voters_three_others_are_needed() -> None:
+    a = blank("a", "bcde")
+    for name in "bc":
+        assert a.stood(0, name, begun(name, "acde").stand("a")) == []
+    assert a.stood(0, "d", Stood(True)) == [] and a.stood(0, "stranger", begun("d", "abce").stand("a")) == []
+    assert a.stood(0, "e", None) == []
+    assert a.stood(0, "e", begun("e", "abcd").stand("a")) != []
+
+
+def test_a_start_with_an_older_disk_is_noticed_by_what_another_voter_has_heard_of() -> None:
+    a, b = begun("a", "bc"), begun("b", "ac")
+    held = holding(b)
+    assert [name for name, _ in a.recover(0)] == ["b", "c"]
+    assert replay(a.stood(5, "b", b.stand("a", 1))).rows[0].holding == held.holding  # told what it may have forgotten
+    assert a.stood(5, "c", Stood(False, (), 30)) == [] and a.blank
+
+
+def test_a_courier_that_is_no_voter_is_told_who_has_what() -> None:
+    voter = begun()
+    held = holding(voter)
+    stood = voter.stand("courier", 9)
+    assert not stood.blank and stood.seen == 0
+    assert [row[3] for row in stood.rows if row[0] == 0] == [held.holding]
+
+
+def test_a_fleet_is_new_only_if_all_voters_say_so() -> None:
+    a, b, c = blank("a", "bc"), blank("b", "ac"), blank("c", "ab")
+    for now_us in range(0, LEASE_US, LEASE_US // 10):
+        meet(now_us, a, b)
+    assert a.blank and b.blank
+    for now_us in range(LEASE_US, 2 * LEASE_US, LEASE_US // 10):
+        meet(now_us, a, b, c)
+    for voter in (a, b, c):
+        assert isinstance(say(voter, 2 * LEASE_US, "x", Prepare(0, Ballot(1, "x")))[0][0], Promise)
+    late = blank("c", "ab")
+    meet(2 * LEASE_US, a, late)
+    assert late.blank  # b may know more
+
+
+def test_a_voter_that_had_agreed_that_the_fleet_is_new_votes_after_a_restart_too() -> None:
+    a = blank("a", "bc")
+    a.stood(0, "b", Stood(True))
+    state = replay(a.stood(0, "c", Stood(True)))
+    assert state.rows[FLEET].promised == NEW and a.blank
+    again = Voter("a", ["b", "c"], 4, LEASE_US, DRIFT, state, state.place, 0)
+    assert again.blank
+    again.stood(0, "b", Stood(False))
+    assert again.stood(0, "c", Stood(True)) == [] and again.blank
+    again.stood(0, "c", begun("c", "ab").stand("a"))
+    assert isinstance(say(again, 0, "x", Prepare(0, Ballot(1, "x")))[0][0], Promise)
--- /dev/null
+++ b/tests/voting.py
@@ -0,0 +1,290 @@
+"""Voters and couriers in virtual time: messages lost, late, twice and out of order; clocks that run fast or slow;
+processes that crash, stand still, and come back with their disk, with an older one, or with none."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from wheelstep.fleet.owner import Gained, Owner, Passed
+from wheelstep.fleet.register import Voter, replay
+from wheelstep.fleet.types import Votes
+
+LEASE_US = 1_000_000
+DRIFT = 0.02
+MARGIN_US = 1_000
+PARTS = 4
+STEP_US = 10_000
+
+
+class Violation(AssertionError):
+    """An invariant does not hold."""
+
+
+@dataclass
+class Clock:
+    """A process's own: it starts anywhere and runs at its own rate."""
+
+    rate: float
+    offset_us: int
+
+    def at(self, true_us: int) -> int:
+        return self.offset_us + int(true_us * self.rate)
+
+
+@dataclass
+class Host:
+    """A machine with a voter or a courier."""
+
+    name: str
+    clock: Clock
+    life: int = 0  # 0: down; else which one
+    lives: int = 0
+    stopped_us: int = 0  # stands still until then
+    disk: list[bytes] = field(default_factory=list)
+    voter: Voter | None = None
+    owner: Owner | None = None
+
+
+class Fleet:
+    """One run from one seed. `run` raises `Violation`."""
+
+    def __init__(self, seed: int, voters: int = 3, couriers: int = 3, *, voter: type[Voter] = Voter,
+                 owner: type[Owner] = Owner, save_first: bool = True, loss: float = 0.05, forget: str = "",
+                 lag: str = "") -> None:
+        self.rng = random.Random(seed)
+        self.now = 0
+        self._events: list[tuple[int, int, Callable[[], None]]] = []
+        self._count = 0
+        self._voter, self._owner, self._save_first, self._forget = voter, owner, save_first, forget
+        self._lag = lag  # a courier that hears answers late
+        self.loss = loss
+        self.cut: set[frozenset[str]] = set()
+        self.epochs: dict[tuple[int, int], str] = {}  # (part, epoch) -> owner
+        self.last = [0] * PARTS  # highest epoch that anybody had
+        self.gained = 0
+        self.passed = 0
+        self.voters = {f"v{place}": self._host(f"v{place}") for place in range(voters)}
+        self.couriers = {f"c{place}": self._host(f"c{place}") for place in range(couriers)}
+        for host in self.voters.values():
+            self.start_voter(host, 0)
+        for host in self.couriers.values():
+            self.start_courier(host)
+
+    def _host(self, name: str) -> Host:
+        return Host(name, Clock(self.rng.choice([1 - DRIFT, 1.0, 1 + DRIFT, self.rng.uniform(1 - DRIFT, 1 + DRIFT)]),
+                                self.rng.randrange(1 << 40)))
+
+    def after(self, delay_us: float, act: Callable[[], None]) -> None:
+        self._count += 1
+        heapq.heappush(self._events, (self.now + int(delay_us), self._count, act))
+
+    # --- processes ---
+
+    def start_voter(self, host: Host, keep: int | None = None) -> None:
+        """With so many records of its disk; none: all."""
+        if keep is not None:
+            del host.disk[keep:]
+        rows = replay(host.disk)
+        others = [name for name in self.voters if name != host.name]
+        host.lives += 1
+        host.life = host.lives
+        host.voter = self._voter(host.name, others, PARTS, LEASE_US, DRIFT, rows if host.disk else None, rows.place,
+                                 host.clock.at(self.now))
+        self._poll_voter(host, host.life)
+
+    def start_courier(self, host: Host) -> None:
+        host.lives += 1
+        host.life = host.lives
+        host.owner = self._owner(host.name, list(self.voters), PARTS, LEASE_US, DRIFT, MARGIN_US,
+                                 random.Random(self.rng.random()), host.clock.at(self.now))
+        for part in range(PARTS):
+            if self.rng.random() < 0.7:
+                host.owner.want(part)
+        self._poll_courier(host, host.life)
+
+    def _save(self, host: Host, records: list[bytes], then: Callable[[], None]) -> None:
+        life = host.life
+        if not records:
+            then()
+            return
+
+        def saved() -> None:
+            if host.life == life and host.voter is not None:
+                host.disk += records
+                host.voter.saved(replay(records).place)
+                if self._save_first:
+                    then()
+
+        self.after(self.rng.uniform(500, 5_000) * (1 if self._save_first else 20), saved)
+        if not self._save_first:
+            then()
+
+    def _poll_voter(self, host: Host, life: int) -> None:
+        if host.life != life or host.voter is None:
+            return
+        for name, _ in host.voter.recover(host.clock.at(self.now)):
+            self._send(host, self.voters[name], lambda other=self.voters[name]: self._stand(host, other))
+        self.after(STEP_US, lambda: self._poll_voter(host, life))
+
+    def _stand(self, asker: Host, told: Host) -> None:
+        if told.voter is None:
+            return
+        owner = next((host.owner for host in self.couriers.values() if host.name[1:] == told.name[1:]), None)
+        stood = told.voter.stand(asker.name, owner.seen(asker.name) if owner else 0)
+        life = asker.life
+
+        def hear() -> None:
+            if asker.life == life and asker.voter is not None:
+                self._save(asker, asker.voter.stood(asker.clock.at(self.now), told.name, stood), lambda: None)
+
+        self._send(told, asker, hear)
+
+    def _poll_courier(self, host: Host, life: int) -> None:
+        if host.life == life:
+            self._kick(host)
+            self.after(STEP_US, lambda: self._poll_courier(host, life))
+
+    def _kick(self, host: Host) -> None:
+        if host.owner is None or host.stopped_us > self.now:
+            return
+        now_us = host.clock.at(self.now)
+        for voter, votes in host.owner.tick(now_us):
+            self._ask(host, self.voters[voter], votes)
+        self._heed(host, host.owner.events(now_us))
+
+    # --- messages ---
+
+    def _send(self, sender: Host, receiver: Host, act: Callable[[], None]) -> None:
+        if self.rng.random() < self.loss or frozenset((sender.name, receiver.name)) in self.cut:
+            return
+        life = receiver.life
+
+        def arrive() -> None:
+            if receiver.life != life:
+                return
+            if receiver.stopped_us > self.now:
+                self.after(receiver.stopped_us - self.now, arrive)
+            else:
+                act()
+
+        for _ in range(2 if self.rng.random() < self.loss else 1):
+            late = self.rng.random() < 0.03
+            near = 140_000 if receiver.name == self._lag else self.rng.expovariate(1 / 5_000)
+            self.after(self.rng.uniform(100_000, 1_500_000) if late else near, arrive)
+
+    def _ask(self, host: Host, voter: Host, votes: Votes) -> None:
+        life, done = host.life, [False]
+
+        def answer(voted: object) -> None:
+            if not done[0] and host.life == life and host.owner is not None:
+                done[0] = True
+                self._heed(host, host.owner.answered(host.clock.at(self.now), voter.name, votes, voted))
+                self._kick(host)
+
+        def heard() -> None:
+            if voter.voter is not None:
+                voted, records = voter.voter.heard(voter.clock.at(self.now), host.name, votes)
+                self._save(voter, records, lambda: self._send(voter, host, lambda: answer(voted)))
+
+        self._send(host, voter, heard)
+
+    # --- what has to hold ---
+
+    def _heed(self, host: Host, events: list[object]) -> None:
+        for event in events:
+            if isinstance(event, Gained):
+                self.gained += 1
+                if event.epoch <= self.last[event.part]:
+                    raise Violation(f"epoch {event.epoch} of part {event.part} again or after a later one")
+                self.last[event.part] = event.epoch
+                self._one(event.part, event.epoch, host.name)
+            elif isinstance(event, Passed):
+                self.passed += 1
+                self._one(event.part, event.epoch, event.owner)
+
+    def _one(self, part: int, epoch: int, owner: str) -> None:
+        if self.epochs.setdefault((part, epoch), owner) != owner:
+            raise Violation(f"epoch {epoch} of part {part} has {owner} and {self.epochs[part, epoch]}")
+
+    def owners(self, part: int) -> list[str]:
+        return [host.name for host in self.couriers.values() if host.owner is not None
+                and host.owner.epoch(part, host.clock.at(self.now)) is not None]
+
+    def check(self) -> None:
+        for part in range(PARTS):
+            if len(self.owners(part)) > 1:
+                raise Violation(f"part {part} has {self.owners(part)} at {self.now}")
+
+    # --- a run ---
+
+    def advance(self, span_us: int) -> None:
+        end = self.now + span_us
+        while self._events and self._events[0][0] <= end:
+            self.now, _, act = heapq.heappop(self._events)
+            act()
+            self.check()
+        self.now = end
+
+    def _fault(self) -> None:
+        """Something goes wrong, or somebody wants something."""
+        rng = self.rng
+        courier = rng.choice(list(self.couriers.values()))
+        voter = rng.choice(list(self.voters.values()))
+        kind = rng.choice(["give", "give", "back", "want", "release", "stop", "crash courier", "crash voter", "cut",
+                           "heal"])
+        owner, part, now_us = courier.owner, rng.randrange(PARTS), courier.clock.at(self.now)
+        if owner is not None and courier.stopped_us <= self.now:
+            if kind == "give" and owner.epoch(part, now_us) is not None:
+                owner.give(now_us, part, rng.choice(list(self.couriers)))
+            elif kind == "back" and owner.holding(part) is not None:
+                owner.give(now_us, part, courier.name)
+            elif kind == "want":
+                owner.want(part)
+            elif kind == "release":
+                owner.release(part)
+            elif kind == "stop":
+                courier.stopped_us = self.now + rng.randrange(3 * LEASE_US)
+        if kind == "crash courier" and courier.life:
+            courier.life, courier.owner = 0, None
+            self.after(rng.randrange(2 * LEASE_US), lambda: courier.life or self.start_courier(courier))
+        elif kind == "crash voter" and all(host.life for host in self.voters.values()):
+            self._crash(voter)
+        elif kind == "cut":
+            side = set(rng.sample([*self.voters, *self.couriers], rng.randrange(1, 4)))
+            self.cut = {frozenset((one, other)) for one in side for other in [*self.voters, *self.couriers]
+                        if other not in side}
+        elif kind == "heal":
+            self.cut = set()
+
+    def _crash(self, host: Host) -> None:
+        keep = None
+        sound = not any(other.voter is None or other.voter.blank for other in self.voters.values())
+        if self._forget == "all" and sound:
+            keep = 0
+        elif self._forget == "some" and sound and host.name == "v0":
+            keep = max(len(host.disk) - self.rng.randrange(1, 6), min(len(host.disk), 2))
+            self.cut = set()
+        host.life, host.voter = 0, None
+        self.after(self.rng.randrange(LEASE_US), lambda: self.start_voter(host, keep))
+
+    def run(self, spans: int = 40) -> Fleet:
+        """Trouble for a while; then none, and every part must find an owner."""
+        self.advance(LEASE_US)
+        for _ in range(spans):
+            self._fault()
+            self.advance(self.rng.randrange(LEASE_US // 2))
+        self.cut, self.loss = set(), 0.0
+        self.advance(4 * LEASE_US)
+        for host in self.couriers.values():
+            if host.owner is None:
+                self.start_courier(host)
+            for part in range(PARTS):
+                host.owner.want(part)
+        for _ in range(60):
+            self.advance(LEASE_US // 2)
+            if all(self.owners(part) for part in range(PARTS)):
+                return self
+        raise Violation("no progress: nobody owns " + str([part for part in range(PARTS) if not self.owners(part)]))
--- a/wheelstep/courier/carrier.py
+++ b/wheelstep/courier/carrier.py
@@ -9,7 +9,7 @@
 import logging
 import time
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import astuple
 from typing import TYPE_CHECKING
 
@@ -53,6 +53,8 @@
         self.tells_deliveries = False  # are notices owed of what was delivered as well?
         self.figures: Figures | None = None
         self.account: Account | None = None
+        self.fence: Callable[[str], bool] | None = None  # asked as well whether a message's first byte may be written
+        self.stray: Callable[[Item, Result], None] | None = None  # hears outcomes of what the module holds no more
         self._tell: Told | None = None  # who owns the messages now, once another process does
 
     # --- what calls ask and tell (outlet.Gate) ---
@@ -84,7 +86,8 @@
 
     def may_start(self, endpoint: str, item: Item) -> bool:
         """May the attempt's first byte still be written?"""
-        return item.message in self._held and self.may_probe(endpoint)
+        return (item.message in self._held and self.may_probe(endpoint)
+                and (self.fence is None or self.fence(item.message)))
 
     def may_probe(self, endpoint: str) -> bool:
         """May anything new be written there?"""
@@ -135,6 +138,8 @@
             self.turns.post(api.AttemptEnded(
                 item.message, item.attempt, endpoint, result.outcome, result.spent_us, complete,
                 result.wait_us, result.limit, result.exhausted))
+            if held is None and self.stray is not None:
+                self.stray(item, result)
 
     def probed(self, endpoint: str, result: Result) -> None:
         """The outcome of a probe."""
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -124,9 +124,13 @@
         """Is it written down for a client that has not heard so yet, and may still be withdrawn?"""
         return message in self._settles
 
+    def heard(self, name: str) -> None:
+        """Its client knows that it was taken on."""
+        self._settles.discard(name)
+
     def begin(self, name: str) -> None:
         """Act on a message whose client knows that it was taken on."""
-        self._settles.discard(name)
+        self.heard(name)
         message = self._journal.messages[name]
         self._hold(message)
         self.turns.post(self._accepted(message, message.resubmitted))
@@ -212,6 +216,11 @@
                 self.turns.post(api.HealthRestored(endpoint, api.Health(*health), max(0, now_ms - at_ms) * 1000))
             else:
                 self._journal.mark(endpoint, None)
+        self.resume(messages, out)
+
+    def resume(self, messages: Iterable[Stored], out: Mapping[str, tuple[int, int, CallsOut]] | None = None) -> None:
+        """Go on with messages that an earlier process, or another courier, had taken on. `out`: which are still in
+        which call of a process before, and their attempts there."""
         for message in messages:
             if message.notice is not None:
                 self._owe(message)
@@ -221,13 +230,25 @@
             else:
                 self._hold(message)
                 self._account_for(message, restored=True)
-                at, number, call = out.get(message.id, (0, None, None))
+                at, number, call = (out or {}).get(message.id, (0, None, None))
                 ran = message.may_have_run(but=number)
                 self.turns.post(api.MessageRestored(
                     self._accepted(message, resubmitted=True), message.attempts,
                     None if ran is None else _ago_us(ran[0]), self.endpoints.zone(ran[1]) if ran else 0,
                     None if call is None else api.CallOut(at, call.endpoint, _ago_us(call.sent_ms))))
 
+    def set_aside(self, name: str) -> None:
+        """The module holds it no more, and its end is still owed; a call of it that is under way goes on."""
+        if self._held.pop(name, None) is not None:
+            del self._numbers[name]
+            self.turns.post(api.MessageWithdrawn(name))
+
+    def finish(self, name: str, outcome: str, retry_ms: int = 0) -> None:
+        """End one by a notice, whether the module holds it or not."""
+        self.set_aside(name)
+        if (message := self._journal.messages.get(name)) is not None and message.notice is None:
+            self._end(message, outcome, retry_ms)
+
     def _accepted(self, message: Stored, resubmitted: bool) -> api.MessageAccepted:
         place = self.classes.place(message)
         assert place is not None  # the inlet takes none of an unknown class, nor does `restore`
--- a/wheelstep/courier/desk.py
+++ b/wheelstep/courier/desk.py
@@ -13,7 +13,9 @@
 class Desk(Protocol):
     """Who takes messages on."""
 
-    ready: bool
+    @property
+    def ready(self) -> bool:
+        """Does the courier take clients?"""
 
     @property
     def syncs(self) -> bool:
@@ -81,6 +83,9 @@
     def other(self, request: Request, door: Door) -> None:
         """Answer what is neither that nor asks for health; raises the same."""
 
+    def says(self, message: Stored) -> tuple[tuple[str, str], ...]:
+        """Headers that go with its 202."""
+
     def taken(self, message: Stored) -> None:
         """Its client has heard 202."""
 
--- a/wheelstep/courier/inlet.py
+++ b/wheelstep/courier/inlet.py
@@ -211,7 +211,7 @@
             raise error
 
     def _taken(self, request: Request, message: Stored, desk: Desk, door: ClientDoor) -> None:
-        if door.say(request, 202):
+        if door.say(request, 202, "", self._front.says(message) if self._front is not None else ()):
             desk.begin(message.id)
             desk.handed_in(message, 202)
             if self._front is not None:
--- /dev/null
+++ b/wheelstep/courier/leaving.py
@@ -0,0 +1,38 @@
+"""How a courier ends: within some three seconds of SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable
+
+from wheelstep.courier.core import Core
+from wheelstep.courier.inlet import Inlet
+
+_WORK_ON_S = 2.0  # from SIGTERM until no new attempt starts
+_CLOSE_S = 2.8  # until clients' connections are ended
+LEAVE_S = 3.2  # until calls still under way are left to the next process
+
+log = logging.getLogger(__name__)
+
+
+async def leave(core: Core, inlet: Inlet, first: Awaitable[None] | None = None) -> None:
+    """Clients hear 503 from the health check, and go on being served on the connections that they have. `first`: what
+    is done meanwhile, and waited for."""
+    began = asyncio.get_running_loop().time()
+    core.ready = False
+    if first is not None:
+        await first
+        began = max(began, asyncio.get_running_loop().time() - _WORK_ON_S)
+
+    async def until(after_s: float) -> None:
+        await asyncio.sleep(max(0.0, began + after_s - asyncio.get_running_loop().time()))
+
+    await until(_WORK_ON_S)
+    core.stop()
+    await core.outlet.finish(_CLOSE_S - _WORK_ON_S)
+    inlet.closing = True
+    await until(_CLOSE_S)
+    await inlet.stop()
+    await core.outlet.finish(max(0.0, began + LEAVE_S - asyncio.get_running_loop().time()))
+    log.info("stopped")
--- a/wheelstep/courier/outlet.py
+++ b/wheelstep/courier/outlet.py
@@ -156,6 +156,10 @@
             found.setdefault(task, []).append(attempt)
         return [*found.values()]
 
+    def carries(self, message: str) -> bool:
+        """Is a call with it under way, or about to be?"""
+        return any(name == message for name, _ in self._calls)
+
     def links(self) -> int:
         """Connections: with a call, or being dialled, and idle."""
         return len(self._tasks) + sum(len(host.idle) for host in self._hosts.values())
--- a/wheelstep/fleet/content.py
+++ b/wheelstep/fleet/content.py
@@ -19,6 +19,9 @@
     def changed(self, part: int) -> list[Piece]:
         """What has changed since it was last asked; empty data for what is gone."""
 
+    def weight(self, part: int) -> int:
+        """About how many pieces there are of it."""
+
     def under_way(self, part: int) -> int:
         """Calls of the part that have begun and have no outcome yet."""
 
@@ -26,7 +29,8 @@
         """Take no 202 and begin no attempt for the part until `open`."""
 
     def open(self, part: int, epoch: int) -> None:
-        """The part is this courier's under this epoch: serve it, what it holds of it included."""
+        """The part is this courier's under this epoch: serve it, what it holds of it included. Where an epoch lies
+        between this and the last that it had or adopted, another has had the part since: its positions are not here."""
 
     def adopt(self, part: int, epoch: int, pieces: Iterable[Piece]) -> None:
         """Take the pieces of a part that was handed over into this courier's journal; again does no harm."""
--- /dev/null
+++ b/wheelstep/fleet/daemon.py
@@ -0,0 +1,261 @@
+"""A courier of a fleet: the node's decisions on sockets, a clock and a log on disk, and its channels before the inlet.
+
+Only imported where the operator's file has `[fleet]` with `on = true`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import Coroutine, Sequence
+from concurrent.futures import ThreadPoolExecutor
+
+from wheelstep.channels.book import Book
+from wheelstep.channels.content import ChannelContent
+from wheelstep.channels.contracts import changes
+from wheelstep.channels.front import ChannelDesk, ChannelFront, signed
+from wheelstep.channels.kept import Kept
+from wheelstep.courier.config import Address, Config, ConfigError
+from wheelstep.courier.core import Core
+from wheelstep.fleet.log import Log, LogBrokenError, LogDamagedError
+from wheelstep.fleet.membership import Limits as MemberLimits
+from wheelstep.fleet.node import Node
+from wheelstep.fleet.peers import Peers
+from wheelstep.fleet.placing import NodeSettings
+from wheelstep.fleet.settings import Fleet, FleetPart
+from wheelstep.fleet.types import Action, Answer, Ask, Call, Member, Note, Packet, Reply, Save, SendPacket, State
+from wheelstep.journal import Journal, NoRoomError
+from wheelstep.journal.disk import Folder
+from wheelstep.moves.steps import Limits
+from wheelstep.moves.swap import Pace
+
+_NOTES_S = 5.0
+_ASKED_S = 10.0  # for an answer to a peer's ask, its save included
+
+log = logging.getLogger("wheelstep.fleet")
+
+
+def now_us() -> int:
+    """The clock of leases: it goes on while the process stands still, and while the machine sleeps."""
+    return int(time.clock_gettime(time.CLOCK_BOOTTIME) * 1e6)
+
+
+def now_ms() -> int:
+    """The same in milliseconds, for channels."""
+    return now_us() // 1000
+
+
+def settings_of(part: FleetPart) -> NodeSettings:
+    """The node's, of the operator's table."""
+    return NodeSettings(
+        part.voters, part.parts, part.lease, part.clock_drift, margin_us=part.lease // 30, at_once=part.moves_at_once,
+        pace_us=part.move_pace, probation_us=part.probation, members=MemberLimits(period_us=part.probe_every),
+        moves=Limits(call_bound_us=part.call_bound),
+        leaving=Pace(at_once=part.moves_at_once * 2, pause_us=100_000, bound_us=part.give_away_within))
+
+
+class FleetDaemon:
+    """`kept` goes beneath the core in the journal's place. Raises `ConfigError`."""
+
+    def __init__(self, config: Config, fleet: Fleet, journal: Journal) -> None:
+        self._config, self._fleet, self._part = config, fleet, fleet.part
+        self.book = Book(fleet.contracts, fleet.part.parts, fleet.part.most_channels, now_ms())
+        self.kept = Kept(journal, self.book, fleet.part.parts, now_ms)
+        self._disk = Folder(config.state / "fleet")
+        (config.state / "fleet").mkdir(parents=True, exist_ok=True)
+        self._log, self._records = self._open_log()
+        self._thread = ThreadPoolExecutor(1, "fleet-log")
+        self._saves: list[Save] = []
+        self._saving: asyncio.Task[None] | None = None
+        self._broken = False  # the last write failed
+        self._asks: dict[int, asyncio.Future[Answer]] = {}
+        self._token = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._timer: asyncio.TimerHandle | None = None
+
+    def _open_log(self) -> tuple[Log, Sequence[bytes]]:
+        least = int(time.time())
+        try:
+            return Log.open(self._disk, least)
+        except LogDamagedError as error:
+            log.error("%s: put aside; this courier's vote begins blank", error)
+            return Log.anew(self._disk, max(least, error.boot + 1)), ()
+        except OSError as error:
+            raise ConfigError(f"{self._config.state / 'fleet'}: {error}") from error
+
+    def join(self, core: Core) -> tuple[ChannelDesk, ChannelFront]:
+        """The parts that need the core: what the inlet asks."""
+        part, config = self._part, self._config
+        self._core = core
+        self.content = ChannelContent(core, self.kept, self.book, now_ms)
+        listen = Address.parse(part.listen or "")
+        me = Member(config.name, self._log.boot, State.ALIVE, part.address or f"{listen.host}:{listen.port}",
+                    part.serves or f"{config.listen.host}:{config.listen.port}", part.weight, part.zone)
+        peers = {name: address for name, address in part.peers.items() if name != config.name}
+        self.node = Node(me, settings_of(part), peers, self.content, self._records,
+                         random.Random(f"{config.seed} {self._log.boot}"), now_us())
+        self._records = ()
+        self.content.epoch = lambda number: self.node.epoch(number, now_us())
+        self.peers = Peers(self._fleet.keys, part.name, config.name, self._log.boot, now_us, self._heard, self._asked)
+        self.desk = ChannelDesk(core, self.kept, self.content, now_ms, lambda: int(time.time() * 1000))
+        front = ChannelFront(core.ordered, self.book, self.content, part.parts, now_ms, self._owner)
+        core.outlet.sign = signed(self.kept, self.content)
+        return self.desk, front
+
+    def restore(self) -> None:
+        """Take up what the journal holds. Messages of channels wait until their part is this courier's again."""
+        self._core.restore(self.kept.marks, self.content.restore(self.kept.marks))
+        for message in self.kept.messages.values():
+            if message.channel is not None and message.notice is None:
+                self.desk.expect(message)
+
+    def _owner(self, part: int) -> tuple[str, float]:
+        serves = self.node.serves(part)
+        mine = f"{self._config.listen.host}:{self._config.listen.port}" if self._part.serves is None else \
+            self._part.serves
+        return ("", self._part.lease / 4e6) if serves in ("", mine) else (serves, 0.05)
+
+    async def start(self) -> None:
+        """Listen to peers and begin. Raises `ConfigError`."""
+        try:
+            await self.peers.start(Address.parse(self._part.listen or ""))
+        except OSError as error:
+            raise ConfigError(f"fleet.listen: {self._part.listen}: {error}") from error
+        self._tick()
+        self.desk.wake()
+
+    async def run(self) -> None:
+        """Tell operators what was refused, for good."""
+        while True:
+            await asyncio.sleep(_NOTES_S)
+            for line in self.peers.notes():
+                log.warning("%s", line)
+
+    def renew(self, fleet: Fleet) -> None:
+        """The operator's file was read again: contracts change, all else at the next start."""
+        for line in changes(self.book.contracts, fleet.contracts):
+            log.info("%s", line)
+        self.book.contracts = fleet.contracts
+
+    async def leave(self) -> None:
+        """Give the parts away, if the operator wants that, within the time for it."""
+        if not self._part.give_away:
+            return
+        log.info("leaving: %d parts to give away", len(self.node.owned(now_us())))
+        self._do(self.node.leave(now_us()))
+        until = asyncio.get_running_loop().time() + self._part.give_away_within / 1e6
+        while not self.node.left and asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(0.01)
+        log.info("%d parts are left here", len(self.node.owned(now_us())))
+
+    async def close(self) -> None:
+        """The process ends: what is served here is not, from now on."""
+        for number in range(self._part.parts):
+            self.content.shut(number)
+        if self._part.give_away:
+            self._do(self.node.end(now_us()))
+        if self._timer is not None:
+            self._timer.cancel()
+        for task in list(self._tasks):
+            task.cancel()
+        await self.peers.close()
+        self._thread.shutdown(wait=True)
+        self._log.close()
+
+    # --- the node on the loop ---
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._do(self.node.tick(now_us()))
+
+    def _arm(self) -> None:
+        in_s = max(0.0, (self.node.next_us() - now_us()) / 1e6)
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = asyncio.get_running_loop().call_later(max(in_s, 0.001), self._tick)
+
+    def _heard(self, sender: str, address: str, packet: Packet) -> None:
+        self._do(self.node.packet(now_us(), sender, address, packet))
+
+    async def _asked(self, sender: str, ask: Ask) -> Answer | None:
+        self._token += 1
+        token = self._token
+        future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        self._asks[token] = future
+        try:
+            self._do(self.node.asked(now_us(), token, sender, ask))
+            async with asyncio.timeout(_ASKED_S):
+                return await future
+        except TimeoutError:
+            return None
+        finally:
+            del self._asks[token]
+
+    def _do(self, actions: Sequence[Action]) -> None:
+        for action in actions:
+            match action:
+                case SendPacket(address, packet):
+                    self.peers.send(address, self.node.membership.name_at(address), packet)
+                case Call():
+                    self._keep(self._call(action))
+                case Reply(token, answer):
+                    if (future := self._asks.get(token)) is not None and not future.done():
+                        future.set_result(answer)
+                case Save():
+                    self._saves.append(action)
+                    if self._saving is None:
+                        self._saving = self._keep(self._save())
+                case Note(text):
+                    log.info("%s", text)
+        self._arm()
+
+    def _keep(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            log.error("an errand of the fleet failed", exc_info=error)
+
+    async def _call(self, call: Call) -> None:
+        address = self.node.membership.address_of(call.member) or self._part.peers.get(call.member, "")
+        answer = None
+        if address:
+            answer = await self.peers.ask(address, call.member, call.ask, call.timeout_us / 1e6)
+        self._do(self.node.answered(now_us(), call.token, answer))
+
+    async def _save(self) -> None:
+        """All that waits in one write and one sync, again until nothing waits. The journal's own first: what the
+        content has written is explained by these records."""
+        while self._saves:
+            saves, self._saves = self._saves, []
+            records = [record for save in saves for record in save.records]
+            whole = self.node.snapshot() if self._log.bloated or self._broken else None
+            try:
+                if self.kept.waits:
+                    await self.kept.durable()
+                await asyncio.get_running_loop().run_in_executor(self._thread, self._write, records, whole)
+                self._broken = False
+            except (OSError, LogBrokenError, LogDamagedError, NoRoomError) as error:
+                log.error("the fleet's log: %s; nothing that rests on it is said", error)
+                self._broken = True
+            for save in saves:
+                self._do(self.node.saved(now_us(), save.token, not self._broken))
+        self._saving = None
+
+    def _write(self, records: Sequence[bytes], whole: Sequence[bytes] | None) -> None:
+        """In the log's own thread: a disk that hangs stops no more than what has to be on it."""
+        if self._broken:
+            boot = self._log.boot
+            self._log.close()
+            self._log, _ = Log.open(self._disk, boot)
+        if whole is not None:
+            self._log.compact(whole)
+        else:
+            self._log.append(records)
+            self._log.sync()
--- /dev/null
+++ b/wheelstep/fleet/peers.py
@@ -0,0 +1,151 @@
+"""The sockets of a fleet: sealed datagrams, and sealed asks over HTTP. Everything that is not a good seal is counted
+and told now and then; nothing of it goes further.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Awaitable, Callable, Sequence
+
+import aiohttp
+from aiohttp import web
+
+from wheelstep.courier.config import Address
+from wheelstep.fleet.packets import DATAGRAM, STREAM, STREAM_BYTES, Elder, PacketError, Reason, Seal
+from wheelstep.fleet.types import Answer, Ask, Packet, Stood, Voted
+from wheelstep.moves.types import Moved
+
+_PATH = "/fleet"
+_MOST_ASKS = 256  # of peers, under way at once
+
+log = logging.getLogger(__name__)
+
+Heard = Callable[[str, str, Packet], None]
+Asked = Callable[[str, Ask], Awaitable[Answer | None]]
+
+
+class Peers(asyncio.DatagramProtocol):
+    """`heard` gets datagrams (sender, address, packet), `asked` answers asks (sender, ask)."""
+
+    def __init__(self, keys: Sequence[bytes], fleet: str, me: str, boot: int, now_us: Callable[[], int], heard: Heard,
+                 asked: Asked) -> None:
+        self._now_us, self._heard, self._asked = now_us, heard, asked
+        self.datagrams = Seal(keys, fleet, me, boot)
+        self.streams = Seal(keys, fleet, me, boot, lane="stream", most_bytes=STREAM_BYTES)
+        self._transport: asyncio.DatagramTransport | None = None
+        self._runner: web.AppRunner | None = None
+        self._session: aiohttp.ClientSession | None = None
+        self._open = 0
+        self.dropped = 0  # datagrams that could not be sent, asks beyond the bound
+
+    async def start(self, listen: Address) -> None:
+        """Listen. Raises `OSError`."""
+        app = web.Application(client_max_size=STREAM_BYTES + 1024)
+        app.router.add_post(_PATH, self._serve)
+        self._runner = web.AppRunner(app, access_log=None, handle_signals=False)
+        await self._runner.setup()
+        stream = socket.create_server((listen.host, listen.port))
+        port = stream.getsockname()[1]
+        await web.SockSite(self._runner, stream).start()
+        self._transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self, local_addr=(listen.host, port))
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit_per_host=4, limit=512, keepalive_timeout=30),
+            auto_decompress=False, trust_env=False)
+
+    async def close(self) -> None:
+        """End all of it."""
+        if self._transport is not None:
+            self._transport.close()
+        if self._session is not None:
+            await self._session.close()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    # --- datagrams ---
+
+    def send(self, address: str, name: str, packet: Packet) -> None:
+        """To the member `name` ("" if it is not known) at an address; may be lost."""
+        host, _, port = address.rpartition(":")
+        try:
+            data = self.datagrams.pack(name, packet)
+            if self._transport is not None:
+                self._transport.sendto(data, (host, int(port)))
+        except (ValueError, OSError) as error:
+            self.dropped += 1
+            log.debug("a datagram to %s could not be sent: %s", address, error)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        address = f"{addr[0]}:{addr[1]}"
+        try:
+            opened = self.datagrams.open(data, DATAGRAM)
+        except PacketError as error:
+            if error.reason is Reason.OLD_BOOT and self._transport is not None:
+                elder = self.datagrams.stale_boot(error.sender, self._now_us())
+                if elder is not None:
+                    self._transport.sendto(elder, addr)
+            return
+        if isinstance(opened.payload, Elder):
+            self._elder(opened.payload)
+            return
+        try:
+            self._heard(opened.sender, address, opened.payload)
+        except Exception:  # guards the socket: one packet that can't be used may not end it
+            log.exception("a packet of %s could not be used", opened.sender)
+
+    def error_received(self, exc: Exception) -> None:
+        self.dropped += 1
+
+    def _elder(self, elder: Elder) -> None:
+        for seal in (self.datagrams, self.streams):
+            if seal.heard_elder(elder, self._now_us()):
+                log.warning("the fleet knows a later life of this courier: boot %d from now on", seal.boot)
+
+    # --- streams ---
+
+    async def ask(self, address: str, name: str, ask: Ask, timeout_s: float) -> Answer | None:
+        """A member's answer, or None."""
+        if self._session is None:
+            return None
+        try:
+            data = self.streams.pack(name, ask)
+            async with self._session.post(f"http://{address}{_PATH}", data=data,
+                                          timeout=aiohttp.ClientTimeout(total=timeout_s)) as response:
+                body = await response.read()
+                opened = self.streams.open(body, STREAM) if response.status in (200, 409) else None
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, PacketError):
+            return None
+        if opened is None or opened.sender != name:
+            return None
+        if isinstance(opened.payload, Elder):
+            self._elder(opened.payload)
+            return None
+        return opened.payload if isinstance(opened.payload, Voted | Stood | Moved) else None
+
+    async def _serve(self, request: web.Request) -> web.Response:
+        if self._open >= _MOST_ASKS:
+            self.dropped += 1
+            return web.Response(status=503)
+        self._open += 1
+        try:
+            opened = self.streams.open(await request.read(), STREAM)
+            if isinstance(opened.payload, Elder | Voted | Stood | Moved):
+                return web.Response(status=400)
+            answer = await self._asked(opened.sender, opened.payload)
+        except PacketError as error:
+            elder = None
+            if error.reason is Reason.OLD_BOOT:
+                elder = self.streams.stale_boot(error.sender, self._now_us())
+            return web.Response(status=409, body=elder) if elder is not None else web.Response(status=400)
+        finally:
+            self._open -= 1
+        if answer is None:
+            return web.Response(status=503)
+        return web.Response(body=self.streams.pack(opened.sender, answer))
+
+    def notes(self) -> list[str]:
+        """Lines for operators about what was refused."""
+        now_us = self._now_us()
+        return [*self.datagrams.notes(now_us), *self.streams.notes(now_us)]
--- /dev/null
+++ b/wheelstep/fleet/settings.py
@@ -0,0 +1,89 @@
+"""`[fleet]` of the operator's file. Only imported where the file has it."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, Any
+
+from pydantic import Field, ValidationError
+
+from wheelstep.channels.contracts import ContractError, Contracts
+from wheelstep.channels.contracts import read as read_contracts
+from wheelstep.fields import Part, Time, explain
+
+KEY_BYTES = 32  # at least, of a fleet's key
+
+Address = Annotated[str, Field(pattern=r"^[^\s:]+:\d{1,5}$")]
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+
+
+class FleetError(Exception):
+    """`[fleet]` can't be used; one line with place and expectation."""
+
+
+class FleetPart(Part):
+    """The couriers that share work with this one."""
+
+    on: bool = False
+    name: Name = "fleet"
+    key_file: Path | None = None
+    old_key_files: Annotated[tuple[Path, ...], Field(max_length=4)] = ()  # opened, never sealed with
+    listen: Address | None = None  # peers, UDP and TCP
+    address: Address | None = None  # where peers reach it, if that is not `listen`
+    serves: Address | None = None  # where clients reach it, if that is not the courier's own address
+    peers: Annotated[dict[Name, Address], Field(max_length=2_000)] = {}
+    voters: Annotated[tuple[Name, ...], Field(max_length=5)] = ()
+    parts: Annotated[int, Field(ge=1, le=1024)] = 64
+    lease: Annotated[Time, Field(ge=500_000, le=60_000_000)] = 3_000_000
+    clock_drift: Annotated[float, Field(ge=0, le=0.2)] = 0.02
+    weight: Annotated[float, Field(ge=0, le=1_000)] = 1.0
+    zone: Annotated[str, Field(max_length=40)] = ""
+    probe_every: Annotated[Time, Field(ge=50_000, le=10_000_000)] = 500_000
+    give_away: bool = False  # at SIGTERM
+    give_away_within: Time = 1_800_000
+    moves_at_once: Annotated[int, Field(ge=1, le=64)] = 2
+    move_pace: Time = 50_000
+    call_bound: Time = 2_000_000
+    probation: Time = 10_000_000
+    most_channels: Annotated[int, Field(ge=1, le=1_000_000)] = 20_000
+
+
+class Fleet:
+    """What a courier of a fleet is told: its table, the fleet's keys, and the contracts."""
+
+    def __init__(self, part: FleetPart, keys: list[bytes], contracts: Contracts) -> None:
+        self.part, self.keys, self.contracts = part, keys, contracts
+
+
+def read(table: Any, contracts: Any, folder: Path) -> Fleet | None:
+    """Check the tables `fleet` and `contract` of a file in this folder; None where the fleet is off. Raises
+    `FleetError`."""
+    try:
+        part = FleetPart.model_validate(table if table is not None else {})
+    except ValidationError as error:
+        raise FleetError(f"fleet.{explain(error, 'docs/operations/channels.md')}") from error
+    try:
+        declared = read_contracts(contracts if contracts is not None else [])
+    except ContractError as error:
+        raise FleetError(str(error)) from error
+    if not part.on:
+        if len(declared):
+            raise FleetError("contract: declared while fleet.on is false; expected [fleet] with on = true")
+        return None
+    if part.key_file is None or part.listen is None:
+        missing = "key_file" if part.key_file is None else "listen"
+        raise FleetError(f"fleet.{missing}: missing; expected a value where fleet.on is true")
+    if len(part.voters) not in (3, 5) or len(set(part.voters)) != len(part.voters):
+        raise FleetError(f"fleet.voters: {list(part.voters)}; expected 3 or 5 different names")
+    return Fleet(part, [_key(folder / path) for path in (part.key_file, *part.old_key_files)], declared)
+
+
+def _key(path: Path) -> bytes:
+    try:
+        text = path.read_text(encoding="ascii").strip()
+        key = bytes.fromhex(text)
+    except (OSError, ValueError) as error:
+        raise FleetError(f"fleet.key_file: {path}: {error}; expected hexadecimal digits") from error
+    if len(key) < KEY_BYTES:
+        raise FleetError(f"fleet.key_file: {path}: {len(key)} bytes; expected {KEY_BYTES} or more")
+    return key
--- a/wheelstep/journal/codec.py
+++ b/wheelstep/journal/codec.py
@@ -66,8 +66,11 @@
 
 def take(m: Stored) -> bytes:
     """A message whole, as it stands: it was taken on, or is copied forward."""
-    head = _json([m.seq, m.id, m.message_class, m.destination, m.deadline_ms, m.key, m.token, int(m.resubmitted),
-                  m.attempts, m.ran_ms, m.ran_at, [[n, *sent] for n, sent in m.out.items()], m.notice]).encode()
+    fields = [m.seq, m.id, m.message_class, m.destination, m.deadline_ms, m.key, m.token, int(m.resubmitted),
+              m.attempts, m.ran_ms, m.ran_at, [[n, *sent] for n, sent in m.out.items()], m.notice]
+    if m.channel is not None:  # only then, so that a folder without channels can be read by a program without them
+        fields += [m.channel, m.number]
+    head = _json(fields).encode()
     return _frame(b"m" + _LENGTH.pack(len(head)) + head + (b"" if m.notice else m.body))
 
 
@@ -120,10 +123,10 @@
         start = 1 + _LENGTH.size
         stop = start + _LENGTH.unpack_from(payload, 1)[0]
         (seq, name, cls, destination, deadline, key, token, again, attempts, ran_ms, ran_at, out,
-         notice) = json.loads(payload[start:stop])
+         notice, *place) = json.loads(payload[start:stop])
         return kind, Stored(name, cls, destination, deadline, key, token, bool(again), payload[stop:], attempts,
                             ran_ms, ran_at, {n: (at_ms, where) for n, at_ms, where in out},
-                            (notice[0], notice[1]) if notice else None, seq)
+                            (notice[0], notice[1]) if notice else None, seq, *place)
     if kind == END:
         _, retry_ms, size, what = _END.unpack_from(payload)
         at = _END.size + size
--- a/wheelstep/journal/state.py
+++ b/wheelstep/journal/state.py
@@ -26,6 +26,8 @@
     out: dict[int, tuple[int, str]] = field(default_factory=dict)  # no outcome yet: when sent, and where
     notice: tuple[str, int] | None = None  # what the platform is still to hear of its end
     seq: int = 0  # its place among all that were taken on
+    channel: str | None = None  # with a declared order (wheelstep.channels), and its number there
+    number: int = 0
     home: int = field(default=0, compare=False)  # the segment that holds it whole
     weight: int = field(default=0, compare=False)  # what it counts among the live bytes, without its open attempts
 
@@ -41,8 +43,8 @@
 
     def weigh(self) -> int:
         """About the bytes of its record when it is copied forward, without its open attempts."""
-        names = len(self.id) + len(self.key or "") + len(self.token or "") + len(self.message_class)
-        return 110 + names + len(self.body)
+        names = (self.id, self.key, self.token, self.message_class, self.channel)
+        return 110 + sum(len(name or "") for name in names) + len(self.body)
 
 
 OPEN_ATTEMPT = 64  # what each adds to that
--- a/wheelstep/journal/tools.py
+++ b/wheelstep/journal/tools.py
@@ -86,7 +86,7 @@
     """Write anew what is live. Refuses a damaged folder unless told that damage is expected."""
     before = verify(folder)
     if not before["fine"] and not damaged:
-        raise ToolError(f"{folder}: it is damaged; expected a whole journal, or `repair`, which keeps the damaged files")
+        raise ToolError(f"{folder}: it is damaged; expected a whole journal, or `repair`, which keeps damaged files")
     journal = _open(folder)
     try:
         used = journal.used
--- a/wheelstep/moves/types.py
+++ b/wheelstep/moves/types.py
@@ -16,13 +16,15 @@
 
 
 class Offer(msgspec.Struct, frozen=True, array_like=True, tag=20):
-    """Will you take this part, which I own since `epoch`? `state` is the version of its pieces."""
+    """Will you take this part, which I own since `epoch`? `state` is the version of its pieces, `size` their bytes.
+    `attempt` rises with each new offer of a part under one epoch: what is left of an earlier one is told apart."""
 
     part: int
     epoch: int
     state: int
     pieces: int
     size: int
+    attempt: int = 0
 
 
 class Chunk(msgspec.Struct, frozen=True, array_like=True, tag=21):
@@ -32,6 +34,7 @@
     epoch: int
     place: int
     pieces: tuple[Piece, ...]
+    attempt: int = 0
 
 
 class Seal(msgspec.Struct, frozen=True, array_like=True, tag=22):
@@ -42,17 +45,20 @@
     place: int
     digest: str
     pieces: tuple[Piece, ...]
+    attempt: int = 0
 
 
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=23):
-    """The move is off: forget what you have of it."""
+    """The move is off: forget what you have of it, unless it is whole (then the register decides)."""
 
     part: int
     epoch: int
+    attempt: int = 0
 
 
 class Given(msgspec.Struct, frozen=True, array_like=True, tag=24):
-    """The register says that you own it since `epoch` (the new one)."""
+    """The register says that you own it; `epoch` is the one after the giver's own, under which it was given. `ok` to it
+    says: your copy is whole here, or in my journal by now, and you may drop yours."""
 
     part: int
     epoch: int
--- a/wheelstep/operator.py
+++ b/wheelstep/operator.py
@@ -7,7 +7,7 @@
 
 import tomllib
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 from pydantic import Field, ValidationError
 
@@ -55,6 +55,7 @@
     """The whole file."""
 
     account: AccountPart = AccountPart()
+    fleet: Any = None  # a `wheelstep.fleet.settings.Fleet`, where the file has one that is on
     journal: JournalPart = JournalPart()
     recording: RecordingPart = RecordingPart()
     workers: WorkersPart = WorkersPart()
@@ -66,12 +67,26 @@
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise OperatorError(f"{path}: can't be read: {error}; expected TOML in UTF-8") from error
+    fleet = None
     try:
-        operator = Operator.model_validate(tomllib.loads(text))
+        found = tomllib.loads(text)
+        if "fleet" in found or "contract" in found:
+            try:
+                from wheelstep.fleet.settings import FleetError, read
+            except ImportError as error:
+                raise OperatorError(f"{path}: fleet: {error}; expected the extra umberchute[fleet]") from error
+            try:
+                fleet = read(found.pop("fleet", None), found.pop("contract", None), Path(path).parent)
+            except FleetError as error:
+                raise OperatorError(f"{path}: {error}") from error
+        operator = Operator.model_validate({**found, "fleet": fleet})
     except tomllib.TOMLDecodeError as error:
         raise OperatorError(f"{path}: {error}; expected TOML") from error
     except ValidationError as error:
         raise OperatorError(f"{path}: {explain(error, 'deploy/operator.toml')}") from error
+    if operator.fleet is not None and operator.workers.count:
+        raise OperatorError(f"{path}: workers.count: {operator.workers.count} beside fleet.on = true; expected 0: a "
+                            "fleet's courier is one process")
     recording = operator.recording
     if recording.on and recording.file is None:
         raise OperatorError(f"{path}: recording.file: missing; expected a file name where recording.on is true")
--- a/wheelstep/standalone/front.py
+++ b/wheelstep/standalone/front.py
@@ -136,6 +136,10 @@
         else:
             self._say_end(request, name, door)
 
+    def says(self, message: Stored) -> tuple[tuple[str, str], ...]:
+        """Nothing goes with a 202."""
+        return ()
+
     def taken(self, message: Stored) -> None:
         """Its client knows that it was taken on."""
         self.tenants.took(tenant_of(message.id))
--- a/wheelstep/workers/worker.py
+++ b/wheelstep/workers/worker.py
@@ -19,11 +19,12 @@
 import aiohttp
 
 from wheelstep import interface as api
-from wheelstep.courier.__main__ import account, leave, open_journal, recorder
 from wheelstep.courier.config import Address, Config, ConfigError, load
 from wheelstep.courier.core import Core
 from wheelstep.courier.desk import Desk
 from wheelstep.courier.inlet import Inlet
+from wheelstep.courier.leaving import leave
+from wheelstep.courier.opening import account, open_journal, recorder
 from wheelstep.courier.platform import Notices
 from wheelstep.courier.rows import Row, read_rows
 from wheelstep.journal import FolderInUseError, Journal, NoRoomError, Stored
