Fleet: what was handed over survives a lost word of the register

Change: Gained tells since which epoch nobody else can have had the part (a majority that has promised saw nobody else), and copy and content go by it; what is adopted is expected to end; orphans go by the voters' word too; the mark of an inherited part travels with it; a leaving courier waits for what it owes; a wish after a hand-over does not wait for an earlier refusal.

--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -162,6 +162,7 @@
     assert a.stood(BEGAN_US, "c", Stood(True)) == [] and a.blank  # nor one that is blank itself
     state = replay(a.stood(BEGAN_US, "c", c.stand("a", 50)))
     assert not a.blank and a.place > 50 and state.place == a.place
+    assert say(a, BEGAN_US, "x", held, seen=90)[0] == [Accepted(0, held.ballot)]  # 90: of its earlier life
     assert (state.rows[0].promised, state.rows[0].holding) == (Ballot(3, "x"), held.holding)
     assert state.rows[2].promised == Ballot(8, "y")
     refused, = say(a, BEGAN_US + GRANT_US - 1, "x", Prepare(0, Ballot(20, "x")))[0]
@@ -169,6 +170,18 @@
     assert isinstance(say(a, BEGAN_US + GRANT_US, "y", Prepare(0, Ballot(20, "y")))[0][0], Promise)
 
 
+@pytest.mark.parametrize("order", ["bc", "cb"])
+def test_of_what_others_tell_the_higher_epoch_and_the_higher_promise_count(order: str) -> None:
+    told = {"b": begun("b", "ac"), "c": begun("c", "ab")}
+    held = holding(told["b"], "x", epoch=6, number=3)
+    holding(told["c"], "y", epoch=5, number=9)
+    a = blank("a", "bc")
+    for name in order:
+        records = a.stood(0, name, told[name].stand("a"))
+    row = replay(records).rows[0]
+    assert (row.promised, row.accepted, row.holding) == (Ballot(9, "y"), held.ballot, held.holding)
+
+
 def test_of_five_voters_three_others_are_needed() -> None:
     a = blank("a", "bcde")
     for name in "bc":
--- a/wheelstep/channels/content.py
+++ b/wheelstep/channels/content.py
@@ -12,6 +12,8 @@
 from wheelstep.journal import NoRoomError, Stored, codec
 from wheelstep.moves.types import Piece
 
+_INHERITED = "i:"  # a piece: a former owner has positions of this part that never came with it
+
 log = logging.getLogger(__name__)
 
 
@@ -38,6 +40,7 @@
         self._kept.flush()
         self._kept.watch(part)
         names = ["c:" + name for name in self._book.channels(part)]
+        names += [_INHERITED] if self._book.inherited(part) else []
         return [self._piece(name) for name in [*names, *("m:" + m.id for m in self._kept.of(part))]]
 
     def changed(self, part: int) -> list[Piece]:
@@ -47,6 +50,8 @@
 
     def _piece(self, name: str) -> Piece:
         key = name[2:]
+        if name == _INHERITED:
+            return Piece(name, b"1")
         if name.startswith("c:"):
             return Piece(name, self._book.export(key) if self._book.position(key) is not None else b"")
         message = self._kept.messages.get(key)
@@ -64,7 +69,9 @@
         for message in sorted(messages, key=lambda message: message.seq):
             self._kept.adopt(message)
         for piece in found:
-            if piece.name.startswith("c:") and piece.data:
+            if piece.name == _INHERITED:
+                self._book.inherit(part)
+            elif piece.name.startswith("c:") and piece.data:
                 name = piece.name[2:]
                 self._book.adopt(now_ms, name, piece.data, self._book.contracts.named(name.partition("/")[0]))
         for message in messages:
@@ -144,3 +151,7 @@
         if message.may_have_run() is not None:
             self._book.attempt_unclear(now_ms, message.id)
         return True
+
+    def owed(self) -> int:
+        """Messages of channels on this disk whose end is not decided."""
+        return sum(message.channel is not None and message.notice is None for message in self._kept.messages.values())
--- a/wheelstep/channels/kept.py
+++ b/wheelstep/channels/kept.py
@@ -25,6 +25,7 @@
         self._live: dict[str, set[int]] = {}  # message -> attempts of this process that have no outcome
         self.doubted: Callable[[str], None] = lambda name: None
         self.moved: Callable[[], None] = lambda: None  # something of a channel has changed
+        self.taken: Callable[[Stored], None] = lambda message: None  # a channel's message is here from now on
         for message in journal.messages.values():
             self._index(message)
 
@@ -132,6 +133,7 @@
         self.journal.take(message)
         self._index(message)
         self._touch(message.id)
+        self.taken(message)
 
     def forget(self, message: str) -> None:
         """It is not owed here any more; its position is none of this."""
--- a/wheelstep/channels/parts.py
+++ b/wheelstep/channels/parts.py
@@ -75,6 +75,10 @@
         self._inherited.add(part)
         self._dirty[INHERITED] = None
 
+    def inherited(self, part: int) -> bool:
+        """Are there positions of it that a former owner has and this courier does not?"""
+        return part in self._inherited
+
     def learn(self, now_ms: int, channel: str, data: bytes) -> None:
         """A former owner is back and tells the position that it had; then it brings what it holds, by `found`. Raises
         `PositionError`."""
--- a/wheelstep/channels/serving.py
+++ b/wheelstep/channels/serving.py
@@ -113,10 +113,10 @@
         if sum(map(len, self._late.values())) < _MOST_LATE:
             self._late.setdefault(part, {})[message] = "delivered"
 
-    def open(self, part: int, epoch: int) -> None:
-        """Serve the part under this epoch."""
+    def open(self, part: int, epoch: int, first: int = 0) -> None:
+        """Serve the part under this epoch; nobody else can have had it since `first`."""
         last = self._kept.marks.get(f"{EPOCH}{part}", 0)
-        if last not in (epoch, epoch - 1) and epoch > 1:
+        if last + 1 < min(first or epoch, epoch):
             self._inherit(part)
         self._kept.mark(f"{EPOCH}{part}", epoch)
         self._late.pop(part, None)
--- a/wheelstep/fleet/assignment.py
+++ b/wheelstep/fleet/assignment.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from bisect import bisect
 from collections import deque
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
@@ -17,6 +18,7 @@
 
 FLAP_US = 3_600_000_000  # how long a flap is remembered
 FLAPS = 6  # so many at most: probation is doubled as often
+CHOICES = 32  # couriers that a part without one chooses among, from its place on a ring of them
 MASK = (1 << 64) - 1
 
 
@@ -73,14 +75,16 @@
             del mine[room[name]:]
         room[name] -= len(mine)
     result = {part: name for name, mine in kept.items() for part in mine}
-    open_to = {name: hashes[name] for name in couriers if room[name] > 0}
+    ring = sorted((hashes[name], name) for name in couriers if room[name] > 0)
     for part in sorted(loose):
         key = part_hash(part)
-        best = max(open_to, key=lambda name: (_score(open_to[name], key), name))
-        result[part] = best
-        room[best] -= 1
-        if not room[best]:
-            del open_to[best]
+        at = bisect(ring, (key, ""))
+        near_by = [(at + step) % len(ring) for step in range(min(len(ring), CHOICES))]
+        best = max(near_by, key=lambda place: (_score(ring[place][0], key), ring[place][1]))
+        name = result[part] = ring[best][1]
+        room[name] -= 1
+        if not room[name]:
+            del ring[best]
     return result
 
 
--- a/wheelstep/fleet/ballots.py
+++ b/wheelstep/fleet/ballots.py
@@ -21,11 +21,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Gained:
-    """The part is this courier's under this epoch, for now until then."""
+    """The part is this courier's under this epoch, for now until then. From the epoch `first` on nobody else can have
+    had it: a majority that has promised has seen holdings of this courier alone since."""
 
     part: int
     epoch: int
     until_us: int
+    first: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +65,7 @@
     given: int = 0  # the epoch that `goal` ends
     ballot: Ballot = Ballot(0, "")
     target: Holding = Holding(0, "")
+    since: int = 0  # `first` when `target` was chosen
     yes: dict[str, int] = field(default_factory=dict)
     no: set[str] = field(default_factory=set)
     mute: set[str] = field(default_factory=set)
@@ -79,6 +82,12 @@
         """Of all heard of; a majority may not have it."""
         return max([self.decided, *self.told.values()], key=lambda holding: holding.epoch)
 
+    def first(self, me: str) -> int:
+        """The first epoch since which no holding of another is known of. To be asked once a majority has promised: a
+        later one of another can't have been decided then, and none will be under a lower ballot."""
+        others = [holding.epoch for holding in self.told.values() if holding.owner != me]
+        return max([self.decided.epoch + (self.decided.owner != me), *(epoch + 1 for epoch in others)])
+
     def hear(self, voter: str, holding: Holding | None) -> None:
         """What a voter has accepted."""
         if holding is not None and holding.epoch > self.told.get(voter, self.decided).epoch:
--- a/wheelstep/fleet/content.py
+++ b/wheelstep/fleet/content.py
@@ -28,9 +28,10 @@
     def shut(self, part: int) -> None:
         """Take no 202 and begin no attempt for the part until `open`."""
 
-    def open(self, part: int, epoch: int) -> None:
-        """The part is this courier's under this epoch: serve it, what it holds of it included. Where an epoch lies
-        between this and the last that it had or adopted, another has had the part since: its positions are not here."""
+    def open(self, part: int, epoch: int, first: int = 0) -> None:
+        """The part is this courier's under this epoch, and nobody else can have had it since `first` (0: since this
+        epoch): serve it, what it holds of it included. Where an epoch lies between that and the last that it had or
+        adopted, another may have had the part: then positions are missing here."""
 
     def adopt(self, part: int, epoch: int, pieces: Iterable[Piece]) -> None:
         """Take the pieces of a part that was handed over into this courier's journal; again does no harm."""
--- a/wheelstep/fleet/daemon.py
+++ b/wheelstep/fleet/daemon.py
@@ -19,17 +19,14 @@
 from wheelstep.channels.kept import Kept
 from wheelstep.courier.config import Address, Config, ConfigError
 from wheelstep.courier.core import Core
+from wheelstep.fleet.clocks import now_ms, now_us
 from wheelstep.fleet.log import Log, LogBrokenError, LogDamagedError
-from wheelstep.fleet.membership import Limits as MemberLimits
 from wheelstep.fleet.node import Node
 from wheelstep.fleet.peers import Peers
-from wheelstep.fleet.placing import NodeSettings
-from wheelstep.fleet.settings import Fleet, FleetPart
+from wheelstep.fleet.settings import Fleet, settings_of
 from wheelstep.fleet.types import Action, Answer, Ask, Call, Member, Note, Packet, Reply, Save, SendPacket, State
 from wheelstep.journal import Journal, NoRoomError
 from wheelstep.journal.disk import Folder
-from wheelstep.moves.steps import Limits
-from wheelstep.moves.swap import Pace
 
 _NOTES_S = 5.0
 _ASKED_S = 10.0  # for an answer to a peer's ask, its save included
@@ -37,25 +34,6 @@
 log = logging.getLogger("wheelstep.fleet")
 
 
-def now_us() -> int:
-    """The clock of leases: it goes on while the process stands still, and while the machine sleeps."""
-    return int(time.clock_gettime(time.CLOCK_BOOTTIME) * 1e6)
-
-
-def now_ms() -> int:
-    """The same in milliseconds, for channels."""
-    return now_us() // 1000
-
-
-def settings_of(part: FleetPart) -> NodeSettings:
-    """The node's, of the operator's table."""
-    return NodeSettings(
-        part.voters, part.parts, part.lease, part.clock_drift, margin_us=part.lease // 30, at_once=part.moves_at_once,
-        pace_us=part.move_pace, probation_us=part.probation, members=MemberLimits(period_us=part.probe_every),
-        moves=Limits(call_bound_us=part.call_bound),
-        leaving=Pace(at_once=part.moves_at_once * 2, pause_us=100_000, bound_us=part.give_away_within))
-
-
 class FleetDaemon:
     """`kept` goes beneath the core in the journal's place. Raises `ConfigError`."""
 
@@ -143,12 +121,13 @@
         """Give the parts away, if the operator wants that, within the time for it."""
         if not self._part.give_away:
             return
-        log.info("leaving: %d parts to give away", len(self.node.owned(now_us())))
+        log.info("leaving: %d parts to give away, %d messages owed", len(self.node.owned(now_us())),
+                 self.content.owed())
         self._do(self.node.leave(now_us()))
         until = asyncio.get_running_loop().time() + self._part.give_away_within / 1e6
-        while not self.node.left and asyncio.get_running_loop().time() < until:
+        while not (self.node.left and not self.content.owed()) and asyncio.get_running_loop().time() < until:
             await asyncio.sleep(0.01)
-        log.info("%d parts are left here", len(self.node.owned(now_us())))
+        log.info("left: %d parts and %d messages are here still", len(self.node.owned(now_us())), self.content.owed())
 
     async def close(self) -> None:
         """The process ends: what is served here is not, from now on."""
--- a/wheelstep/fleet/node.py
+++ b/wheelstep/fleet/node.py
@@ -116,7 +116,7 @@
                 self.owner.release(part)
                 self._content.shut(part)
         actions += self._votes(now_us)
-        actions += self.tenure.tick(now_us, self.membership.members())
+        actions += self.tenure.tick(now_us, self.membership.members(), self.placing.holding)
         if self.voter is not None:
             for name, stand in self.voter.recover(now_us):
                 actions.append(self._errands.call(
--- a/wheelstep/fleet/owner.py
+++ b/wheelstep/fleet/owner.py
@@ -21,12 +21,12 @@
 
     # --- what is wished ---
 
-    def want(self, part: int) -> None:
-        """Ask for it whenever it is free, until `unwant`."""
+    def want(self, part: int, at_once: bool = False) -> None:
+        """Ask for it whenever it is free, until `unwant`. `at_once`: it is free now, whatever was heard before."""
         this = self._parts[part]
         this.wanted = True
         if this.phase is Phase.REST and part not in self._leased:
-            self._due(this, max(this.due_us, 0))
+            self._due(this, 0 if at_once else max(this.due_us, 0))
 
     def unwant(self, part: int) -> None:
         """Ask no more. What is held is renewed all the same."""
--- a/wheelstep/fleet/placing.py
+++ b/wheelstep/fleet/placing.py
@@ -12,7 +12,7 @@
 from wheelstep.fleet.membership import Membership
 from wheelstep.fleet.owner import Owner
 from wheelstep.fleet.tenure import Tenure
-from wheelstep.fleet.types import Action, Answer, Member, Stand, State, Stood
+from wheelstep.fleet.types import Action, Answer, Holding, Member, Stand, State, Stood
 from wheelstep.moves.steps import Limits, Room
 from wheelstep.moves.swap import Pace, Swap
 
@@ -47,16 +47,18 @@
         self._swap: Swap | None = None
         self._plan_us = now_us
         self._ask_us = now_us  # when a voter is asked next how the registers stand
-        self._owners: dict[int, tuple[int, str]] = {}  # by a voter's word: epoch and owner of each part
+        self._owners: dict[int, Holding] = {}  # by a voter's word
         self._known = False  # has any voter told?
 
+    def holding(self, part: int) -> Holding | None:
+        """Who has it since which epoch, as far as is known here."""
+        decided, told = self._tenure.decided(part), self._owners.get(part)
+        return told if decided is None or (told is not None and told.epoch > decided.epoch) else decided
+
     def owner_of(self, part: int) -> str | None:
         """Who has it, as far as is known here."""
-        holding = self._tenure.decided(part)
-        epoch, name = self._owners.get(part, (0, ""))
-        if holding is not None and holding.epoch >= epoch:
-            name = holding.owner
-        return name or None
+        holding = self.holding(part)
+        return holding.owner if holding is not None else None
 
     @property
     def leaving(self) -> bool:
@@ -71,6 +73,7 @@
     def leave(self, now_us: int) -> None:
         """Give everything away."""
         self._swap = Swap(self._settings.leaving, now_us)
+        self._tenure.taker.leaving = True
         self._plan_us = now_us
 
     def saw(self, now_us: int, members: Iterable[Member]) -> None:
@@ -105,8 +108,9 @@
         if isinstance(answer, Stood) and not answer.blank:
             self._known = True
             for part, _promised, _accepted, holding in answer.rows:
-                if holding is not None and holding.epoch > self._owners.get(part, (0, ""))[0]:
-                    self._owners[part] = (holding.epoch, holding.owner)
+                known = self._owners.get(part)
+                if holding is not None and (known is None or holding.epoch > known.epoch):
+                    self._owners[part] = holding
         return []
 
     def _place(self, now_us: int) -> list[Action]:
--- a/wheelstep/fleet/proposer.py
+++ b/wheelstep/fleet/proposer.py
@@ -1,8 +1,7 @@
 """Rounds at the voters for one courier: prepare, accept, renew. `Owner` says what for. No I/O.
 
-A lease counts from the moment before the `Accept` went out that a majority answered: at the k-th latest of the voters'
-moments, k being a majority, that many have granted a whole lease. A round is given up after half a lease, which is
-what a voter that forgot its promises relies on.
+A lease counts from the moment before the `Accept` went out that a majority answered: the k-th latest of the voters'
+moments, k being a majority. A round is given up after half a lease: a voter that forgot its promises relies on that.
 """
 
 from __future__ import annotations
@@ -203,25 +202,24 @@
 
     def _propose(self, this: Part, now_us: int) -> None:
         # After a failure under the same epoch a new one: a voter may have taken that epoch for another's.
+        this.since = max(this.first(self.me), 1)
         this.target = this.proposal(self.me, this.number in self._leased and this.tries == 0)
         this.begin(Phase.ACCEPT, now_us)
         self._batches.ask(this.number, self._voters)
 
     def _win(self, this: Part, now_us: int) -> None:
-        """A majority has accepted: `_settle` has said whose the part is."""
-        until_us = this.base_us(self._majority) + self._term_us
-        if this.target.owner != self.me or until_us <= now_us:
-            if this.target.owner == self.me:
-                self._events.append(Passed(this.number, this.target.epoch, self.me))
+        """A majority has accepted."""
+        if this.target.owner != self.me:  # `_settle` will say so, or another round
             self._rest(this)
             self._due(this, now_us)
             return
+        until_us = this.base_us(self._majority) + self._term_us  # to come yet: a round is shorter than that
         part = this.number
         held = self._epoch[part]
         if held and held != this.target.epoch:
             self._events.append(Lost(part, held))
         if held != this.target.epoch:
-            self._events.append(Gained(part, this.target.epoch, until_us))
+            self._events.append(Gained(part, this.target.epoch, until_us, this.since))
         self._taken(part)
         this.phase, this.goal, this.keep, this.tries = Phase.HELD, "", True, 0
         this.no.clear()
--- a/wheelstep/fleet/settings.py
+++ b/wheelstep/fleet/settings.py
@@ -10,6 +10,10 @@
 from wheelstep.channels.contracts import ContractError, Contracts
 from wheelstep.channels.contracts import read as read_contracts
 from wheelstep.fields import Part, Time, explain
+from wheelstep.fleet.membership import Limits as MemberLimits
+from wheelstep.fleet.placing import NodeSettings
+from wheelstep.moves.steps import Limits
+from wheelstep.moves.swap import Pace
 
 KEY_BYTES = 32  # at least, of a fleet's key
 
@@ -48,6 +52,15 @@
     most_channels: Annotated[int, Field(ge=1, le=1_000_000)] = 20_000
 
 
+def settings_of(part: FleetPart) -> NodeSettings:
+    """The node's, of the operator's table."""
+    return NodeSettings(
+        part.voters, part.parts, part.lease, part.clock_drift, margin_us=part.lease // 30, at_once=part.moves_at_once,
+        pace_us=part.move_pace, probation_us=part.probation, members=MemberLimits(period_us=part.probe_every),
+        moves=Limits(call_bound_us=part.call_bound),
+        leaving=Pace(at_once=part.moves_at_once * 2, pause_us=100_000, bound_us=part.give_away_within))
+
+
 class Fleet:
     """What a courier of a fleet is told: its table, the fleet's keys, and the contracts."""
 
--- a/wheelstep/fleet/tenure.py
+++ b/wheelstep/fleet/tenure.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from functools import partial
 
 from wheelstep.fleet.content import Content
@@ -51,8 +51,8 @@
         times = [giver.next_us() for giver in self.givers.values()]
         return min([self._look_us, *times, *self._sealed_us.values()], default=NEVER_US)
 
-    def tick(self, now_us: int, here: Mapping[str, object]) -> list[Action]:
-        """What is due; `here` are the members that can be asked."""
+    def tick(self, now_us: int, here: Mapping[str, object], holding: Callable[[int], Holding | None]) -> list[Action]:
+        """What is due; `here` are the members that can be asked, `holding` tells who has a part, as far as is known."""
         actions: list[Action] = []
         for giver in list(self.givers.values()):
             actions += self._act(now_us, giver, giver.tick(now_us))
@@ -61,10 +61,10 @@
                 del self._sealed_us[part]
             elif now_us >= at_us:  # its giver may be dead: this courier is the one that can go on without loss
                 self._sealed_us[part] = now_us + self.owner.timeout_us * 6
-                self.owner.want(part)
+                self.owner.want(part, at_once=True)
         if now_us >= self._look_us:
             self._look_us = now_us + ORPHANS_US
-            actions += self._orphans(here)
+            actions += self._orphans(here, holding)
         return actions
 
     # --- the registers' word ---
@@ -81,7 +81,8 @@
             holding = Holding(event.epoch, self.me if isinstance(event, Gained) else event.owner)
             if event.epoch > self._last.get(event.part, Holding(0, "")).epoch:
                 self._last[event.part] = holding
-            records = self.taker.passed(event.part, holding.epoch, holding.owner)
+            first = event.first if isinstance(event, Gained) else 0
+            records = self.taker.passed(event.part, holding.epoch, holding.owner, first)
             if (giver := self.givers.get(event.part)) is not None:
                 actions += self._errands.save(now_us, records)
                 actions += self._act(now_us, giver, giver.decided(now_us, holding.epoch, holding.owner))
@@ -106,15 +107,15 @@
     def _gained(self, now_us: int, event: Gained, records: list[bytes]) -> list[Action]:
         part, epoch = event.part, event.epoch
         if self.taker.sealed(part) is None:
-            return [*self._errands.save(now_us, records), *self._open(now_us, part, epoch)]
+            return [*self._errands.save(now_us, records), *self._open(event, now_us)]
         self._content.adopt(part, epoch, self.taker.pieces(part))
         records = [*records, *self.taker.adopted(part, epoch)]
         self._sealed_us.pop(part, None)
-        return self._errands.save(now_us, records, lambda at_us: self._open(at_us, part, epoch))
+        return self._errands.save(now_us, records, partial(self._open, event))
 
-    def _open(self, now_us: int, part: int, epoch: int) -> list[Action]:
-        if self.owner.epoch(part, now_us) == epoch:
-            self._content.open(part, epoch)
+    def _open(self, event: Gained, now_us: int) -> list[Action]:
+        if self.owner.epoch(event.part, now_us) == event.epoch:
+            self._content.open(event.part, event.epoch, event.first)
         return []
 
     # --- moves away ---
@@ -176,12 +177,13 @@
         moved = Moved(ask.part, mine, taken, why="" if taken else "no room for it under its contract")
         return self._errands.save(now_us, [SYNC], lambda _: [Reply(token, moved)])  # the content, at least, was written
 
-    def _orphans(self, here: Mapping[str, object]) -> list[Action]:
-        """Tell the owner of a part what is found here of it."""
+    def _orphans(self, here: Mapping[str, object], known: Callable[[int], Holding | None]) -> list[Action]:
+        """Tell the owner of a part what is found here of it, also where only a voter's word says whose it is."""
         actions: list[Action] = []
-        for part, holding in self._last.items():
-            if holding.owner in ("", self.me) or holding.owner not in here or part in self.givers \
-                    or part in self._telling:
+        for part in range(self._parts):
+            holding = known(part)
+            if holding is None or holding.owner == self.me or holding.owner not in here or part in self.givers \
+                    or part in self._telling or self.taker.sealed(part) is not None:
                 continue
             pieces = self._content.orphans(part)[:ORPHANS]
             if pieces:
--- a/wheelstep/moves/giver.py
+++ b/wheelstep/moves/giver.py
@@ -140,7 +140,8 @@
             self._safe = self._safe and epoch == self.epoch + 1
             if self._safe:
                 self._content.drop(self.part)
-            return self._asking.tell(now_us, Given(self.part, self.epoch + 1))
+            stands = epoch if epoch > self.epoch + 1 else 0
+            return self._asking.tell(now_us, Given(self.part, self.epoch + 1, stands))
         self._content.shut(self.part)
         return self._off(f"the register stands at epoch {epoch}, {owner}: kept here, shut")
 
--- a/wheelstep/moves/taker.py
+++ b/wheelstep/moves/taker.py
@@ -25,6 +25,7 @@
     def __init__(self, me: str, state_version: int, room: Room, stored: Iterable[bytes] = ()) -> None:
         self.me = me
         self.refused: Counter[str] = Counter()  # asks, by reason
+        self.leaving = False  # set: no part is taken any more
         self.forgotten = 0  # whole copies that the disk had lost some of
         self._version, self._room = state_version, room
         self._copies: dict[int, Copy] = {}
@@ -66,6 +67,8 @@
 
     def _offered(self, now_us: int, sender: str, ask: Offer, copy: Copy | None) -> tuple[Moved, list[bytes]]:
         room = self._room
+        if self.leaving:
+            return self._no(ask, "leaving", f"{self.me} is leaving"), []
         if ask.state > self._version:
             return self._no(ask, "version", f"state version {ask.state}, expected at most {self._version}"), []
         if copy is not None:
@@ -130,11 +133,16 @@
         return Moved(ask.part, ask.epoch, True), self._forget(ask.part)
 
     def _given(self, sender: str, ask: Given, records: list[bytes]) -> tuple[Moved, list[bytes]]:
-        """Yes says that the giver may drop what it has."""
+        """Yes says that the giver may drop what it has. From then on the copy counts by the giver's word, should this
+        courier hear of the register's only under a later epoch of its own."""
         copy, over = self._copies.get(ask.part), self._over.get(ask.part)
         yes = Moved(ask.part, ask.epoch, True)
         if copy is not None and copy.seal is not None and (copy.offer.epoch, copy.sender) == (ask.epoch - 1, sender):
-            return yes, [*records, packed(copy.seal)]
+            if not copy.held and ask.stands:
+                return self._no(ask, "given", f"part {ask.part}: whose epoch {ask.epoch} was is not known here yet",
+                                again_us=self._room.again_us), records
+            copy.held = copy.held or ask.epoch
+            return yes, [*records, packed(copy.seal), packed(Held(ask.part, copy.held))]
         if over is not None and over.epoch == ask.epoch - 1:
             return yes, records
         return self._no(ask, "given", f"part {ask.part}: no whole copy of epoch {ask.epoch - 1} from {sender}"), records
@@ -150,9 +158,10 @@
         copy = self._copies.get(part)
         return list(copy.pieces.values()) if copy is not None and copy.seal is not None else []
 
-    def passed(self, part: int, epoch: int, owner: str) -> list[bytes]:
-        """News from the register: forget a copy that no longer matters. Whoever takes a part over tells what it found
-        at the register first, and has these records on disk before it asks for the next epoch: a whole copy counts
+    def passed(self, part: int, epoch: int, owner: str, first: int = 0) -> list[bytes]:
+        """News from the register: forget a copy that no longer matters. `first`: since this epoch nobody but `owner`
+        can have had the part, 0 if that is not known. Whoever takes a part over tells what it found at the register
+        first, and has these records on disk before it asks for the next epoch: a whole copy counts
         only while this courier knows that nobody else has had the part since."""
         news = self._news.get(part)
         if 0 <= part < self._room.parts and (news is None or epoch > news.epoch):
@@ -163,7 +172,7 @@
             return []
         if epoch == since:
             return [] if owner == (self.me if copy.held else copy.sender) else self._forget(part)
-        if epoch == since + 1 and owner == self.me and copy.seal is not None:
+        if (epoch == since + 1 or 0 < first <= since + 1) and owner == self.me and copy.seal is not None:
             copy.held = epoch
             return [packed(copy.seal), packed(Held(part, epoch))]
         return self._forget(part)
--- a/wheelstep/moves/types.py
+++ b/wheelstep/moves/types.py
@@ -58,10 +58,12 @@
 
 class Given(msgspec.Struct, frozen=True, array_like=True, tag=24):
     """The register says that you own it; `epoch` is the one after the giver's own, under which it was given. `ok` to it
-    says: your copy is whole here, or in my journal by now, and you may drop yours."""
+    says: your copy is whole here, or in my journal by now, and you may drop yours. `stands` is the register's epoch
+    where the giver has seen a later one only: then it does not know who had `epoch`."""
 
     part: int
     epoch: int
+    stands: int = 0
 
 
 class Late(msgspec.Struct, frozen=True, array_like=True, tag=25):
