--- /dev/null
+++ b/tests/test_fleet_peers.py
@@ -0,0 +1,124 @@
+"""A fleet's sockets and its table in the operator's file: what is off costs nothing, what is wrong is told at once."""
+
+from __future__ import annotations
+
+import asyncio
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from wheelstep.courier.config import Address
+from wheelstep.fleet.packets import Seal
+from wheelstep.fleet.peers import Peers
+from wheelstep.fleet.types import Answer, Ask, Packet, Ping, Stand, Stood
+from wheelstep.operator import OperatorError, load
+
+KEY, OTHER = b"k" * 32, b"o" * 32
+LIMIT_S = 20
+
+
+def test_without_a_fleet_nothing_of_it_is_imported() -> None:
+    code = ("import sys, wheelstep.courier.__main__; "
+            "print([name for name in sys.modules if name.startswith(('wheelstep.fleet', 'wheelstep.channels', "
+            "'wheelstep.moves', 'msgspec', 'xxhash', 'pydantic'))])")
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60, check=True)
+    assert done.stdout.strip() == "[]"
+
+
+def written(folder: Path, fleet: str, more: str = "") -> Path:
+    """An operator's file with this in `[fleet]`, beside a key."""
+    (folder / "fleet.key").write_text(KEY.hex() + "\n")
+    path = folder / "operator.toml"
+    path.write_text(f"[fleet]\n{fleet}\n{more}")
+    return path
+
+
+GOOD = 'on = true\nkey_file = "fleet.key"\nlisten = "127.0.0.1:0"\nvoters = ["a", "b", "c"]'
+
+
+def test_a_table_that_is_right_is_read_and_one_that_is_off_is_nothing(tmp_path: Path) -> None:
+    fleet = load(str(written(tmp_path, GOOD, '[[contract]]\nname = "updates"\norder = "strict"\n'))).fleet
+    assert fleet.keys == [KEY] and fleet.contracts.names() == ["updates"] and fleet.part.parts == 64
+    assert load(str(written(tmp_path, "on = false"))).fleet is None
+
+
+@pytest.mark.parametrize(("fleet", "more", "told"), [
+    ("on = true", "", "fleet.key_file: missing"),
+    ('on = true\nkey_file = "fleet.key"', "", "fleet.listen: missing"),
+    (GOOD.replace('"c"]', '"b"]'), "", "fleet.voters: ['a', 'b', 'b']; expected 3 or 5 different names"),
+    (GOOD.replace(', "c"]', "]"), "", "expected 3 or 5 different names"),
+    (GOOD + '\nlease = "100ms"', "", "fleet.lease: "),
+    (GOOD + "\nclock_drift = 2", "", "fleet.clock_drift: "),
+    (GOOD + '\npeers = { b = "nowhere" }', "", "fleet.peers.b: 'nowhere'"),
+    (GOOD + "\nvote = 1", "", "fleet.vote: unknown key"),
+    (GOOD.replace("fleet.key", "none.key"), "", "fleet.key_file: "),
+    (GOOD, '[[contract]]\nname = "x"\norder = "some"\n', "contract[0].order: 'some'"),
+    ("on = false", '[[contract]]\nname = "x"\norder = "strict"\n', "contract: declared while fleet.on is false"),
+    (GOOD, "[workers]\ncount = 2\n", "workers.count: 2 beside fleet.on = true"),
+])
+def test_a_table_that_is_wrong_is_told_in_one_line(tmp_path: Path, fleet: str, more: str, told: str) -> None:
+    with pytest.raises(OperatorError) as error:
+        load(str(written(tmp_path, fleet, more)))
+    assert told in str(error.value) and "\n" not in str(error.value)
+
+
+def test_a_key_that_is_short_or_no_key_is_refused(tmp_path: Path) -> None:
+    path = written(tmp_path, GOOD)
+    for text in ("abc", "00" * 31, "no key"):
+        (tmp_path / "fleet.key").write_text(text)
+        with pytest.raises(OperatorError, match="fleet.key_file"):
+            load(str(path))
+
+
+class Side:
+    """One courier's sockets, and what they told."""
+
+    def __init__(self, name: str, key: bytes = KEY) -> None:
+        self.name, self.asks = name, 0
+        self.heard: asyncio.Queue[tuple[str, Packet]] = asyncio.Queue()
+        self.peers = Peers([key], "fleet", name, 1, lambda: 0, self._heard, self._asked)
+
+    def _heard(self, sender: str, _: str, packet: Packet) -> None:
+        self.heard.put_nowait((sender, packet))
+
+    async def _asked(self, sender: str, ask: Ask) -> Answer | None:
+        self.asks += 1
+        return Stood(False, (), 7)
+
+    async def start(self) -> str:
+        """Listen; where."""
+        await self.peers.start(Address("127.0.0.1", 0))
+        assert self.peers._transport is not None
+        host, port = self.peers._transport.get_extra_info("sockname")
+        return f"{host}:{port}"
+
+
+def test_peers_hear_and_answer_each_other_and_a_stranger_changes_nothing() -> None:
+    async def scene() -> None:
+        a, b, stranger = Side("a"), Side("b"), Side("a", OTHER)
+        sides = (a, b, stranger)
+        async with asyncio.timeout(LIMIT_S):
+            _, at_b, _ = [await side.start() for side in sides]
+            assert await a.peers.ask(at_b, "b", Stand(), 5) == Stood(False, (), 7)
+            assert await stranger.peers.ask(at_b, "b", Stand(), 5) is None
+            assert await a.peers.ask(at_b, "c", Stand(), 5) is None  # meant for another
+            assert b.asks == 1
+            stranger.peers.send(at_b, "b", Ping(1))
+            host, port = at_b.rsplit(":", 1)
+            assert a.peers._transport is not None
+            a.peers._transport.sendto(b"garbage", (host, int(port)))
+            sealed = Seal(KEY, "fleet", "c", 1).pack("b", Ping(2))
+            a.peers._transport.sendto(sealed[:-1], (host, int(port)))
+            a.peers._transport.sendto(sealed, (host, int(port)))
+            a.peers._transport.sendto(sealed, (host, int(port)))  # replayed
+            a.peers.send(at_b, "b", Ping(3))
+            assert await b.heard.get() == ("c", Ping(2))
+            assert await b.heard.get() == ("a", Ping(3))
+            assert b.heard.empty()
+            assert b.peers.datagrams.refused == {"version": 1, "seal": 2, "replay": 1}
+            assert b.peers.streams.refused == {"seal": 1, "receiver": 1}
+            for side in sides:
+                await side.peers.close()
+    asyncio.run(scene())
