--- a/tests/test_assignment.py
+++ b/tests/test_assignment.py
@@ -56,6 +56,12 @@
     assert even(assign(parts, weights, {}), parts, weights)
 
 
+def test_a_share_that_is_whole_but_for_rounding_is_whole() -> None:
+    weights = {"a": 0.7, "b": 0.1, "c": 0.1, "d": 0.6}  # of 20 parts "d" has 8, computed a little less
+    owners = dict(enumerate("daabbadbdddacabaacba"))
+    assert list(assign(20, weights, owners).values()).count("d") == 8
+
+
 def test_views_that_differ_in_one_courier_agree_on_most_free_parts() -> None:
     weights = {f"courier-{number}": 1.0 for number in range(12)}
     whole = assign(1024, weights, {})
--- a/wheelstep/channels/content.py
+++ b/wheelstep/channels/content.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Mapping
 
 from wheelstep.channels.book import PositionError
-from wheelstep.channels.serving import EPOCH, Serving
+from wheelstep.channels.serving import EPOCH, SENT, Serving
 from wheelstep.journal import NoRoomError, Stored, codec
 from wheelstep.moves.types import Piece
 
@@ -38,6 +38,7 @@
     def pieces(self, part: int) -> list[Piece]:
         """All of it as it stands."""
         self._kept.flush()
+        self._kept.mark(f"{SENT}{part}", 1)
         self._kept.watch(part)
         names = ["c:" + name for name in self._book.channels(part)]
         names += [_INHERITED] if self._book.inherited(part) else []
@@ -140,7 +141,7 @@
 
     def _found(self, now_ms: int, part: int, message: Stored) -> bool:
         assert message.channel is not None
-        if message.id in self._kept.messages:
+        if message.id in self._kept.messages or self._ended_here(message):
             return True
         if self._kept.part(message) != part or self.serving(part) is None:
             return False
@@ -152,6 +153,12 @@
             self._book.attempt_unclear(now_ms, message.id)
         return True
 
+    def _ended_here(self, message: Stored) -> bool:
+        """Has it had its end under this courier's position? Then it is nobody's any more."""
+        position = self._book.position(message.channel or "")
+        return (position is not None and position.state(message.number) == "ended"
+                and position.answer(message.number)[0] == message.id)
+
     def owed(self) -> int:
         """Messages of channels on this disk whose end is not decided."""
         return sum(message.channel is not None and message.notice is None for message in self._kept.messages.values())
--- a/wheelstep/channels/serving.py
+++ b/wheelstep/channels/serving.py
@@ -16,6 +16,7 @@
 from wheelstep.journal import Stored
 
 EPOCH = ":e"  # before a part's number: the mark of the last epoch under which it was served or adopted here
+SENT = ":s"  # before a part's number: its pieces have gone to another courier since
 _MOST_LATE = 1_000  # outcomes of calls that ended after their part had gone
 
 log = logging.getLogger(__name__)
@@ -119,6 +120,7 @@
         if last + 1 < min(first or epoch, epoch):
             self._inherit(part)
         self._kept.mark(f"{EPOCH}{part}", epoch)
+        self._kept.mark(f"{SENT}{part}", None)
         self._late.pop(part, None)
         self._kept.unwatch(part)
         self._serving[part] = epoch
@@ -147,10 +149,11 @@
         self._kept.flush()
 
     def end_here(self, name: str) -> None:
-        """Whoever finds it ends it: handed back if it surely never ran."""
+        """Whoever finds it ends it: handed back if it surely never ran, here or where its pieces may have gone."""
         message = self._kept.messages.get(name)
         if message is not None:
-            self._core.finish(name, "handed_back" if message.may_have_run() is None else "given_up")
+            surely = message.may_have_run() is None and f"{SENT}{self._kept.part(message)}" not in self._kept.marks
+            self._core.finish(name, "handed_back" if surely else "given_up")
 
     def restore(self, marks: Mapping[str, Any]) -> list[Stored]:
         """Take up positions after a start. Gives the messages that the core is to go on with at once; those of parts
