A client at a part that moves hears where it goes and comes again in 20 ms

Change: the giver names the taker while it gives; a courier that is taking a part says to come again at once.

--- a/wheelstep/fleet/daemon.py
+++ b/wheelstep/fleet/daemon.py
@@ -29,6 +29,7 @@
 from wheelstep.journal.disk import Folder
 
 _NOTES_S = 5.0
+_SOON_S = 0.02  # a move's pause is some tens of milliseconds
 _ASKED_S = 10.0  # for an answer to a peer's ask, its save included
 
 log = logging.getLogger("wheelstep.fleet")
@@ -90,10 +91,11 @@
                 self.desk.expect(message)
 
     def _owner(self, part: int) -> tuple[str, float]:
+        """Where to go for a part that is not served here, and in how many seconds to come again."""
         serves = self.node.serves(part)
-        mine = f"{self._config.listen.host}:{self._config.listen.port}" if self._part.serves is None else \
-            self._part.serves
-        return ("", self._part.lease / 4e6) if serves in ("", mine) else (serves, 0.05)
+        if serves != self.node.membership.me.serves and serves:
+            return serves, _SOON_S
+        return "", _SOON_S if self.node.moving(part) else self._part.lease / 4e6
 
     async def start(self) -> None:
         """Listen to peers and begin. Raises `ConfigError`."""
--- a/wheelstep/fleet/node.py
+++ b/wheelstep/fleet/node.py
@@ -74,9 +74,14 @@
         """Who has it, as far as is known here."""
         return self.placing.owner_of(part)
 
+    def moving(self, part: int) -> bool:
+        """Is it on its way from or to this courier?"""
+        return part in self.tenure.givers or part in self.tenure.opening or self.taker.sealed(part) is not None
+
     def serves(self, part: int) -> str:
-        """Where the part's owner takes clients; "" if that is not known or it is not there."""
-        name = self.placing.owner_of(part)
+        """Where the part's owner takes clients, or is about to; "" if that is not known or it is not there."""
+        giver = self.tenure.givers.get(part)
+        name = giver.to if giver is not None else self.placing.owner_of(part)
         member = self.membership.members().get(name) if name else None
         return member.serves if member is not None else ""
 
--- a/wheelstep/fleet/tenure.py
+++ b/wheelstep/fleet/tenure.py
@@ -37,6 +37,7 @@
         self._sealed_us: dict[int, int] = {}  # a whole copy is here: when to look who has the part
         self._look_us = now_us + ORPHANS_US
         self._telling: set[int] = set()  # parts of which orphans are being told
+        self.opening: set[int] = set()  # handed over, and on their way into the journal
 
     def decided(self, part: int) -> Holding | None:
         """The newest holding that is known to be decided."""
@@ -74,6 +75,7 @@
         actions: list[Action] = []
         for event in events:
             if isinstance(event, Lost):
+                self.opening.discard(event.part)
                 self._content.shut(event.part)
                 if (giver := self.givers.get(event.part)) is not None:
                     giver.lost(now_us)
@@ -108,12 +110,14 @@
         part, epoch = event.part, event.epoch
         if self.taker.sealed(part) is None:
             return [*self._errands.save(now_us, records), *self._open(event, now_us)]
+        self.opening.add(part)
         self._content.adopt(part, epoch, self.taker.pieces(part))
         records = [*records, *self.taker.adopted(part, epoch)]
         self._sealed_us.pop(part, None)
         return self._errands.save(now_us, records, partial(self._open, event))
 
     def _open(self, event: Gained, now_us: int) -> list[Action]:
+        self.opening.discard(event.part)
         if self.owner.epoch(event.part, now_us) == event.epoch:
             self._content.open(event.part, event.epoch, event.first)
         return []
