Rig of real couriers with faults between them, a judge of channels, broken couriers

Need: how processes behave together has to be proven on processes, with links that drop, stall and cut one way, SIGKILL, SIGSTOP, clocks that step, disks that lie, and broken couriers that each rule names.

--- /dev/null
+++ b/tests/test_fleet_judge_days.py
@@ -0,0 +1,91 @@
+"""The judge of fleets on whole days: a clean one is never faulted, one planted breach in it is always named."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.fleet_history import MS, S, Scene
+from wheelstep.rehearsal.fleet.evidence import FleetRule
+from wheelstep.rehearsal.fleet.history import Looked, Touch
+from wheelstep.rehearsal.fleet.judge import judge_fleet
+from wheelstep.rehearsal.history import Fate
+from wheelstep.rehearsal.judge import Ruling
+
+
+def clean_day(rng: random.Random) -> tuple[Scene, list[tuple[str, int, int, str, int]]]:
+    """Channels with their numbers in turn; owners move and die. Gives the calls: channel, number, epoch, who, when."""
+    scene = Scene(end_us=100 * S)
+    calls: list[tuple[str, int, int, str, int]] = []
+    owners: dict[int, tuple[int, str]] = {}
+    at_us = S
+    numbers: dict[str, int] = {}
+    names = [f"updates/1/k{n}" for n in range(rng.randint(1, 5))]
+    for _ in range(rng.randint(4, 60)):
+        channel = rng.choice(names)
+        part = scene.history.part(channel)
+        epoch, courier = owners.get(part, (1, "c0"))
+        if rng.random() < 0.15:
+            if rng.random() < 0.5:  # it is stopped, and another takes over
+                scene.gone(courier, at_us + 30 * MS, at_us + 3 * S)
+                at_us += 3200 * MS
+            epoch, courier = epoch + 1, rng.choice(["c0", "c1", "c2"])
+        owners[part] = epoch, courier
+        number = numbers[channel] = numbers.get(channel, 0) + 1
+        scene.take(number, at_us, channel, courier)
+        if rng.random() < 0.1:
+            scene.notice(number, at_us + 100 * MS, channel)
+        else:
+            if rng.random() < 0.2:
+                scene.call(number, at_us + 10 * MS, epoch, courier, channel, Fate.REFUSED, 5 * MS)
+            scene.call(number, at_us + 40 * MS, epoch, courier, channel)
+            calls.append((channel, number, epoch, courier, at_us + 40 * MS))
+        at_us += 200 * MS
+    return scene, calls
+
+
+@settings(max_examples=80, deadline=None)
+@given(st.integers(0, 2**32))
+def test_a_clean_day_is_never_faulted(seed: int) -> None:
+    scene, _ = clean_day(random.Random(seed))
+    verdict = judge_fleet(scene.history)
+    assert verdict.ruling is Ruling.KEPT, verdict.breaches
+
+
+@settings(max_examples=120, deadline=None)
+@given(st.integers(0, 2**32), st.sampled_from(list(FleetRule)))
+def test_a_planted_breach_is_always_named(seed: int, rule: FleetRule) -> None:
+    rng = random.Random(seed)
+    scene, calls = clean_day(rng)
+    if not calls:
+        return
+    channel, number, epoch, courier, at_us = rng.choice(calls)
+    last = max(call[1] for call in calls if call[0] == channel)
+    end_us = 90 * S
+    seen = scene.history.seen
+    mine = next(place for place, fact in enumerate(seen) if isinstance(fact, Touch) and fact.channel == channel
+                and fact.number == number and fact.delivered)
+    match rule:
+        case FleetRule.EPOCHS:
+            scene.take(999, at_us, "loose/1/x")
+            seen[mine] = dataclasses.replace(seen[mine], courier="c9", fate=Fate.DELIVERED)
+            scene.call(last, end_us, epoch, courier, channel)
+        case FleetRule.FENCE:
+            scene.call(last, end_us, 99, "c9", channel).call(last, end_us + S, epoch, courier, channel)
+        case FleetRule.ORDER:
+            scene.call(last + 1, end_us, 99, "c9", channel).call(last, end_us + S, 99, "c9", channel)
+        case FleetRule.GAPS:
+            scene.take(last + 3, end_us, channel).call(last + 3, end_us + S, 99, "c9", channel)
+        case FleetRule.NUMBERS:
+            scene.call(number, end_us, 99, "c9", channel)
+        case FleetRule.OWNER:
+            seen.append(Looked(end_us, end_us - MS, "c0", channel, 503, 0, True))
+        case FleetRule.POSITIONS:
+            seen.append(Looked(end_us, end_us - MS, "c0", channel, 200, number, False))
+    verdict = judge_fleet(scene.history)
+    named = [breach for breach in verdict.breaches if breach.rule is rule]
+    assert named and verdict.ruling is Ruling.BROKEN
+    assert any(breach.channel == channel for breach in named)
--- a/wheelstep/channels/position.py
+++ b/wheelstep/channels/position.py
@@ -201,10 +201,11 @@
 
     def to_data(self) -> list[Any]:
         """Lists, numbers and texts alone."""
-        held, answers = self.entries.values(), self.answers.values()
+        held = self.entries.values()
+        messages, codes = zip(*self.answers.values(), strict=True) if self.answers else ((), ())
         return [VERSION, self.next, self.session, self.revision, self.rests, sorted(self.above), sorted(self.lost),
                 list(self.freed), list(self.freed.values()), list(self.entries), [entry.message for entry in held],
                 [GIVEN * entry.given + UNCLEAR * entry.unclear for entry in held],
-                list(self.answers), [message for message, _ in answers], "".join(code for _, code in answers),
+                list(self.answers), list(messages), "".join(codes),
                 list(msgspec.structs.astuple(self.terms))]
 
--- a/wheelstep/channels/serving.py
+++ b/wheelstep/channels/serving.py
@@ -67,8 +67,10 @@
             self._kept.flush()
             self._core.finish(name, "handed_back" if end.how == "refused" else "given_up")
             self.pump()
-        elif self.serving(self._kept.part(message)) is None and not self._kept.live(name):
-            # The lease is lost, or the part is another's that could not be told: its end is still owed from here.
+        elif self.serving(self._kept.part(message)) is None and not self._kept.live(name) \
+                and f"{SENT}{self._kept.part(message)}" not in self._kept.marks:
+            # The lease is lost, and nobody else can know of it: its end is owed from here. Where its pieces have gone
+            # to another, that one may end it: the part's owner is asked first (`orphans`), or two ends would be told.
             self.end_here(name)
 
     def _resume(self, name: str) -> None:
--- /dev/null
+++ b/wheelstep/rehearsal/fleet/partner.py
@@ -0,0 +1,50 @@
+"""Partners that note each call's channel, number and epoch: the kit's partners with connections that read them."""
+
+from __future__ import annotations
+
+import functools
+
+from wheelstep.rehearsal.fleet.history import FleetHistory, Touch
+from wheelstep.rehearsal.history import Fate, How
+from wheelstep.rehearsal.standins.partner import Endpoint, Stage, _Connection
+
+_MOST = 1 << 62  # numbers and epochs
+
+
+def attach(stage: Stage, history: FleetHistory, classes: frozenset[str]) -> None:
+    """All endpoints' new connections note what they see of channels. Messages of `classes` must be in one."""
+    for endpoint in stage.endpoints.values():
+        for index, port in enumerate(endpoint.ports):
+            port.make = functools.partial(_ChannelConnection, endpoint, f"c{index}", history, classes)
+
+
+class _ChannelConnection(_Connection):
+    def __init__(self, endpoint: Endpoint, courier: str, history: FleetHistory, classes: frozenset[str]) -> None:
+        super().__init__(endpoint, courier)
+        self._seen, self._classes = history, classes
+
+    def _note(self, how: How, fate: Fate = Fate.UNTOLD, wait_us: int = 0) -> None:
+        current = self._current
+        super()._note(how, fate, wait_us)
+        if current is None:
+            return
+        headers, message = current.request.headers, current.messages[0]
+        channel = headers.get("x-channel", "")
+        bound = self._known(message).arrival.message_class in self._classes
+        if not channel:
+            if bound:
+                self._strange(f"message {message} of a contract's class in a call without X-Channel")
+            return
+        number, epoch = _whole(headers.get("x-channel-number", "")), _whole(headers.get("x-channel-epoch", ""))
+        if len(current.messages) > 1 or number is None or epoch is None \
+                or channel.partition("/")[0] not in self._seen.contracts:
+            self._strange(f"message {message} in a call with channel {channel!r}, number "
+                          f"{headers.get('x-channel-number')!r}, epoch {headers.get('x-channel-epoch')!r}")
+            return
+        self._seen.add(Touch(
+            self._courier, self._endpoint.name, channel, number, epoch, message,
+            self._stage.us(current.request.first_at), self._stage.now_us(), how, fate))
+
+
+def _whole(text: str) -> int | None:
+    return int(text) if text.isascii() and text.isdigit() and len(text) < 19 and int(text) < _MOST else None
