--- a/tests/channel_model.py
+++ b/tests/channel_model.py
@@ -15,7 +15,7 @@
 class Row:
     message: str
     given: bool
-    status: str = "unsaid"  # waiting, out, freed (may be handed in again), or one of GONE
+    status: str = "unsaid"  # waiting, out, one of GONE; may be handed in again: freed, or lapsed (from beyond a gap)
     ran: bool = False
 
 
@@ -29,7 +29,7 @@
 
     def next(self) -> int:
         number = 1
-        while number in self.rows:
+        while number in self.rows and self.rows[number].status != "lapsed":
             number += 1
         return number
 
@@ -37,7 +37,8 @@
         return sorted(number for number, row in self.rows.items() if row.status in statuses)
 
     def missing(self, below: int) -> list[int]:
-        return [number for number in range(1, below) if number not in self.rows or self.rows[number].status == "freed"]
+        return [number for number in range(1, below)
+                if number not in self.rows or self.rows[number].status in ("freed", "lapsed")]
 
     def verdict(self, message: str, number: int | None) -> tuple[str, int]:
         """What the door says, and the number."""
@@ -45,7 +46,7 @@
         row = self.rows.get(number)
         if number < 1 or number - self.next() > self.terms.ahead:
             return "beyond", number
-        if row is None or row.status == "freed":
+        if row is None or row.status in ("freed", "lapsed"):
             return "take", number
         if row.status == "skipped":
             return "skipped", number
@@ -65,10 +66,11 @@
         latest = self.terms.order == "latest"
         if row.given or (latest and number != max(self.rows)):
             row.status = "skipped"
-        elif number > self.next():
-            del self.rows[number]  # as if it had never been
         else:
-            row.status = "freed"
+            self.free(number)
+
+    def free(self, number: int) -> None:
+        self.rows[number].status = "lapsed" if number > self.next() else "freed"
 
     def end(self, now_ms: int, number: int, outcome: str, unclear: bool) -> None:
         row = self.rows[number]
@@ -76,7 +78,9 @@
             outcome = "failed"
         again = outcome == "refused" and not row.given and self.terms.order in ("strict", "window") \
             and self.terms.gap != "fail"
-        row.status = "freed" if again else outcome
+        row.status = outcome
+        if again:
+            self.free(number)
         if unclear:
             self.unclear(now_ms)
 
@@ -89,7 +93,7 @@
         terms, told = self.terms, []
         if terms.order == "none":
             told = [self._open(number) for number in self.having("waiting")]
-            top = max(self.rows, default=0)
+            top = max((number for number, row in self.rows.items() if row.status != "lapsed"), default=0)
             if top > self.next() and self._waited(now_ms, self.missing(top)):
                 self.skip(top)
             if top < self.next():
--- a/tests/test_positions.py
+++ b/tests/test_positions.py
@@ -69,7 +69,7 @@
     (changed(14, "dx"), "no position: Expected `str` matching regex '^[drfsp]*$' - at `$[14]`"),
     (changed(13, ["a"] * 3000), "no position: Expected `array` of length <= 1024 - at `$[13]`"),
     (changed(15, ["orders", "fifo"]), "no position: Invalid enum value 'fifo' - at `$[15][1]`"),
-    ([*sample().to_data(), 1], "no position: Expected `array` of at most length 16, got 17"),
+    ([*sample().to_data(), True, 1], "no position: Expected `array` of at most length 17, got 18"),
 ])
 def test_what_can_be_no_position_is_refused(data: Any, line: str) -> None:
     with pytest.raises(PositionError) as caught:
--- a/wheelstep/channels/book.py
+++ b/wheelstep/channels/book.py
@@ -87,7 +87,7 @@
         line.position.take(number, message, given)
         line.taken(number)
         self._by_message[message] = (line, number)
-        self._touch(now_ms, line, look=False)
+        self._touch(now_ms, line)
 
     def withdraw(self, now_ms: int, message: str) -> None:
         """Its client went before it was answered."""
--- a/wheelstep/channels/content.py
+++ b/wheelstep/channels/content.py
@@ -141,7 +141,7 @@
 
     def _found(self, now_ms: int, part: int, message: Stored) -> bool:
         assert message.channel is not None
-        if message.id in self._kept.messages or self._ended_here(message):
+        if message.id in self._kept.messages or self.ended_here(message):
             return True
         if self._kept.part(message) != part or self.serving(part) is None:
             return False
@@ -153,12 +153,6 @@
             self._book.attempt_unclear(now_ms, message.id)
         return True
 
-    def _ended_here(self, message: Stored) -> bool:
-        """Has it had its end under this courier's position? Then it is nobody's any more."""
-        position = self._book.position(message.channel or "")
-        return (position is not None and position.state(message.number) == "ended"
-                and position.answer(message.number)[0] == message.id)
-
     def owed(self) -> int:
         """Messages of channels on this disk whose end is not decided."""
         return sum(message.channel is not None and message.notice is None for message in self._kept.messages.values())
--- a/wheelstep/channels/front.py
+++ b/wheelstep/channels/front.py
@@ -94,7 +94,7 @@
         part = part_of(channel, self._parts)
         epoch = self._ours(part)
         position = self._book.position(channel)
-        if position is None and self._book.inherited(part):
+        if position.stale if position is not None else self._book.inherited(part):
             raise RefusedError(503, "only a courier that is gone knows this position\n", (("Retry-After", "1"),))
         row: dict[str, Any] = {"channel": channel, "part": part, "part_epoch": epoch, "known": position is not None}
         row |= {"next": 1, "epoch": 0, "held": []} if position is None else {
--- a/wheelstep/channels/parts.py
+++ b/wheelstep/channels/parts.py
@@ -84,10 +84,16 @@
         `PositionError`."""
         former = _decoded(data)
         line = self._lines.get(channel)
-        if line is not None:
+        newer = line is not None and line.position.stale and not line.position.entries \
+            and former.next > line.position.next
+        if line is not None and not newer:
             line.position.learn(former)
         else:
             former.bereave()
+            if line is not None:  # two former owners, neither of whom may be the last: the later one counts
+                former.learn(line.position)
+                former.revision = max(former.revision, line.position.revision) + 1
+                self._forget(line)
             line = self._add(now_ms, channel, former)
             self._dirty[channel] = None
         self._touch(now_ms, line)
@@ -103,11 +109,13 @@
         if known is not None:
             return known == (line, number)
         position = self._fresh(terms, channel, number) if line is None else line.position
+        if line is None:
+            position.stale = True  # a client may have come further since
         if position.state(number) not in ("free", "lost") or position.full(number) or \
                 (line is None and len(self._lines) >= self._most):
             return False
         line = line or self._add(now_ms, channel, position)
-        position.take(number, message, False)
+        position.take(number, message, False, found=True)
         self._by_message[message] = (line, number)
         line.said(number)
         self._touch(now_ms, line)
--- a/wheelstep/channels/position.py
+++ b/wheelstep/channels/position.py
@@ -51,13 +51,14 @@
     right before it are lost, if the contract holds gaps, until that other is back; earlier ones are past."""
 
     __slots__ = ("terms", "next", "session", "revision", "rests", "above", "freed", "lost", "entries",
-                 "answers")
+                 "answers", "stale")
 
     def __init__(self, terms: Contract, start: int = 1) -> None:
         self.terms = terms
         self.next = start  # the lowest number that was never taken; never goes back
         self.session = 0  # the highest epoch of a client's connection
         self.revision = 0
+        self.stale = False  # as a former owner told it: others may have taken numbers since (`begin`)
         self.rests = False  # the last unclear outcome's rest has not been waited for
         self.above: set[int] = set()
         self.freed: dict[int, str] = {}  # handed back, or withdrawn: may be handed in again; whose it was
@@ -78,7 +79,8 @@
             return "ended"
         if 1 <= number < self.next or number in self.above:
             return "past"
-        return "free" if 1 <= number <= MOST and number - self.next <= self.terms.ahead else "beyond"
+        near = self.stale or number - self.next <= self.terms.ahead
+        return "free" if 1 <= number <= MOST and near else "beyond"
 
     def answer(self, number: int) -> tuple[str, str]:
         """Of one that has ended: message and outcome."""
@@ -96,13 +98,13 @@
 
     def unused(self) -> int:
         """The number that the courier gives: above all that are known, so that it never fills a client's gap."""
-        return max(self.above) + 1 if self.above else self.next
+        return max(self.next - 1, max(self.above, default=0), max(self.freed, default=0)) + 1
 
     def next_after(self, number: int) -> int:
         """The next expected once this one is taken."""
         if self.terms.order == "latest":
             return max(self.next, number + 1)
-        following = self.next
+        following = max(self.next, number) if self.stale else self.next
         while following == number or following in self.above:
             following += 1
         return following
@@ -112,10 +114,12 @@
         lowest = min(self.next, *self.freed, *self.lost) if self.freed or self.lost else self.next
         return lowest if lowest < below else None
 
-    def take(self, number: int, message: str, given: bool) -> None:
-        """A free number is this message's."""
+    def take(self, number: int, message: str, given: bool, found: bool = False) -> None:
+        """A free number is this message's; `found` by a former owner, which says nothing of what came after it."""
         assert self.state(number) in ("free", "lost")
         self.revision += 1
+        if self.stale and number >= self.next and not found:
+            self.begin(number)
         self.freed.pop(number, None)
         self.lost.discard(number)
         self.entries[number] = Entry(message, given)
@@ -125,6 +129,21 @@
                 self.skip(number)
             self._advance()
 
+    def begin(self, number: int) -> None:
+        """The first client since others may have had the channel comes with this number. Those before it that are not
+        known to have ended are lost, if the contract holds gaps, until whoever had them brings them; else past."""
+        self.stale = False
+        self.revision += 1
+        free = {one for one in self.freed if one < number}
+        free |= {one for one in range(max(self.next, number - self.terms.ahead), number) if one not in self.above}
+        for one in free:
+            self.freed.pop(one, None)
+        if self.terms.gap == "hold" and self.terms.order in ("strict", "window"):
+            self.lost |= free
+        self.above = {one for one in self.above if one > number}
+        self.next = number
+        self._advance()
+
     def fence(self, session: int) -> None:
         """A client has come with this epoch."""
         if session > self.session:
@@ -195,6 +214,7 @@
                 self.lost.add(number)
             else:
                 self.free(number)
+        self.stale = True
         self.revision += 1
         if self.terms.gap != "hold" or self.terms.order not in ("strict", "window"):
             self.skip(max(self.lost, default=0) + 1)
@@ -207,5 +227,5 @@
                 list(self.freed), list(self.freed.values()), list(self.entries), [entry.message for entry in held],
                 [GIVEN * entry.given + UNCLEAR * entry.unclear for entry in held],
                 list(self.answers), list(messages), "".join(codes),
-                list(msgspec.structs.astuple(self.terms))]
+                list(msgspec.structs.astuple(self.terms)), *([True] if self.stale else [])]
 
--- a/wheelstep/channels/serving.py
+++ b/wheelstep/channels/serving.py
@@ -144,12 +144,20 @@
     def _find(self, part: int) -> None:
         """Messages that are here and in no position: they go on if their contract has room for them, or end here."""
         for message in self._kept.of(part):
-            if not self._book.holds(message.id) and not self._kept.live(message.id):
+            if self.ended_here(message):
+                self._kept.forget(message.id)
+            elif not self._book.holds(message.id) and not self._kept.live(message.id):
                 assert message.channel is not None
                 if not self._book.found(self._now_ms(), message.channel, message.number, message.id):
                     self.end_here(message.id)
         self._kept.flush()
 
+    def ended_here(self, message: Stored) -> bool:
+        """Has it had its end under this courier's position? Then it is nobody's any more."""
+        position = self._book.position(message.channel or "")
+        return (position is not None and position.state(message.number) == "ended"
+                and position.answer(message.number)[0] == message.id)
+
     def end_here(self, name: str) -> None:
         """Whoever finds it ends it: handed back if it surely never ran, here or where its pieces may have gone."""
         message = self._kept.messages.get(name)
--- a/wheelstep/channels/stored.py
+++ b/wheelstep/channels/stored.py
@@ -33,6 +33,7 @@
     answered: _Names
     codes: Annotated[str, msgspec.Meta(pattern="^[drfsp]*$", max_length=1024)]
     terms: Contract
+    stale: bool = False
 
 
 def from_data(value: object) -> Position:
@@ -47,6 +48,7 @@
     position = Position(data.terms)
     position.next, position.session, position.revision = data.next, data.session, data.revision
     position.rests, position.above, position.lost = data.rests, set(data.above), set(data.lost)
+    position.stale = data.stale
     position.freed = dict(zip(data.freed, data.handed_back, strict=True))
     for number, message, flags in zip(data.held, data.messages, data.flags, strict=True):
         position.entries[number] = Entry(message, bool(flags & GIVEN), bool(flags & UNCLEAR))
--- /dev/null
+++ b/wheelstep/rehearsal/simulation/nodes.py
@@ -0,0 +1,37 @@
+"""The real node on a simulated machine: its settings scaled to a run, and what its log holds.
+
+Imports `wheelstep.fleet` and its neighbours.
+"""
+
+from __future__ import annotations
+
+import random
+
+from wheelstep.fleet.node import Node
+from wheelstep.fleet.placing import NodeSettings
+from wheelstep.fleet.roster import Limits as MemberLimits
+from wheelstep.fleet.types import Member, State
+from wheelstep.moves.steps import Limits, Room
+from wheelstep.moves.swap import Pace
+from wheelstep.rehearsal.simulation.content import SimContent
+from wheelstep.rehearsal.simulation.machine import Machine
+from wheelstep.rehearsal.simulation.run import Setup
+from wheelstep.rehearsal.simulation.world import MS, S
+
+
+def settings(setup: Setup) -> NodeSettings:
+    """Spans that fit a run of half a minute."""
+    return NodeSettings(
+        setup.names()[:setup.voters], setup.parts, setup.lease_us, setup.drift_ppm / 1_000_000, 50 * MS,
+        probation_us=2 * S, members=MemberLimits(heal_periods=4, hello_periods=20, gone_kept_us=600 * S),
+        moves=Limits(call_bound_us=300 * MS, silence_us=S, commit_us=500 * MS), room=Room(idle_us=5 * S),
+        leaving=Pace(pause_us=200 * MS, pause_most_us=S, bound_us=8 * S))
+
+
+def real(machine: Machine, content: SimContent, setup: Setup, fleet: dict[str, Machine]) -> Node:
+    """From the machine's disk."""
+    name = machine.name
+    me = Member(name, machine.boot, State.ALIVE, machine.address, f"{name}:80")
+    seeds = {other.name: other.address for other in fleet.values() if other is not machine}
+    rng = random.Random(f"{machine.world.seed} {name} {machine.boot}")
+    return Node(me, settings(setup), seeds, content, list(machine.disk.log.records), rng, machine.own_us())
