--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -9,9 +9,9 @@
 from loopback import LIMIT_S, SETTINGS, host, run
 
 from wheelstep import interface as api
+from wheelstep.courier.call import Result
 from wheelstep.courier.config import Config, load
 from wheelstep.courier.core import Core
-from wheelstep.courier.outlet import Result
 from wheelstep.courier.platform import entries
 from wheelstep.interface import Outcome
 from wheelstep.journal import Journal
--- a/tests/test_outlet.py
+++ b/tests/test_outlet.py
@@ -9,8 +9,9 @@
 from loopback import LIMIT_S, Call, Endpoint, Reply, run
 
 from wheelstep import interface as api
+from wheelstep.courier.call import Item, Result
 from wheelstep.courier.config import Address
-from wheelstep.courier.outlet import Item, Outlet, Result
+from wheelstep.courier.outlet import Outlet
 from wheelstep.interface import Outcome
 
 S = 1_000_000
--- a/tests/test_written.py
+++ b/tests/test_written.py
@@ -16,9 +16,10 @@
 from loopback import run
 from test_outlet import Owner, item
 
+from wheelstep.courier.call import Result
 from wheelstep.courier.config import Address
 from wheelstep.courier.connection import Connection
-from wheelstep.courier.outlet import Outlet, Result
+from wheelstep.courier.outlet import Outlet
 from wheelstep.interface import Outcome
 
 S = 1_000_000
--- a/wheelstep/courier/carrier.py
+++ b/wheelstep/courier/carrier.py
@@ -15,10 +15,11 @@
 
 from wheelstep import Sender
 from wheelstep import interface as api
+from wheelstep.courier.call import Item, Result
 from wheelstep.courier.classes import Classes
 from wheelstep.courier.config import Config
 from wheelstep.courier.endpoints import Endpoints
-from wheelstep.courier.outlet import Item, Outlet, Result
+from wheelstep.courier.outlet import Outlet
 from wheelstep.courier.ports import Book, CallsOut, Notices, Told
 from wheelstep.courier.turns import Sends, Turns
 from wheelstep.interface import UNRUN, Outcome
@@ -57,7 +58,7 @@
         self.stray: Callable[[Item, Result], None] | None = None  # hears outcomes of what the module holds no more
         self._tell: Told | None = None  # who owns the messages now, once another process does
 
-    # --- what calls ask and tell (outlet.Gate) ---
+    # --- what calls ask and tell (call.Gate) ---
 
     @property
     def syncs(self) -> bool:
--- /dev/null
+++ b/wheelstep/courier/form.py
@@ -0,0 +1,95 @@
+"""A call's form on the wire: how the single and the bulk form are written, and what an answer means. No I/O."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+
+from wheelstep import interface as api
+from wheelstep.courier.call import Item, Result
+from wheelstep.courier.connection import Answer
+from wheelstep.interface import Outcome
+
+_ENDS = {"delivered": Outcome.OK, "failed": Outcome.ERROR, "refused": Outcome.FULL,
+         "over": Outcome.NOT_SENT, "spent": Outcome.NOT_SENT}
+
+
+def request(items: Sequence[Item], host: str, wait_ms: int, further: Sequence[tuple[str, str]] = ()) -> bytes:
+    """A call, ready to be written. Ids and tokens hold visible ASCII only: the inlet takes no others."""
+    if len(items) == 1:
+        target, body = "/inbox", items[0].body
+        token = items[0].token
+        names = f"X-Request-Id: {items[0].message}\r\n" + (f"Idempotency-Key: {token}\r\n" if token is not None else "")
+    else:
+        target, names = "/inbox/bulk", ""
+        body = b"".join(
+            f"{item.message} {item.token or '-'} {len(item.body)}\r\n".encode() + item.body + b"\r\n"
+            for item in items)
+    names += "".join(f"{name}: {value}\r\n" for name, value in further)
+    return (f"POST {target} HTTP/1.1\r\nHost: {host}\r\nX-Deadline-Ms: {wait_ms}\r\n{names}"
+            f"Content-Length: {len(body)}\r\n\r\n").encode("ascii") + body
+
+
+def fared(outcome: Outcome, answer: Answer | None, items: Sequence[Item]) -> list[Result]:
+    """How each message of a call fared."""
+    if answer is None:
+        return [Result(outcome)] * len(items)
+    if answer.status != 200 or len(items) < 2:
+        return [status(answer)] * len(items)
+    ends: dict[str, str] = {}  # none if it is spoilt; what it says of the last message may be cut off
+    for line in answer.body.decode("latin-1").splitlines(keepends=True):
+        message, _, end = line.strip().partition(" ")
+        if line.endswith("\n"):
+            ends[message] = end.strip()
+    # A message that the answer passes over, or tells an unknown end of, may have run.
+    return [Result(_ENDS.get(ends.get(item.message, ""), Outcome.ERROR),
+                   over=ends.get(item.message) == "over", exhausted=ends.get(item.message) == "spent")
+            for item in items]
+
+
+def status(answer: Answer) -> Result:
+    """What the status alone says: of a probe, of a single call, of a bulk call that was not run."""
+    match answer.status:
+        case 200:
+            return Result(Outcome.OK)
+        case 410:
+            return Result(Outcome.NOT_SENT, over=True)
+        case 504:
+            return Result(Outcome.NOT_SENT, exhausted=True)
+        case 503 if answer.headers.get("x-line-busy", "0").strip() not in ("", "0"):
+            return Result(Outcome.NOT_SENT)
+        case 429 | 503:
+            return Result(Outcome.FULL)
+        case _:  # 500, a spoilt answer, and whatever else: it may have run
+            return Result(Outcome.ERROR)
+
+
+def told(answer: Answer | None, report: tuple[str, ...]) -> tuple[int, api.LimitReport | None]:
+    """The wait and the report that any answer may carry."""
+    if answer is None:
+        return 0, None
+    return wait_us(answer.headers.get("retry-after", "")), _limit(answer.headers.get("x-load", ""), report)
+
+
+def wait_us(text: str) -> int:
+    """A wait as `Retry-After` tells it, 0 where it tells none that can be meant."""
+    try:
+        wait_s = float(text)
+    except ValueError:
+        return 0
+    return math.ceil(wait_s * 1e6) if 0 < wait_s < 3600 else 0
+
+
+def _limit(text: str, fields: tuple[str, ...]) -> api.LimitReport | None:
+    values: dict[str, float] = {}
+    for part in text.split(","):
+        name, _, value = part.strip().partition("=")
+        try:
+            number = float(value)
+        except ValueError:
+            continue
+        if name in fields and math.isfinite(number):
+            values[name] = number
+    if "x0" not in values:
+        return None
+    return api.LimitReport(min(max(values["x0"], 0.0), 1.0), max(values.get("x1", 0.0), 0.0))
--- /dev/null
+++ b/wheelstep/courier/pool.py
@@ -0,0 +1,105 @@
+"""Connections to endpoints: where each endpoint is, those that are idle, and dialling within a bound.
+
+Beneath `outlet.Outlet`, which has the calls.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+
+from wheelstep.courier.call import Progress
+from wheelstep.courier.config import Address
+from wheelstep.courier.connection import BrokenError, Connection
+
+_IDLE_MARGIN_S = 1.5  # an idle connection is given up so long before the endpoint would
+_SWEEP_S = 0.5
+
+
+@dataclass(slots=True)
+class Host:
+    """An endpoint's address and its idle connections, the one used last at the end."""
+
+    address: Address
+    idle: list[Connection] = field(default_factory=list)
+
+
+class Pool:
+    """Endpoints' addresses and connections."""
+
+    def __init__(self, dial_timeout_us: int, conn_idle_us: int, most: int) -> None:
+        self._most = most  # connections at once: with a call, idle, and being dialled
+        self._dial_s = dial_timeout_us / 1e6
+        idle_s = conn_idle_us / 1e6 if conn_idle_us else 5.0
+        self._idle_s = max(idle_s - _IDLE_MARGIN_S, idle_s / 2)
+        self._hosts: dict[str, Host] = {}
+        self.dials = 0  # handshakes begun
+
+    def list(self, endpoint: str, address: Address) -> None:
+        """Calls to the endpoint go to this address from now on."""
+        host = self._hosts.get(endpoint)
+        if host is None or host.address != address:
+            self.close_idle(endpoint)
+            self._hosts[endpoint] = Host(address)
+
+    def address(self, endpoint: str) -> Address | None:
+        """Where it is, if it is listed."""
+        host = self._hosts.get(endpoint)
+        return host.address if host is not None else None
+
+    def unlist(self, endpoint: str) -> None:
+        """The endpoint is gone."""
+        self.close_idle(endpoint)
+        self._hosts.pop(endpoint, None)
+
+    def close_idle(self, endpoint: str, idle_us: int = 0) -> None:
+        """Close the connections to an endpoint that have been idle for so long."""
+        host, since = self._hosts.get(endpoint), time.monotonic() - idle_us / 1e6
+        for link in [link for link in host.idle if link.idle_since <= since] if host is not None else ():
+            assert host is not None
+            host.idle.remove(link)
+            link.close()
+
+    async def sweep(self) -> None:
+        """Close connections before their endpoint does, so that no call is written to a closing one."""
+        while True:
+            await asyncio.sleep(_SWEEP_S)
+            for host in self._hosts.values():
+                for link in list(host.idle):
+                    if not self._fresh(link):
+                        host.idle.remove(link)
+                        link.close()
+
+    def _fresh(self, link: Connection) -> bool:
+        return link.usable() and time.monotonic() - link.idle_since < self._idle_s
+
+    async def _connect(self, host: Host, progress: Progress, busy: int) -> Connection:
+        """One that is idle, or a new one, or `BrokenError`; `busy` counts the calls and probes under way."""
+        while host.idle:
+            link = host.idle.pop()
+            if self._fresh(link):
+                progress.dialled = True
+                return link
+            link.close()
+        # Guards the descriptors: every task of the outlet holds one connection at most.
+        if busy > self._most:
+            raise BrokenError("too many connections of this courier")
+        if busy + self._idle() > self._most:
+            oldest = min((host for host in self._hosts.values() if host.idle),
+                         key=lambda host: host.idle[0].idle_since)
+            oldest.idle.pop(0).close()
+        progress.dialled = True
+        self.dials += 1
+        try:
+            async with asyncio.timeout(self._dial_s):
+                return await Connection.dial(host.address)
+        except TimeoutError as error:
+            raise BrokenError("no connection in time") from error
+
+    def _name(self, endpoint: str) -> str:
+        host = self._hosts.get(endpoint)
+        return f"{host.address.host}:{host.address.port}" if host else endpoint
+
+    def _idle(self) -> int:
+        return sum(len(host.idle) for host in self._hosts.values())
--- a/wheelstep/courier/ports.py
+++ b/wheelstep/courier/ports.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from wheelstep.courier.outlet import Item, Result
+from wheelstep.courier.call import Item, Result
 from wheelstep.journal import Stored
 
 Told = Callable[[str, Sequence[tuple[Item, Result]]], None]
--- a/wheelstep/courier/turns.py
+++ b/wheelstep/courier/turns.py
@@ -11,7 +11,7 @@
 
 from wheelstep import Sender
 from wheelstep import interface as api
-from wheelstep.courier.outlet import Item
+from wheelstep.courier.call import Item
 from wheelstep.interface import Outcome
 
 _MOST_EVENTS = 2_000  # go to the module in one turn
--- a/wheelstep/rehearsal/broken/twice.py
+++ b/wheelstep/rehearsal/broken/twice.py
@@ -4,8 +4,8 @@
 
 import dataclasses
 
+from wheelstep.courier.call import Progress
 from wheelstep.courier.carrier import Carrier
-from wheelstep.courier.outlet import _Progress
 from wheelstep.interface import Outcome
 from wheelstep.journal import Stored
 from wheelstep.rehearsal.broken.patch import change_settings
@@ -13,12 +13,12 @@
 
 def pays_after_reset() -> None:
     """A connection that broke after the last byte counts as one that never came up."""
-    ended_by = _Progress.ended_by
+    ended_by = Progress.ended_by
 
-    def never_ran(self: _Progress, outcome: Outcome) -> Outcome:
+    def never_ran(self: Progress, outcome: Outcome) -> Outcome:
         return Outcome.CONNECT_FAILED if outcome is Outcome.RESET else ended_by(self, outcome)
 
-    _Progress.ended_by = never_ran  # type: ignore[method-assign]
+    Progress.ended_by = never_ran  # type: ignore[method-assign]
 
 
 def pays_after_restart() -> None:
--- a/wheelstep/rehearsal/broken/waits.py
+++ b/wheelstep/rehearsal/broken/waits.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from wheelstep import interface as api
-from wheelstep.courier import outlet
+from wheelstep.courier import form
 from wheelstep.courier.core import Core
 from wheelstep.logic import Call, Destination, Sender
 from wheelstep.rehearsal.broken.patch import change_settings
@@ -24,8 +24,8 @@
 
 def halves_waits() -> None:
     """A wait ends at its half."""
-    wait_us = outlet._wait_us
-    outlet._wait_us = lambda text: wait_us(text) // 2
+    wait_us = form.wait_us
+    form.wait_us = lambda text: wait_us(text) // 2
 
 
 def waits_at_one_endpoint() -> None:
--- a/wheelstep/standalone/serve.py
+++ b/wheelstep/standalone/serve.py
@@ -15,12 +15,12 @@
 from pathlib import Path
 
 from wheelstep import interface as api
+from wheelstep.courier.call import Item
 from wheelstep.courier.config import Address, Config, ConfigError, from_data
 from wheelstep.courier.core import Core
 from wheelstep.courier.inlet import Inlet
 from wheelstep.courier.leaving import leave
 from wheelstep.courier.opening import open_journal
-from wheelstep.courier.outlet import Item
 from wheelstep.courier.platform import Notices
 from wheelstep.courier.rows import Row
 from wheelstep.standalone.ends import End, Ends
--- a/wheelstep/upgrade/giver.py
+++ b/wheelstep/upgrade/giver.py
@@ -12,9 +12,9 @@
 from pathlib import Path
 from typing import Any
 
+from wheelstep.courier.call import Item, Result
 from wheelstep.courier.core import Core
 from wheelstep.courier.inlet import Inlet
-from wheelstep.courier.outlet import Item, Result
 from wheelstep.courier.rows import write_rows
 from wheelstep.upgrade import channel as channels
 from wheelstep.upgrade.channel import Channel, LostError
--- a/wheelstep/upgrade/taker.py
+++ b/wheelstep/upgrade/taker.py
@@ -13,9 +13,9 @@
 from typing import Any
 
 from wheelstep import interface as api
+from wheelstep.courier.call import Item, Result
 from wheelstep.courier.core import Core
 from wheelstep.courier.inlet import Inlet
-from wheelstep.courier.outlet import Item, Result
 from wheelstep.courier.ports import CallsOut
 from wheelstep.courier.rows import Row, read_rows
 from wheelstep.interface import Outcome
