--- a/wheelstep/courier/form.py
+++ b/wheelstep/courier/form.py
@@ -6,8 +6,8 @@
 from collections.abc import Sequence
 
 from wheelstep import interface as api
+from wheelstep.courier.answer import Answer
 from wheelstep.courier.call import Item, Result
-from wheelstep.courier.connection import Answer
 from wheelstep.interface import Outcome
 
 _ENDS = {"delivered": Outcome.OK, "failed": Outcome.ERROR, "refused": Outcome.FULL,
--- a/wheelstep/courier/outlet.py
+++ b/wheelstep/courier/outlet.py
@@ -15,8 +15,9 @@
 
 from wheelstep import interface as api
 from wheelstep.courier import form
+from wheelstep.courier.answer import Answer
 from wheelstep.courier.call import Gate, Item, Progress, Result
-from wheelstep.courier.connection import Answer, BrokenError
+from wheelstep.courier.connection import BrokenError
 from wheelstep.courier.pool import Pool
 from wheelstep.interface import UNRUN, Outcome
 
