Judge split by rule: evidence, verdict and a file for each rule; no behaviour changed

Need: 475 lines: seven rules, the sorting of facts and the verdict's types in one class. Change: evidence.py sorts the facts, rules/ has a file of 23 to 63 lines for each rule with one function `findings`, verdict.py the types, judge.py (47 lines) asks them all. `Rule`, `Ruling`, `Finding` and `Verdict` can still be imported from judge.

--- /dev/null
+++ b/wheelstep/rehearsal/evidence.py
@@ -0,0 +1,156 @@
+"""The facts of a history, sorted for the judge: each message with its calls and notices, lives, and lateness.
+
+No I/O, and no rule: those are in `rules`, which read this.
+"""
+
+from __future__ import annotations
+
+import bisect
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from wheelstep.rehearsal.history import (
+    NEVER_RAN,
+    Answer,
+    Call,
+    Fate,
+    HandIn,
+    History,
+    Late,
+    Life,
+    Notice,
+    Outage,
+    Probe,
+    Strange,
+    Told,
+    Turn,
+)
+
+_NEAR_US = 1_000_000  # lateness counts for what happens so near to it
+
+
+@dataclass(slots=True)
+class Message:
+    """All that was seen of one message id."""
+
+    handed: HandIn
+    answer: Answer | None = None
+    calls: list[Call] = field(default_factory=list)  # by their last byte
+    notices: list[Notice] = field(default_factory=list)
+
+    @property
+    def taken(self) -> bool:
+        return self.answer is not None and self.answer.status in (200, 202)
+
+    def delivered_us(self) -> int | None:
+        """When a first line with 200 was written for it."""
+        return min((call.ended_us for call in self.calls if self.fate(call) is Fate.DELIVERED), default=None)
+
+    def fate(self, call: Call) -> Fate:
+        return call.fates[call.messages.index(self.handed.message)]
+
+    def ended_us(self) -> int | None:
+        """When its one end stood: delivered, or its notice answered."""
+        ends = [notice.at_us for notice in self.notices]
+        if (delivered := self.delivered_us()) is not None:
+            ends.append(delivered)
+        return min(ends, default=None)
+
+    def never_ran(self, call: Call, by_us: int) -> bool:
+        """Did the courier know by then that this call had not run?"""
+        return self.fate(call) in NEVER_RAN and call.ended_us <= by_us
+
+
+class Lateness:
+    """How late the machine ran around a time."""
+
+    def __init__(self, facts: Iterable[Late]) -> None:
+        self._rows = sorted((fact.at_us, fact.late_us, fact.who) for fact in facts)
+        self.most_us, self.who = max(((late, who) for _, late, who in self._rows), default=(0, ""))
+
+    def near(self, at_us: int) -> int:
+        begin = bisect.bisect_left(self._rows, (at_us - _NEAR_US,))
+        end = bisect.bisect_right(self._rows, (at_us + _NEAR_US,))
+        return max((late for _, late, _ in self._rows[begin:end]), default=0)
+
+
+class Evidence:
+    """All facts of one history, each kind by itself and in order of time."""
+
+    def __init__(self, history: History) -> None:
+        self.history, self.figures = history, history.figures
+        self.late = Lateness(fact for fact in history.facts if isinstance(fact, Late))
+        self.messages: dict[str, Message] = {}
+        self.calls: list[Call] = []
+        self.probes: list[Probe] = []
+        self.told: dict[tuple[str, str], list[Told]] = defaultdict(list)
+        self.lives: dict[str, list[Life]] = defaultdict(list)
+        self.outages: list[Outage] = []
+        self.strange: list[Strange] = []
+        self._sort()
+        self.away = {courier: _away(lives, history.end_us) for courier, lives in self.lives.items()}
+
+    def _sort(self) -> None:
+        notices: list[Notice] = []
+        answers: list[Answer] = []
+        for fact in self.history.facts:
+            match fact:
+                case HandIn():
+                    self.messages.setdefault(fact.message, Message(fact))
+                case Answer():
+                    answers.append(fact)
+                case Call():
+                    self.calls.append(fact)
+                case Probe():
+                    self.probes.append(fact)
+                case Told():
+                    self.told[fact.courier, fact.endpoint].append(fact)
+                case Notice():
+                    notices.append(fact)
+                case Life():
+                    self.lives[fact.courier].append(fact)
+                case Outage():
+                    self.outages.append(fact)
+                case Strange():
+                    self.strange.append(fact)
+        self.calls.sort(key=lambda call: call.last_us)
+        for told in self.told.values():
+            told.sort(key=lambda row: row.at_us)
+        for lives in self.lives.values():
+            lives.sort(key=lambda row: row.at_us)
+        for answer in sorted(answers, key=lambda row: row.at_us):
+            if (message := self.messages.get(answer.message)) is not None:
+                message.answer = answer
+        for call in self.calls:
+            for name in call.messages:
+                if (message := self.messages.get(name)) is not None:
+                    message.calls.append(call)
+        for notice in sorted(notices, key=lambda row: row.at_us):
+            if (message := self.messages.get(notice.message)) is not None:
+                message.notices.append(notice)
+
+
+def _away(lives: list[Life], end_us: int) -> list[tuple[int, int]]:
+    """When a courier was being restarted or stood still: from the signal until it was ready or went on."""
+    spans: list[tuple[int, int]] = []
+    since_us: int | None = None
+    for life in lives:
+        if life.turn in (Turn.KILLED, Turn.TERMINATED, Turn.PAUSED, Turn.CRASHED, Turn.PART_DOWN) and since_us is None:
+            since_us = life.at_us
+        elif life.turn in (Turn.READY, Turn.RESUMED, Turn.PART_UP) and since_us is not None:
+            spans.append((since_us, life.at_us))
+            since_us = None
+    if since_us is not None:
+        spans.append((since_us, end_us))
+    return spans
+
+
+def seconds(at_us: int) -> str:
+    """A time, as findings tell it."""
+    return f"{at_us / 1e6:.3f} s"
+
+
+def millis(span_us: int) -> str:
+    """A span, as findings tell it."""
+    return f"{span_us / 1e3:.0f} ms"
