--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -21,7 +21,6 @@
     Figures,
     HandIn,
     History,
-    HistoryError,
     How,
     Late,
     Life,
@@ -31,9 +30,8 @@
     Strange,
     Told,
     Turn,
-    dump,
-    load,
 )
+from wheelstep.rehearsal.historyfile import HistoryError, dump, load
 from wheelstep.rehearsal.judge import MOST_LATE_US, Rule, Ruling, judge
 
 MS, S = 1_000, 1_000_000
--- a/wheelstep/cli/commands.py
+++ b/wheelstep/cli/commands.py
@@ -22,7 +22,7 @@
 from wheelstep.recording.format import read as read_record
 from wheelstep.rehearsal import rig, scenario
 from wheelstep.rehearsal.broken import BUILDS
-from wheelstep.rehearsal.history import HistoryError, dump, load
+from wheelstep.rehearsal.historyfile import HistoryError, dump, load
 from wheelstep.rehearsal.judge import Ruling, judge
 from wheelstep.rehearsal.plan import Plan, draw, replay
 from wheelstep.rehearsal.report import EXITS, Result, Screen
--- a/wheelstep/rehearsal/history.py
+++ b/wheelstep/rehearsal/history.py
@@ -1,20 +1,13 @@
 """What the stand-ins saw, as plain facts: the one thing that the judge reads.
 
-Times are whole microseconds since the rehearsal's start, all by the rig's one clock. No I/O but `dump` and
-`load`, which turn a history into lines of JSON and back.
+Times are whole microseconds since the rehearsal's start, all by the rig's one clock. No I/O; `historyfile`
+turns a history into lines of JSON and back.
 """
 
 from __future__ import annotations
 
-import dataclasses
-import json
-from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import Any
-
-FORMAT = "umberchute-history"
-VERSION = 1
 
 
 class Effect(StrEnum):
@@ -234,52 +227,3 @@
     def add(self, fact: Fact) -> None:
         """Append one fact."""
         self.facts.append(fact)
-
-
-_KINDS: dict[str, type[Any]] = {kind.__name__: kind for kind in (
-    HandIn, Answer, Call, Probe, Told, Notice, Life, Outage, Strange, Late)}
-_ENUMS: dict[str, Any] = {"end": End, "how": How, "turn": Turn}
-
-
-class HistoryError(Exception):
-    """A file that holds no history; its text names the line."""
-
-
-def dump(history: History) -> Iterator[str]:
-    """The history as lines of JSON, a head first."""
-    figures = dataclasses.asdict(history.figures)
-    figures["routes_apart"] = sorted(history.figures.routes_apart)
-    yield json.dumps({"format": FORMAT, "version": VERSION, "end_us": history.end_us, "figures": figures})
-    for fact in history.facts:
-        yield json.dumps([type(fact).__name__, dataclasses.asdict(fact)])
-
-
-def load(lines: Iterable[str]) -> History:
-    """Read what `dump` wrote, or raise `HistoryError`."""
-    rows = iter(lines)
-    try:
-        head = json.loads(next(rows))
-        if head.get("format") != FORMAT or head.get("version") != VERSION:
-            raise HistoryError(f"line 1: no {FORMAT} of version {VERSION}")
-        figures = dict(head["figures"])
-        figures["classes"] = {name: ClassFigures(**{**row, "effect": Effect(row["effect"])})
-                              for name, row in figures["classes"].items()}
-        figures["routes_apart"] = frozenset(figures["routes_apart"])
-        history = History(Figures(**figures), end_us=head["end_us"])
-    except (StopIteration, KeyError, TypeError, ValueError, AttributeError) as error:
-        raise HistoryError(f"line 1: no {FORMAT}: {error}") from error
-    for number, row in enumerate(rows, 2):
-        try:
-            name, given = json.loads(row)
-            history.add(_KINDS[name](**{key: _value(key, value) for key, value in given.items()}))
-        except (KeyError, TypeError, ValueError) as error:
-            raise HistoryError(f"line {number}: no fact: {error}") from error
-    return history
-
-
-def _value(key: str, value: Any) -> Any:
-    if key in _ENUMS:
-        return _ENUMS[key](value)
-    if key == "fates":
-        return tuple(Fate(item) for item in value)
-    return tuple(value) if isinstance(value, list) else value
