--- a/wheelstep/rehearsal/report.py
+++ b/wheelstep/rehearsal/report.py
@@ -15,6 +15,7 @@
 from wheelstep.rehearsal import rig
 from wheelstep.rehearsal.judge import Finding, Ruling, Verdict
 from wheelstep.rehearsal.plan import Plan
+from wheelstep.rehearsal.progress import Progress as Standing
 from wheelstep.rehearsal.worth import Worth, tally
 
 _COLOURS = {Ruling.KEPT: "green", Ruling.BROKEN: "bold red", Ruling.INCONCLUSIVE: "yellow"}
@@ -73,7 +74,7 @@
         self._out, self._err = Console(highlight=False), Console(stderr=True, highlight=False)
 
     @contextmanager
-    def progress(self, title: str) -> Iterator[Callable[[rig.Progress], None] | None]:
+    def progress(self, title: str) -> Iterator[Callable[[Standing], None] | None]:
         """A bar on a terminal; nothing elsewhere."""
         if self._json or not self._err.is_terminal:
             yield None
@@ -82,7 +83,7 @@
         with Progress(*columns, console=self._err, transient=True) as bar:
             task = bar.add_task(title, total=1.0, state="starting couriers")
 
-            def tell(now: rig.Progress) -> None:
+            def tell(now: Standing) -> None:
                 bar.update(task, completed=now.at_us / now.of_us,
                            state=f"{now.at_us / 1e6:.0f} s, {now.phase}: {now.handed_in} handed in, "
                                  f"{now.delivered} delivered")
--- a/wheelstep/rehearsal/rig.py
+++ b/wheelstep/rehearsal/rig.py
@@ -6,9 +6,7 @@
 import contextlib
 import dataclasses
 import gc
-import itertools
 import shlex
-import signal
 import sys
 import tempfile
 from collections.abc import Callable, Coroutine, Iterator
@@ -16,20 +14,19 @@
 from pathlib import Path
 from typing import Any
 
+from wheelstep.rehearsal import lateness
+from wheelstep.rehearsal.faults import Faults
 from wheelstep.rehearsal.history import (
-    Answer,
-    Call,
     Fact,
-    Fate,
     History,
     Late,
     Life,
-    Notice,
     Probe,
     Strange,
     Told,
 )
-from wheelstep.rehearsal.plan import Fault, Plan
+from wheelstep.rehearsal.plan import Plan
+from wheelstep.rehearsal.progress import Ends, Progress
 from wheelstep.rehearsal.standins.clients import Clients
 from wheelstep.rehearsal.standins.partner import Stage
 from wheelstep.rehearsal.standins.platform import Agent, row
@@ -44,24 +41,9 @@
 
 
 OURS = module_command("wheelstep.courier")
-_TICK_S = 0.01  # how often lateness is looked at
-_LATE_US = 5_000  # worth a note
 _CHECK_S = 0.1  # how often it is looked whether all is over
 
 
-@dataclass(slots=True)
-class Progress:
-    """Where a rehearsal stands, for whoever shows it."""
-
-    phase: str = "starting"
-    at_us: int = 0
-    of_us: int = 1
-    handed_in: int = 0
-    delivered: int = 0
-    ended: int = 0
-    late_us: int = 0
-
-
 @dataclass(slots=True)
 class Played:
     """What a rehearsal leaves: the history, and figures that hang on the machine."""
@@ -122,9 +104,7 @@
             for index, name in enumerate(names)]
         self._tasks: list[asyncio.Task[None]] = []
         self._progress = Progress(of_us=plan.end_us)
-        self._read = 0  # facts that were looked at
-        self._taken: set[str] = set()
-        self._over: set[str] = set()
+        self._ends = Ends(self._history, self._progress)
 
     def _now_us(self) -> int:
         return round((self._loop.time() - self._epoch) * 1e6)
@@ -165,9 +145,10 @@
                 clients.address = self._couriers[index].address
                 if self._plan.crowd:
                     await clients.crowd(self._plan.crowd)
-            self._task(self._watch_lateness())
+            self._task(lateness.watch(self._couriers, self._history, self._now_us))
+            faults = Faults(self._stage, self._agents, self._couriers, self._row, self._until, self._task)
             for fault in self._plan.faults:
-                self._task(self._play_fault(fault))
+                self._task(faults.play(fault))
             await self._hand_in()
             await self._until_over()
         self._stage.close()
@@ -216,7 +197,7 @@
         settle_us = 700_000  # a second end, or a call too many, would show by then
         quiet_us: int | None = None
         while (now_us := self._now_us()) < self._plan.end_us:
-            if now_us >= last_us and not self._owed() and all(c.ready.is_set() for c in self._couriers):
+            if now_us >= last_us and not self._ends.owed() and all(c.ready.is_set() for c in self._couriers):
                 quiet_us = quiet_us or now_us
                 if now_us - quiet_us >= settle_us:
                     return
@@ -226,125 +207,18 @@
             self._raise_dead()
             self._say()
 
-    def _owed(self) -> bool:
-        """Is any message taken on and not yet over? Reads each fact once."""
-        for fact in itertools.islice(self._history.facts, self._read, None):
-            if isinstance(fact, Answer) and fact.status in (200, 202):
-                self._taken.add(fact.message)
-            elif isinstance(fact, Notice):
-                self._over.add(fact.message)
-            elif isinstance(fact, Call):
-                names = [name for name, fate in zip(fact.messages, fact.fates, strict=True)
-                         if fate is Fate.DELIVERED]
-                self._over.update(names)
-                self._progress.delivered += len(names)
-            elif isinstance(fact, Late):
-                self._progress.late_us = max(self._progress.late_us, fact.late_us)
-        self._read = len(self._history.facts)
-        self._progress.ended = len(self._over)
-        return not self._taken <= self._over
-
     def _say(self) -> None:
         if self._tell is None:
             return
         progress = self._progress
         progress.at_us = min(self._now_us(), self._plan.end_us)
         progress.handed_in = sum(clients.asked for clients in self._clients)
-        self._owed()
+        self._ends.owed()
         self._tell(progress)
 
-    # --- faults ---
-
-    async def _play_fault(self, fault: Fault) -> None:
-        await self._until(fault.at_us)
-        match fault.kind:
-            case "kill" | "term" | "pause":
-                for_s = (fault.until_us - fault.at_us) / 1e6
-                for index in fault.couriers:
-                    courier = self._couriers[index]
-                    if fault.kind == "kill":
-                        self._task(courier.kill(for_s))
-                    elif fault.kind == "term":
-                        self._task(courier.terminate(for_s))
-                    else:
-                        self._task(courier.pause(for_s))
-            case "worker-kill" | "worker-hang":
-                number = signal.SIGKILL if fault.kind == "worker-kill" else signal.SIGSTOP
-                for index in fault.couriers:
-                    self._couriers[index].end_worker(fault.worker, number)
-                await self._until(fault.until_us)
-                for index in fault.couriers:
-                    self._couriers[index].whole_again()
-            case "discovery":
-                for index in fault.couriers:
-                    self._agents[index].down = True
-                await self._until(fault.until_us)
-                for index in fault.couriers:
-                    self._agents[index].back()
-            case "stall":
-                for begin_us, end_us in fault.stops_us:
-                    await self._until(begin_us)
-                    for name in fault.endpoints:
-                        self._stage.at(name).desk.stall(end_us)
-            case "drain" | "leave":
-                await self._drain(fault)
-            case "replace":
-                await self._replace(fault)
-            case _:
-                for name in fault.endpoints:
-                    await self._stage.at(name).begin(fault)
-                await self._until(fault.until_us)
-                for name in fault.endpoints:
-                    await self._stage.at(name).end(fault)
-
     async def _until(self, at_us: int) -> None:
         await asyncio.sleep(max(0.0, self._epoch + at_us / 1e6 - self._loop.time()))
 
-    def _tell_of(self, fault: Fault, health: str, names: tuple[str, ...]) -> None:
-        for index, agent in enumerate(self._agents):
-            rows = [self._row(name, index, health) for name in names]
-            self._loop.call_later(fault.told_us[index] / 1e6, agent.change, *rows)
-
-    async def _drain(self, fault: Fault) -> None:
-        """It says DRAINING; one that leaves goes after its time."""
-        names = tuple(self._stage.at(name).name for name in fault.endpoints)
-        self._tell_of(fault, "DRAINING", names)
-        if fault.kind == "leave":
-            await self._until(fault.until_us)
-            self._tell_of(fault, "DELETED", names)
-
-    async def _replace(self, fault: Fault) -> None:
-        """Drained, gone, and another process under a new name at the same address."""
-        names = tuple(self._stage.at(name).name for name in fault.endpoints)
-        self._tell_of(fault, "DRAINING", names)
-        await self._until(fault.until_us)
-        self._tell_of(fault, "DELETED", names)
-        fresh = tuple(self._stage.replace(name) for name in names)
-        self._tell_of(fault, "SERVING", fresh)
-
-    # --- lateness ---
-
-    async def _watch_lateness(self) -> None:
-        """Notes when this loop, or a courier's process, had to wait for a core."""
-        waited = [courier.waited_us() for courier in self._couriers]
-        pids = [courier.process.pid if courier.process else 0 for courier in self._couriers]
-        before = self._loop.time()
-        while True:
-            await asyncio.sleep(_TICK_S)
-            now = self._loop.time()
-            self._late("the rig", round((now - before - _TICK_S) * 1e6))
-            before = now
-            for index, courier in enumerate(self._couriers):
-                pid = courier.process.pid if courier.process else 0
-                total_us = courier.waited_us()
-                if pid == pids[index] and total_us is not None and waited[index] is not None:
-                    self._late(courier.name, total_us - (waited[index] or 0))
-                waited[index], pids[index] = total_us, pid
-
-    def _late(self, who: str, late_us: int) -> None:
-        if late_us >= _LATE_US:
-            self._history.add(Late(self._now_us(), who, late_us))
-
     async def dismiss(self) -> None:
         """SIGTERM to all couriers, and wait until they have left."""
         await asyncio.gather(*(courier.dismiss() for courier in self._couriers))
