--- a/tests/test_recording.py
+++ b/tests/test_recording.py
@@ -10,7 +10,7 @@
 
 from wheelstep.recording.format import Encoder, Head, RecordError, Row, read
 from wheelstep.recording.writer import Recorder
-from wheelstep.rehearsal.plan import replay
+from wheelstep.rehearsal.replay import replay
 from wheelstep.rehearsal.scenario import ScenarioError, find
 
 HEAD = Head("n0", 1, {"services": [
--- a/wheelstep/cli/commands.py
+++ b/wheelstep/cli/commands.py
@@ -24,7 +24,8 @@
 from wheelstep.rehearsal.broken import BUILDS
 from wheelstep.rehearsal.historyfile import HistoryError, dump, load
 from wheelstep.rehearsal.judge import Ruling, judge
-from wheelstep.rehearsal.plan import Plan, draw, replay
+from wheelstep.rehearsal.plan import Plan, draw
+from wheelstep.rehearsal.replay import replay
 from wheelstep.rehearsal.report import EXITS, Result, Screen
 from wheelstep.rehearsal.scenario import ScenarioError
 from wheelstep.rehearsal.standins.process import NoStartError
--- a/wheelstep/rehearsal/plan.py
+++ b/wheelstep/rehearsal/plan.py
@@ -5,140 +5,31 @@
 
 from __future__ import annotations
 
-import dataclasses
 import hashlib
-import json
 import math
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
 
-from wheelstep.recording.format import Record, Row
 from wheelstep.rehearsal.history import ClassFigures, Effect, Figures
-from wheelstep.rehearsal.scenario import ClassPart, FaultPart, LimitPart, PartnerPart, Scenario, ScenarioError
-
-LUCK = 4096  # drawn numbers for what happens by share; used in turn by each endpoint
-
-
-@dataclass(frozen=True, slots=True)
-class Limit:
-    """What a partner takes from all couriers together: a rate, or a count in each `window_us`."""
-
-    per_s: float
-    window_us: int = 0
-    refused_count: bool = False
-    wait_us: int = 0
-    report: bool = True
-
-
-@dataclass(frozen=True, slots=True)
-class Partner:
-    """One destination. `endpoints` are their names."""
-
-    name: str
-    destination: int
-    kind: int
-    endpoints: tuple[str, ...]
-    lanes: int
-    queue: int
-    pace_us: int
-    limit: Limit | None = None
-    connections: int = 0  # 0: no bound
-    run_on: bool = False
-    key_memory: bool = True
-
-    @property
-    def per_s(self) -> float:
-        """What one endpoint does, warm, in calls a second."""
-        served = self.lanes * 1e6 / self.pace_us
-        return min(served, self.limit.per_s) if self.limit is not None else served
-
-
-@dataclass(frozen=True, slots=True)
-class Arrival:
-    """A message that a client hands in; `work` is its share of the partner's pace."""
-
-    at_us: int
-    number: int
-    courier: int
-    message_class: str
-    destination: int
-    key: str | None
-    token: str | None
-    size: int
-    work: float
-    luck: float  # for what a client decides by share
-    fresh: bool = False  # on a connection of its own
-    deadline_us: int = 0  # the time it has from `at_us`; 0: its class's
-
-
-PROCESS_FAULTS = ("kill", "term", "pause", "worker-kill", "worker-hang")
-
-
-@dataclass(frozen=True, slots=True)
-class Fault:
-    """A fault at endpoints or couriers, from `at_us` until `until_us`."""
-
-    kind: str
-    at_us: int
-    until_us: int
-    endpoints: tuple[str, ...] = ()
-    couriers: tuple[int, ...] = ()
-    share: float = 1.0
-    when: str = "after"
-    wait_us: int = 0
-    worker: int = 0
-    every_us: int = 0
-    stops_us: tuple[tuple[int, int], ...] = ()  # stall: from when until when
-    told_us: tuple[int, ...] = ()  # until each courier is told
+from wheelstep.rehearsal.planned import PROCESS_FAULTS, Arrival, Fault, Limit, Partner, Plan
+from wheelstep.rehearsal.scenario import ClassPart, FaultPart, LimitPart, PartnerPart, Scenario
 
+__all__ = ["EFFECTS", "LUCK", "Arrival", "Fault", "Limit", "Partner", "Plan", "Scale", "draw", "lognormal",
+           "fault_of", "partner_of"]
 
-@dataclass(frozen=True, slots=True)
-class Plan:
-    """All that a rehearsal does by itself."""
-
-    scenario: str
-    seed: int
-    speed: float
-    couriers: int
-    length_us: int
-    end_us: int  # by then every message's time is up
-    ready_within_us: int
-    figures: Figures
-    settings: dict[str, Any]  # for the couriers, in the form of their configuration
-    partners: tuple[Partner, ...]
-    arrivals: tuple[Arrival, ...]
-    faults: tuple[Fault, ...]
-    retries: int
-    honour: float
-    backoff_us: tuple[int, int]
-    crowd: int
-    luck: tuple[float, ...]
-
-    def digest(self) -> str:
-        """The same for the same plan."""
-        data = dataclasses.asdict(self)
-        data["figures"]["routes_apart"] = sorted(self.figures.routes_apart)
-        text = json.dumps(data, sort_keys=True, separators=(",", ":"))
-        return hashlib.sha256(text.encode()).hexdigest()[:16]
-
-    def message_id(self, number: int, tries: int) -> str:
-        """New for each time that a message is handed in."""
-        return hashlib.blake2b(f"{self.seed}/{number}/{tries}".encode(), digest_size=8).hexdigest()
-
-    def body(self, arrival: Arrival) -> bytes:
-        """The message's bytes: any, and the same each time that it is handed in."""
-        return random.Random(f"{self.seed}/{arrival.number}").randbytes(arrival.size)
+LUCK = 4096  # drawn numbers for what happens by share; used in turn by each endpoint
+EFFECTS = {Effect.SAFE: "repeatable", Effect.KEYED: "by_key", Effect.UNSAFE: "once"}  # as couriers' settings name them
 
 
 def draw(name: str, scenario: Scenario, seed: int, speed: float = 1.0) -> Plan:
     """The plan of a scenario."""
-    scale = _Scale(speed)
+    scale = Scale(speed)
     rng = random.Random(f"{name}/{seed}")
-    partners = tuple(_partner(scenario, number, part, scale) for number, part in enumerate(scenario.partners))
+    partners = tuple(partner_of(scenario, number, part, scale) for number, part in enumerate(scenario.partners))
     arrivals = _arrivals(scenario, partners, random.Random(rng.random()), scale)
-    faults = tuple(_fault(scenario, part, partners, random.Random(rng.random()), scale) for part in scenario.faults)
+    faults = tuple(fault_of(scenario, part, partners, random.Random(rng.random()), scale) for part in scenario.faults)
     length_us = scale.time(scenario.length)
     figures = _figures(scenario, partners, scale)
     longest_us = max(cls.deadline_us for cls in figures.classes.values())
@@ -153,20 +44,26 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Scale:
+class Scale:
+    """How times and rates of a scenario change with the speed that is asked for."""
+
     speed: float
 
     def time(self, span_us: int) -> int:
+        """A duration, so much shorter."""
         return round(span_us / self.speed)
 
     def span(self, span_us: tuple[int, int]) -> tuple[int, int]:
+        """Both ends of a range."""
         return self.time(span_us[0]), self.time(span_us[1])
 
     def drawn(self, span_us: tuple[int, int], rng: random.Random) -> int:
+        """A duration out of a range."""
         return self.time(round(rng.uniform(*span_us)))
 
 
-def _partner(scenario: Scenario, number: int, part: PartnerPart, scale: _Scale) -> Partner:
+def partner_of(scenario: Scenario, number: int, part: PartnerPart, scale: Scale) -> Partner:
+    """A scenario's partner, its destination one above its number."""
     kinds = [kind.name for kind in scenario.kinds]
     return Partner(
         name=part.name, destination=number + 1, kind=kinds.index(part.kind),
@@ -175,7 +72,7 @@
         connections=part.connections or 0, run_on=part.run_on, key_memory=part.key_memory)
 
 
-def _limit(part: LimitPart | None, scale: _Scale) -> Limit | None:
+def _limit(part: LimitPart | None, scale: Scale) -> Limit | None:
     if part is None:
         return None
     return Limit(per_s=part.rate_per_s * scale.speed, window_us=scale.time(part.window or 0),
@@ -189,7 +86,7 @@
 
 
 def _arrivals(scenario: Scenario, partners: Sequence[Partner], rng: random.Random,
-              scale: _Scale) -> tuple[Arrival, ...]:
+              scale: Scale) -> tuple[Arrival, ...]:
     traffic = scenario.traffic
     for_class = {cls.name: [number for number, part in enumerate(scenario.partners)
                             if not cls.kinds or part.kind in cls.kinds] for cls in scenario.classes}
@@ -221,8 +118,9 @@
                    size=rng.randint(*cls.size), work=lognormal(rng, part.spread), luck=rng.random(), fresh=fresh)
 
 
-def _fault(scenario: Scenario, part: FaultPart, partners: Sequence[Partner], rng: random.Random,
-           scale: _Scale) -> Fault:
+def fault_of(scenario: Scenario, part: FaultPart, partners: Sequence[Partner], rng: random.Random,
+             scale: Scale) -> Fault:
+    """A scenario's fault, its times drawn."""
     at_us = scale.drawn(part.at, rng)
     until_us = at_us + scale.drawn(part.lasts or (0, 0), rng)
     endpoints: tuple[str, ...] = ()
@@ -244,7 +142,7 @@
                  told_us=tuple(scale.drawn(told, rng) for _ in range(scenario.couriers)))
 
 
-def _figures(scenario: Scenario, partners: Sequence[Partner], scale: _Scale) -> Figures:
+def _figures(scenario: Scenario, partners: Sequence[Partner], scale: Scale) -> Figures:
     rules = scenario.rules
     return Figures(
         classes={cls.name: ClassFigures(
@@ -258,14 +156,11 @@
                                if scenario.kinds[partner.kind].routes_apart))
 
 
-_EFFECTS = {Effect.SAFE: "repeatable", Effect.KEYED: "by_key", Effect.UNSAFE: "once"}
-
-
-def _settings(scenario: Scenario, figures: Figures, scale: _Scale) -> dict[str, Any]:
+def _settings(scenario: Scenario, figures: Figures, scale: Scale) -> dict[str, Any]:
     return {
         "services": [{
             "name": name, "promise_us": cls.promise_us, "deadline_us": cls.deadline_us,
-            "effect": _EFFECTS[cls.effect], "group": "all", "key_ttl_us": cls.key_life_us or 5_000_000,
+            "effect": EFFECTS[cls.effect], "group": "all", "key_ttl_us": cls.key_life_us or 5_000_000,
             "by_arrival": cls.ordered, "worth": cls.worth, "late_value": cls.late_worth}
             for name, cls in figures.classes.items()],
         "kinds": [kind.name for kind in scenario.kinds], "areas": ["a"], "locality": 0,
@@ -283,91 +178,3 @@
                   "answer_slack_us": 20_000},
         "prices": {"handshake": 0.06, "probe": 0.01}, "tick_us": 5000,
     }
-
-
-def replay(record: Record, seed: int, speed: float = 1.0, source: str = "record",
-           stage: Scenario | None = None) -> Plan:
-    """A plan that hands in what was recorded. Partners and faults come from `stage`, matched by number of the
-    destination; without one, partners are made from the recorded list, with twice the room that the record needs.
-    Raises `ScenarioError` where the record and the stage don't fit."""
-    scale = _Scale(speed)
-    rng = random.Random(f"{source}/{seed}")
-    settings = json.loads(json.dumps(record.head.settings))
-    _scale_settings(settings, speed)
-    classes = _recorded_classes(settings)
-    rows = [row for row in record.rows if row.message_class in classes]
-    length = max((row.at_us for row in rows), default=0)
-    if stage is not None:
-        partners = tuple(_partner(stage, number, part, scale) for number, part in enumerate(stage.partners))
-        faults = tuple(_fault(stage, part, partners, random.Random(rng.random()), scale) for part in stage.faults)
-    else:
-        partners, faults = _recorded_partners(record, rows, length, speed), ()
-    known = {partner.destination for partner in partners}
-    if missing := sorted({row.destination for row in rows} - known):
-        raise ScenarioError(f"{source}: destination {missing[0]} has no partner; expected one of {sorted(known)}")
-    arrivals = []
-    for number, row in enumerate(rows):
-        token = hashlib.blake2b(f"token/{source}/{number}".encode(), digest_size=16).hexdigest()
-        arrivals.append(Arrival(
-            at_us=scale.time(row.at_us), number=number, courier=0, message_class=row.message_class,
-            destination=row.destination, key=row.key, token=token if row.keyed else None, size=row.size,
-            work=lognormal(rng, 0.3), luck=rng.random(), deadline_us=scale.time(row.deadline_ms * 1000)))
-    rules = settings.get("rules", {})
-    figures = Figures(
-        classes=classes, drain_grace_us=int(rules.get("drain_grace_us", 250_000)),
-        fall_multiple=float(rules.get("fall_multiple", 1.5)),
-        overload_for_us=int(rules.get("overload_for_us", 3_000_000)), cold_from=float(rules.get("cold_from", 0.27)),
-        cold_us=int(rules.get("cold_us", 14_000_000)), order_settle_us=int(rules.get("order_settle_us", 300_000)),
-        routes_apart=frozenset(partner.destination for partner in partners
-                               if (settings["specifics"].get("kind_apart") or [False])[partner.kind]))
-    last_us = max([scale.time(length), *(fault.until_us for fault in faults)])
-    longest_us = max([cls.deadline_us for cls in classes.values()] + [row.deadline_us for row in arrivals])
-    return Plan(
-        scenario=source, seed=seed, speed=speed, couriers=1, length_us=scale.time(length),
-        end_us=last_us + longest_us + figures.answer_slack_us + figures.restart_grace_us + 500_000,
-        ready_within_us=30_000_000, figures=figures, settings=settings, partners=partners, arrivals=tuple(arrivals),
-        faults=faults, retries=0, honour=1.0, backoff_us=scale.span((200_000, 600_000)), crowd=0,
-        luck=tuple(rng.random() for _ in range(LUCK)))
-
-
-def _scale_settings(value: Any, speed: float) -> None:
-    """Divide every time in the settings, wherever it stands; the module's tick stays the machine's."""
-    if isinstance(value, dict):
-        for name, item in value.items():
-            if name.endswith("_us") and name != "tick_us" and isinstance(item, int | float):
-                value[name] = round(item / speed)
-            else:
-                _scale_settings(item, speed)
-    elif isinstance(value, list):
-        for item in value:
-            _scale_settings(item, speed)
-
-
-def _recorded_classes(settings: dict[str, Any]) -> dict[str, ClassFigures]:
-    effects = {word: effect for effect, word in _EFFECTS.items()}
-    return {row["name"]: ClassFigures(
-        effect=effects[row.get("effect", "once")], ordered=bool(row.get("by_arrival")),
-        deadline_us=row["deadline_us"], key_life_us=row.get("key_ttl_us", 0), promise_us=row["promise_us"],
-        worth=row.get("worth", 1.0), late_worth=row.get("late_value", 0.0)) for row in settings["services"]}
-
-
-def _recorded_partners(record: Record, rows: Sequence[Row], length_us: int, speed: float) -> tuple[Partner, ...]:
-    """One for each destination of the recorded list, with the names and kinds that it gives."""
-    kinds = record.head.settings.get("kinds") or [""]
-    hosts: dict[int, list[dict[str, Any]]] = {}
-    for host in record.head.hosts:
-        hosts.setdefault(int(host["block"]), []).append(host)
-    counts: dict[int, int] = {}
-    for row in rows:
-        counts[row.destination] = counts.get(row.destination, 0) + 1
-    partners = []
-    for destination, entries in sorted(hosts.items()):
-        per_s = counts.get(destination, 0) * 1e6 / max(length_us, 1_000_000)
-        pace_us = 120_000
-        lanes = max(4, math.ceil(2 * per_s * pace_us / 1e6 / len(entries)))
-        kind = entries[0].get("class")
-        partners.append(Partner(
-            name=f"destination-{destination}", destination=destination,
-            kind=kinds.index(kind) if kind in kinds else 0, endpoints=tuple(str(row["host"]) for row in entries),
-            lanes=lanes, queue=4 * lanes, pace_us=max(1, round(pace_us / speed))))
-    return tuple(partners)
