--- a/benchmarks/journal_crashes.py
+++ b/benchmarks/journal_crashes.py
@@ -16,7 +16,7 @@
 import time
 from concurrent.futures import ProcessPoolExecutor
 
-from wheelstep.journal.journal import Sync
+from wheelstep.journal.promise import Sync
 from wheelstep.rehearsal.journal_model import crash_between_syncs, crash_everywhere, draw_history
 
 
--- a/benchmarks/journal_speed.py
+++ b/benchmarks/journal_speed.py
@@ -26,7 +26,7 @@
 from pathlib import Path
 
 from wheelstep.journal import Journal, NoRoomError, Stored
-from wheelstep.journal.journal import Sync
+from wheelstep.journal.promise import Sync
 
 BODY = random.Random(1).randbytes(300)
 WRITERS = 64
--- a/tests/test_journal_crashes.py
+++ b/tests/test_journal_crashes.py
@@ -14,7 +14,7 @@
 
 from wheelstep.journal import FolderInUseError, Journal, NoRoomError, Stored, codec
 from wheelstep.journal.codec import FormatError
-from wheelstep.journal.journal import Sync
+from wheelstep.journal.promise import Sync
 from wheelstep.journal.segments import name_of
 from wheelstep.rehearsal.faulty_disk import FaultyDisk, Inode
 from wheelstep.rehearsal.journal_model import (
--- a/wheelstep/courier/opening.py
+++ b/wheelstep/courier/opening.py
@@ -9,7 +9,7 @@
 from wheelstep.courier.config import Address, Config, ConfigError
 from wheelstep.journal import FolderInUseError, Journal
 from wheelstep.journal.codec import FormatError
-from wheelstep.journal.journal import Sync
+from wheelstep.journal.promise import Sync
 
 if TYPE_CHECKING:  # what is off is not imported
     from wheelstep.account.writer import Account
--- a/wheelstep/journal/tools.py
+++ b/wheelstep/journal/tools.py
@@ -10,7 +10,8 @@
 from wheelstep.journal import recovery
 from wheelstep.journal.codec import FormatError
 from wheelstep.journal.disk import Folder
-from wheelstep.journal.journal import _LEAST_SEGMENT, _MOST_SEGMENT, FolderInUseError, Journal, Sync
+from wheelstep.journal.journal import _LEAST_SEGMENT, _MOST_SEGMENT, Journal
+from wheelstep.journal.promise import FolderInUseError, Sync
 from wheelstep.journal.segments import name_of, rounded
 
 _NO_LIMIT = 1 << 40
--- a/wheelstep/rehearsal/journal_model.py
+++ b/wheelstep/rehearsal/journal_model.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from wheelstep.journal import Journal, NoRoomError, Stored
-from wheelstep.journal.journal import Sync
+from wheelstep.journal.promise import Sync
 from wheelstep.rehearsal.faulty_disk import CrashError, FaultyDisk
 
 LIMIT, SEGMENT = 24_000, 1_000
