--- a/wheelstep/journal/__init__.py
+++ b/wheelstep/journal/__init__.py
@@ -1,7 +1,7 @@
 """The journal: what the courier has taken on, on disk before anything is answered or sent.
 
 Imports nothing of the courier. Reading order: `codec` (records), `state` (what they mean), `disk` (files),
-`segments` (the log), `recovery` (reading a folder), `takeover` (of the old format), `promise`, `writing`, `compaction`,
+`segments` (the log), `recovery` (reading a folder; `oldformat`, `takeover`), `promise`, `writing`, `compaction`,
 `journal` (what the daemon uses), `tools`.
 """
 
--- a/wheelstep/journal/recovery.py
+++ b/wheelstep/journal/recovery.py
@@ -1,4 +1,4 @@
-"""Reading a journal's folder: replay, torn tails, damage, segments that count no more, and the old format.
+"""Reading a journal's folder: replay, torn tails, damage, segments that count no more, and a file of the old format.
 
 `read` changes nothing; `mend` does what `read` found to be needed, in an order in which it may be cut off anywhere
 and done again.
@@ -6,21 +6,16 @@
 
 from __future__ import annotations
 
-import json
-import struct
-import zlib
 from dataclasses import dataclass, field
 from typing import Any
 
 from wheelstep.journal import codec
 from wheelstep.journal.codec import ATTEMPT, END, FACT, HEADER, LOW, OUTCOME, OVER, TAKE, FormatError, Gap, Header
 from wheelstep.journal.disk import Disk
+from wheelstep.journal.oldformat import OLD_LOG, OLD_NEW, TAKEOVER, fingerprint, old_state
 from wheelstep.journal.segments import Segment, name_of, number_of
 from wheelstep.journal.state import State, Stored
 
-OLD_LOG, OLD_NEW, TAKEOVER = "journal.log", "journal.new", "takeover.new"
-_OLD_HEAD = struct.Struct(">II")
-
 
 @dataclass(frozen=True, slots=True)
 class Damage:
@@ -50,11 +45,6 @@
     old_print: str = ""
 
 
-def fingerprint(data: bytes) -> str:
-    """Tells a file of the old format from any other."""
-    return f"{len(data)}-{zlib.crc32(data):08x}"
-
-
 def read(disk: Disk) -> Found:
     """Replay a folder. Raises `FormatError` for a newer format, `OSError` from the disk."""
     names = disk.names()
@@ -188,16 +178,12 @@
                                 seq=found.state.next_seq))
 
 
-# --- the format of version 0.1: one file, no mark, no sequence ---
-
 def _read_old(disk: Disk, found: Found) -> None:
     data = disk.read(OLD_LOG)
     if found.old_print and fingerprint(data) == found.old_print:
         found.stale.append(OLD_LOG)  # taken over already; only its removal is missing
         return
-    old = State()
-    for head, body in old_records(data):
-        _apply_old(old, head, body)
+    old = old_state(data)
     found.old, found.old_print = old, fingerprint(data)
     for message in old.messages.values():
         if message.id not in found.state.messages:
@@ -207,53 +193,6 @@
         found.state.marks.setdefault(name, value)
 
 
-def old_records(data: bytes) -> list[tuple[dict[str, Any], bytes]]:
-    """Every whole record; behind damage, which that format has no mark to bridge, the next one that fits."""
-    rows, at = [], 0
-    while at + _OLD_HEAD.size <= len(data):
-        length, checksum = _OLD_HEAD.unpack_from(data, at)
-        end = at + _OLD_HEAD.size + length
-        payload = data[at + _OLD_HEAD.size:end]
-        if length > codec.MOST_PAYLOAD or end > len(data) or zlib.crc32(payload) != checksum or not length:
-            at = _next_old(data, at + 1)
-            continue
-        head, _, body = payload.partition(b"\n")
-        rows.append((json.loads(head), body))
-        at = end
-    return rows
-
-
-def _next_old(data: bytes, at: int) -> int:
-    """Every record's payload begins with the same bytes."""
-    while (found := data.find(b'{"t":"', at + _OLD_HEAD.size)) >= 0:
-        start = found - _OLD_HEAD.size
-        length, checksum = _OLD_HEAD.unpack_from(data, start)
-        payload = data[found:found + length]
-        if length == len(payload) and zlib.crc32(payload) == checksum:
-            return start
-        at = found - _OLD_HEAD.size + 1
-    return len(data)
-
-
-def _apply_old(state: State, head: dict[str, Any], body: bytes) -> None:
-    kind, name = head["t"], head["i"]
-    if kind == "k":
-        state.mark(name, head["v"])
-    elif kind == "m":
-        notice = head["no"]
-        state.take(Stored(name, head["c"], head["d"], head["by"], head["k"], head["tk"], head["re"], body, head["n"],
-                          head["rm"], head["ra"], {int(n): (at, where) for n, (at, where) in head["out"].items()},
-                          (notice[0], notice[1]) if notice else None, state.next_seq))
-    elif kind == "a":
-        state.attempt(name, head["n"], head["at"], head["e"])
-    elif kind == "o":
-        state.outcome(name, head["n"], head["r"])
-    elif kind == "e":
-        state.end(name, head["o"], head["ms"])
-    elif kind == "x":
-        state.over(name)
-
-
 def mend(disk: Disk, found: Found) -> None:
     """Cut a torn tail off and remove what counts no more. Done again after a crash it does the same."""
     if found.torn is not None and found.segments and name_of(found.segments[-1].number) == found.torn.file:
@@ -269,4 +208,4 @@
         disk.sync_folder()
 
 
-__all__ = ["Damage", "FormatError", "Found", "fingerprint", "mend", "read"]
+__all__ = ["Damage", "FormatError", "Found", "mend", "read"]
--- a/wheelstep/journal/takeover.py
+++ b/wheelstep/journal/takeover.py
@@ -4,8 +4,9 @@
 
 import logging
 
-from wheelstep.journal import codec, recovery
+from wheelstep.journal import codec
 from wheelstep.journal.disk import Disk
+from wheelstep.journal.oldformat import OLD_LOG, TAKEOVER
 from wheelstep.journal.segments import Log, Segment, name_of
 from wheelstep.journal.state import State
 
@@ -27,7 +28,7 @@
         if name not in fact_home:
             parts.append(codec.fact(name, value))
     data = b"".join(parts)
-    handle = disk.create(recovery.TAKEOVER)
+    handle = disk.create(TAKEOVER)
     try:
         done = 0
         while done < len(data):
@@ -35,9 +36,9 @@
         disk.sync(handle)
     finally:
         disk.close(handle)
-    disk.rename(recovery.TAKEOVER, name_of(number))
+    disk.rename(TAKEOVER, name_of(number))
     disk.sync_folder()
-    disk.unlink(recovery.OLD_LOG)
+    disk.unlink(OLD_LOG)
     disk.sync_folder()
     segment = Segment(number, len(data))
     for message in state.messages.values():
--- a/wheelstep/workers/layout.py
+++ b/wheelstep/workers/layout.py
@@ -17,8 +17,8 @@
 from wheelstep.journal import FolderInUseError, Journal, Stored
 from wheelstep.journal.codec import FormatError
 from wheelstep.journal.disk import Folder
+from wheelstep.journal.oldformat import OLD_LOG
 from wheelstep.journal.promise import Sync
-from wheelstep.journal.recovery import OLD_LOG
 from wheelstep.journal.segments import number_of
 from wheelstep.workers.ownership import share_of
 
