--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -271,7 +271,7 @@
 
 
 def test_classes_hold_what_the_settings_say() -> None:
-    from wheelstep.account.course import Class
+    from wheelstep.account.log import Class
     cls = Class(SAFE.worth, SAFE.promise_us // MS, SAFE.deadline_us // MS, SAFE.late_worth, False)
     assert [cls.worth_after(at_ms) for at_ms in (0, 2000, 11_000, 20_000)] == [1.0, 1.0, 0.75, 0.0]
     halves = Class(4.0, 1000, 20_000, 0.1, True)
--- a/wheelstep/account/tally.py
+++ b/wheelstep/account/tally.py
@@ -6,8 +6,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from wheelstep.account.course import Cause, Course, Courses, Log, Loss
+from wheelstep.account.course import Course, Courses, Loss
 from wheelstep.account.lines import Line, LineError, read
+from wheelstep.account.log import Log
+from wheelstep.account.spans import Cause
 
 _OF_MESSAGE = frozenset({"take", "back", "door", "go", "out", "end"})
 
--- a/wheelstep/cli/account_commands.py
+++ b/wheelstep/cli/account_commands.py
@@ -9,7 +9,8 @@
 from pathlib import Path
 from typing import Any
 
-from wheelstep.account.course import Cause, Course
+from wheelstep.account.course import Course
+from wheelstep.account.spans import Cause
 from wheelstep.account.tally import Account, Book
 from wheelstep.cli.exits import OK, InputError
 
