--- /dev/null
+++ b/wheelstep/cli/matrix_commands.py
@@ -0,0 +1,69 @@
+"""`rehearse matrix`: every scenario against our courier and the broken ones."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import shlex
+from collections.abc import Sequence
+
+from wheelstep.cli.exits import OK, InputError
+from wheelstep.rehearsal import rig, scenario
+from wheelstep.rehearsal.broken import BUILDS
+from wheelstep.rehearsal.judge import Ruling
+from wheelstep.rehearsal.report import EXITS, Screen
+
+
+def matrix(given: argparse.Namespace) -> int:
+    """Every scenario against ours and the broken ones, several at once, each in a process of its own."""
+    names = given.scenarios or [name for name in scenario.shipped() if name not in ("demo", "monday")]
+    pairs: list[tuple[str, str]] = []
+    for name in names:
+        rule = scenario.find(name)[1].rule
+        pairs.append((name, ""))
+        pairs += [(name, build) for build, about in BUILDS.items()
+                  if not given.own or about.rule.name.lower() == rule]
+    found = asyncio.run(_all(pairs, given.repeat, given.jobs, given.seed))
+    screen = Screen(given.json)
+    screen.rows(("scenario", "courier", "kept", "broken", "inconclusive", "rules broken"),
+                [(name, build or "ours", *(str(counts.get(code, 0)) for code in (0, 1, 3)), ", ".join(rules))
+                 for (name, build), (counts, rules) in found.items()])
+    wrong = [pair for pair, (counts, _) in found.items() if not pair[1] and counts.get(1)]
+    return EXITS[Ruling.BROKEN] if wrong else OK
+
+
+async def _all(pairs: Sequence[tuple[str, str]], repeat: int, jobs: int,
+               seed: int) -> dict[tuple[str, str], tuple[dict[int, int], list[str]]]:
+    gate = asyncio.Semaphore(max(1, jobs))
+    found: dict[tuple[str, str], tuple[dict[int, int], list[str]]] = {pair: ({}, []) for pair in pairs}
+
+    async def one(pair: tuple[str, str]) -> None:
+        words = ["rehearse", "run", pair[0], "--json", "--seed", str(seed)]
+        words += ["--broken", pair[1]] if pair[1] else []
+        async with gate:
+            process = await asyncio.create_subprocess_exec(
+                *shlex.split(rig.module_command("wheelstep.cli", *words)), stdout=asyncio.subprocess.PIPE,
+                stderr=asyncio.subprocess.PIPE, env=os.environ)
+            try:
+                out, err = await process.communicate()
+            finally:
+                if process.returncode is None:
+                    process.terminate()
+                    await process.wait()
+        code = process.returncode or 0
+        if code not in EXITS.values():
+            raise InputError(f"{pair[0]} against {pair[1] or 'ours'}: {err.decode()[-300:]}")
+        counts, rules = found[pair]
+        counts[code] = counts.get(code, 0) + 1
+        if code == EXITS[Ruling.BROKEN]:
+            for rule, ruling in json.loads(out)["verdict"]["rules"].items():
+                if ruling == Ruling.BROKEN.value and rule not in rules:
+                    rules.append(rule)
+
+    async with asyncio.TaskGroup() as group:
+        for _ in range(repeat):
+            for pair in pairs:
+                group.create_task(one(pair))
+    return found
