--- a/wheelstep/rehearsal/standins/clients.py
+++ b/wheelstep/rehearsal/standins/clients.py
@@ -10,7 +10,7 @@
 
 from wheelstep.rehearsal.history import Answer, End, HandIn, History
 from wheelstep.rehearsal.plan import Arrival, Plan
-from wheelstep.rehearsal.standins.partner import Known, Ledger
+from wheelstep.rehearsal.standins.ledger import Known, Ledger
 from wheelstep.rehearsal.standins.wire import Client
 
 PATIENCE_S = 0.4  # a client waits so long for its answer
