--- a/benchmarks/workers_rate.py
+++ b/benchmarks/workers_rate.py
@@ -30,8 +30,8 @@
 
 from wheelstep.rehearsal.history import Figures, History
 from wheelstep.rehearsal.standins import wire
+from wheelstep.rehearsal.standins.machine import children
 from wheelstep.rehearsal.standins.platform import Agent, row
-from wheelstep.rehearsal.standins.process import _children
 
 ROOT = Path(__file__).resolve().parents[1]
 CLASSES = (("once", "once", False), ("keyed", "by_key", True))
@@ -203,13 +203,13 @@
         await asyncio.sleep(3.0)
         begin.set()
         before, dialled, began = sum(c[0] for c in counts), sum(c[1] for c in counts), time.perf_counter()
-        ticks = [spent(child) for child in _children(process.pid)]
+        ticks = [spent(child) for child in children(process.pid)]
         own = spent(process.pid)
         await asyncio.sleep(given.seconds)
         done = sum(count[0] for count in counts) - before
         rate = done / (time.perf_counter() - began)
         dials = (sum(count[1] for count in counts) - dialled) / max(done, 1)
-        after = [spent(child) for child in _children(process.pid)]
+        after = [spent(child) for child in children(process.pid)]
         own = spent(process.pid) - own + sum(after) - sum(ticks)
         stop.set()
         seen = sorted(itertools.chain.from_iterable([await asyncio.to_thread(waits.get, timeout=30) for _ in loads]))
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -17,7 +17,7 @@
 from wheelstep.courier.desk import BadRequestError, UnansweredError
 from wheelstep.journal import NoRoomError, Stored
 from wheelstep.rehearsal.rig import module_command
-from wheelstep.rehearsal.standins.process import _children
+from wheelstep.rehearsal.standins.machine import children
 from wheelstep.workers.hop import Counter, Passage, RemoteDesk
 from wheelstep.workers.ownership import share_of
 
@@ -320,7 +320,7 @@
             await s.courier.wait_log("the new configuration is not used")
             s.courier.renew(s.courier.config(s.platform))
             await s.courier.wait_log("configuration read again")
-            first = _children(s.courier.process.pid)
+            first = children(s.courier.process.pid)
             os.kill(first[share_of(7, 4) % 2 ^ 1], 9)  # one of them; which owns destination 7 does not matter
             await s.courier.wait_log("started again, 1 of 3")
             while True:  # a connection may land where its owner is just being replaced
--- a/tests/test_workers_edges.py
+++ b/tests/test_workers_edges.py
@@ -12,7 +12,7 @@
 from loopback import ALONE, Call, Endpoint, Reply, Scene, host, run
 from test_workers import operator
 
-from wheelstep.rehearsal.standins.process import _children
+from wheelstep.rehearsal.standins.machine import children
 from wheelstep.workers.ownership import assign, share_of
 
 SHARES = 4
@@ -66,7 +66,7 @@
 
 def worker(supervisor: int, number: int) -> int:
     """The process of a worker."""
-    return next(pid for pid in _children(supervisor)
+    return next(pid for pid in children(supervisor)
                 if Path(f"/proc/{pid}/cmdline").read_bytes().split(b"\0")[-2] == str(number).encode())
 
 
--- a/wheelstep/rehearsal/standins/process.py
+++ b/wheelstep/rehearsal/standins/process.py
@@ -10,7 +10,6 @@
 import random
 import shlex
 import signal
-import socket
 import tempfile
 from collections import deque
 from collections.abc import Callable
@@ -18,6 +17,7 @@
 from typing import IO, Any
 
 from wheelstep.rehearsal.history import History, Life, Turn
+from wheelstep.rehearsal.standins.machine import children, free, waited_us
 from wheelstep.rehearsal.standins.wire import Client
 
 _PORTS = range(10_240, 32_000)  # below those that the system gives to connections
@@ -63,30 +63,6 @@
             self._lock = None
 
 
-def _children(pid: int) -> list[int]:
-    """The processes whose parent it is."""
-    found = []
-    for path in Path("/proc").glob("[0-9]*"):
-        try:
-            parent = int((path / "stat").read_text().rpartition(")")[2].split()[1])
-            if parent == pid:
-                found.append(((path / "cmdline").read_bytes(), int(path.name)))
-        except (OSError, ValueError, IndexError):
-            continue  # it has ended meanwhile
-    return [child for _, child in sorted(found)]
-
-
-def free(port: int) -> bool:
-    """Can it be bound on 127.0.0.1?"""
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as trial:
-        trial.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            trial.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
-
-
 class Courier:
     """One courier, over all its restarts. `command` keeps to the RELAY_* environment."""
 
@@ -244,10 +220,10 @@
         """A signal to one of the processes that it has started, by the order of their command lines."""
         self._turn(Turn.PART_DOWN)
         if self.process is not None and self.process.returncode is None:
-            children = _children(self.process.pid)
-            if children:
+            parts = children(self.process.pid)
+            if parts:
                 with contextlib.suppress(ProcessLookupError):
-                    os.kill(children[worker % len(children)], number)
+                    os.kill(parts[worker % len(parts)], number)
 
     def whole_again(self) -> None:
         """By now another process must have taken its place, or others what it owed."""
@@ -268,10 +244,4 @@
 
     def waited_us(self) -> int | None:
         """How long its main thread has stood in line for a core so far; None where that is not told."""
-        if self.process is None:
-            return None
-        try:
-            text = Path(f"/proc/{self.process.pid}/schedstat").read_text()
-            return int(text.split()[1]) // 1000
-        except (OSError, ValueError, IndexError):
-            return None
+        return waited_us(self.process.pid) if self.process is not None else None
