--- a/wheelstep/standalone/serve.py
+++ b/wheelstep/standalone/serve.py
@@ -26,7 +26,8 @@
 from wheelstep.standalone.ends import End, Ends
 from wheelstep.standalone.folder import Folder, merged
 from wheelstep.standalone.front import Front, Policy, mirrored, tenant_of
-from wheelstep.standalone.model import FileError, Standalone, destination_number, kind_name, load, settings
+from wheelstep.standalone.model import FileError, Standalone, destination_number, load
+from wheelstep.standalone.settings import kind_name, settings
 from wheelstep.standalone.signing import KeyFileError, Signer, read_signers
 
 _WORDS = {"delivered": "delivered", "handed_back": "refused", "given_up": "failed"}
