--- a/tests/test_standalone.py
+++ b/tests/test_standalone.py
@@ -25,7 +25,7 @@
 from wheelstep.standalone.front import Front, Policy
 from wheelstep.standalone.model import FileError, RoutePart, destination_number, parse
 from wheelstep.standalone.routes import Asked, Routes, Tenants, _weighted
-from wheelstep.standalone.serve import Told
+from wheelstep.standalone.told import Told
 
 TOKEN, OTHER = "token-of-one", "token-of-two"
 DIGEST, OTHER_DIGEST = (hashlib.sha256(token.encode()).hexdigest() for token in (TOKEN, OTHER))
--- a/wheelstep/standalone/serve.py
+++ b/wheelstep/standalone/serve.py
@@ -11,7 +11,7 @@
 import sys
 import time
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from pathlib import Path
 
 from wheelstep import interface as api
@@ -23,14 +23,15 @@
 from wheelstep.courier.opening import open_journal
 from wheelstep.courier.platform import Notices
 from wheelstep.courier.rows import Row
-from wheelstep.standalone.ends import End, Ends
+from wheelstep.standalone.ends import Ends
 from wheelstep.standalone.folder import Folder, merged
 from wheelstep.standalone.front import Front, Policy, mirrored, tenant_of
-from wheelstep.standalone.model import FileError, Standalone, destination_number, load
-from wheelstep.standalone.settings import kind_name, settings
+from wheelstep.standalone.model import FileError, Standalone, load
+from wheelstep.standalone.rows import changes, rows_of
+from wheelstep.standalone.settings import settings
 from wheelstep.standalone.signing import KeyFileError, Signer, read_signers
+from wheelstep.standalone.told import Told
 
-_WORDS = {"delivered": "delivered", "handed_back": "refused", "given_up": "failed"}
 _SWITCH_S = 0.0005  # for so long the loop waits for a thread that reads a file (5 ms else)
 _MOST_ROWS = 100  # told to the core in one turn of the loop
 _LOOK_S = 0.5  # between looks at the folder of endpoints
@@ -39,24 +40,6 @@
 log = logging.getLogger("wheelstep.standalone")
 
 
-def rows_of(found: Standalone, names: Sequence[str]) -> list[Row]:
-    """The file's endpoints as the list that the core is given; `names` are the kinds in the order of the settings."""
-    return [(api.EndpointInfo(
-        endpoint=f"{name}/{text}", destination=destination_number(name),
-        kind=names.index(kind_name(part.batch, part.routes_apart)),
-        state=api.EndpointState.DRAINING if text in part.drain else api.EndpointState.UP), Address.parse(text))
-        for name, part in found.destinations.items() for text in part.endpoints]
-
-
-def changes(before: Sequence[Row], after: Sequence[Row]) -> list[Row]:
-    """What became of the one list on the way to the other: first those that have gone or drain."""
-    known, wanted = {row[0].endpoint: row for row in before}, {row[0].endpoint: row for row in after}
-    gone = [(replace(info, state=api.EndpointState.REMOVED), address) for name, (info, address) in known.items()
-            if name not in wanted]
-    fresh = [row for name, row in wanted.items() if known.get(name) != row]
-    return gone + sorted(fresh, key=lambda row: row[0].state is api.EndpointState.UP)
-
-
 def config_of(found: Standalone) -> Config:
     """What the daemon's parts are given. Raises `ConfigError` where the folder can't be made."""
     try:
@@ -66,43 +49,6 @@
     return from_data(settings(found), found.state)
 
 
-class Told:
-    """In the place of the platform's notices: every end goes to `Ends`, undelivered ones to `notices` as well where
-    the file wants that, and its tenant has room again. The journal owes it until all of them have it."""
-
-    def __init__(self, front: Front, core: Core) -> None:
-        self._front, self._core = front, core
-        self.ends: Ends | None = None
-        self.notices: Notices | None = None
-        self._half: set[str] = set()  # one of the two has them; bounded by what may be held
-
-    def settled(self, names: list[str]) -> None:
-        """One of them has these."""
-        done = []
-        for name in names:
-            if self.notices is None or name in self._half:
-                self._half.discard(name)
-                done.append(name)
-            else:
-                self._half.add(name)
-        if done:
-            self._core.answered(done)
-
-    def owe(self, message: str, outcome: str, retry_ms: int) -> None:
-        """It has ended."""
-        if mirrored(message):
-            asyncio.get_running_loop().call_soon(self._core.answered, [message])
-            return
-        assert self.ends is not None
-        self._front.tenants.over(tenant_of(message))
-        self.ends.add(message, End.now(_WORDS[outcome], retry_ms))
-        if self.notices is not None:
-            if outcome == "delivered":
-                self.settled([message])
-            else:
-                self.notices.owe(message, outcome, retry_ms)
-
-
 def signers_of(path: Path, found: Standalone) -> dict[str, Signer]:
     """Those of its destinations that sign; raises `FileError`."""
     try:
