--- /dev/null
+++ b/wheelstep/workers/closed.py
@@ -0,0 +1,41 @@
+"""The desk of a share that is open nowhere just now: clients are told so, and nothing is taken."""
+
+from __future__ import annotations
+
+import asyncio
+
+from wheelstep.journal import NoRoomError, Stored
+
+
+class ClosedDesk:
+    """It takes nothing and holds nothing (desk.Desk)."""
+
+    ready = False
+    syncs = False
+
+    def full(self) -> bool:
+        return True
+
+    def serves(self, destination: int) -> bool:
+        return True
+
+    def holds(self, message: str) -> bool:
+        return False
+
+    def take(self, message: Stored) -> None:
+        raise NoRoomError("its share is open nowhere just now")
+
+    def settles(self, message: str) -> bool:
+        return False
+
+    def durable(self) -> asyncio.Future[None]:
+        raise NoRoomError("its share is open nowhere just now")  # nothing is taken, so nothing waits
+
+    def begin(self, name: str) -> None:
+        pass
+
+    def withdraw(self, name: str) -> None:
+        pass
+
+    def handed_in(self, message: Stored, status: int) -> None:
+        pass
--- a/wheelstep/workers/worker.py
+++ b/wheelstep/workers/worker.py
@@ -27,7 +27,8 @@
 from wheelstep.courier.opening import account, open_journal, recorder
 from wheelstep.courier.platform import Notices
 from wheelstep.courier.rows import Row, read_rows
-from wheelstep.journal import FolderInUseError, Journal, NoRoomError, Stored
+from wheelstep.journal import FolderInUseError, Journal
+from wheelstep.workers.closed import ClosedDesk
 from wheelstep.workers.frames import Frames
 from wheelstep.workers.hop import Counter, Passage, RemoteDesk
 from wheelstep.workers.journals import Journals
@@ -46,41 +47,7 @@
 log = logging.getLogger(__name__)
 
 
-class _Closed:
-    """The desk of a share that is open nowhere just now."""
-
-    ready = False
-    syncs = False
-
-    def full(self) -> bool:
-        return True
-
-    def serves(self, destination: int) -> bool:
-        return True
-
-    def holds(self, message: str) -> bool:
-        return False
-
-    def take(self, message: Stored) -> None:
-        raise NoRoomError("its share is open nowhere just now")
-
-    def settles(self, message: str) -> bool:
-        return False
-
-    def durable(self) -> asyncio.Future[None]:
-        raise NoRoomError("its share is open nowhere just now")  # nothing is taken, so nothing waits
-
-    def begin(self, name: str) -> None:
-        pass
-
-    def withdraw(self, name: str) -> None:
-        pass
-
-    def handed_in(self, message: Stored, status: int) -> None:
-        pass
-
-
-class Worker(_Closed):
+class Worker(ClosedDesk):
     """One worker. As a desk it tells whether the whole courier is ready."""
 
     def __init__(self, config: Config, layout: Layout, number: int, paths: list[str],
@@ -107,7 +74,7 @@
         if share in self._journals:
             return self._core
         owner = self._owners.get(share)
-        return _Closed() if owner is None or owner == self._number else RemoteDesk(self._passages[owner])
+        return ClosedDesk() if owner is None or owner == self._number else RemoteDesk(self._passages[owner])
 
     def _share_of(self, destination: int) -> int:
         if destination not in self._of:
