--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -209,7 +209,7 @@
         if workers is None and operator is not None:
             workers = operator.workers.count
         if workers:
-            from wheelstep.workers.supervisor import supervise
+            from wheelstep.workers.start import supervise
             return asyncio.run(supervise(load(os.environ), renewed, operator, workers, operator_file))
         asyncio.run(serve(load(os.environ), renewed, operator, path))
     except ConfigError as error:
--- /dev/null
+++ b/wheelstep/workers/start.py
@@ -0,0 +1,72 @@
+"""Start and end of a courier with workers: its figures checked, its port and folder taken, a supervisor run."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import socket
+import tempfile
+from typing import TYPE_CHECKING
+
+from wheelstep.courier.config import Address, Config, ConfigError
+from wheelstep.courier.listen import bind
+from wheelstep.journal.disk import Folder
+from wheelstep.workers.layout import LayoutError, prepare
+from wheelstep.workers.ownership import Fleet, Limits
+from wheelstep.workers.supervisor import AllParkedError, Supervisor
+
+if TYPE_CHECKING:
+    from wheelstep.operator import Operator
+
+_BIND_S = 5.0  # what listened here before may take so long to end
+
+log = logging.getLogger("wheelstep.workers")
+
+
+async def supervise(config: Config, renewed: asyncio.Event, operator: Operator | None, workers: int,
+                    operator_file: str | None) -> int:
+    """Run a courier with so many workers until SIGTERM, and return the exit code. Raises `ConfigError`."""
+    part = operator.workers if operator is not None else None
+    shares = part.shares if part is not None else max(8, workers)
+    limits = Limits() if part is None else Limits(
+        hang_s=part.hang_after / 1e6, crashes=part.park_after, within_s=part.park_within / 1e6)
+    if shares < workers:
+        raise ConfigError(f"workers.shares: {shares}; expected {workers} at least, one for each worker")
+    if min(config.settings.slots, config.settings.hold_limit) < workers:
+        raise ConfigError(f"workers.count: {workers}; expected no more than there are slots ({config.settings.slots}) "
+                          f"and messages to be held ({config.settings.hold_limit})")
+    listener = await _bind(config.listen)
+    try:
+        layout = prepare(config.state, shares, config.disk_bytes)
+    except LayoutError as error:
+        raise ConfigError(str(error)) from error
+    lock = Folder(config.state)
+    if not lock.lock():
+        raise ConfigError(f"{config.state}: another process has the folder")
+    try:
+        with tempfile.TemporaryDirectory(prefix="umberchute-") as sockets:
+            supervisor = Supervisor(config, layout, Fleet(workers, shares, limits), listener, sockets,
+                                    operator_file or os.environ.get("UMBERCHUTE_OPERATOR"))
+            await supervisor.run(renewed)
+        return 0
+    except ExceptionGroup as group:
+        if group.split(AllParkedError)[1] is not None:
+            raise
+        log.error("%s", group.exceptions[0])
+        return 1
+    finally:
+        lock.unlock()
+        listener.close()
+
+
+async def _bind(listen: Address) -> socket.socket:
+    """A supervisor that was just killed may have left workers that are still going."""
+    until = asyncio.get_running_loop().time() + _BIND_S
+    while True:
+        try:
+            return bind(listen)
+        except OSError as error:
+            if asyncio.get_running_loop().time() > until:
+                raise ConfigError(f"can't listen at {listen.host}:{listen.port}: {error}") from error
+        await asyncio.sleep(0.05)
--- a/wheelstep/workers/supervisor.py
+++ b/wheelstep/workers/supervisor.py
@@ -9,7 +9,6 @@
 import signal
 import socket
 import sys
-import tempfile
 from collections.abc import Iterable, Sequence
 from typing import TYPE_CHECKING, Any
 
@@ -17,28 +16,25 @@
 
 from wheelstep import interface as api
 from wheelstep.courier.__main__ import follow_config
-from wheelstep.courier.config import Address, Config, ConfigError
-from wheelstep.courier.listen import bind
+from wheelstep.courier.config import Address, Config
 from wheelstep.courier.platform import Watch, entries
 from wheelstep.courier.rows import Row, write_rows
 from wheelstep.courier.spread import callers
-from wheelstep.journal.disk import Folder
 from wheelstep.workers import ownership
 from wheelstep.workers.frames import Frames
-from wheelstep.workers.layout import Layout, LayoutError, prepare
-from wheelstep.workers.ownership import Fleet, Limits, share_of
+from wheelstep.workers.layout import Layout
+from wheelstep.workers.ownership import Fleet, share_of
 
 if TYPE_CHECKING:
-    from wheelstep.operator import Operator
+    pass
 
 _TICK_S = 0.1
 _LEAVE_S = 3.4  # a worker that has not left by then is killed
-_BIND_S = 5.0  # what listened here before may take so long to end
 
 log = logging.getLogger("wheelstep.workers")
 
 
-class _AllParkedError(Exception):
+class AllParkedError(Exception):
     """No worker is left."""
 
 
@@ -110,7 +106,7 @@
         while True:
             self._perform(self._fleet.tick(asyncio.get_running_loop().time()))
             if self._fleet.lost():
-                raise _AllParkedError("every worker keeps crashing")
+                raise AllParkedError("every worker keeps crashing")
             await asyncio.sleep(_TICK_S)
 
     def _perform(self, actions: Sequence[ownership.Action]) -> None:
@@ -206,51 +202,3 @@
             for number, process in self._processes.items():
                 log.error("worker %d did not leave in time: killed", number)
                 process.kill()
-
-
-async def supervise(config: Config, renewed: asyncio.Event, operator: Operator | None, workers: int,
-                    operator_file: str | None) -> int:
-    """Run a courier with so many workers until SIGTERM, and return the exit code. Raises `ConfigError`."""
-    part = operator.workers if operator is not None else None
-    shares = part.shares if part is not None else max(8, workers)
-    limits = Limits() if part is None else Limits(
-        hang_s=part.hang_after / 1e6, crashes=part.park_after, within_s=part.park_within / 1e6)
-    if shares < workers:
-        raise ConfigError(f"workers.shares: {shares}; expected {workers} at least, one for each worker")
-    if min(config.settings.slots, config.settings.hold_limit) < workers:
-        raise ConfigError(f"workers.count: {workers}; expected no more than there are slots ({config.settings.slots}) "
-                          f"and messages to be held ({config.settings.hold_limit})")
-    listener = await _bind(config.listen)
-    try:
-        layout = prepare(config.state, shares, config.disk_bytes)
-    except LayoutError as error:
-        raise ConfigError(str(error)) from error
-    lock = Folder(config.state)
-    if not lock.lock():
-        raise ConfigError(f"{config.state}: another process has the folder")
-    try:
-        with tempfile.TemporaryDirectory(prefix="umberchute-") as sockets:
-            supervisor = Supervisor(config, layout, Fleet(workers, shares, limits), listener, sockets,
-                                    operator_file or os.environ.get("UMBERCHUTE_OPERATOR"))
-            await supervisor.run(renewed)
-        return 0
-    except ExceptionGroup as group:
-        if group.split(_AllParkedError)[1] is not None:
-            raise
-        log.error("%s", group.exceptions[0])
-        return 1
-    finally:
-        lock.unlock()
-        listener.close()
-
-
-async def _bind(listen: Address) -> socket.socket:
-    """A supervisor that was just killed may have left workers that are still going."""
-    until = asyncio.get_running_loop().time() + _BIND_S
-    while True:
-        try:
-            return bind(listen)
-        except OSError as error:
-            if asyncio.get_running_loop().time() > until:
-                raise ConfigError(f"can't listen at {listen.host}:{listen.port}: {error}") from error
-        await asyncio.sleep(0.05)
