--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -18,7 +18,8 @@
 from wheelstep.journal import NoRoomError, Stored
 from wheelstep.rehearsal.rig import module_command
 from wheelstep.rehearsal.standins.machine import children
-from wheelstep.workers.hop import Counter, Passage, RemoteDesk
+from wheelstep.workers.counter import Counter
+from wheelstep.workers.hop import Passage, RemoteDesk
 from wheelstep.workers.ownership import share_of
 
 
--- a/wheelstep/workers/worker.py
+++ b/wheelstep/workers/worker.py
@@ -29,8 +29,9 @@
 from wheelstep.courier.rows import Row, read_rows
 from wheelstep.journal import FolderInUseError, Journal
 from wheelstep.workers.closed import ClosedDesk
+from wheelstep.workers.counter import Counter
 from wheelstep.workers.frames import Frames
-from wheelstep.workers.hop import Counter, Passage, RemoteDesk
+from wheelstep.workers.hop import Passage, RemoteDesk
 from wheelstep.workers.journals import Journals
 from wheelstep.workers.layout import Layout
 from wheelstep.workers.ownership import share_of
