--- /dev/null
+++ b/tests/test_channel_book.py
@@ -0,0 +1,227 @@
+"""The book of channels against a plain model of one, with its journal cut anywhere, moved, dropped and restored."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from channel_model import Plain
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from wheelstep.channels.book import Again, Book, End, Refuse, Release, Take
+from wheelstep.channels.contracts import channel_name, read
+
+TABLES = [
+    {"name": "strict", "order": "strict", "ahead": 4},
+    {"name": "skip", "order": "strict", "gap": "skip", "gap_after": "50ms", "ahead": 4, "unclear": "rest",
+     "rest": "80ms"},
+    {"name": "fail", "order": "strict", "gap": "fail", "repeat": "once"},
+    {"name": "window", "order": "window", "open": 3, "ahead": 4},
+    {"name": "skips", "order": "window", "open": 2, "gap": "skip", "gap_after": "30ms", "ahead": 4, "unclear": "go"},
+    {"name": "latest", "order": "latest", "ahead": 4, "unclear": "rest", "rest": "40ms"},
+    {"name": "none", "order": "none", "ahead": 4, "gap": "skip", "gap_after": "60ms"},
+]
+for table in TABLES:
+    table["classes"] = [table["name"]]
+CONTRACTS = read(TABLES)
+NAMES = CONTRACTS.names()
+
+
+class World:
+    """A book with its journal, written in the order that the book asks for."""
+
+    def __init__(self) -> None:
+        self.log: list[tuple[Any, ...]] = []
+        self.book, self.now = Book(CONTRACTS, 8, 100, 0), 0
+
+    def write(self, *records: tuple[Any, ...]) -> None:
+        self.log += [("mark", name, json.dumps(value)) for name, value in self.book.changes()]
+        self.log += records
+
+    def offer(self, name: str, message: str, number: int | None = None, session: int | None = None,
+              key: str = "k") -> Take | Again | Refuse:
+        contract = CONTRACTS.named(name)
+        assert contract is not None
+        channel = channel_name(contract, 7, key)
+        verdict = self.book.offer(self.now, contract, channel, message, number, session)
+        if isinstance(verdict, Take):
+            self.book.take(self.now, channel, message, verdict.number)
+            self.write(("take", message))
+        self.write()
+        return verdict
+
+    def hand_in(self, name: str, message: str, number: int | None = None, **more: Any) -> Take | Again | Refuse:
+        verdict = self.offer(name, message, number, **more)
+        self.book.said(self.now, message)
+        return verdict
+
+    def release(self, now: int | None = None) -> list[Any]:
+        self.now = self.now if now is None else now
+        found = self.book.release(self.now)
+        self.write(*(("over", one.message) for one in found if isinstance(one, End)))
+        return [one.message if isinstance(one, Release) else (one.message, one.how) for one in found]
+
+    def end(self, message: str, outcome: str = "delivered", unclear: bool = False) -> None:
+        self.book.ended(self.now, message, outcome, unclear)
+        self.write(("over", message))
+
+    def doubt(self, message: str) -> None:
+        self.book.attempt_unclear(self.now, message)
+        self.write(("ran", message))
+
+    def restored(self, records: int | None = None) -> tuple[Book, dict[str, bool], list[End]]:
+        """What another process makes of the journal's first records; the messages owed by it, and those over."""
+        marks: dict[str, Any] = {}
+        owed: dict[str, bool] = {}
+        for what, name, *value in self.log[:records]:
+            if what == "mark":
+                marks[name] = json.loads(value[0])
+            elif what == "take":
+                owed[name] = False
+            elif what == "over":
+                owed.pop(name, None)
+            elif name in owed:
+                owed[name] = True
+        book = Book(CONTRACTS, 8, 100, self.now)
+        ends = book.restore(self.now, {name: value for name, value in marks.items() if value is not None}, owed)
+        return book, owed, ends
+
+
+class Machine(RuleBasedStateMachine):
+    """Random hand-ins, ends, withdrawals, time and crashes of one channel of each contract."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world, self.count = World(), 0
+        self.models = {name: Plain(CONTRACTS.named(name)) for name in NAMES}  # type: ignore[arg-type]
+        self.sessions = dict.fromkeys(NAMES, 0)
+        self.heard: dict[str, tuple[int, str, int, int]] = {}  # 202: records by then, contract, number, next
+        self.marked: dict[str, int] = {}  # message: records before the one that ends it
+        self.places: dict[str, tuple[str, int]] = {}
+        self.nexts = dict.fromkeys(NAMES, 1)
+
+    def any(self, data: Any, *statuses: str) -> tuple[str, int, str] | None:
+        found = [(name, number, model.rows[number].message) for name, model in self.models.items()
+                 for number in model.having(*statuses)]
+        return data.draw(st.sampled_from(found)) if found else None
+
+    @rule(name=st.sampled_from(NAMES), ahead=st.none() | st.integers(-6, 6), session=st.none() | st.integers(1, 3),
+          again=st.booleans())
+    def hand_in(self, name: str, ahead: int | None, session: int | None, again: bool) -> None:
+        model = self.models[name]
+        number = None if ahead is None else model.next() + ahead
+        row = model.rows.get(number or 0)
+        self.count += 1
+        message = row.message if again and row is not None and row.message else f"m{self.count}"
+        said, wanted = model.verdict(message, number)
+        verdict = self.world.offer(name, message, number, session)
+        if session is not None and session < self.sessions[name]:
+            assert verdict == Refuse("old-session", model.next(), self.sessions[name])
+            return
+        if isinstance(verdict, Refuse):
+            assert verdict == Refuse(said, model.next(), self.sessions[name])
+            return
+        self.sessions[name] = max(self.sessions[name], session or 0)
+        if said == "take":
+            model.take(wanted, message, number is None)
+            assert verdict == Take(wanted, model.next())
+            self.places[message] = (name, wanted)
+            self.marked.pop(message, None)
+        else:
+            status = model.rows[wanted].status
+            assert said == "again" and isinstance(verdict, Again)
+            outcome = None if status in ("unsaid", "waiting", "out") else status
+            assert verdict == Again(wanted, model.next(), outcome)
+
+    @precondition(lambda self: any(model.having("unsaid") for model in self.models.values()))
+    @rule(data=st.data(), heard=st.booleans() | st.just(True))
+    def answer(self, data: Any, heard: bool) -> None:
+        name, number, message = self.any(data, "unsaid")  # type: ignore[misc]
+        model, world = self.models[name], self.world
+        if heard:
+            world.book.said(world.now, message)
+            model.rows[number].status = "waiting"
+            self.heard[message] = (len(world.log), name, number, model.next())
+        else:
+            world.log.append(("over", message))  # a withdrawal: the message goes first
+            world.book.withdraw(world.now, message)
+            world.write()
+            model.withdraw(number)
+
+    @precondition(lambda self: any(model.having("out") for model in self.models.values()))
+    @rule(data=st.data(), outcome=st.sampled_from(["delivered", "delivered", "refused", "failed"]),
+          unclear=st.booleans())
+    def end(self, data: Any, outcome: str, unclear: bool) -> None:
+        name, number, message = self.any(data, "out")  # type: ignore[misc]
+        unclear &= outcome == "failed"
+        self.models[name].end(self.world.now, number, outcome, unclear)
+        self.marked[message] = len(self.world.log)
+        self.world.end(message, outcome, unclear)
+
+    @precondition(lambda self: any(model.having("out") for model in self.models.values()))
+    @rule(data=st.data())
+    def doubt(self, data: Any) -> None:
+        name, number, message = self.any(data, "out")  # type: ignore[misc]
+        self.models[name].rows[number].ran = True
+        self.models[name].unclear(self.world.now)
+        self.world.doubt(message)
+
+    @precondition(lambda self: any(model.having("waiting") for model in self.models.values()))
+    @rule(data=st.data())
+    def expire(self, data: Any) -> None:
+        name, number, message = self.any(data, "waiting")  # type: ignore[misc]
+        how = "failed" if self.models[name].rows[number].ran else "refused"
+        self.models[name].end(self.world.now, number, how, False)
+        self.marked[message] = len(self.world.log)
+        assert self.world.book.expired(self.world.now, message) == End(message, how)
+        self.world.write(("over", message))
+
+    @rule(ms=st.sampled_from([1, 10, 30, 100]))
+    def wait(self, ms: int) -> None:
+        self.world.now += ms
+
+    @rule()
+    def crash(self) -> None:
+        self.world.book, owed, ends = self.world.restored()
+        assert not ends
+        for name, model in self.models.items():
+            for number in model.having("unsaid"):
+                self.heard[model.rows[number].message] = (len(self.world.log), name, number, model.next())
+            model.crash(self.world.now)
+
+    @invariant()
+    def releases_are_the_model_s(self) -> None:
+        world, before = self.world, len(self.world.log)
+        mine: dict[str, list[tuple[str, str]]] = {name: [] for name in NAMES}
+        for one in world.book.release(world.now):
+            name = self.places[one.message][0]
+            mine[name].append((one.message, "out" if isinstance(one, Release) else one.how))
+            if isinstance(one, End):
+                self.marked[one.message] = before
+                world.write(("over", one.message))
+        world.write()
+        for name, model in self.models.items():
+            assert mine[name] == model.release(world.now), name
+            position = world.book.position(f"{name}/7/k")
+            assert model.next() == (position.next if position else 1) >= self.nexts[name]
+            self.nexts[name] = model.next()
+        assert world.book.next_ms() != 0 and (world.book.next_ms() or world.now + 1) > world.now
+
+    def teardown(self) -> None:
+        """A journal that was cut anywhere owes what was answered 202, under the same numbers, no ended one."""
+        for records in range(len(self.world.log) + 1):
+            book, owed, ends = self.world.restored(records)
+            over = {message for message in owed if self.marked.get(message, records) < records}
+            assert {end.message for end in ends} == over
+            assert {message for message in owed if book.holds(message)} == owed.keys() - over
+            for message, (by, name, number, following) in self.heard.items():
+                if by <= records and self.marked.get(message, records) >= records:
+                    assert book.place_of(message) == (f"{name}/7/k", number)
+                    position = book.position(f"{name}/7/k")
+                    assert position is not None and position.next >= following
+
+
+TestMachine = Machine.TestCase
+TestMachine.settings = settings(max_examples=60, stateful_step_count=40, deadline=None, derandomize=True)
