A courier whose next look was put off no longer takes itself for stopped

Seen: Membership.tick compared with the moment wanted at the last tick, which an answer moves on by 350 ms: in virtual time 6 false stalls in 60 s. A message of a channel that may have run was handed back while its position had it as failed (swap of 12 couriers on an overloaded machine: 17 called though 16 had not ended).

--- /dev/null
+++ b/benchmarks/channels_rig/__init__.py
@@ -0,0 +1,1 @@
+"""Load and profile of `channels_cost.py`."""
--- /dev/null
+++ b/benchmarks/channels_rig/profiled.py
@@ -0,0 +1,14 @@
+"""A courier under cProfile by its thread's processor time, which other processes of a busy machine are none of:
+`python profiled.py FILE serve ...` writes FILE when it ends."""
+
+import cProfile
+import runpy
+import sys
+import time
+
+file = sys.argv.pop(1)
+profile = cProfile.Profile(time.thread_time)
+try:
+    profile.runcall(runpy.run_module, "wheelstep.cli", run_name="__main__", alter_sys=True)
+finally:
+    profile.dump_stats(file)
--- a/wheelstep/channels/kept.py
+++ b/wheelstep/channels/kept.py
@@ -86,9 +86,13 @@
                 self.doubted(message)
 
     def end(self, message: str, outcome: str, retry_ms: int) -> None:
-        """The final answer is decided."""
+        """The final answer is decided. What may have run is not handed back in a channel: its number has ended, and
+        what follows goes on."""
         if (held := self.messages.get(message)) is not None and held.channel is not None:
-            unclear = outcome == "given_up" and held.may_have_run() is not None
+            ran = held.may_have_run() is not None
+            if outcome == "handed_back" and ran:
+                outcome, retry_ms = "given_up", 0
+            unclear = outcome == "given_up" and ran
             self.book.ended(self._now_ms(), message, _OUTCOMES[outcome], unclear)
             self.flush()
             self._live.pop(message, None)
--- a/wheelstep/fleet/membership.py
+++ b/wheelstep/fleet/membership.py
@@ -122,8 +122,9 @@
         if view.me.state is State.GONE:
             return []
         actions: list[Action] = []
-        if now_us - self._wanted_us > self._limits.stall_us:
-            actions += self._woken(now_us, now_us - self._wanted_us)
+        late_us = now_us - max(self._wanted_us, self.next_us())  # what was heard since may have put it off
+        if late_us > self._limits.stall_us:
+            actions += self._woken(now_us, late_us)
         for errand in self._probes.overdue(now_us):
             actions += view.send(errand.asker, Nack(errand.seq, view.tell(errand.asker)))
         probe = self._probes.probe
