--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -1,7 +1,7 @@
 """The middle: what comes in, from lists, clients, operators, a journal and another process. No policy here.
 
 Reading order: `ports` (what is asked of a journal and of notices), `endpoints` (what may be written where), `classes`,
-`turns` (when the module is asked), `carrier` (what goes out), this.
+`turns` (when the module is asked), `carrier` (what goes out), `operated` (what operators call for), this.
 """
 
 from __future__ import annotations
@@ -13,8 +13,8 @@
 from typing import TYPE_CHECKING, Any
 
 from wheelstep import interface as api
-from wheelstep.courier.carrier import Carrier
 from wheelstep.courier.config import Address, Config
+from wheelstep.courier.operated import Operated
 from wheelstep.courier.ports import Book, CallsOut, Told
 from wheelstep.courier.rows import Row
 from wheelstep.interface import EndpointState
@@ -28,7 +28,7 @@
 log = logging.getLogger(__name__)
 
 
-class Core(Carrier):
+class Core(Operated):
     """One courier's state between its sockets, its journal and the module."""
 
     def __init__(self, config: Config, journal: Book) -> None:
@@ -67,35 +67,6 @@
     def knows_list(self, known: bool) -> None:
         self.endpoints.knows_list = known
 
-    # --- what operators call for (console.commands.Desk) ---
-
-    def exclude(self, endpoint: str) -> bool:
-        """Nothing new goes there until it is put back, also over restarts. False if no such endpoint is known."""
-        known = self.endpoints.exclude(endpoint)
-        if known:
-            self.outlet.close_idle(endpoint)
-        return known
-
-    def include(self, endpoint: str) -> bool:
-        """The list counts again. False if no such endpoint is known."""
-        return self.endpoints.include(endpoint)
-
-    def telemetry(self) -> str:
-        """The figures, a line each."""
-        from wheelstep.console.figures import Figures, Gauges, render
-        marks, listed = self._journal.marks, self.endpoints.listed
-        skipped = sum(name in self.endpoints.out or bool(marks.get(name, (0, False))[1]) for name in listed)
-        return render(self.figures or Figures(), Gauges(len(self._held), len(listed), skipped), self.ordered)
-
-    def gauge(self) -> tuple[int, int, int, list[tuple[int, api.Holdup, int]]]:
-        """Slots out, connections open, handshakes since the start, and what holds messages up."""
-        held = self.turns.sender.holdups(time.monotonic_ns() // 1000)
-        return len(self.outlet.calls()), self.outlet.links(), self.outlet.dials, held
-
-    def renew(self, config: Config) -> None:
-        """New settings (SIGHUP): classes and the number of attempts change now, all else at the next start."""
-        self.classes.renew(config)
-
     # --- clients (inlet.Desk) ---
 
     def full(self) -> bool:
--- a/wheelstep/fleet/node.py
+++ b/wheelstep/fleet/node.py
@@ -25,6 +25,7 @@
     Packet,
     Reply,
     Stand,
+    State,
     Stood,
     Voted,
     Votes,
@@ -82,8 +83,8 @@
         """Where the part's owner takes clients, or is about to; "" if that is not known or it is not there."""
         giver = self.tenure.givers.get(part)
         name = giver.to if giver is not None else self.placing.owner_of(part)
-        member = self.membership.members().get(name) if name else None
-        return member.serves if member is not None else ""
+        member = self.membership.member(name) if name else None
+        return member.serves if member is not None and member.state is not State.GONE else ""
 
     @property
     def left(self) -> bool:
