--- a/wheelstep/channels/content.py
+++ b/wheelstep/channels/content.py
@@ -78,9 +78,8 @@
         for message in messages:
             if message.may_have_run() is not None and self._book.holds(message.id):
                 self._book.attempt_unclear(now_ms, message.id)
-        for name, data in former.items():
-            if self._book.position(name) is not None:
-                self._book.learn(now_ms, name, data)
+        for name, data in former.items():  # also of a channel that the giver never heard of: it had inherited the part
+            self._book.learn(now_ms, name, data)
         self._kept.flush()
         self._find(part)
         self._kept.mark(f"{EPOCH}{part}", epoch)
--- a/wheelstep/channels/shelf.py
+++ b/wheelstep/channels/shelf.py
@@ -48,8 +48,6 @@
         heapq.heappush(self._keeps, (now_ms + position.terms.keep_ms, next(self._serial), line))
         for number, entry in position.entries.items():
             self._by_message[entry.message] = (line, number)
-        if position.entries:
-            self._ready[name] = None
         return line
 
     def _fresh(self, terms: Contract, channel: str, number: int | None) -> Position:
--- a/wheelstep/fleet/daemon.py
+++ b/wheelstep/fleet/daemon.py
@@ -129,7 +129,8 @@
         until = asyncio.get_running_loop().time() + self._part.give_away_within / 1e6
         while not (self.node.left and not self.content.owed()) and asyncio.get_running_loop().time() < until:
             await asyncio.sleep(0.01)
-        log.info("left: %d parts and %d messages are here still", len(self.node.owned(now_us())), self.content.owed())
+        log.info("left: %d parts and %d messages are here still", len({*self.node.owned(now_us()),
+                 *self.node.taker.whole()}), self.content.owed())
 
     async def close(self) -> None:
         """The process ends: what is served here is not, from now on."""
--- a/wheelstep/fleet/owner.py
+++ b/wheelstep/fleet/owner.py
@@ -64,6 +64,10 @@
         """Of the lease, if it surely still runs."""
         return self._epoch[part] if now_us < self._until_us[part] else None
 
+    def leased(self) -> bool:
+        """Does it hold any lease, as far as the clock was last told?"""
+        return bool(self._leased)
+
     def until_us(self, part: int) -> int:
         """When the lease ends; 0 without one."""
         return self._until_us[part]
--- a/wheelstep/fleet/placing.py
+++ b/wheelstep/fleet/placing.py
@@ -67,8 +67,12 @@
 
     @property
     def left(self) -> bool:
-        """Has it been, or is there no time left for it?"""
-        return self._swap is not None and self._swap.over(self._plan_us) and not self._tenure.givers
+        """Has it been, or is there no time left for it? A part that was handed here and is not opened yet has to be
+        given away first."""
+        if self._swap is None or self._tenure.givers or not self._swap.over(self._plan_us):
+            return False
+        late = self._swap.progress(self._plan_us).state == "late"
+        return late or not (self._owner.leased() or self._tenure.opening or self._tenure.taker.whole())
 
     def leave(self, now_us: int) -> None:
         """Give everything away."""
--- a/wheelstep/moves/taker.py
+++ b/wheelstep/moves/taker.py
@@ -153,6 +153,10 @@
         copy = self._copies.get(part)
         return copy.offer.epoch if copy is not None and copy.seal is not None else None
 
+    def whole(self) -> list[int]:
+        """Parts of which a whole copy is here, and in no journal yet: its owner by now may be this courier alone."""
+        return [part for part, copy in self._copies.items() if copy.seal is not None]
+
     def pieces(self, part: int) -> list[Piece]:
         """Of a whole copy, for the content to adopt; nothing otherwise."""
         copy = self._copies.get(part)
--- a/wheelstep/rehearsal/simulation/content.py
+++ b/wheelstep/rehearsal/simulation/content.py
@@ -121,8 +121,9 @@
         self.machine.world.trace(self.machine.name, "open", part, "epoch", epoch)
         self._check.opened(self.machine.name, part, epoch)
         store = self.store
-        if not store.opened(part, epoch, first):
+        if store.missed(part, epoch, first):
             self._inherit(part)
+        store.opened(part, epoch)
         self._shut.discard(part)
         self.served[part] = epoch
         store.news.pop(part, None)
@@ -176,8 +177,7 @@
             if store.messages[message].doubt and store.book.holds(message):
                 store.book.attempt_unclear(now_ms, message)
         for channel, data in former.items():
-            if store.book.position(channel) is not None:
-                store.book.learn(now_ms, channel, data)
+            store.book.learn(now_ms, channel, data)
         self._find(part)
         store.opened(part, epoch)
         self.machine.disk.sync(store.file, store.flush())
--- a/wheelstep/rehearsal/simulation/store.py
+++ b/wheelstep/rehearsal/simulation/store.py
@@ -103,12 +103,14 @@
         self._changed(held.channel, "m:" + message)
         return self.write("e", message)
 
-    def opened(self, part: int, epoch: int, first: int = 0) -> bool:
-        """Note the epoch; was the one before `first` (0: this one) this courier's too?"""
-        mine = self.epochs.get(part, 0) + 1 >= min(first or epoch, epoch)
+    def missed(self, part: int, epoch: int, first: int = 0) -> bool:
+        """Can another have had it before this epoch, or before `first`, since this courier last did?"""
+        return self.epochs.get(part, 0) + 1 < min(first or epoch, epoch)
+
+    def opened(self, part: int, epoch: int) -> None:
+        """Note the epoch; what follows from those before it has been written by now."""
         self.epochs[part] = epoch
         self.write("o", part, epoch)
-        return mine
 
     def _changed(self, channel: str, name: str) -> None:
         part = part_of(channel, self.parts)
