An answer after a destination's last endpoint was removed no longer raises

Cause: Endpoint._ramp divides the pace of a return by the number of listed endpoints of its route. Where the list had taken the last one away while a call to a sick one was out, its success began a ramp and raised ZeroDivisionError; the turn was logged and its events were lost.

Change: divided by 1 at least. Ruled out: a wrong count, since what was removed counts for nothing again when it is listed anew.

The test raises without the change.

--- /dev/null
+++ b/tests/test_spread_list.py
@@ -0,0 +1,22 @@
+"""Answers that come after the list has moved on."""
+
+from __future__ import annotations
+
+from helpers import Drive, S, info, sends
+
+from wheelstep import interface as api
+from wheelstep.interface import EndpointState, Outcome
+
+
+def test_an_answer_after_the_last_endpoint_is_gone_teaches_and_does_not_raise() -> None:
+    """Before: ZeroDivisionError where the endpoint had been out."""
+    drive = Drive(may_probe=False)
+    for number in range(4):
+        drive.submit(f"m{number}")
+    drive.end("m0", Outcome.RESET)
+    drive.now += 30 * S
+    drive.submit("last")
+    assert drive.sender._endpoints["e0"].sick
+    drive.members(info("e0", state=EndpointState.REMOVED), kind=api.ListKind.CHANGES)
+    drive.end("m1", Outcome.OK)
+    assert not sends(drive.submit("after"))
--- a/wheelstep/policy/endpoint.py
+++ b/wheelstep/policy/endpoint.py
@@ -172,7 +172,7 @@
         elif self._ramp_us is not None:
             warmed = (1 - self._s.cold_from) * (now_us - self._ramp_us) / self._s.cold_us
             rate = max(1.0, RAMP * self._s.fall_multiple) * self._base * (self._s.cold_from + warmed)
-            rate /= self.pacer.endpoints
+            rate /= max(self.pacer.endpoints, 1)  # the list may name none any more
             next_us = max(self._next_us, now_us) + work / rate * 1e6
             self._next_us = min(next_us, self._ramp_us + self._s.cold_us)
 
