Calls go around a destination's endpoints in turns by time

Need: couriers that each see little did not spread.

Change: among those that cost the same in fees, turns by start tags (policy/spread.py); an endpoint's time, shrunk to its destination's mean and forgotten in ten seconds, makes its turns rarer by the square; what is new joins at a moment of its own. docs/design/spread.md has the ways weighed.

--- a/tests/spread_scenes.py
+++ b/tests/spread_scenes.py
@@ -58,6 +58,7 @@
 SCENES = [
     BASE,
     Scene("8 even", uneven=False),
+    Scene("2 at half", endpoints=2),
     Scene("3 at 0.7", endpoints=3, load=0.7),
     Scene("20 at 0.3", endpoints=20, load=0.3),
     Scene("8 at 0.2", load=0.2),
--- a/wheelstep/policy/choice.py
+++ b/wheelstep/policy/choice.py
@@ -12,6 +12,7 @@
 from wheelstep.policy.messages import Destination, Message
 from wheelstep.policy.outcomes import Outcomes
 from wheelstep.policy.ranking import Ranking
+from wheelstep.policy.spread import next_in_turn
 
 RISKY_AT = 0.2  # failure share at which messages that have one try only wait for better times
 NEAR = 0.02  # what may earn this share more than the best that was looked at is not looked at for it
@@ -82,7 +83,9 @@
         usable = [endpoint for endpoint, at_us in ready.items() if at_us <= self._now]
         for message in heads:
             if fits := [endpoint for endpoint in usable if self._may_go(message, endpoint)]:
-                self._call(message, min(fits, key=self._cost), destination)
+                least = min(map(self._cost, fits))
+                cheap = [endpoint for endpoint in fits if self._cost(endpoint) == least]
+                self._call(message, next_in_turn(destination, cheap, self._now, self._rng), destination)
                 return True
         for endpoint in usable:
             if self._s.may_probe and endpoint.sick:  # no message here may go on trial
@@ -93,12 +96,12 @@
                                        for at_us in [*ready.values(), math.inf]))
         return False
 
-    def _cost(self, endpoint: Endpoint) -> tuple[float, bool, float]:
-        """Fees first (of its route, of another zone), then a trial that is due, then the expected time."""
+    def _cost(self, endpoint: Endpoint) -> tuple[float, bool]:
+        """Fees first (of its route, of another zone), then a trial that is due."""
         zone = endpoint.info.zone
         fee = sum(self._s.zone_fees[zone:zone + 1]) if self._kind(endpoint.info).routes_apart else 0.0
         fee += self._s.cross_zone_price if zone != self._s.zone else 0.0
-        return fee, not endpoint.sick, (len(endpoint.calls) + 1) * max(endpoint.usual_us, 1.0)
+        return fee, not endpoint.sick
 
     def _may_go(self, message: Message, endpoint: Endpoint) -> bool:
         """A message with one try only goes neither on trial nor where calls fail, until its promise is past.
--- a/wheelstep/policy/endpoint.py
+++ b/wheelstep/policy/endpoint.py
@@ -56,6 +56,13 @@
         self._next_us, self._last_ok_us, self.used_us = 0.0, -math.inf, -1
         self._base, self._cold_share = 1.0, settings.fall_multiple * settings.cold_from
         self._short_us, self._crowded = 0.0, 0
+        self.answers, self.taken = Fading(MEMORY_US), Fading(MEMORY_US)  # of late: calls, and their time
+        self.turn = -math.inf  # the start tag of its last call, see spread.py
+
+    def took(self, now_us: int, spent_us: float, answered: bool) -> None:
+        """A call was out for so long."""
+        self.answers.add(now_us, answered)
+        self.taken.add(now_us, spent_us)
 
     def overdue_us(self) -> float:
         return max(self._promise_us, self.usual_us + LATE_DEVIATIONS * self._deviation_us)
--- a/wheelstep/policy/messages.py
+++ b/wheelstep/policy/messages.py
@@ -91,6 +91,7 @@
         self.pacer: Pacer | None = None  # where the endpoints share one limit
         self.waiting = self.calls_out = 0
         self.look_us: float = math.inf  # when it will be looked at again, if nothing happens before
+        self.turn = 0.0  # the start tag of its last call, see spread.py
         self.stamp = 0  # which look at it the bound on what it can earn is from
 
     def needs_us(self) -> float:
--- a/wheelstep/policy/outcomes.py
+++ b/wheelstep/policy/outcomes.py
@@ -70,6 +70,8 @@
         if call.judged or (cut_short or outcome is Outcome.TIMEOUT and call.overtaken) and not call.trial:
             return
         call.judged = True
+        if outcome in (Outcome.OK, Outcome.TIMEOUT):
+            endpoint.took(self._now, event.spent_us / weight(call.size), outcome is Outcome.OK)
         destination.window.judge(outcome)
         self._learn(endpoint, event)
 
