A node's errands: a bound that nobody asked for is gone

Need: Errands.full and its figure stood there as if the number of errands were bounded by them; nothing called it. Change: both removed; each errand ends by its answer, its time-out or its save, as before. No behaviour changes.

--- a/wheelstep/fleet/errands.py
+++ b/wheelstep/fleet/errands.py
@@ -9,8 +9,6 @@
 Heard = Callable[[int, Answer | None], list[Action]]
 Saved = Callable[[int], list[Action]]
 
-MOST = 10_000  # errands at once; each ends by its answer, its time-out or its save
-
 
 class Errands:
     """Each errand has a token, and what follows once it is done."""
@@ -21,11 +19,6 @@
         self._saves: dict[int, Saved | None] = {}
         self._unsaved: dict[int, None] = {}
 
-    @property
-    def full(self) -> bool:
-        """Is nothing more to be asked for just now?"""
-        return len(self._calls) + len(self._saves) >= MOST
-
     def call(self, member: str, ask: Ask, timeout_us: int, heard: Heard) -> Action:
         """Ask a member; `heard` gets the answer, or None."""
         self._token += 1
