A 200 that is read once the message's time is up is told as a time-out, not as a delivery

Cause: the timer of a call that is cut to the message's end and its answer fall into the same turn of the loop; what has been read then still counts (connection.py, `_more`), and `Carrier.ended` takes a 200 for a delivery whenever it was read. When it was written can't be told from here. Change: such an outcome becomes a time-out in `Carrier.ended`, by the client's clock, which is ahead of ours by `answer_slack_us`, at least two ticks. So the module ends the message, its notice is told, and its key rests. Where the 200 was in time, the notice is one for a message that is over, which does no harm.

--- a/wheelstep/courier/carrier.py
+++ b/wheelstep/courier/carrier.py
@@ -10,7 +10,7 @@
 import time
 from collections import defaultdict
 from collections.abc import Callable, Sequence
-from dataclasses import astuple
+from dataclasses import astuple, replace
 from typing import TYPE_CHECKING
 
 from wheelstep import Sender
@@ -118,6 +118,8 @@
             return
         for item, result in results:
             held = self._held.get(item.message)
+            if held is not None and result.outcome is Outcome.OK and self._time_is_up(held):
+                result = replace(result, outcome=Outcome.TIMEOUT)
             if result.outcome is not Outcome.OK:
                 log.info("%s attempt %d at %s: %s after %d ms%s", item.message, item.attempt, endpoint,
                          result.outcome.value, result.spent_us // 1000, ", over" if result.over else "")
@@ -142,6 +144,14 @@
             if held is None and self.stray is not None:
                 self.stray(item, result)
 
+    def _time_is_up(self, message: Stored) -> bool:
+        """Is it too late for a delivery? Guards against a message with no end, and the order of its key: a 200 that is
+        written once the time is up delivers nothing to the platform, and when it was written can't be told from here.
+        The client's clock is ahead of ours by the way of its request and the loop's turns. Harms one that came just in
+        time: its end is told as well, which the platform passes over (PROTOCOL, 'Notices')."""
+        ahead_us = max(self._s.answer_slack_us, 2 * self._s.tick_us)
+        return not self.tells_deliveries and time.time() * 1e6 >= message.deadline_ms * 1000 - ahead_us
+
     def probed(self, endpoint: str, result: Result) -> None:
         """The outcome of a probe."""
         if self._tell is not None:
