--- a/tests/test_crossings_end.py
+++ b/tests/test_crossings_end.py
@@ -37,7 +37,7 @@
     def __init__(self) -> None:
         super().__init__(daemon=True)
         self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = "127.0.0.1:%d" % self._listener.getsockname()[1]
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         self.asked, self.may_answer, self.answered = threading.Event(), threading.Event(), threading.Event()
 
     def run(self) -> None:
