A call was given up for what became of the one before on its connection

`Connection._more` marks a call as given up when its cancel falls into the turn in which its answer came, and still reads that answer whole. The connection then passes `next_cycle` and goes back to the pool, and nothing took the mark away: the next call on it was written whole, and was given up as soon as it asked for its answer. It counted as one that may have run: a message that may not be repeated failed for nothing, others were sent again.

`send` begins unmarked. The swallowed cancel itself harms nothing further: `asyncio.timeout` compares with the number of cancels at its entry, and between the last read and the outcome a call's task awaits nothing.

--- a/wheelstep/courier/connection.py
+++ b/wheelstep/courier/connection.py
@@ -94,6 +94,7 @@
         """Write one request whole, or raise `BrokenError`; `written` tells whether its last byte went out."""
         assert self._transport is not None
         self._busy, self._raw, self._began, self.written = True, b"", None, False
+        self._given_up = False  # the last call may have been, with its answer there already
         self._transport.write(request)
         if not self._paused:
             self.written = not self._transport.is_closing()  # a write that fails closes at once
