A call given up reads what the system has got and takes back what it still holds

Three crossings were forced on plain sockets, with the loop held still:

- The answer lies in the kernel when the cancel comes.
A time-out is told after the sockets of its turn were read, but the module's cancel is an action in the middle of a turn: the call's task woke before its bytes were read.
`Connection._more` now takes one more turn of the loop before it gives up.
- A first line with 200 has come and the rest has not.
PROTOCOL says that one message is delivered by that line (several by the whole answer); a call given up just then was told as cancelled, so a delivered message that may not be repeated was failed.
`Connection.answer` tells a message alone as delivered, as it does for a spoilt answer.
- The last byte is in this side's kernel, since the endpoint's window is shut or the network is cut.
`abort` closed the socket and the kernel went on sending: a call given up long ago could still begin, beyond the time that its destination remembers a key.
`Connection.close` now throws such bytes away (SO_LINGER 0) where a call has no whole answer.
The outcome stays "may have run"; idle and answered connections close as before.

--- a/wheelstep/courier/connection.py
+++ b/wheelstep/courier/connection.py
@@ -6,7 +6,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import select
+import socket
+import struct
 import time
 
 from wheelstep.courier.answer import MOST_BODY, MOST_HEAD, Answer, AnswerReader, SpoiltError, delivered, first
@@ -86,9 +89,15 @@
         return not poll.poll(0)
 
     def close(self) -> None:
-        """At once."""
-        if self._transport is not None:
-            self._transport.abort()
+        """At once. What the system still holds of a call without its answer is thrown away, and never read later."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._busy and not (self._reader is not None and self._reader.done):
+            # Guards against an effect long after: a cut that heals would bring the last byte of a call given up.
+            with contextlib.suppress(OSError):
+                self._transport.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self._transport.abort()
 
     async def send(self, request: bytes) -> None:
         """Write one request whole, or raise `BrokenError`; `written` tells whether its last byte went out."""
@@ -104,8 +113,9 @@
         if not self.written:
             raise BrokenError("ended while the call was written")
 
-    async def answer(self) -> Answer:
-        """Read the answer, or raise `BrokenError` if the connection ends with nothing of one."""
+    async def answer(self, alone: bool = True) -> Answer:
+        """Read the answer, or raise `BrokenError` if the connection ends with nothing of one. Given up in the middle
+        of it, the call of a message `alone` is delivered by a first line that said so."""
         reader = self._reader = AnswerReader()
         start = b""  # what came, as far as it may be needed to tell what a spoilt answer said first
         try:
@@ -123,6 +133,10 @@
                     self._began = None  # the answer itself may take its time
         except SpoiltError:
             return Answer(200 if delivered(start) else 0, reader.headers, spoilt=True)
+        except asyncio.CancelledError:
+            if not alone or not delivered(start):
+                raise
+            return Answer(200, reader.headers, spoilt=True)
         return Answer(reader.status, reader.headers, bytes(reader.body))
 
     async def _more(self) -> bytes:
@@ -139,8 +153,12 @@
                 if not self._news.is_set():  # it may have come while the loop was late itself
                     raise SpoiltError("hangs") from None
             except asyncio.CancelledError:
-                # Guards the wait and the end that an answer tells when it came in the turn in which the call was
-                # given up: what is there is still read, what is missing is not waited for.
+                # Guards the wait and the end that an answer tells when it came before the call was given up: what is
+                # there is still read, what is missing is not waited for. One more turn reads what the system has
+                # got meanwhile, such as while the loop stood still.
+                if not self._raw and not self._ended:
+                    with contextlib.suppress(asyncio.CancelledError):  # given up twice: cancel and time-out
+                        await asyncio.sleep(0)
                 if not self._raw:
                     raise
                 self._given_up = True
--- a/wheelstep/courier/outlet.py
+++ b/wheelstep/courier/outlet.py
@@ -179,7 +179,7 @@
             finally:  # also where it is given up in the turn in which its last byte went out
                 if link.written and items:
                     self._gate.written(len(items))
-            answer = await link.answer()
+            answer = await link.answer(alone=len(items) < 2)
             keep = not answer.spoilt and link.next_cycle()
             return answer
         finally:
