A call's last byte goes out in its time or not at all: the module says until when

The module looked at the window of a key and at the message's end when it decided, and nobody did afterwards: `Carrier.may_start` checks list, waits and who owns the message.

`StartAttempt.latest_us` tells until when (`Holding._latest_us`, which `_may_resend` reads as well: two ticks before the message's end, and for a repeat before its destination may forget the key). `Outlet._may_start` looks at the clock right before the first byte, for each message of a call, and once more after a sync. `Connection.send` gives up a call that is not written whole by then (`LateError`); of one that may have to wait for the endpoint, the last byte goes out alone and after a look at the clock, since the transport writes before any timer when the loop goes on. A last byte that this side's kernel still holds then is thrown away (TIOCOUTQ): that call may have run, and ends as a reset.

Checked against a listener with a full backlog, whose SYN comes 1 s late.

--- a/tests/test_crossings_calls.py
+++ b/tests/test_crossings_calls.py
@@ -24,8 +24,8 @@
 class Peer:
     """An endpoint whose bytes go out and come in just when the test says so."""
 
-    def __init__(self, receives: int = 0) -> None:
-        self.listener = socket.create_server(("127.0.0.1", 0))
+    def __init__(self, receives: int = 0, backlog: int = 16) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=backlog)
         if receives:
             self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receives)
         self.listener.setblocking(False)
--- a/wheelstep/courier/call.py
+++ b/wheelstep/courier/call.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -22,6 +23,7 @@
     attempt: int
     token: str | None
     body: bytes
+    until_s: float = math.inf  # its last byte goes out by then, or none does
 
 
 @dataclass(frozen=True, slots=True)
--- a/wheelstep/courier/carrier.py
+++ b/wheelstep/courier/carrier.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections import defaultdict
 from collections.abc import Callable, Sequence
@@ -176,8 +177,8 @@
 
     def _carry_out(self, action: api.Action, calls: Sends) -> None:
         match action:
-            case api.StartAttempt(name, endpoint, timeout_us):
-                self._start(name, endpoint, timeout_us, calls)
+            case api.StartAttempt():
+                self._start(action, calls)
             case api.Refuse(name, retry_after_us):
                 self._final(name, "handed_back", retry_after_us // 1000)
             case api.Fail(name):
@@ -195,12 +196,14 @@
             case api.NoteHealth(endpoint, health) if endpoint in self.endpoints.listed:
                 self._journal.mark(endpoint, [int(time.time() * 1000), *astuple(health)])
 
-    def _start(self, name: str, endpoint: str, timeout_us: int, calls: Sends) -> None:
+    def _start(self, action: api.StartAttempt, calls: Sends) -> None:
+        name, endpoint = action.message, action.endpoint
         message = self._held[name]
         number = self._numbers[name]
         self._numbers[name] = number + 1
         sends = calls.setdefault(endpoint, [])
-        sends.append((Item(name, number, message.token, message.body), timeout_us))
+        until_s = (self.turns.now_us + action.latest_us) / 1e6 if action.latest_us else math.inf
+        sends.append((Item(name, number, message.token, message.body, until_s), action.timeout_us))
         info = self.endpoints.listed.get(endpoint)
         kind = self.endpoints.kind(info) if info else api.Kind()
         if len(sends) >= kind.per_call:
--- a/wheelstep/courier/connection.py
+++ b/wheelstep/courier/connection.py
@@ -7,14 +7,18 @@
 
 import asyncio
 import contextlib
+import fcntl
+import math
 import select
 import socket
 import struct
+import termios
 import time
 
 from wheelstep.courier.answer import MOST_BODY, MOST_HEAD, Answer, AnswerReader, SpoiltError, delivered, first
 from wheelstep.courier.config import Address
 
+_AT_ONCE = 8 * 1024  # bytes that the system takes at once where nothing waits: under half of Linux's first buffer
 _TAIL_S = 0.5  # an answer has come whole so long after its first byte, or it is spoilt
 
 
@@ -22,6 +26,10 @@
     """The connection could not be made or ended, and nothing of an answer had come."""
 
 
+class LateError(Exception):
+    """A call could not be written whole in its time: its last byte did not go out."""
+
+
 class Connection(asyncio.Protocol):
     """It carries one call at a time."""
 
@@ -35,6 +43,8 @@
         self._began: float | None = None
         self.idle_since = 0.0
         self._given_up = False
+        self._held_back = False  # the last byte of the call is not yet given to the transport
+        self._lapse: asyncio.TimerHandle | None = None
         self.written = False  # the last byte of the call under way went out: from then on it may run
 
     @classmethod
@@ -66,6 +76,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._ended = True
+        self._rest()
         self._news.set()
 
     def pause_writing(self) -> None:
@@ -74,7 +85,7 @@
     def resume_writing(self) -> None:
         # Told in the very step that writes the last byte, also where this side closes. Guards against a call that
         # ends between that and the turn in which its task wakes up: it would pass for one that never ran.
-        self._paused, self.written = False, True
+        self._paused, self.written = False, not self._held_back
         self._news.set()
 
     # --- what the outlet asks ---
@@ -92,6 +103,7 @@
         """At once. What the system still holds of a call without its answer is thrown away, and never read later."""
         if self._transport is None or self._transport.is_closing():
             return
+        self._rest()
         if self._busy and not (self._reader is not None and self._reader.done):
             # Guards against an effect long after: a cut that heals would bring the last byte of a call given up.
             with contextlib.suppress(OSError):
@@ -99,19 +111,52 @@
                     socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self._transport.abort()
 
-    async def send(self, request: bytes) -> None:
-        """Write one request whole, or raise `BrokenError`; `written` tells whether its last byte went out."""
+    async def send(self, request: bytes, until_s: float = math.inf) -> None:
+        """Write one request whole, or raise `BrokenError`, or `LateError` where that would last past `until_s`;
+        `written` tells whether its last byte went out."""
         assert self._transport is not None
         self._busy, self._raw, self._began, self.written = True, b"", None, False
         self._given_up = False  # the last call may have been, with its answer there already
-        self._transport.write(request)
-        if not self._paused:
-            self.written = not self._transport.is_closing()  # a write that fails closes at once
-        while self._paused and not self._ended:
-            self._news.clear()
-            await self._news.wait()
+        # Guards against a last byte that the transport writes late, right after the loop has stood still: of what may
+        # have to wait for the endpoint, it goes out alone, and only after a look at the clock.
+        ahead = len(request) - 1 if len(request) > _AT_ONCE and until_s < math.inf else 0
+        for part in (request[:ahead], request[ahead:]) if ahead else (request,):
+            self._held_back = bool(ahead) and len(part) > 1
+            if time.monotonic() >= until_s:
+                raise LateError
+            await self._write(part, until_s)
+            if self._ended:
+                break
         if not self.written:
             raise BrokenError("ended while the call was written")
+        if until_s < math.inf:
+            self._lapse = asyncio.get_running_loop().call_at(until_s, self._lapsed)
+
+    async def _write(self, part: bytes, until_s: float) -> None:
+        assert self._transport is not None
+        self._transport.write(part)
+        if not self._paused:
+            self.written = not self._transport.is_closing() and not self._held_back  # a failed write closes at once
+        try:
+            async with asyncio.timeout_at(until_s if until_s < math.inf else None):
+                while self._paused and not self._ended:
+                    self._news.clear()
+                    await self._news.wait()
+        except TimeoutError:
+            if self._paused:
+                raise LateError from None
+
+    def _rest(self) -> None:
+        if self._lapse is not None:
+            self._lapse.cancel()
+
+    def _lapsed(self) -> None:
+        """Guards against a last byte that the system holds, and that a cut which heals would bring too late."""
+        if self._began is None and self._busy and self._transport is not None and not self._transport.is_closing():
+            with contextlib.suppress(OSError):
+                left = fcntl.ioctl(self._transport.get_extra_info("socket").fileno(), termios.TIOCOUTQ, bytes(4))
+                if any(left):
+                    self.close()
 
     async def answer(self, alone: bool = True) -> Answer:
         """Read the answer, or raise `BrokenError` if the connection ends with nothing of one. Given up in the middle
@@ -172,6 +217,7 @@
         reader = self._reader
         kept = reader is not None and reader.done and reader.keep and not self._raw and self.usable()
         if kept:
+            self._rest()
             self._reader = None
             self._busy, self.written, self.idle_since = False, False, time.monotonic()
         return kept
--- a/wheelstep/courier/outlet.py
+++ b/wheelstep/courier/outlet.py
@@ -17,7 +17,7 @@
 from wheelstep.courier import form
 from wheelstep.courier.answer import Answer
 from wheelstep.courier.call import Gate, Item, Progress, Result
-from wheelstep.courier.connection import BrokenError
+from wheelstep.courier.connection import BrokenError, LateError
 from wheelstep.courier.pool import Pool
 from wheelstep.interface import UNRUN, Outcome
 
@@ -98,8 +98,8 @@
 
         def request() -> bytes | None:
             # Guards against sends that became wrong while the connection came up: the endpoint drains or is
-            # gone, a wait was told, the message is over.
-            live[:] = [item for item in items if self._gate.may_start(endpoint, item)]
+            # gone, a wait was told, the message is over, its time is, or its key may be forgotten.
+            live[:] = [item for item in items if self._may_start(endpoint, item)]
             if not live:
                 return None
             self._gate.starting(endpoint, live)
@@ -112,7 +112,7 @@
 
         async def may_write() -> bool:
             # A sync may take its time: what was right before it is looked at once more.
-            return await self._gate.safe() and all(self._gate.may_start(endpoint, item) for item in live)
+            return await self._gate.safe() and all(self._may_start(endpoint, item) for item in live)
 
         outcome, answer = await self._bounded(work, progress, timeout_us)
         for item in items:
@@ -125,6 +125,9 @@
             (item, replace(fared.get(item.message, unrun), spent_us=spent_us, wait_us=wait_us, limit=limit))
             for item in items])
 
+    def _may_start(self, endpoint: str, item: Item) -> bool:
+        return time.monotonic() < item.until_s and self._gate.may_start(endpoint, item)
+
     async def _probe(self, endpoint: str, timeout_us: int) -> None:
         began = time.monotonic()
         request = f"GET /healthz HTTP/1.1\r\nHost: {self._name(endpoint)}\r\n\r\n".encode()
@@ -150,6 +153,8 @@
             return progress.ended_by(Outcome.TIMEOUT), None
         except asyncio.CancelledError:
             return progress.ended_by(Outcome.CANCELLED), None
+        except LateError:
+            return Outcome.NOT_SENT, None
         except BrokenError:
             return progress.ended_by(Outcome.RESET), None
         except Exception:
@@ -175,7 +180,7 @@
                 return None
             progress.link = link
             try:
-                await link.send(wanted)
+                await link.send(wanted, min((item.until_s for item in items), default=math.inf))
             finally:  # also where it is given up in the turn in which its last byte went out
                 if link.written and items:
                     self._gate.written(len(items))
--- a/wheelstep/courier/turns.py
+++ b/wheelstep/courier/turns.py
@@ -31,6 +31,7 @@
         self._events: list[api.Event] = []
         self._flush: asyncio.Handle | None = None
         self._timers: dict[int, asyncio.TimerHandle] = {}
+        self.now_us = 0  # the moment that the module was told last: what its actions tell counts from here
         self.stopping = False  # nothing more is begun by this process
         self.frozen = False  # nor for now: another process is about to go on from here
         self.over = False  # the messages are another process's
@@ -64,7 +65,8 @@
         if self._events:  # guards the loop against 100,000 restored messages in one turn
             self._flush = asyncio.get_running_loop().call_soon(self._turn)
         try:
-            self._carry_out(self.sender.handle(time.monotonic_ns() // 1000, events))
+            self.now_us = time.monotonic_ns() // 1000
+            self._carry_out(self.sender.handle(self.now_us, events))
         except Exception:
             log.exception("a turn failed; its events: %r", events)
 
--- a/wheelstep/interface.py
+++ b/wheelstep/interface.py
@@ -273,11 +273,13 @@
 
 @dataclass(frozen=True, slots=True)
 class StartAttempt:
-    """Send the message; attempts of a message are numbered from 0 in the order of these."""
+    """Send the message; attempts of a message are numbered from 0 in the order of these. Its last byte goes out within
+    `latest_us` (0: no bound), or none does: then it ends as `NOT_SENT`."""
 
     message: str
     endpoint: str
     timeout_us: int
+    latest_us: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/wheelstep/policy/holding.py
+++ b/wheelstep/policy/holding.py
@@ -137,12 +137,16 @@
 
     def _may_resend(self, message: Message, at_us: int) -> bool:
         most = message.cls.most_attempts or self._s.max_attempts
-        if message.attempts >= most or at_us >= message.due_us - 2 * self._s.tick_us:
+        if message.attempts >= most or at_us >= self._latest_us(message):
             return False
-        if message.ran_us is None or message.cls.effect is Effect.SAFE:
-            return True
-        end_us = message.ran_us + message.cls.key_ttl_us - 2 * self._s.tick_us
-        return message.cls.effect is Effect.KEYED and at_us < end_us
+        return message.ran_us is None or message.cls.effect is not Effect.UNSAFE
+
+    def _latest_us(self, message: Message) -> int:
+        """Until when it may be sent: before its end, and while its destination remembers it."""
+        until_us = message.due_us
+        if message.ran_us is not None and message.cls.effect is Effect.KEYED:
+            until_us = min(until_us, message.ran_us + message.cls.key_ttl_us)
+        return until_us - 2 * self._s.tick_us
 
     def _end(self, message: Message) -> None:
         """The final answer: refuse where that is true and harmless, else fail."""
