Clients' side: standard names for connections and server

Names alone, no behaviour: ClientDoor is ClientConnection, Doors ClientConnections, Inlet ClientServer, the protocol Door Connection; doors.py is client_connections.py, inlet.py client_server.py, tests/test_inlet.py tests/test_client_server.py.

--- a/tests/test_inlet.py
+++ b/tests/test_client_server.py
@@ -9,8 +9,8 @@
 import pytest
 from loopback import LIMIT_S, run
 
+from wheelstep.courier.client_server import ClientServer
 from wheelstep.courier.config import Address
-from wheelstep.courier.inlet import Inlet
 from wheelstep.journal import Stored
 
 
@@ -53,20 +53,20 @@
 
 
 class Scene:
-    """An inlet of its own, and raw connections to it."""
+    """A server of its own, and raw connections to it."""
 
     def __init__(self, most: int = 200) -> None:
         self.owner = Owner()
-        self.inlet = Inlet(self.owner, {"once": False}, most)
+        self.server = ClientServer(self.owner, {"once": False}, most)
 
     async def __aenter__(self) -> Scene:
-        self.port = await self.inlet.start(Address("127.0.0.1", 0))
-        self._sweep = asyncio.create_task(self.inlet.sweep())
+        self.port = await self.server.start(Address("127.0.0.1", 0))
+        self._sweep = asyncio.create_task(self.server.sweep())
         return self
 
     async def __aexit__(self, *_: object) -> None:
         self._sweep.cancel()
-        await self.inlet.stop()
+        await self.server.stop()
 
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         return await asyncio.open_connection("127.0.0.1", self.port)
@@ -260,23 +260,23 @@
     a process whose journal another one had by then."""
     async def work() -> None:
         owner = Owner()
-        inlet = Inlet(owner, {"once": False}, 200, keep=True)
-        await inlet.start(Address("127.0.0.1", 0))
-        spare = await inlet.pause()
+        server = ClientServer(owner, {"once": False}, 200, keep=True)
+        await server.start(Address("127.0.0.1", 0))
+        spare = await server.pause()
         client, accepted = socket.socketpair()
         client.sendall(b"POST /api HTTP/1.1\r\nHost: x\r\nX-Request-Id: m\r\nX-Class: once\r\nX-Deadline-Ms: 900\r\n"
                        b"X-Consignee: dest=7\r\nContent-Length: 0\r\n\r\n")
-        await inlet.adopt(accepted, False, b"")  # what the loop does with one that it has accepted
+        await server.adopt(accepted, False, b"")  # what the loop does with one that it has accepted
         for _ in range(20):
             await asyncio.sleep(0)
-        ((_, idle, raw),) = inlet.connections()
+        ((_, idle, raw),) = server.connections()
         assert (owner.taken, idle, raw) == ({}, False, b"")
-        await inlet.resume()
+        await server.resume()
         async with asyncio.timeout(LIMIT_S):
             while not owner.begun:
                 await asyncio.sleep(0.01)
         client.close()
-        await inlet.stop()
+        await server.stop()
         spare.close()
     run(work())
 
--- a/wheelstep/channels/front.py
+++ b/wheelstep/channels/front.py
@@ -1,5 +1,6 @@
 """Clients of channels: their numbers and connections' epochs, the owner of a part, and positions. The protocol's
-hand-in with headers beside it (docs/design/channels.md has them). Sits before the daemon's inlet; holds no sockets.
+hand-in with headers beside it (docs/design/channels.md has them). Sits before the daemon's client server; holds no
+sockets.
 """
 
 from __future__ import annotations
@@ -16,7 +17,7 @@
 from wheelstep.channels.position import PositionError, read_number
 from wheelstep.channels.serving import Serving
 from wheelstep.courier.core import Core
-from wheelstep.courier.desk import BadRequestError, Door, RefusedError
+from wheelstep.courier.desk import BadRequestError, Connection, RefusedError
 from wheelstep.courier.outlet import Item
 from wheelstep.courier.reading import key_of, read_message
 from wheelstep.courier.request import Request
@@ -81,7 +82,7 @@
         following = position.next if position is not None else self._next[1]
         return (("X-Channel-Number", str(message.number)), ("X-Channel-Next", str(following)))
 
-    def other(self, request: Request, door: Door) -> None:
+    def other(self, request: Request, connection: Connection) -> None:
         """`GET /channels/NAME`: a position; changes nothing."""
         path = request.target.partition("?")[0]
         if request.method not in ("GET", "HEAD") or not path.startswith("/channels/"):
@@ -99,7 +100,7 @@
         row: dict[str, Any] = {"channel": channel, "part": part, "part_epoch": epoch, "known": position is not None}
         row |= {"next": 1, "epoch": 0, "held": []} if position is None else {
             "next": position.next, "epoch": position.session, "held": sorted(position.entries)}
-        door.say(request, 200, json.dumps(row) + "\n", (_JSON, ("X-Channel-Next", str(row["next"]))))
+        connection.say(request, 200, json.dumps(row) + "\n", (_JSON, ("X-Channel-Next", str(row["next"]))))
 
     def taken(self, message: Stored) -> None:
         """Its client has heard."""
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -14,9 +14,9 @@
 import aiohttp
 
 from wheelstep import interface as api
+from wheelstep.courier.client_server import ClientServer
 from wheelstep.courier.config import Address, Config, ConfigError, load
 from wheelstep.courier.core import Core
-from wheelstep.courier.inlet import Inlet
 from wheelstep.courier.leaving import LEAVE_S, leave
 from wheelstep.courier.opening import account, obtain, open_console, open_journal, recorder
 from wheelstep.courier.platform import Notices, Watch, entries
@@ -57,7 +57,7 @@
     if operator is not None:
         core.recorder, core.account = recorder(operator, config), account(operator, config)
     desk, front = (core, None) if fleet is None else fleet.join(core)
-    inlet = Inlet(desk, core.ordered, config.sockets // 3, keep=console is not None, front=front)
+    server = ClientServer(desk, core.ordered, config.sockets // 3, keep=console is not None, front=front)
     giver: Giver | None = None
     if console is not None:
         from wheelstep.console.figures import Figures
@@ -77,7 +77,7 @@
         core.listed(api.ListKind.RESTORED, rows)
         async with asyncio.TaskGroup() as group:  # a task that dies ends the process with its traceback
             tasks = [group.create_task(work) for work in
-                     (core.notices.run(), watch.run(), core.outlet.sweep(), inlet.sweep(),
+                     (core.notices.run(), watch.run(), core.outlet.sweep(), server.sweep(),
                       journal.compact_for_good(),
                       follow_config(config, renewed, watch, core.notices, core=core, again=again))]
             if core.account is not None:
@@ -90,9 +90,9 @@
             else:
                 core.restore(journal.marks, journal.messages.values(), taker.taken.calls if taker is not None else ())
             gc.freeze()  # what was restored lives long: a collection that walked it all would stop the loop
-            port = await inlet.start(config.listen, taker.taken.listener if taker is not None else None)
+            port = await server.start(config.listen, taker.taken.listener if taker is not None else None)
             if taker is not None:
-                await taker.go_on(core, inlet)
+                await taker.go_on(core, server)
             if console is not None:
                 from wheelstep.upgrade.giver import Giver  # noqa: F811
 
@@ -100,7 +100,7 @@
                     for task in tasks:
                         task.cancel()
                     journal.close()
-                giver = Giver(config.state, core, inlet, lambda: watch.seq, close)
+                giver = Giver(config.state, core, server, lambda: watch.seq, close)
                 giver.start()
             if fleet is not None:
                 await fleet.start()
@@ -113,7 +113,7 @@
             if giver is not None and giver.given:
                 await core.outlet.finish(LEAVE_S)
             else:
-                await leave(core, inlet, fleet.leave() if fleet is not None else None)
+                await leave(core, server, fleet.leave() if fleet is not None else None)
             if fleet is not None:
                 await fleet.close()
             for task in tasks:
--- a/wheelstep/courier/doors.py
+++ b/wheelstep/courier/client_connections.py
@@ -28,8 +28,8 @@
     closing: bool
     bad: int
 
-    def serve(self, request: Request, door: ClientDoor) -> None:
-        """Answer one, or let its door wait."""
+    def serve(self, request: Request, connection: ClientConnection) -> None:
+        """Answer one, or let its connection wait."""
 
 
 class Phase(Enum):
@@ -42,11 +42,11 @@
 _MOST_S = {Phase.IDLE: _IDLE_S, Phase.HELD: _HELD_S}
 
 
-class ClientDoor(asyncio.Protocol):
+class ClientConnection(asyncio.Protocol):
     """One client's connection: answers its requests in turn, and notes in which phase it is since when."""
 
-    def __init__(self, doors: Doors) -> None:
-        self._doors = doors
+    def __init__(self, connections: ClientConnections) -> None:
+        self._connections = connections
         self._reader: RequestReader | None = None  # made with the first byte
         self._whole: deque[Request] = deque()  # of one piece of bytes, while the one before them has to wait
         self._waits: asyncio.Future[None] | None = None  # what the answer under way has to wait for
@@ -59,14 +59,14 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        self._doors.opened(self)
+        self._connections.opened(self)
 
     def data_received(self, data: bytes) -> None:
         if self._ending:
             return
         if self.phase is not Phase.ASKING:
-            self._doors.turn(self, Phase.ASKING)
-        if self._doors.keep and self.raw is not None:
+            self._connections.turn(self, Phase.ASKING)
+        if self._connections.keep and self.raw is not None:
             self.raw = self.raw + data if len(self.raw) + len(data) <= _MOST_RAW else None
         if self._reader is None:
             self._reader = RequestReader()
@@ -81,19 +81,19 @@
         reader, served = self._reader, bool(self._whole)
         assert reader is not None
         while self._whole and self._waits is None and not self._ending:
-            self._doors.serve(self._whole.popleft(), self)
+            self._connections.serve(self._whole.popleft(), self)
         if self._waits is None and not self._whole and not self._ending:
             if reader.refusal is not None:
-                self._doors.refused()
+                self._connections.refused()
                 self.say(Request(), reader.refusal.status, reader.refusal.text + "\n", keep=False)
             elif reader.inside:
                 if served:  # a part of the next came with it: its time begins now, its bytes can't be told apart
                     self.raw = None
-                    self._doors.turn(self, Phase.IDLE)
-                    self._doors.turn(self, Phase.ASKING)
+                    self._connections.turn(self, Phase.IDLE)
+                    self._connections.turn(self, Phase.ASKING)
             elif self.phase in (Phase.ASKING, Phase.HELD):
                 self.raw = b""
-                self._doors.turn(self, Phase.IDLE)
+                self._connections.turn(self, Phase.IDLE)
         self.flow()
 
     def wait(self, work: asyncio.Future[None], served: Callable[[asyncio.Future[None]], None],
@@ -101,7 +101,7 @@
         """Read no further until the work is done; `served` answers. `held`: it may take a minute."""
         self._waits = work
         if held:
-            self._doors.turn(self, Phase.HELD)
+            self._connections.turn(self, Phase.HELD)
 
         def done(work: asyncio.Future[None]) -> None:
             self._waits = None
@@ -119,7 +119,7 @@
         """Answer; False if there is nobody any more to hear it."""
         if self.transport is None or self.transport.is_closing():
             return False
-        keep = keep and request.keep and self._doors.keeps()
+        keep = keep and request.keep and self._connections.keeps()
         self.transport.write(answer(status, text, headers, keep, request.version))
         heard = not self.transport.is_closing()  # a write that fails closes at once
         if not keep:
@@ -136,13 +136,13 @@
         """Read on unless something has to be waited for first."""
         if self.transport is None or self.transport.is_closing():
             return
-        if self._clogged or self._waits is not None or self._doors.paused:
+        if self._clogged or self._waits is not None or self._connections.paused:
             self.transport.pause_reading()
         else:
             self.transport.resume_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._doors.closed(self)
+        self._connections.closed(self)
         self._ending = True
         self._whole.clear()
         if self._waits is not None:
@@ -163,41 +163,41 @@
             self.transport.abort()
 
 
-class Doors:
+class ClientConnections:
     """All connections of clients. Guards descriptors and memory against crowds, silent or slow clients, and
     ones that keep what they don't use; when there is no room, the good ones are let in first."""
 
-    def __init__(self, inlet: Server, limit: int, keep: bool) -> None:
-        self._inlet, self._limit, self.keep = inlet, max(ACCEPT, limit - ACCEPT), keep
-        self._phases: dict[Phase, dict[ClientDoor, None]] = {phase: {} for phase in Phase}
+    def __init__(self, server: Server, limit: int, keep: bool) -> None:
+        self._server, self._limit, self.keep = server, max(ACCEPT, limit - ACCEPT), keep
+        self._phases: dict[Phase, dict[ClientConnection, None]] = {phase: {} for phase in Phase}
         self._turned_away = 0
         self.paused = False
 
-    def serve(self, request: Request, door: ClientDoor) -> None:
-        """Answer it, or let its door wait."""
-        self._inlet.serve(request, door)
+    def serve(self, request: Request, connection: ClientConnection) -> None:
+        """Answer it, or let its connection wait."""
+        self._server.serve(request, connection)
 
     def refused(self) -> None:
         """What came can't be used."""
-        self._inlet.bad += 1
+        self._server.bad += 1
 
     def keeps(self) -> bool:
         """May a connection go on after an answer?"""
-        return not self._inlet.closing and not self.crowded()
+        return not self._server.closing and not self.crowded()
 
     def crowded(self) -> bool:
         """Is room short? Then an answer had better end its connection."""
         return sum(map(len, self._phases.values())) * 4 > self._limit * 3
 
-    def opened(self, door: ClientDoor) -> None:
-        door.since = time.monotonic()
+    def opened(self, connection: ClientConnection) -> None:
+        connection.since = time.monotonic()
         if self.paused:  # accepted in the turn in which the pause began
-            door.flow()
+            connection.flow()
         if sum(map(len, self._phases.values())) >= self._limit and not self._make_room():
             self._turned_away += 1
-            door.close()
+            connection.close()
             return
-        self._phases[Phase.SILENT][door] = None
+        self._phases[Phase.SILENT][connection] = None
 
     def _make_room(self) -> bool:
         """Close one: idle for a while, or silent or slow for longest. Each phase is in order of time."""
@@ -207,41 +207,41 @@
         owing = next(iter([*self._phases[Phase.SILENT], *self._phases[Phase.ASKING]]), None)
         return owing is not None and self._close(owing)
 
-    def _close(self, door: ClientDoor) -> bool:
-        self.closed(door)
-        door.close()
+    def _close(self, connection: ClientConnection) -> bool:
+        self.closed(connection)
+        connection.close()
         return True
 
-    def turn(self, door: ClientDoor, phase: Phase) -> None:
+    def turn(self, connection: ClientConnection, phase: Phase) -> None:
         """Into another phase. The first request must come whole in time from connecting."""
-        if door not in self._phases[door.phase]:
+        if connection not in self._phases[connection.phase]:
             return
-        del self._phases[door.phase][door]
-        if door.phase is not Phase.SILENT:
-            door.since = time.monotonic()
-        door.phase = phase
-        self._phases[phase][door] = None
+        del self._phases[connection.phase][connection]
+        if connection.phase is not Phase.SILENT:
+            connection.since = time.monotonic()
+        connection.phase = phase
+        self._phases[phase][connection] = None
 
-    def closed(self, door: ClientDoor) -> None:
-        self._phases[door.phase].pop(door, None)
+    def closed(self, connection: ClientConnection) -> None:
+        self._phases[connection.phase].pop(connection, None)
 
     def sweep(self) -> None:
         """Close what has owed a request, or been idle, for too long."""
         now = time.monotonic()
-        for phase, doors in self._phases.items():
+        for phase, connections in self._phases.items():
             most_s = _MOST_S.get(phase, _ASK_S)
-            for door in [door for door in doors if now - door.since >= most_s]:
-                self._close(door)
+            for connection in [connection for connection in connections if now - connection.since >= most_s]:
+                self._close(connection)
         if self._turned_away:
             log.info("turned away %d connections", self._turned_away)
             self._turned_away = 0
 
-    def all(self) -> list[ClientDoor]:
+    def all(self) -> list[ClientConnection]:
         """Every connection."""
-        return [door for doors in self._phases.values() for door in doors]
+        return [connection for connections in self._phases.values() for connection in connections]
 
     def close(self) -> None:
         """End those that wait for nothing."""
         for phase in (Phase.SILENT, Phase.IDLE):
-            for door in list(self._phases[phase]):
-                self._close(door)
+            for connection in list(self._phases[phase]):
+                self._close(connection)
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -67,7 +67,7 @@
     def knows_list(self, known: bool) -> None:
         self.endpoints.knows_list = known
 
-    # --- clients (inlet.Desk) ---
+    # --- clients (desk.Desk) ---
 
     def full(self) -> bool:
         """Is the hold limit reached? Notices owed count: their number needs a bound too. A process that has handed
@@ -222,7 +222,7 @@
 
     def _accepted(self, message: Stored, resubmitted: bool) -> api.MessageAccepted:
         place = self.classes.place(message)
-        assert place is not None  # the inlet takes none of an unknown class, nor does `restore`
+        assert place is not None  # the client server takes none of an unknown class, nor does `restore`
         return api.MessageAccepted(message.id, place, message.destination,
                                    _left_us(message), message.key, resubmitted)
 
--- a/wheelstep/courier/desk.py
+++ b/wheelstep/courier/desk.py
@@ -62,7 +62,7 @@
         self.status, self.text, self.headers = status, text, headers
 
 
-class Door(Protocol):
+class Connection(Protocol):
     """Where a request came in."""
 
     def say(self, request: Request, status: int, text: str = "", headers: tuple[tuple[str, str], ...] = (),
@@ -80,7 +80,7 @@
     def message(self, request: Request) -> Stored:
         """What is handed in; raises `BadRequestError` and `RefusedError`."""
 
-    def other(self, request: Request, door: Door) -> None:
+    def other(self, request: Request, connection: Connection) -> None:
         """Answer what is neither that nor asks for health; raises the same."""
 
     def says(self, message: Stored) -> tuple[tuple[str, str], ...]:
--- a/wheelstep/courier/form.py
+++ b/wheelstep/courier/form.py
@@ -15,7 +15,7 @@
 
 
 def request(items: Sequence[Item], host: str, wait_ms: int, further: Sequence[tuple[str, str]] = ()) -> bytes:
-    """A call, ready to be written. Ids and tokens hold visible ASCII only: the inlet takes no others."""
+    """A call, ready to be written. Ids and tokens hold visible ASCII only: the client server takes no others."""
     if len(items) == 1:
         target, body = "/inbox", items[0].body
         token = items[0].token
--- a/wheelstep/courier/leaving.py
+++ b/wheelstep/courier/leaving.py
@@ -6,8 +6,8 @@
 import logging
 from collections.abc import Awaitable
 
+from wheelstep.courier.client_server import ClientServer
 from wheelstep.courier.core import Core
-from wheelstep.courier.inlet import Inlet
 
 _WORK_ON_S = 2.0  # from SIGTERM until no new attempt starts
 _CLOSE_S = 2.8  # until clients' connections are ended
@@ -16,7 +16,7 @@
 log = logging.getLogger(__name__)
 
 
-async def leave(core: Core, inlet: Inlet, first: Awaitable[None] | None = None) -> None:
+async def leave(core: Core, server: ClientServer, first: Awaitable[None] | None = None) -> None:
     """Clients hear 503 from the health check, and go on being served on the connections that they have. `first`: what
     is done meanwhile, and waited for."""
     began = asyncio.get_running_loop().time()
@@ -31,8 +31,8 @@
     await until(_WORK_ON_S)
     core.stop()
     await core.outlet.finish(_CLOSE_S - _WORK_ON_S)
-    inlet.closing = True
+    server.closing = True
     await until(_CLOSE_S)
-    await inlet.stop()
+    await server.stop()
     await core.outlet.finish(max(0.0, began + LEAVE_S - asyncio.get_running_loop().time()))
     log.info("stopped")
--- a/wheelstep/fleet/daemon.py
+++ b/wheelstep/fleet/daemon.py
@@ -1,4 +1,5 @@
-"""A courier of a fleet: the node's decisions on sockets, a clock and a log on disk, and its channels before the inlet.
+"""A courier of a fleet: the node's decisions on sockets, a clock and a log on disk, and its channels before the client
+server.
 
 Only imported where the operator's file has `[fleet]` with `on = true`.
 """
@@ -65,7 +66,7 @@
             raise ConfigError(f"{self._config.state / 'fleet'}: {error}") from error
 
     def join(self, core: Core) -> tuple[ChannelDesk, ChannelFront]:
-        """The parts that need the core: what the inlet asks."""
+        """The parts that need the core: what the client server asks."""
         part, config = self._part, self._config
         self._core = core
         self.content = ChannelContent(core, self.kept, self.book, now_ms)
--- a/wheelstep/standalone/front.py
+++ b/wheelstep/standalone/front.py
@@ -3,7 +3,7 @@
     POST /any/path/KEY        hands a message in: 202, or 200 with its end if it has one
     GET /messages/ID?wait=S   its end: 200 with it, 202 while there is none, 404 if nobody knows it
 
-Sits before the daemon's own inlet (`courier.inlet.Front`); holds no sockets.
+Sits before the daemon's own client server (`courier.desk.Front`); holds no sockets.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 from urllib.parse import parse_qs
 
 from wheelstep.courier.core import Core
-from wheelstep.courier.desk import BadRequestError, Door, RefusedError
+from wheelstep.courier.desk import BadRequestError, Connection, RefusedError
 from wheelstep.courier.reading import given_once, key_of, token_of
 from wheelstep.courier.request import Request
 from wheelstep.journal import NoRoomError, Stored
@@ -62,7 +62,7 @@
 
 
 class Front:
-    """What the inlet asks of an operator's own file."""
+    """What the client server asks of an operator's own file."""
 
     def __init__(self, policy: Policy, core: Core, now_s: Callable[[], float] = time.monotonic) -> None:
         self._core, self._now_s = core, now_s
@@ -76,7 +76,7 @@
         self._found, self._routes, self._open = policy.found, policy.routes, policy.open
         self.tenants.renew(policy.found.tenants)
 
-    # --- courier.inlet.Front ---
+    # --- courier.desk.Front ---
 
     def message(self, request: Request) -> Stored:
         """The message that a request hands in. Raises `BadRequestError` and `RefusedError`, also with the end of a
@@ -120,7 +120,7 @@
                 del self._copies[next(iter(self._copies))]
         return found
 
-    def other(self, request: Request, door: Door) -> None:
+    def other(self, request: Request, connection: Connection) -> None:
         """A request that hands nothing in and does not ask for health."""
         path, _, query = request.target.partition("?")
         if request.method not in ("GET", "HEAD") or not path.startswith("/messages/"):
@@ -132,9 +132,10 @@
         except ValueError:
             raise BadRequestError("wait is no number of seconds") from None
         if self._kept.get(name) is None and wait_s > 0 and self._core.holds(name):
-            door.wait(self._kept.wait(name, wait_s), lambda _: self._say_end(request, name, door), held=True)
+            connection.wait(self._kept.wait(name, wait_s), lambda _: self._say_end(request, name, connection),
+                            held=True)
         else:
-            self._say_end(request, name, door)
+            self._say_end(request, name, connection)
 
     def says(self, message: Stored) -> tuple[tuple[str, str], ...]:
         """Nothing goes with a 202."""
@@ -170,14 +171,14 @@
                                (("WWW-Authenticate", "Bearer"),))
         return tenant
 
-    def _say_end(self, request: Request, name: str, door: Door) -> None:
+    def _say_end(self, request: Request, name: str, connection: Connection) -> None:
         own = _own(name)
         if (end := self._kept.get(name)) is not None:
-            door.say(request, 200, json.dumps(end.row(own)) + "\n", _JSON)
+            connection.say(request, 200, json.dumps(end.row(own)) + "\n", _JSON)
         elif self._core.holds(name):
-            door.say(request, 202, json.dumps({"message": own}) + "\n", _JSON)
+            connection.say(request, 202, json.dumps({"message": own}) + "\n", _JSON)
         else:  # also another tenant's: nobody learns that it exists
-            door.say(request, 404, "no such message\n")
+            connection.say(request, 404, "no such message\n")
 
     def _name(self, tenant: str, own: str) -> str:
         if not 0 < len(own) <= 80 or not own.isascii() or not own.isprintable() or set(own) & set(" ~/?#%"):
--- a/wheelstep/standalone/serve.py
+++ b/wheelstep/standalone/serve.py
@@ -16,9 +16,9 @@
 
 from wheelstep import interface as api
 from wheelstep.courier.call import Item
+from wheelstep.courier.client_server import ClientServer
 from wheelstep.courier.config import Address, Config, ConfigError, from_data
 from wheelstep.courier.core import Core
-from wheelstep.courier.inlet import Inlet
 from wheelstep.courier.leaving import leave
 from wheelstep.courier.opening import open_journal
 from wheelstep.courier.platform import Notices
@@ -103,7 +103,7 @@
         for name in journal.messages:
             if not mirrored(name):
                 front.tenants.took(tenant_of(name))
-        inlet = Inlet(core, core.ordered, config.sockets // 3, front=front)
+        server = ClientServer(core, core.ordered, config.sockets // 3, front=front)
         async with contextlib.AsyncExitStack() as stack, asyncio.TaskGroup() as group:
             if self._found.notify is not None:
                 import aiohttp
@@ -121,9 +121,9 @@
             core.restore(journal.marks, journal.messages.values())
             gc.freeze()  # what was restored lives long: a collection that walked it all would stop the loop
             tasks = [group.create_task(work) for work in (
-                core.outlet.sweep(), inlet.sweep(), journal.compact_for_good(), self._follow(renewed))]
+                core.outlet.sweep(), server.sweep(), journal.compact_for_good(), self._follow(renewed))]
             try:
-                port = await inlet.start(config.listen)
+                port = await server.start(config.listen)
             except OSError as error:
                 raise ConfigError(f"listen: {self._found.listen}: {error}") from error
             if self._folder is not None:
@@ -134,7 +134,7 @@
             log.info("%s serves on %s:%d, %d messages restored", config.name, config.listen.host, port,
                      len(journal.messages))
             await terminated.wait()
-            await leave(core, inlet)
+            await leave(core, server)
             for task in tasks:
                 task.cancel()
         ends.close()
--- a/wheelstep/upgrade/giver.py
+++ b/wheelstep/upgrade/giver.py
@@ -13,8 +13,8 @@
 from typing import Any
 
 from wheelstep.courier.call import Item, Result
+from wheelstep.courier.client_server import ClientServer
 from wheelstep.courier.core import Core
-from wheelstep.courier.inlet import Inlet
 from wheelstep.courier.rows import write_rows
 from wheelstep.upgrade import channel as channels
 from wheelstep.upgrade.channel import Channel, LostError
@@ -28,9 +28,9 @@
 class Giver:
     """Waits for a successor, for good. `close` ends all that writes to the journal, and closes it."""
 
-    def __init__(self, folder: Path, core: Core, inlet: Inlet, seq: Callable[[], int],
+    def __init__(self, folder: Path, core: Core, server: ClientServer, seq: Callable[[], int],
                  close: Callable[[], None]) -> None:
-        self._folder, self._core, self._inlet, self._seq, self._close = folder, core, inlet, seq, close
+        self._folder, self._core, self._server, self._seq, self._close = folder, core, server, seq, close
         self._handover = Handover()
         self._listener: socket.socket | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -88,7 +88,7 @@
                 self._end_limit()
                 self._core.thaw()
                 self._core.ready = True
-                self._spawn(self._inlet.resume())
+                self._spawn(self._server.resume())
             case Do.BEGIN_ANEW:
                 log.error("the successor was lost while it took over: beginning anew from the folder")
                 os.execv(sys.executable, [sys.executable, *sys.orig_argv[1:]])
@@ -121,8 +121,8 @@
         log.info("a successor takes over")
         self._core.freeze()
         self._core.ready = False
-        listener = await self._inlet.pause()
-        for descriptor, idle, raw in self._inlet.connections():
+        listener = await self._server.pause()
+        for descriptor, idle, raw in self._server.connections():
             await channel.send({"is": "client", "idle": idle}, raw, (descriptor,))
         await channel.send({"is": "listener"}, b"", (listener.fileno(),))
         await channel.send_list({"is": "list", "seq": self._seq()}, write_rows(self._core.rows()))
@@ -140,7 +140,7 @@
 
     def _let_go(self) -> None:
         self._end_limit()
-        self._inlet.let_go()
+        self._server.let_go()
         if self._listener is not None:
             asyncio.get_running_loop().remove_reader(self._listener.fileno())
             self._listener.close()
--- a/wheelstep/upgrade/taker.py
+++ b/wheelstep/upgrade/taker.py
@@ -14,8 +14,8 @@
 
 from wheelstep import interface as api
 from wheelstep.courier.call import Item, Result
+from wheelstep.courier.client_server import ClientServer
 from wheelstep.courier.core import Core
-from wheelstep.courier.inlet import Inlet
 from wheelstep.courier.ports import CallsOut
 from wheelstep.courier.rows import Row, read_rows
 from wheelstep.interface import Outcome
@@ -109,14 +109,14 @@
             self._channel.close()
             raise LostError(str(error)) from error
 
-    async def go_on(self, core: Core, inlet: Inlet) -> None:
-        """The core has what the journal held and `inlet` listens: serve the connections, then hear outcomes."""
+    async def go_on(self, core: Core, server: ClientServer) -> None:
+        """The core has what the journal held and `server` listens: serve the connections, then hear outcomes."""
         self._out = {attempt: call.endpoint for call in self.taken.calls for attempt in call.attempts}
         for endpoint, left_us in self.taken.waits.items():
             core.told_to_wait(endpoint, left_us)
         for connection, idle, raw in self.taken.clients:
             with contextlib.suppress(OSError):  # its client has gone meanwhile
-                await inlet.adopt(connection, idle, raw)
+                await server.adopt(connection, idle, raw)
         self._core = core
         for head in self._early:
             self._ended(head)
--- a/wheelstep/workers/hop.py
+++ b/wheelstep/workers/hop.py
@@ -138,7 +138,7 @@
 
 
 class RemoteDesk:
-    """Stands for the owner while one request is answered (inlet.Desk)."""
+    """Stands for the owner while one request is answered (desk.Desk)."""
 
     ready = True
     syncs = True  # its answer is waited for
--- a/wheelstep/workers/worker.py
+++ b/wheelstep/workers/worker.py
@@ -1,4 +1,4 @@
-"""A worker process: the shares that its supervisor gives it, a door for clients, and the way to the other workers."""
+"""A worker process: the shares that its supervisor gives it, a server for clients, and the way to the other workers."""
 
 from __future__ import annotations
 
@@ -19,10 +19,10 @@
 import aiohttp
 
 from wheelstep import interface as api
+from wheelstep.courier.client_server import ClientServer
 from wheelstep.courier.config import Address, Config, ConfigError, load
 from wheelstep.courier.core import Core
 from wheelstep.courier.desk import Desk
-from wheelstep.courier.inlet import Inlet
 from wheelstep.courier.leaving import leave
 from wheelstep.courier.opening import account, open_journal, recorder
 from wheelstep.courier.platform import Notices
@@ -163,7 +163,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._leaving.set)
         ordered = [cls.ordered for cls in self._config.settings.classes]
-        inlet = Inlet(self, dict(zip(self._config.names.classes, ordered, strict=True)),
+        server = ClientServer(self, dict(zip(self._config.names.classes, ordered, strict=True)),
                       self._config.sockets // 3, self.find)
         with contextlib.suppress(FileNotFoundError):
             os.unlink(self._path)
@@ -172,14 +172,14 @@
             self._notices = self._core.notices = Notices(http, self._config.discovery, self._core.answered)
             counters = await loop.create_unix_server(lambda: Counter(self._ours).frames, self._path)
             self._tasks = [self._group.create_task(work) for work in (
-                self._beat(), inlet.sweep(), self._notices.run(), self._core.outlet.sweep())]
+                self._beat(), server.sweep(), self._notices.run(), self._core.outlet.sweep())]
             if self._core.account is not None:
                 self._tasks.append(self._group.create_task(self._core.account.run(self._core.gauge)))
             await loop.create_unix_connection(lambda: self._control, sock=control)
-            await inlet.start(self._config.listen, listener)
+            await server.start(self._config.listen, listener)
             await self._leaving.wait()
             self.ready = False
-            await leave(self._core, inlet)
+            await leave(self._core, server)
             counters.close()
             for passage in self._passages.values():
                 passage.close()
