--- a/wheelstep/courier/client_server.py
+++ b/wheelstep/courier/client_server.py
@@ -13,7 +13,8 @@
 import socket
 from collections.abc import Callable, Mapping
 
-from wheelstep.courier.client_connections import ACCEPT, ClientConnection, ClientConnections, Phase
+from wheelstep.courier.client_connection import ClientConnection, Phase
+from wheelstep.courier.client_connections import ACCEPT, ClientConnections
 from wheelstep.courier.config import Address
 from wheelstep.courier.desk import BadRequestError, Desk, Front, RefusedError, UnansweredError
 from wheelstep.courier.listen import QUEUE, bind
