An endpoint that ends idle connections early is told by their age

`Pool._fresh` knew one age for all endpoints, the settings' `conn_idle_us` less a margin. One that ends idle connections sooner was written to just as it did so; the call ended as a reset, and a message that may not be repeated failed for nothing. The policy's `_safe_us` learns from such resets only, after the harm, and for all endpoints alike.

An idle connection that its endpoint ended without a word (FIN or reset, seen by the loop or by the poll right before the write) now halves the age up to which a message with effect `once` (`StartAttempt.once`) uses a pooled connection to that endpoint; a tenth of the time since comes back, as in `_safe_us`, and the settings stay the ceiling. Others go on using what idles, so handshakes rise only where such ends were seen. Not learned from: an end within the time that the connection's last call took (it belongs to that answer), bytes that nobody asked for, and ends before a dial that finds nobody (an outage). The two stay apart: `_safe_us` sees what no end tells of, a connection dropped unseen.

A connection that was chosen and not written to counted as used, and could outlive its endpoint's patience.

FIN, reset or half a line in the kernel at the moment of choice was ruled out: `usable` polls in the step that writes.

--- a/wheelstep/courier/call.py
+++ b/wheelstep/courier/call.py
@@ -24,6 +24,7 @@
     token: str | None
     body: bytes
     until_s: float = math.inf  # its last byte goes out by then, or none does
+    once: bool = False  # it may not be sent again
 
 
 @dataclass(frozen=True, slots=True)
--- a/wheelstep/courier/carrier.py
+++ b/wheelstep/courier/carrier.py
@@ -203,7 +203,7 @@
         self._numbers[name] = number + 1
         sends = calls.setdefault(endpoint, [])
         until_s = (self.turns.now_us + action.latest_us) / 1e6 if action.latest_us else math.inf
-        sends.append((Item(name, number, message.token, message.body, until_s), action.timeout_us))
+        sends.append((Item(name, number, message.token, message.body, until_s, action.once), action.timeout_us))
         info = self.endpoints.listed.get(endpoint)
         kind = self.endpoints.kind(info) if info else api.Kind()
         if len(sends) >= kind.per_call:
--- a/wheelstep/courier/connection.py
+++ b/wheelstep/courier/connection.py
@@ -37,11 +37,14 @@
         self._reader: AnswerReader | None = None  # of the last answer, until the next call
         self._transport: asyncio.Transport | None = None
         self._news = asyncio.Event()
-        self._busy = self._ended = False
+        self._busy = self._ended = self._closed = False
         self._paused = False
         self._raw = b""  # what came and is not yet read
         self._began: float | None = None
-        self.idle_since = 0.0
+        self.idle_since = time.monotonic()
+        self.spent_s = 0.0  # on its last call
+        self.left_at: float | None = None  # when its endpoint ended it, without a word, while nothing was under way
+        self._sent_at = 0.0
         self._given_up = False
         self._held_back = False  # the last byte of the call is not yet given to the transport
         self._lapse: asyncio.TimerHandle | None = None
@@ -76,6 +79,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._ended = True
+        self._left()
         self._rest()
         self._news.set()
 
@@ -94,15 +98,24 @@
         """May a call be written? Looks at the socket itself: an end, or bytes that nobody asked for, may have
         come since the loop last read."""
         if self._ended or self._transport is None or self._transport.is_closing():
+            self._left()
             return False
         poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
+        found = poll.poll(0)
+        if found and found[0][1] & (select.POLLRDHUP | select.POLLHUP | select.POLLERR):
+            self._left()
+        return not found
+
+    def _left(self) -> None:
+        if not self._busy and not self._closed and self.left_at is None:
+            self.left_at = time.monotonic()
 
     def close(self) -> None:
         """At once. What the system still holds of a call without its answer is thrown away, and never read later."""
         if self._transport is None or self._transport.is_closing():
             return
+        self._closed = True
         self._rest()
         if self._busy and not (self._reader is not None and self._reader.done):
             # Guards against an effect long after: a cut that heals would bring the last byte of a call given up.
@@ -116,6 +129,7 @@
         `written` tells whether its last byte went out."""
         assert self._transport is not None
         self._busy, self._raw, self._began, self.written = True, b"", None, False
+        self._sent_at = time.monotonic()
         self._given_up = False  # the last call may have been, with its answer there already
         # Guards against a last byte that the transport writes late, right after the loop has stood still: of what may
         # have to wait for the endpoint, it goes out alone, and only after a look at the clock.
@@ -220,4 +234,5 @@
             self._rest()
             self._reader = None
             self._busy, self.written, self.idle_since = False, False, time.monotonic()
+            self.spent_s = self.idle_since - self._sent_at
         return kept
--- a/wheelstep/courier/outlet.py
+++ b/wheelstep/courier/outlet.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import bisect
 import logging
 import math
 import time
@@ -108,7 +109,8 @@
 
         async def work() -> Answer | None:
             await self._gate.settled(items)
-            return await self._exchange(endpoint, progress, request, may_write, live)
+            once = any(item.once for item in items)
+            return await self._exchange(endpoint, progress, request, may_write, live, once)
 
         async def may_write() -> bool:
             # A sync may take its time: what was right before it is looked at once more.
@@ -164,19 +166,20 @@
     async def _exchange(self, endpoint: str, progress: Progress,
                         request: Callable[[], bytes | None],
                         may_write: Callable[[], Awaitable[bool]] | None = None,
-                        items: Sequence[Item] = ()) -> Answer | None:
+                        items: Sequence[Item] = (), once: bool = False) -> Answer | None:
         """One request and its answer, or None where there is nothing to send any more."""
         host = self._hosts.get(endpoint)
         if host is None:
             return None
-        link = await self._connect(host, progress, len(self._tasks))
+        link = await self._connect(host, progress, len(self._tasks), once)
         keep = False
         try:
             wanted = request()
-            if wanted is not None and may_write is not None and self._gate.syncs and not await may_write():
+            if (wanted is not None and may_write is not None and self._gate.syncs
+                    and not (await may_write() and link.usable())):  # it may have ended meanwhile
                 wanted = None
             if wanted is None:
-                keep, link.idle_since = True, time.monotonic()
+                keep = True  # its endpoint has seen nothing: it goes on idling for as long as it has
                 return None
             progress.link = link
             try:
@@ -189,7 +192,7 @@
             return answer
         finally:
             if keep and self._hosts.get(endpoint) is host:
-                host.idle.append(link)
+                bisect.insort(host.idle, link, key=lambda other: other.idle_since)
             else:
                 link.close()
 
--- a/wheelstep/courier/pool.py
+++ b/wheelstep/courier/pool.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from dataclasses import dataclass, field
 
@@ -23,6 +24,8 @@
 
     address: Address
     idle: list[Connection] = field(default_factory=list)
+    safe_s: float = math.inf  # after idling for so long one was in doubt, when that was learned
+    learned_s: float = 0.0
 
 
 class Pool:
@@ -68,20 +71,36 @@
             for host in self._hosts.values():
                 for link in list(host.idle):
                     if not self._fresh(link):
-                        host.idle.remove(link)
-                        link.close()
+                        self._drop(host, link)
 
     def _fresh(self, link: Connection) -> bool:
         return link.usable() and time.monotonic() - link.idle_since < self._idle_s
 
-    async def _connect(self, host: Host, progress: Progress, busy: int) -> Connection:
-        """One that is idle, or a new one, or `BrokenError`; `busy` counts the calls and probes under way."""
-        while host.idle:
-            link = host.idle.pop()
+    def _drop(self, host: Host, link: Connection) -> None:
+        host.idle.remove(link)
+        idled_s = link.left_at - link.idle_since if link.left_at is not None else 0.0
+        if idled_s > link.spent_s:  # else its end belongs to its last answer
+            host.safe_s, host.learned_s = min(self._safe_s(host), idled_s / 2), time.monotonic()
+        link.close()
+
+    def _safe_s(self, host: Host) -> float:
+        """For how long a connection may idle before one call that can't be repeated is at risk. Guards those against
+        an endpoint that ends idle ones early, where such ends were seen: as `Outcomes._safe_us` does for ends that
+        nobody sees. It costs handshakes while remembered, also where an endpoint ended them all for another reason."""
+        return min(self._idle_s, host.safe_s + (time.monotonic() - host.learned_s) / 10)
+
+    async def _connect(self, host: Host, progress: Progress, busy: int, once: bool = False) -> Connection:
+        """One that is idle, or a new one, or `BrokenError`; `busy` counts the calls and probes under way. `once`: what
+        is to be sent may not be sent again."""
+        for link in [link for link in host.idle if link.left_at is not None]:
+            self._drop(host, link)
+        while host.idle and not (once and time.monotonic() - host.idle[-1].idle_since >= self._safe_s(host)):
+            link = host.idle[-1]
             if self._fresh(link):
+                host.idle.pop()
                 progress.dialled = True
                 return link
-            link.close()
+            self._drop(host, link)
         # Guards the descriptors: every task of the outlet holds one connection at most.
         if busy > self._most:
             raise BrokenError("too many connections of this courier")
@@ -94,6 +113,9 @@
         try:
             async with asyncio.timeout(self._dial_s):
                 return await Connection.dial(host.address)
+        except BrokenError:
+            host.safe_s = math.inf  # nobody is there: what was seen was an outage's doing
+            raise
         except TimeoutError as error:
             raise BrokenError("no connection in time") from error
 
--- a/wheelstep/interface.py
+++ b/wheelstep/interface.py
@@ -280,6 +280,7 @@
     endpoint: str
     timeout_us: int
     latest_us: int = 0
+    once: bool = False  # it may not be sent again: not on a connection that the endpoint may be about to end
 
 
 @dataclass(frozen=True, slots=True)
