--- a/wheelstep/policy/choice.py
+++ b/wheelstep/policy/choice.py
@@ -135,9 +135,9 @@
             patience = weight(call.size) * (2 - self._calls_out / self._s.slots)  # free slots can wait longer
             patience_us = patience * max(message.cls.promise_us, endpoint.overdue_us())
             timeout_us = min(message.due_us - self._now, int(patience_us))
-            latest_us = self._latest_us(message) - self._now
-            once = message.cls.effect is Effect.UNSAFE
-            self._actions.append(api.StartAttempt(message.id, endpoint.info.endpoint, timeout_us, latest_us, once))
+            latest_us, once = self._latest_us(message) - self._now, message.cls.effect is Effect.UNSAFE
+            self._actions.append(api.StartAttempt(
+                message.id, endpoint.info.endpoint, timeout_us, latest_us, once))
         endpoint.calls[call] = None
         endpoint.sent(self._now, call.open)
         if not endpoint.watched:
