All of an answer counts against a bound, also trailers and what frames its chunks

Trailers of a chunked answer were kept as headers with no bound but time (0.5 s without a pause, 2 s at most): a quick endpoint could fill the memory within that. `AnswerReader.feed` counts every byte, ahead answers included.

Answers that trickle a byte at a time were ruled out: body, head, first line, chunks, chunk extension and trailers, to one message and to three, end 0.5 s after their first byte with the outcome that their first line tells.

Without the fix: `DID NOT RAISE SpoiltError` after a million trailers.

--- a/wheelstep/courier/answer.py
+++ b/wheelstep/courier/answer.py
@@ -40,12 +40,15 @@
         self.keep = False  # and its connection may go on
         self.until_end = False  # its body ends with the connection
         self.between = False  # an answer ahead is whole, and nothing of the next has come
-        self._ahead = self._head = 0
+        self._ahead = self._head = self._all = 0
         self._in_head = True
         self._parser = httptools.HttpResponseParser(self)
 
     def feed(self, data: bytes) -> None:
         """Raises `SpoiltError`. What comes behind a whole answer spoils the connection only."""
+        self._all += len(data)  # trailers and what frames chunks have no bound of their own
+        if self._all > MOST_HEAD + 2 * MOST_BODY:
+            raise SpoiltError("without end")
         if self._in_head:
             self._head += len(data)
         try:
