A call whose endpoint stopped sending is not written on once it is given up

`close` aborts as before. Where the whole call is in the kernel, asyncio's own close let that go on sending: `connection_lost`, told before the socket closes, takes it back.

Without the fix both cases read the last byte (no ConnectionResetError).

--- a/tests/test_crossings_calls.py
+++ b/tests/test_crossings_calls.py
@@ -130,3 +130,21 @@
         with pytest.raises(ConnectionResetError):
             await peer.reads(b"z")
     run(work())
+
+
+@pytest.mark.parametrize(("size", "outcome"), [(16 << 20, Outcome.NOT_SENT), (64 << 10, Outcome.RESET)])
+def test_a_call_whose_endpoint_stops_sending_is_not_written_on_once_it_is_given_up(size: int, outcome: Outcome) -> None:
+    """At its peer's end asyncio closes a transport only once its buffer is written; the system goes on after that."""
+    async def work() -> None:
+        peer = Peer(receives=4096)
+        peer.outlet.call("e0", [item("a", b"y" * size + b"z")], 10 * S)
+        await peer.accept()
+        await steps(20)
+        assert peer.link is not None and peer.owner.whole == (outcome is Outcome.RESET)
+        peer.link.shutdown(socket.SHUT_WR)
+        await steps(20)
+        peer.outlet.cancel("a", 0)
+        assert (await peer.owner.wait("a")).outcome is outcome
+        with pytest.raises(ConnectionResetError):
+            await peer.reads(b"z")
+    run(work())
--- a/wheelstep/courier/connection.py
+++ b/wheelstep/courier/connection.py
@@ -81,6 +81,7 @@
         self._ended = True
         self._left()
         self._rest()
+        self._take_back()  # the socket is closed after this
         self._news.set()
 
     def pause_writing(self) -> None:
@@ -113,16 +114,19 @@
 
     def close(self) -> None:
         """At once. What the system still holds of a call without its answer is thrown away, and never read later."""
-        if self._transport is None or self._transport.is_closing():
+        if self._transport is None:
             return
         self._closed = True
         self._rest()
-        if self._busy and not (self._reader is not None and self._reader.done):
+        self._take_back()
+        self._transport.abort()
+
+    def _take_back(self) -> None:
+        if self._transport is not None and self._busy and not (self._reader is not None and self._reader.done):
             # Guards against an effect long after: a cut that heals would bring the last byte of a call given up.
             with contextlib.suppress(OSError):
                 self._transport.get_extra_info("socket").setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        self._transport.abort()
 
     async def send(self, request: bytes, until_s: float = math.inf) -> None:
         """Write one request whole, or raise `BrokenError`, or `LateError` where that would last past `until_s`;
