What a restart found untried is kept at the hold limit and tried

Cause: `Sender._restore` went through `_accept`, which makes room at the hold limit, so restoring itself handed one back; each fresh message at the limit handed back another (`Holding._make_room`), since what has not run may be refused. Two more ways to an early end with no call: the retry gate after an attempt that was never written or never connected (`Outcomes._retry_due`), and `hopeless` in `Choice._send_one`.

Change: a message that was restored with no attempt is `owed` until an endpoint has heard of it. Restoring makes no room, `_make_room` passes it over, and `_end` leaves it to the timer of its time. While such messages are over half of the limit, the message that would fill it is answered 503: it would make the module hand back one that was taken on just before, which costs more than a refusal.

Without the fix: the four tests at the limit answered 202 to the fifth fresh message and gave one up; the module's tests saw Refuse of old0, one attempt only, and Refuse 2 s early.

--- /dev/null
+++ b/tests/test_crossings_restart.py
@@ -0,0 +1,173 @@
+"""What a restart does with messages that were taken on: each crossing is forced on real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from helpers import MS, Drive, S, finals, info, sends
+from loopback import LIMIT_S, Call, Courier, Reply, Scene, run
+from restart import Client, Town, fill, play, settings
+
+from wheelstep import interface as api
+from wheelstep.interface import Outcome
+from wheelstep.journal import Journal, Stored
+
+HOLD = 40
+
+
+async def until(there: Any) -> None:
+    async with asyncio.timeout(LIMIT_S):
+        while not there():
+            await asyncio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def full(folder: Path, endpoints: int = 2) -> AsyncIterator[tuple[Town, Courier]]:
+    """A courier that was killed with its hold limit full of messages that nothing could be done about."""
+    async with Town(endpoints) as town:
+        town.say_health("DRAINING")
+        courier = Courier(folder, town, settings(HOLD))
+        await courier.start()
+        await fill(courier, HOLD, 20_000)
+        courier.listen = courier.address
+        await courier.kill()
+        try:
+            yield town, courier
+        finally:
+            if courier.process.returncode is None:
+                await courier.kill()
+
+
+@pytest.mark.parametrize("restarts", [1, 2])
+@pytest.mark.parametrize("known", ["all", "none"])
+def test_what_was_restored_untried_is_kept_at_the_limit_and_tried(tmp_path: Path, restarts: int, known: str) -> None:
+    """Fresh ones come before any of them can be tried; with an old list, discovery is silent at first."""
+    async def scene() -> None:
+        async with full(tmp_path) as (town, courier):
+            if known == "none":
+                town.hosts, town.down = {}, True
+            for number in range(restarts):
+                if number:
+                    await courier.kill()
+                await courier.start()
+            client = Client(courier.address, 20_000)
+            codes = [await client.hand_in(f"new{number}") for number in range(5)]
+            assert codes == [503] * 5 and not town.notices_heard
+            town.say_health("SERVING")
+            town.back() if town.down else town.push(*town.hosts.values())
+            await until(lambda: len(town.called) >= HOLD)
+            assert not town.notices_heard and town.called == {f"old{number}" for number in range(HOLD)}
+            await until(lambda: len(town.ended_at) >= HOLD)
+            assert await client.hand_in("after") == 202
+    run(scene())
+
+
+def test_with_half_of_the_endpoints_hanging_and_fresh_traffic_all_are_tried(tmp_path: Path) -> None:
+    async def scene() -> None:
+        share = await play(tmp_path, 60, 15_000, per_s=200, work_s=0.01, ends=False)
+        assert (share.called, share.early) == (60, 0), share.line()
+    run(scene())
+
+
+def restored(drive: Drive, name: str, left_us: int = 20 * S, attempts: int = 0, cls: int = 0) -> list[api.Action]:
+    return drive.at(drive.now, api.MessageRestored(
+        api.MessageAccepted(name, cls, 7, left_us, resubmitted=True), attempts))
+
+
+def test_the_module_hands_back_what_came_last_and_not_what_was_restored() -> None:
+    drive = Drive(listed=False, hold_limit=4)
+    for number in range(4):
+        assert not finals(restored(drive, f"old{number}"))
+    drive.members(info("far", destination=8, state=api.EndpointState.DRAINING))
+    for number in range(3):
+        drive.submit(f"new{number}", destination=8)
+    assert finals(drive.actions) == [("Refuse", "new0"), ("Refuse", "new1")]
+    assert set(sends(drive.members(info("e0")))) <= {f"old{number}" for number in range(4)}
+    drive.tick(19 * S)
+    ended = [name for _, name in finals(drive.actions) if name.startswith("old")]
+    assert not ended  # their time is not up
+
+
+@pytest.mark.parametrize("outcome", [Outcome.NOT_SENT, Outcome.CONNECT_FAILED])
+def test_the_retry_gate_lets_through_what_no_endpoint_has_heard_of(outcome: Outcome) -> None:
+    drive = Drive(endpoints=1, max_attempts=100)
+    restored(drive, "old")
+    drive.sender._destination(7).loop.may_retry = lambda now_us: False  # type: ignore[method-assign]
+    drive.end("old", outcome)
+    drive.tick(10 * S)
+    assert sends(drive.actions).count("old") >= 2 and not finals(drive.actions)
+    drive.end("old", Outcome.FULL, attempt=1)  # now it has been tried, and the gate counts
+    drive.tick(15 * S)
+    assert finals(drive.actions) == [("Refuse", "old")]
+
+
+def test_what_would_come_too_late_is_kept_until_its_time_is_up() -> None:
+    drive = Drive(endpoints=1, slots=1)
+    drive.submit("slow")
+    drive.tick(3 * S)
+    drive.end("slow", Outcome.OK, spent_us=3 * S)  # calls take 3 s here
+    restored(drive, "old", left_us=2 * S)
+    drive.tick(drive.now + 2 * S - 100 * MS)
+    assert not finals(drive.actions)
+    drive.tick(drive.now + 200 * MS)
+    assert finals(drive.actions) == [("Refuse", "old")]
+
+
+def test_a_journal_that_is_an_hour_old_is_ended_at_once_and_delays_nothing(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with Scene(tmp_path, disk_mb=8) as s:
+            await s.courier.kill()
+            journal = Journal(tmp_path / "state", 8_000_000)
+            for number in range(5000):
+                journal.take(Stored(f"m{number}", "once", 7, int((time.time() - 3600) * 1000)))
+            journal.close()
+            sizes: list[int] = []
+            take = s.platform.notices
+            s.platform.notices = lambda body: sizes.append(body.count(b"\n")) or take(body)  # type: ignore
+            await s.courier.start()
+            await until(lambda: len(s.platform.notices_heard) >= 5000)
+            assert not s.endpoint.calls and max(sizes) <= 201
+            await until(lambda: not any("Traceback" in line for line in s.courier.log))
+            assert await s.courier.hand_in("fresh") == 202
+            await s.endpoint.wait(1)
+    run(scene())
+
+
+@pytest.mark.parametrize("first", ["notice owed", "call out"])
+def test_a_key_keeps_its_order_over_a_restart(tmp_path: Path, first: str) -> None:
+    """The first of the key has ended by a notice that nobody has answered, or its call was out at the kill: the second
+    goes after that is over, and after the time in which the first may still run."""
+    async def scene() -> None:
+        async with Scene(tmp_path) as s:
+            heard: list[tuple[str, float]] = []
+
+            async def reply(call: Call) -> Reply | None:
+                name = call.headers["x-request-id"]
+                heard.append((name, time.monotonic()))
+                if name == "first":
+                    return (500, {}, b"") if first == "notice owed" else None
+                return 200, {}, b""
+            s.endpoint.reply, s.platform.takes_notices = reply, False
+            left = "900" if first == "notice owed" else "2500"
+            assert await s.courier.hand_in("first", "ordered", key="k", X_Deadline_Ms=left) == 202
+            assert await s.courier.hand_in("second", "ordered", key="k") == 202
+            if first == "notice owed":
+                await s.courier.wait_log("notices: status 503")
+            else:
+                await s.endpoint.wait(1)
+            await s.courier.kill()
+            await s.courier.start()
+            await s.courier.wait_log("notices: status 503")
+            assert "second" not in [name for name, _ in heard]
+            s.platform.takes_notices = True
+            await s.platform.wait_notice("first")
+            answered = time.monotonic()
+            await until(lambda: heard[-1][0] == "second")
+            assert heard[-1][1] >= answered and [name for name, _ in heard].count("second") == 1
+    run(scene())
--- a/wheelstep/courier/carrier.py
+++ b/wheelstep/courier/carrier.py
@@ -46,6 +46,7 @@
         self.ordered = self.classes.ordered
         self._held: dict[str, Stored] = {}  # what the module holds
         self._numbers: dict[str, int] = {}  # each one's next attempt
+        self._untried: set[str] = set()  # restored, and neither tried nor ended since
         self._unsettled: dict[str, set[str]] = defaultdict(set)  # key -> messages whose notice is owed
         self._settled = asyncio.Event()  # set, and replaced, whenever notices were answered
         self.outlet = Outlet(self, config.dial_timeout_us, config.settings.conn_idle_us, config.names.report,
@@ -104,6 +105,7 @@
         now_ms = int(time.time() * 1000)
         for item in items:
             self._journal.attempt(item.message, item.attempt, now_ms, endpoint)
+            self._untried.discard(item.message)
             if self.account is not None:
                 self.account.starting(item.message, item.attempt, endpoint)
 
@@ -212,6 +214,7 @@
     def _final(self, name: str, outcome: str, retry_ms: int) -> None:
         message = self._held.pop(name)
         del self._numbers[name]
+        self._untried.discard(name)
         self._end(message, outcome, retry_ms)
 
     def _end(self, message: Stored, outcome: str, retry_ms: int) -> None:
--- a/wheelstep/courier/classes.py
+++ b/wheelstep/courier/classes.py
@@ -70,18 +70,26 @@
         self._post(api.ClassesChanged(tuple(table.places)))
 
     def restore(self, marks: Mapping[str, Any], messages: list[Stored]) -> None:
-        """Guards messages of a class that has changed or gone since they were taken on."""
-        if _CLASSES not in marks:
-            return
-        from wheelstep.renewal.classes import ClassTable
+        """Guards messages of a class that has changed or gone since they were taken on, by SIGHUP or a restart: each
+        process writes down what its classes are. One that nobody knows is tried as what may not be repeated."""
+        from wheelstep.renewal.classes import ClassTable, unknown
+        now = _classes(self._config)
         held = [(message.message_class, message.seq) for message in messages]
+        taken, table = 1 + max((seq for _, seq in held), default=0), ClassTable(now)
         try:
-            self._table = ClassTable.restored(marks[_CLASSES], _classes(self._config),
-                                              1 + max((seq for _, seq in held), default=0), held)
+            if _CLASSES in marks:
+                table = ClassTable.restored(marks[_CLASSES], now, taken, held)
         except (KeyError, IndexError, TypeError, ValueError, AttributeError) as error:
             log.error("what an earlier process knew of classes can't be used: %r", error)
-            return
-        self._changed(self._table)
+        if lost := {name: unknown(now.values()) for name, seq in held if table.place(name, seq) is None}:
+            log.error("not known any more, and tried as what may not be repeated: %s", ", ".join(map(repr, lost)))
+            table.renew({**now, **lost}, taken, held)
+            table.renew(now, taken, held)
+        if table.store() != ClassTable(now).store():
+            self._table = table
+            self._changed(table)
+        elif marks.get(_CLASSES) != table.store():
+            self._journal.mark(_CLASSES, table.store())
 
 
 def _classes(config: Config) -> dict[str, api.MessageClass]:
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -71,8 +71,10 @@
 
     def full(self) -> bool:
         """Is the hold limit reached? Notices owed count: their number needs a bound too. A process that has handed
-        over takes nothing on."""
-        return self._tell is not None or len(self._journal.messages) >= self._s.hold_limit
+        over takes nothing on. The one that fills it makes the module hand back another; while most are restored and
+        untried, and kept, that would be one that was just taken on: a refusal now is cheaper than a return then."""
+        room = self._s.hold_limit - len(self._journal.messages)
+        return self._tell is not None or room <= 0 or room == 1 and 2 * len(self._untried) > self._s.hold_limit
 
     def serves(self, destination: int) -> bool:
         """Has any list named it? Its endpoints may all be gone just now."""
@@ -200,6 +202,8 @@
                 self._end(message, "given_up", 0)
             else:
                 self._hold(message)
+                if not message.attempts:
+                    self._untried.add(message.id)
                 self._account_for(message, restored=True)
                 at, number, call = (out or {}).get(message.id, (0, None, None))
                 ran = message.may_have_run(but=number)
@@ -212,6 +216,7 @@
         """The module holds it no more, and its end is still owed; a call of it that is under way goes on."""
         if self._held.pop(name, None) is not None:
             del self._numbers[name]
+            self._untried.discard(name)
             self.turns.post(api.MessageWithdrawn(name))
 
     def finish(self, name: str, outcome: str, retry_ms: int = 0) -> None:
--- a/wheelstep/policy/holding.py
+++ b/wheelstep/policy/holding.py
@@ -80,7 +80,8 @@
                 self._end(message)
                 return
         loose = [(m.worth_at(self._now + d.waiting * self._t1_us, self._s.decay), -d.waiting, m.id, m)
-                 for d in self._backlog.values() for m in self._heads(d) if self._may_refuse(m)]
+                 for d in self._backlog.values() for m in self._heads(d)
+                 if not m.owed and self._may_refuse(m)]
         if loose:
             self._loose = [row[3] for row in heapq.nsmallest(max(1, len(self._backlog) // 8), loose)][::-1]
             self._loose_until_us = self._now + self._t1_us // 4
@@ -148,6 +149,9 @@
         """The final answer: refuse where that is true and harmless, else fail."""
         if message.done or message.call is not None:
             return
+        if message.owed and self._may_resend(message, self._now):  # its timer ends it
+            self._unqueue(message)
+            return
         refusal = api.Refuse(message.id, min(self._t1_us, self._s.max_retry_after_us))
         self._actions.append(refusal if self._may_refuse(message) else api.Fail(message.id))
         self._close(message)
--- a/wheelstep/policy/messages.py
+++ b/wheelstep/policy/messages.py
@@ -29,6 +29,7 @@
         self.call: Call | None = None
         self.ran_us: int | None = None  # when the first attempt that may have run was sent
         self.done = self.queued = self.resumes = False
+        self.owed = False  # an earlier process took it on, and no endpoint has heard of it yet
         self.timed = True  # the timer of its end is still to come
 
     def worth_at(self, at_us: float, decay: Decay) -> float:
--- a/wheelstep/policy/outcomes.py
+++ b/wheelstep/policy/outcomes.py
@@ -23,6 +23,7 @@
             return
         call, message.call = message.call, None
         destination = self._destination(message.destination)
+        message.owed &= event.outcome in (Outcome.NOT_SENT, Outcome.CONNECT_FAILED) and not event.exhausted
         self._judge(call, destination, event, message.attempts > 1)
         self._touch(destination)
         if event.outcome not in UNRUN and event.outcome is not Outcome.OK and message.ran_us is None:
--- a/wheelstep/policy/sender.py
+++ b/wheelstep/policy/sender.py
@@ -99,10 +99,10 @@
         if was is not info.state:
             (endpoint.drains if info.state is EndpointState.DRAINING else endpoint.returns)(self._now)
 
-    def _accept(self, event: api.MessageAccepted) -> None:
+    def _accept(self, event: api.MessageAccepted, makes_room: bool = True) -> None:
         cls = self._s.classes[event.message_class]
         message = self._messages[event.message] = Message(event, cls, self._now)
-        if len(self._messages) >= self._s.hold_limit:
+        if makes_room and len(self._messages) >= self._s.hold_limit:
             self._make_room()
         self._at(message.due_us - 2 * self._s.tick_us, lambda: self._end(message), message)
         if message.key is None:
@@ -114,9 +114,10 @@
     def _restore(self, event: api.MessageRestored) -> None:
         """Go on with a message of an earlier process. Guards against effects taken twice: what may have run
         before binds as if it had been seen to here, and the key rests again once the message has ended."""
-        self._accept(event.accepted)
+        self._accept(event.accepted, makes_room=False)
         message = self._messages[event.accepted.message]
         message.attempts, message.resumes = event.attempts, event.attempts > 0
+        message.owed = not event.attempts
         if event.ran_ago_us is not None:
             message.ran_us, message.ran_zone = self._now - event.ran_ago_us, event.ran_zone
             message.rest_us = self._now + self._s.order_settle_us
--- a/wheelstep/renewal/classes.py
+++ b/wheelstep/renewal/classes.py
@@ -114,6 +114,14 @@
                        for name, cls in classes.items()}}
 
 
+def unknown(classes: Iterable[MessageClass]) -> MessageClass:
+    """For what was taken on under a class that nobody knows any more: it breaks no class's rules, and moves none of the
+    times that the module makes from all classes."""
+    known = list(classes)
+    return MessageClass(min(cls.promise_us for cls in known), max(cls.deadline_us for cls in known), Effect.UNSAFE,
+                        max(cls.worth for cls in known), ordered=True)
+
+
 def _plain(cls: MessageClass) -> list[Any]:
     return [value.value if isinstance(value, Effect) else value for value in astuple(cls)]
 
