A message keeps the class that it was taken on with over a restart

Seen: a courier was killed with the call of an unsafe message out and started again with settings in which its class may be repeated. The message, which may have run, was handed back: its client would have handed it in again. With a class that had gone from the settings meanwhile, all its untried messages were given up at once with no call.

Cause: `Classes.restore` knew of earlier classes from the mark that only SIGHUP wrote (`Classes._changed`); settings that change with a restart left none, so messages were placed by name among the new classes, or nowhere.

--- a/tests/test_crossings_restart.py
+++ b/tests/test_crossings_restart.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import copy
 import time
 from collections.abc import AsyncIterator
 from pathlib import Path
@@ -19,6 +20,7 @@
 from wheelstep.journal import Journal, Stored
 
 HOLD = 40
+HERE = {**settings(HOLD), "rules": {**settings(HOLD)["rules"], "cold_us": 0}}  # what comes back takes all at once
 
 
 async def until(there: Any) -> None:
@@ -32,7 +34,7 @@
     """A courier that was killed with its hold limit full of messages that nothing could be done about."""
     async with Town(endpoints) as town:
         town.say_health("DRAINING")
-        courier = Courier(folder, town, settings(HOLD))
+        courier = Courier(folder, town, HERE)
         await courier.start()
         await fill(courier, HOLD, 20_000)
         courier.listen = courier.address
@@ -119,6 +121,51 @@
     assert finals(drive.actions) == [("Refuse", "old")]
 
 
+def other(**changes: Any) -> dict[str, Any]:
+    """The settings with the class `once` otherwise; without it by `effect=None`."""
+    new = copy.deepcopy(HERE)
+    if changes["effect"] is None:
+        new["services"] = [row for row in new["services"] if row["name"] != "once"]
+    else:
+        next(row for row in new["services"] if row["name"] == "once").update(changes)
+    return new
+
+
+@pytest.mark.parametrize("marked", [True, False])
+def test_a_class_that_was_dropped_meanwhile_is_still_tried(tmp_path: Path, marked: bool) -> None:
+    """Also where the journal tells nothing of classes, as those of earlier versions don't."""
+    async def scene() -> None:
+        async with full(tmp_path) as (town, courier):
+            if not marked:
+                journal = Journal(tmp_path / "state", 3_000_000)
+                journal.mark(":classes", None)
+                journal.close()
+            courier.settings = other(effect=None)
+            town.say_health("SERVING")
+            await courier.start()
+            await until(lambda: len(town.called) >= HOLD)
+            assert not town.notices_heard
+    run(scene())
+
+
+@pytest.mark.parametrize("effect", ["repeatable", "by_key"])
+def test_what_may_have_run_keeps_the_effect_that_it_was_taken_on_with(tmp_path: Path, effect: str) -> None:
+    """Killed with an unsafe message's call out, and started with settings in which its class may be repeated."""
+    async def scene() -> None:
+        async with Scene(tmp_path) as s:
+            async def hang(call: Call) -> Reply | None:
+                return None
+            s.endpoint.reply = hang
+            assert await s.courier.hand_in("fee") == 202
+            await s.endpoint.wait(1)
+            await s.courier.kill()
+            s.courier.settings = other(effect=effect, key_ttl_us=15_000_000)
+            await s.courier.start()
+            assert (await s.platform.wait_notice("fee"))["outcome"] == "given_up"
+            assert len(s.endpoint.calls) == 1
+    run(scene())
+
+
 def test_a_journal_that_is_an_hour_old_is_ended_at_once_and_delays_nothing(tmp_path: Path) -> None:
     async def scene() -> None:
         async with Scene(tmp_path, disk_mb=8) as s:
