SIGTERM during a hand-over whose successor is lost ends the process

A successor that asked a process which was leaving already was handed everything.

Cause: `Giver._act` took RESUME and BEGIN_ANEW as if the process were to stay; nothing told it of SIGTERM.

Change: `Giver.leave`, called as SIGTERM is heard. From then on a loss makes nothing ready and begins nothing anew, and whoever asks is refused until the folder is free. A hand-over under way goes on.

Without the fix: readyz said +OK after SIGTERM (offered), the process did not end (given), the successor was told of the listener and the list.

--- /dev/null
+++ b/tests/test_crossings_handover.py
@@ -0,0 +1,157 @@
+"""Two events that cross while a process hands over: an outcome, the end of either process, SIGTERM, at each step."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from loopback import LIMIT_S, Call, Reply, Scene, run
+
+from wheelstep.journal import Journal
+from wheelstep.upgrade.channel import Channel, connect
+
+STEPS = {"offered": ("take over", "connections"), "given": ("received", "yours")}
+
+
+class Successor:
+    """A process that takes over step by step, in a test's hand."""
+
+    def __init__(self, folder: Path) -> None:
+        self.heard: list[dict[str, Any]] = []
+        self.lost = asyncio.Event()
+        self._news = asyncio.Event()
+        self.channel = Channel(connect(folder), self._note, self.lost.set)
+
+    def _note(self, head: dict[str, Any], body: bytes, descriptors: list[int]) -> None:
+        for descriptor in descriptors:
+            os.close(descriptor)
+        self.heard.append(head)
+        self._news.set()
+
+    def rows(self, what: str) -> list[Any]:
+        return [row for head in self.heard if head["is"] == what for row in head["rows"]]
+
+    async def wait(self, what: str) -> None:
+        async with asyncio.timeout(LIMIT_S):
+            while not any(head["is"] == what for head in self.heard):
+                self._news.clear()
+                await self._news.wait()
+
+    async def reach(self, step: str) -> None:
+        for name, (says, hears) in STEPS.items():
+            await self.channel.send({"do": says})
+            await self.wait(hears)
+            if name == step:
+                return
+
+
+@contextlib.asynccontextmanager
+async def calling(folder: Path) -> AsyncIterator[tuple[Scene, asyncio.Event]]:
+    """A courier with the call of `m` out; its answer comes once the event is set."""
+    scene, answer = Scene(folder, console=True), asyncio.Event()
+    async with scene as s:
+        async def late(call: Call) -> Reply | None:
+            await answer.wait()
+            return 200, {}, b""
+        s.endpoint.reply = late
+        assert await s.courier.hand_in("m") == 202
+        await s.endpoint.wait(1)
+        yield s, answer
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_an_outcome_belongs_to_whoever_owns_the_message_when_it_comes(tmp_path: Path, step: str) -> None:
+    async def play() -> None:
+        async with calling(tmp_path) as (s, answer):
+            successor = Successor(tmp_path / "state")
+            await successor.reach(step)
+            answer.set()
+            if step == "offered":
+                while not (await s.courier.figures())["passed.once"]:
+                    await asyncio.sleep(0.01)
+                await successor.channel.send({"do": "received"})
+                await successor.wait("yours")
+                assert not successor.rows("calls")
+            else:
+                await successor.wait("ended")
+                assert [row[:3] for row in successor.rows("ended")] == [["m", 0, "ok"]]
+                assert [row[2] for row in successor.rows("calls")] == [[["m", 0]]]
+            journal = Journal(tmp_path / "state", 3_000_000)  # the folder is free
+            assert ("m" in journal.messages) == (step == "given")
+            journal.close()
+            successor.channel.close()
+    run(play())
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_sigterm_during_a_handover_whose_successor_is_lost_ends_the_process(tmp_path: Path, step: str) -> None:
+    """Not ready again, nor begun anew: what it owes is the next process's."""
+    async def play() -> None:
+        async with calling(tmp_path) as (s, answer):
+            successor = Successor(tmp_path / "state")
+            await successor.reach(step)
+            s.courier.process.send_signal(signal.SIGTERM)
+            with contextlib.suppress(OSError):  # so that SIGTERM has been heard before the loss
+                for _ in range(20):
+                    await s.courier.call("readyz")
+            successor.channel.close()
+            ready = []
+            with contextlib.suppress(OSError):
+                while s.courier.process.returncode is None:
+                    ready.append((await s.courier.call("readyz")).startswith("+OK"))
+                    await asyncio.sleep(0.01)
+            assert await asyncio.wait_for(s.courier.process.wait(), 5) == 0 and not any(ready)
+            log = "".join(s.courier.log)
+            assert "Traceback" not in log and "beginning anew" not in log
+            await s.courier.start()
+            assert (await s.platform.wait_notice("m"))["outcome"] == "given_up"  # it may have run
+    run(play())
+
+
+def test_a_process_that_leaves_hands_nothing_over(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with calling(tmp_path) as (s, answer):
+            s.courier.process.send_signal(signal.SIGTERM)
+            while (await s.courier.call("readyz")).startswith("+OK"):
+                await asyncio.sleep(0.01)
+            successor = Successor(tmp_path / "state")
+            with contextlib.suppress(Exception):
+                await successor.channel.send({"do": "take over"})
+            await asyncio.wait_for(successor.lost.wait(), LIMIT_S)
+            assert not successor.heard
+            answer.set()
+            assert await asyncio.wait_for(s.courier.process.wait(), LIMIT_S) == 0
+    run(play())
+
+
+def test_a_successor_whose_giver_is_killed_goes_on_from_the_folder(tmp_path: Path) -> None:
+    """The giver is stopped before it answers the first step, and killed then."""
+    async def play() -> None:
+        async with calling(tmp_path) as (s, answer):
+            after = s.courier.successor()
+            after.listen = s.courier.listen
+            s.courier.process.send_signal(signal.SIGSTOP)
+            await after.begin()
+            link = tmp_path / "state" / "successor"
+            while not _asked(link):
+                await asyncio.sleep(0.01)
+            await s.courier.kill()
+            after.address = await asyncio.wait_for(after._serving, LIMIT_S)
+            answer.set()
+            assert (await s.platform.wait_notice("m"))["outcome"] == "given_up"
+            assert await after.hand_in("n") == 202
+            await s.endpoint.wait(2)
+            assert await after.terminate() == 0 and len(s.endpoint.calls) == 2
+    run(play())
+
+
+def _asked(link: Path) -> bool:
+    """Does a connection wait at the socket? The kernel lists one that was not accepted yet with its path."""
+    lines = [line.split() for line in Path("/proc/net/unix").read_text().splitlines()]
+    return sum(line[-1].endswith(f"/{link.name}") and line[5] != "01" for line in lines if len(line) == 8) > 0
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -110,6 +110,8 @@
                      config.name, config.listen.host, port, len(journal.messages), config.settings.slots,
                      config.settings.hold_limit, config.sockets)
             await terminated.wait()
+            if giver is not None:
+                giver.leave()
             if giver is not None and giver.given:
                 await core.outlet.finish(LEAVE_S)
             else:
--- a/wheelstep/upgrade/giver.py
+++ b/wheelstep/upgrade/giver.py
@@ -36,6 +36,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._channel: Channel | None = None
         self._limit: asyncio.TimerHandle | None = None
+        self._leaving = False
 
     @property
     def given(self) -> bool:
@@ -63,6 +64,8 @@
         for descriptor in descriptors:
             os.close(descriptor)
         match head.get("do"):
+            case "take over" if self._leaving:
+                channel.close()  # it asks until the folder is free
             case "take over":
                 self._act(self._handover.asked(channel), channel)
             case "received":
@@ -87,8 +90,10 @@
                 log.warning("the successor was lost: this process goes on")
                 self._end_limit()
                 self._core.thaw()
-                self._core.ready = True
+                self._core.ready = not self._leaving
                 self._spawn(self._inlet.resume())
+            case Do.BEGIN_ANEW if self._leaving:
+                log.error("the successor was lost while it took over: what is owed is left to the next process")
             case Do.BEGIN_ANEW:
                 log.error("the successor was lost while it took over: beginning anew from the folder")
                 os.execv(sys.executable, [sys.executable, *sys.orig_argv[1:]])
@@ -154,6 +159,11 @@
         if self._channel is not None:
             self._spawn(self._channel.send({"is": "ended", "endpoint": endpoint, "rows": rows}))
 
+    def leave(self) -> None:
+        """This process is to end (SIGTERM): a handover under way goes on, none begins, and one that fails brings
+        nothing back. Guards against a process that is ready again, or begins anew, after it was told to end."""
+        self._leaving = True
+
     def stop(self) -> None:
         """Close everything; what a successor has stays its."""
         self._end_limit()
