The watch, the notices and their place at discovery are files of their own

courier/platform.py held three concerns and hid a standard module's name. Now watch.py (the watch on the list), listing.py (what a list's text says, no I/O), notices.py and place.py (the address that SIGHUP moves).

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -12,7 +12,7 @@
 from wheelstep.courier.call import Result
 from wheelstep.courier.config import Config, load
 from wheelstep.courier.core import Core
-from wheelstep.courier.platform import entries
+from wheelstep.courier.listing import entries
 from wheelstep.interface import Outcome
 from wheelstep.journal import Journal
 
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -13,10 +13,10 @@
 
 from wheelstep import Settings
 from wheelstep import interface as api
-from wheelstep.courier import platform
+from wheelstep.courier import watch as watches
 from wheelstep.courier.config import Address, Names
-from wheelstep.courier.platform import Watch
 from wheelstep.courier.spread import AGAIN_S, CALL_S, FIRST_MOST_S, STEPS, callers, wait_s
+from wheelstep.courier.watch import Watch
 
 FLEET = 40
 
@@ -85,7 +85,7 @@
         def wait(couriers: int, failures: int, rng: random.Random, lasted_s: float = 0.0) -> float:
             asked.append(failures)
             return 0.0
-        monkeypatch.setattr(platform, "wait_s", wait)
+        monkeypatch.setattr(watches, "wait_s", wait)
         first, second = Platform(), Platform()
         address = Address.parse(await first.start())
         async with aiohttp.ClientSession() as http:
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -18,9 +18,11 @@
 from wheelstep.courier.core import Core
 from wheelstep.courier.inlet import Inlet
 from wheelstep.courier.leaving import LEAVE_S, leave
+from wheelstep.courier.listing import entries
+from wheelstep.courier.notices import Notices
 from wheelstep.courier.opening import account, obtain, open_console, open_journal, recorder
-from wheelstep.courier.platform import Notices, Watch, entries
 from wheelstep.courier.spread import callers
+from wheelstep.courier.watch import Watch
 from wheelstep.journal import Journal
 
 if TYPE_CHECKING:  # what is off is not imported
--- a/wheelstep/rehearsal/broken/lost.py
+++ b/wheelstep/rehearsal/broken/lost.py
@@ -5,7 +5,7 @@
 import json
 
 from wheelstep.courier.core import Core
-from wheelstep.courier.platform import Notices
+from wheelstep.courier.notices import Notices
 from wheelstep.journal import Journal
 from wheelstep.journal.segments import Log, Segment
 
--- a/wheelstep/rehearsal/fronts/standalone.py
+++ b/wheelstep/rehearsal/fronts/standalone.py
@@ -18,8 +18,9 @@
 
 from wheelstep import interface as api
 from wheelstep.courier.config import Address, Config, load
-from wheelstep.courier.platform import Watch, entries
+from wheelstep.courier.listing import entries
 from wheelstep.courier.rows import Row
+from wheelstep.courier.watch import Watch
 from wheelstep.standalone import model, serve
 
 _EFFECTS = {"repeatable": "safe", "by_key": "keyed", "once": "unsafe"}
--- a/wheelstep/standalone/serve.py
+++ b/wheelstep/standalone/serve.py
@@ -20,8 +20,8 @@
 from wheelstep.courier.core import Core
 from wheelstep.courier.inlet import Inlet
 from wheelstep.courier.leaving import leave
+from wheelstep.courier.notices import Notices
 from wheelstep.courier.opening import open_journal
-from wheelstep.courier.platform import Notices
 from wheelstep.courier.rows import Row
 from wheelstep.standalone.ends import Ends
 from wheelstep.standalone.folder import Folder, merged
--- a/wheelstep/standalone/told.py
+++ b/wheelstep/standalone/told.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from wheelstep.courier.core import Core
-from wheelstep.courier.platform import Notices
+from wheelstep.courier.notices import Notices
 from wheelstep.standalone.ends import End, Ends
 from wheelstep.standalone.front import Front, mirrored, tenant_of
 
--- a/wheelstep/workers/supervisor.py
+++ b/wheelstep/workers/supervisor.py
@@ -17,9 +17,10 @@
 from wheelstep import interface as api
 from wheelstep.courier.__main__ import follow_config
 from wheelstep.courier.config import Address, Config
-from wheelstep.courier.platform import Watch, entries
+from wheelstep.courier.listing import entries
 from wheelstep.courier.rows import Row, write_rows
 from wheelstep.courier.spread import callers
+from wheelstep.courier.watch import Watch
 from wheelstep.workers import ownership
 from wheelstep.workers.frames import Frames
 from wheelstep.workers.layout import Layout
--- a/wheelstep/workers/worker.py
+++ b/wheelstep/workers/worker.py
@@ -24,8 +24,8 @@
 from wheelstep.courier.desk import Desk
 from wheelstep.courier.inlet import Inlet
 from wheelstep.courier.leaving import leave
+from wheelstep.courier.notices import Notices
 from wheelstep.courier.opening import account, open_journal, recorder
-from wheelstep.courier.platform import Notices
 from wheelstep.courier.rows import Row, read_rows
 from wheelstep.journal import FolderInUseError, Journal
 from wheelstep.workers.closed import ClosedDesk
