A silent watch stays open beside its successor, and silence counts from the last whole line

Seen, on loopback with a stand-in that forces each case: after a silence whose successor was silent too (no head, no line, half a line) news was known after 9.5 s, told counts 6 s; a successor that dribbled bytes was never given up (over 12 s, where the check ended); with discovery down for 9.1 s no request was open at its return; an indented list was never known; a watch opened after a break went over the kept connection of the notices; SIGHUP during the wait after a call that was turned away (200 couriers that ask) was heeded after that wait only. Ruled out: a line of the old place in the turn of a move (the old code passes too).

At fault: Watch._follow gave each step a clock of its own (sock_connect 2.0, sock_read 4.5, restarted by every byte) and ended the old watch before it opened the next; readline and json.loads a line; run slept through a move; one session for notices and watch.

Now hedge.py decides without I/O: at 2.5 s of silence, counted from the last whole line or object, the next watch is opened beside the silent one, two at most, and whichever speaks first ends the other. Couriers that ask for themselves spread these first calls over what is left of the 6 s less one for the answer, and back off as after a failure from the second on; one that was well for 6 s and is lost counts as no failure; after a move calls spread over 3 s (4 s count). Entries that can't be read are one counted line of log.

--- /dev/null
+++ b/tests/test_crossings_listing.py
@@ -0,0 +1,99 @@
+"""What decides on the watch, without sockets: objects out of bytes, and when which watch is opened and counts."""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+
+import pytest
+from silent_agent import changes
+
+from wheelstep.courier.hedge import Hedge
+from wheelstep.courier.listing import Listing
+from wheelstep.courier.spread import ANSWER_S, HEARTBEAT_S, MOVED_S, SILENT_S, TOLD_S, wait_s
+
+
+@pytest.mark.parametrize("indent", [None, 1])
+@pytest.mark.parametrize("end", [b"\n", b"\r\n"])
+def test_a_list_may_be_laid_out_in_any_way_and_cut_at_every_byte(indent: int | None, end: bytes) -> None:
+    lists = [changes(1, whole=True, note='"}{\\', more={"a": [{}]}), changes(2), changes(3, hosts=[])]
+    texts = [json.dumps(one, indent=indent).encode().replace(b"\n", end) for one in lists]
+    text = end + texts[0] + end + end + texts[1] + texts[2] + end
+    for step in (1, len(text), *range(1, len(text), 7)):
+        listing = Listing()
+        found = [one for at in range(0, len(text), step) for one in listing.feed(text[at:at + step])]
+        assert [one for one in found if one] == lists and found.count(None) >= 3
+        listing, cut = Listing(), step
+        assert [one for part in (text[:cut], text[cut:]) for one in listing.feed(part) if one] == lists
+
+
+def test_what_is_no_list_or_too_long_costs_one_line_and_bounded_memory(caplog: pytest.LogCaptureFixture) -> None:
+    listing = Listing(most=1000)
+    long = json.dumps({"seq": 1, "hosts": ["x" * 50] * 1000}).encode()
+    found = []
+    for at in range(0, len(long), 100):
+        found += list(listing.feed(long[at:at + 100]))
+        assert len(listing._held) <= 1100
+    assert found == [None] and list(listing.feed(b'\n{"seq":2}')) == [None, {"seq": 2}]
+    assert [record.getMessage() for record in caplog.records].count(
+        "discovery: passed over a list of more than 1000 bytes, 1 on this watch") == 1
+    for junk in (b"no json\n", b"[1]\n", b"}\n", b'{"a" 1}', b'{"n":' + b"9" * 5000 + b"}"):
+        with pytest.raises(ValueError):
+            list(Listing().feed(junk))
+    assert list(Listing().feed(b'{"seq":3}\n{"seq":4,"ho')) == [{"seq": 3}, None]
+
+
+def test_two_hundred_that_fall_silent_at_once_spread_over_what_is_left_and_back_off_after() -> None:
+    for seed in range(20):
+        fleet = [Hedge(200, random.Random(f"{seed} {number}"), 0.0) for number in range(200)]
+        first, second = [], []
+        for hedge in fleet:
+            hedge.spoke(hedge.begin(hedge.due_s)[0], now_s := 100.0)
+            first.append(hedge.due_s - now_s)
+            hedge.begin(hedge.due_s)
+            second.append(hedge.due_s - now_s)
+        assert min(first) >= SILENT_S and max(first) <= TOLD_S - ANSWER_S
+        assert max(sum(at <= one < at + 0.5 for one in first) for at in (2.5, 3.0, 3.5, 4.0, 4.5)) < 70
+        assert min(second) >= SILENT_S + wait_s(200, 1, random.Random(1)) / 2  # as after a call that was turned away
+        for hedge in fleet:  # one that is turned away, or breaks at once, backs off too
+            number, _ = hedge.begin(at := hedge.due_s)
+            hedge.ended(number, at + 0.1)
+            assert hedge.due_s - at >= 19.9
+    lost = Hedge(200, random.Random(1), 0.0)
+    lost.spoke(number := lost.begin(0.0)[0], 50.0)
+    lost.ended(number, 50.0)
+    assert lost.due_s <= 55.0  # well for long, and lost: not a call that failed
+
+
+def test_any_order_of_events_keeps_two_open_at_most_and_a_next_call_in_time() -> None:
+    seed = int(os.environ.get("CROSSINGS_SEED", random.randrange(1 << 30)))
+    print(f"CROSSINGS_SEED={seed}")
+    rng = random.Random(seed)
+    for _ in range(300):
+        couriers, now_s = rng.choice((1, 1, 3, 200)), 0.0
+        hedge, opened = Hedge(couriers, rng, 0.0, 40.0), set[int]()
+        for _ in range(60):
+            event = rng.choice(("due", "due", "spoke", "ended", "stale", "move"))
+            now_s = max(now_s, hedge.due_s) if event == "due" else now_s + rng.uniform(0.0, 0.5)
+            if event == "due":
+                number, ended = hedge.begin(now_s)
+                opened = {*opened, number} - set(ended)
+            elif event == "spoke" and opened:
+                one = rng.choice(sorted(opened))
+                assert set(hedge.spoke(one, now_s)) == opened - {one}
+                opened = {one}
+                assert HEARTBEAT_S < hedge.due_s - now_s <= TOLD_S - ANSWER_S + 1e-9
+            elif event == "ended" and opened:
+                hedge.ended(one := rng.choice(sorted(opened)), now_s)
+                opened.discard(one)
+            elif event == "stale":
+                due_s = hedge.due_s
+                hedge.ended(-1, now_s)
+                assert hedge.due_s == due_s
+            elif event == "move":
+                assert set(hedge.move(now_s)) == opened
+                opened = set()
+                assert hedge.due_s - now_s <= MOVED_S - ANSWER_S + 1e-9
+            assert len(opened) <= 2 and all(one in hedge for one in opened)
+            assert hedge.due_s - now_s <= (SILENT_S if couriers == 1 else 40.0) + 1e-9
--- /dev/null
+++ b/tests/test_crossings_watch.py
@@ -0,0 +1,239 @@
+"""The watch on the list: every silence that the platform's pages name, forced on loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+
+import pytest
+from loopback import Courier, run
+from silent_agent import Follower, SilentAgent, changes
+
+from wheelstep.courier.spread import MOVED_S, SILENT_S, TOLD_S
+from wheelstep.interface import ListKind
+
+GRACE_S = 0.25  # what the settings of the site allow a courier after it was told of a drain
+
+
+def together(*scenes: Coroutine[Any, Any, None]) -> None:
+    """Scenes that wait for the clock wait side by side."""
+    async def all_of_them() -> None:
+        async with asyncio.TaskGroup() as group:
+            for scene in scenes:
+                group.create_task(scene)
+    run(all_of_them())
+
+
+async def known_again(agent: SilentAgent, fill: float = 0.0) -> None:
+    """A watch is well, then silent as the script says; news that came at that moment is known in time."""
+    loop = asyncio.get_running_loop()
+    follower = Follower(await agent.start())
+    await follower.until(1)
+    silent_at, agent.seq = loop.time(), 2
+    agent.opened[0][0].hush()
+    if agent.last == "ends":
+        agent.opened[0][0].abort()
+    if fill:  # connections hang from now on, and come up again after so long
+        fillers = await agent.fill()
+        await asyncio.sleep(fill)
+        for filler in fillers:
+            filler.close()
+        await agent.port.listen()
+    assert await follower.until(2) - silent_at < TOLD_S, [link.word for link, _ in agent.opened]
+    await agent.until(lambda: len(agent.alive()) == 1)  # the one that spoke
+    await follower.stop()
+    agent.close()
+
+
+def test_after_any_silence_the_list_is_known_before_it_counts_as_told() -> None:
+    """Without the mend: 9.5 s where the successor is silent too; one that dribbles was never given up."""
+    words = ("mute", "head", "dribble", "half", "spaces", "full", "break")
+    together(*(known_again(SilentAgent("well", word, "well")) for word in words), known_again(SilentAgent("well")),
+             known_again(SilentAgent("well"), fill=4.0))
+
+
+async def silent_watch(word: str) -> None:
+    """The first watch itself never gets to a whole line."""
+    loop = asyncio.get_running_loop()
+    agent, began = SilentAgent(word, word, "well"), loop.time()
+    follower = Follower(await agent.start())
+    assert await follower.until(1) - began < TOLD_S
+    await follower.stop()
+    agent.close()
+
+
+def test_the_clock_of_silence_is_one_for_all_steps_and_belongs_to_the_last_whole_line() -> None:
+    together(*(silent_watch(word) for word in ("mute", "head", "dribble", "half", "spaces")))
+
+
+async def outage(down_s: float) -> None:
+    """The agent takes connections and says nothing; at its return it speaks on all that stand."""
+    loop = asyncio.get_running_loop()
+    agent = SilentAgent("well", "mute")
+    follower = Follower(await agent.start())
+    await follower.until(1)
+    agent.opened[0][0].hush()
+    await asyncio.sleep(down_s)
+    assert 1 <= len(agent.alive()) <= 2
+    back_at, agent.seq, agent.last = loop.time(), 2, "well"
+    for link in agent.alive():
+        if link.word == "mute":
+            link.play("well")
+    if agent.alive()[0].word == "well":  # not given up yet
+        agent.opened[0][0].say(json.dumps(changes(2)).encode() + b"\n")
+    assert await follower.until(2) - back_at < GRACE_S
+    await follower.stop()
+    agent.close()
+
+
+def test_while_discovery_is_down_a_request_always_waits_for_its_return() -> None:
+    """It is down for 8 s and the last line was up to 2 s before. Without the mend: none was open at 9.1 s and later, in
+    the wait between the second that was given up and the next."""
+    together(*(outage(down_s) for down_s in (SILENT_S, 2 * SILENT_S, 2 * SILENT_S + 0.1, 9.1, 9.2, 9.3)))
+
+
+def test_the_older_watch_may_speak_first_and_both_may_in_one_turn() -> None:
+    async def older_first() -> None:
+        agent = SilentAgent("well", "mute", "well")
+        follower = Follower(await agent.start())
+        await follower.until(1)
+        agent.opened[0][0].hush()
+        await agent.until(lambda: len(agent.opened) == 2)
+        agent.opened[0][0].say(b"\n" + json.dumps(changes(2)).encode())
+        await follower.until(2)
+        await agent.until(lambda: agent.opened[1][0].gone)
+        assert len(agent.alive()) == 1 and agent.opened[1][1] == 1
+        await follower.stop()
+        agent.close()
+
+    async def one_turn(order: tuple[int, int]) -> None:
+        agent = SilentAgent("well", "mute", "well")
+        follower = Follower(await agent.start())
+        await follower.until(1)
+        agent.opened[0][0].hush()
+        await agent.until(lambda: len(agent.opened) == 2)
+        agent.seq = 3
+        for index in order:  # both are written before either is read
+            if index:
+                agent.opened[1][0].play("well")
+            else:
+                agent.opened[0][0].say(json.dumps(changes(3)).encode() + b"\n")
+        await follower.until(3)
+        await agent.until(lambda: len(agent.alive()) == 1)
+        assert len(follower.heard) == 2  # the first list, and this version once
+        await follower.stop()
+        agent.close()
+    together(older_first(), one_turn((0, 1)), one_turn((1, 0)))
+
+
+def test_a_move_outruns_what_the_place_before_has_written_and_any_wait(caplog: pytest.LogCaptureFixture) -> None:
+    """Without the mend: after a call that was turned away the wait of 10 s and more was sat out."""
+    async def scene(couriers: int, seed: int) -> None:
+        before, after = SilentAgent("well"), SilentAgent("well")
+        follower = Follower(await before.start(), couriers, seed)
+        await follower.until(1)
+        moved_at = asyncio.get_running_loop().time()
+        before.opened[0][0].say(json.dumps(changes(99)).encode() + b"\n")
+        follower.watch.move(await after.start())  # in the turn in which that was written
+        after.seq = 7
+        assert await follower.until(7) - moved_at < (MOVED_S if couriers > 1 else GRACE_S)
+        assert after.opened[0][1] == 0 and [names for _, names in follower.heard] == [["e1"], ["e7"]]
+        await before.until(lambda: not before.alive())
+        await follower.stop()
+        before.close()
+        after.close()
+
+    async def in_a_wait() -> None:
+        """Couriers that ask for themselves wait long after a call that was turned away."""
+        before, after = SilentAgent("full"), SilentAgent("well")
+        follower = Follower(await before.start(), 200, 5)
+        while "watch ended" not in caplog.text:
+            await asyncio.sleep(0.01)
+        moved_at = asyncio.get_running_loop().time()
+        follower.watch.move(await after.start())
+        assert await follower.until(1) - moved_at < MOVED_S
+        await follower.stop()
+        before.close()
+        after.close()
+    caplog.set_level(logging.INFO)
+    together(in_a_wait(), *(scene(couriers, seed) for couriers in (1, 200) for seed in range(4)))
+
+
+@pytest.mark.parametrize("indent", [None, 1])
+def test_a_list_may_come_indented_and_in_pieces_and_the_watch_goes_on(indent: int | None) -> None:
+    """Without the mend: an indented list ended the watch at its first line, and none was ever known."""
+    async def scene() -> None:
+        agent = SilentAgent("head")
+        follower = Follower(await agent.start())
+        await agent.until(lambda: agent.opened)
+        lists = [changes(1, whole=True, note='"}{\\'), changes(2), changes(3, hosts=[])]
+        text = b"\r\n".join(json.dumps(one, indent=indent).encode() for one in lists).replace(b"\n", b"\r\n")
+        for at in range(0, len(text), 50):
+            agent.opened[0][0].say(text[at:at + 50])
+            await asyncio.sleep(0)
+        await follower.until(3)
+        assert len(agent.opened) == 1 and follower.heard == [
+            (ListKind.WHOLE, ["e1"]), (ListKind.CHANGES, ["e2"]), (ListKind.CHANGES, [])]
+        await follower.stop()
+        agent.close()
+    run(scene())
+
+
+def test_rows_that_cannot_be_read_cost_one_line_and_the_others_count(caplog: pytest.LogCaptureFixture) -> None:
+    async def scene() -> None:
+        agent = SilentAgent("head")
+        follower = Follower(await agent.start())
+        await agent.until(lambda: agent.opened)
+        rows = [{"host": number} for number in range(50)] + changes(1)["hosts"]
+        agent.opened[0][0].say(json.dumps(changes(1, hosts=rows)).encode() + b"\n")
+        await follower.until(1)
+        assert follower.heard == [(ListKind.CHANGES, ["e1"])]
+        assert [record.getMessage()[:45] for record in caplog.records if "passed over" in record.getMessage()] == [
+            "discovery: passed over 50 of 51 entries, the "]
+        await follower.stop()
+        agent.close()
+    run(scene())
+
+
+def test_a_watch_never_goes_over_a_connection_that_notices_left(tmp_path: Path) -> None:
+    """Without the mend: the watch after a break took the kept connection of the notices, silent since."""
+    async def scene() -> None:
+        agent = SilentAgent("well")
+        await agent.start()
+        courier = Courier(tmp_path, agent)  # type: ignore[arg-type]
+        await courier.start()
+        assert await courier.hand_in("m1", X_Deadline_Ms="1") == 202
+        await agent.until(lambda: agent.taken)
+        agent.opened[0][0].abort()
+        await agent.until(lambda: len(agent.opened) == 2)
+        assert agent.opened[1][0].posts == 0
+        await courier.kill()
+        agent.close()
+    run(scene())
+
+
+def test_sighup_in_the_middle_of_a_silence_moves_the_watch_and_what_is_owed(tmp_path: Path) -> None:
+    async def scene() -> None:
+        before, after = SilentAgent("well"), SilentAgent("well")
+        before.takes = False
+        await before.start()
+        await after.start()
+        courier = Courier(tmp_path, before)  # type: ignore[arg-type]
+        await courier.start()
+        before.opened[0][0].hush()
+        assert await courier.hand_in("m1", X_Deadline_Ms="1") == 202
+        await before.until(lambda: any(link.posts for link in before.links))
+        after.seq = 7
+        courier.renew(courier.config(after))  # type: ignore[arg-type]
+        async with asyncio.timeout(MOVED_S):
+            await after.until(lambda: after.taken and after.opened)
+        assert b"m1" in after.taken[0] and after.opened[0][1] == 0
+        await before.until(lambda: not before.alive())
+        await courier.kill()
+        before.close()
+        after.close()
+    run(scene())
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -7,13 +7,12 @@
 import random
 from pathlib import Path
 
-import aiohttp
 import pytest
 from loopback import SETTINGS, Call, Courier, Endpoint, Platform, Reply, host, run
 
 from wheelstep import Settings
 from wheelstep import interface as api
-from wheelstep.courier import watch as watches
+from wheelstep.courier import hedge
 from wheelstep.courier.config import Address, Names
 from wheelstep.courier.spread import AGAIN_S, CALL_S, FIRST_MOST_S, STEPS, callers, wait_s
 from wheelstep.courier.watch import Watch
@@ -57,11 +56,10 @@
             return 503, {}, b""
         discovery.reply = full
         address = Address.parse(await discovery.start())
-        async with aiohttp.ClientSession() as http:
-            watch = Watch(http, address, Names((), (), (), ()), 0, lambda kind, rows: None, couriers=1, seed=5)
-            running = asyncio.create_task(watch.run())
-            await discovery.wait(4)
-            running.cancel()
+        watch = Watch(address, Names((), (), (), ()), 0, lambda kind, rows: None, couriers=1, seed=5)
+        running = asyncio.create_task(watch.run())
+        await discovery.wait(4)
+        running.cancel()
         gaps = [after - before for before, after in zip(calls, calls[1:], strict=False)]
         assert gaps[1] >= AGAIN_S and gaps[2] >= 1.9 * AGAIN_S
     run(scene())
@@ -82,19 +80,19 @@
     async def scene() -> None:
         asked = []
 
-        def wait(couriers: int, failures: int, rng: random.Random, lasted_s: float = 0.0) -> float:
+        def wait(couriers: int, failures: int, rng: random.Random, lasted_s: float = 0.0,
+                 most_s: float = 0.0) -> float:
             asked.append(failures)
             return 0.0
-        monkeypatch.setattr(watches, "wait_s", wait)
+        monkeypatch.setattr(hedge, "wait_s", wait)
         first, second = Platform(), Platform()
         address = Address.parse(await first.start())
-        async with aiohttp.ClientSession() as http:
-            watch = Watch(http, address, Names((), (), (), ()), 0, lambda kind, rows: None, couriers=1, seed=5)
-            running = asyncio.create_task(watch.run())
-            await first.wait_watches(1)
-            watch.move(Address.parse(await second.start()))
-            await second.wait_watches(1)
-            running.cancel()
+        watch = Watch(address, Names((), (), (), ()), 0, lambda kind, rows: None, couriers=1, seed=5)
+        running = asyncio.create_task(watch.run())
+        await first.wait_watches(1)
+        watch.move(Address.parse(await second.start()))
+        await second.wait_watches(1)
+        running.cancel()
         assert asked == [0, 0]
         await first.stop()
         await second.stop()
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -21,7 +21,7 @@
 from wheelstep.courier.listing import entries
 from wheelstep.courier.notices import Notices
 from wheelstep.courier.opening import account, obtain, open_console, open_journal, recorder
-from wheelstep.courier.spread import callers
+from wheelstep.courier.spread import callers, longest_s
 from wheelstep.courier.watch import Watch
 from wheelstep.journal import Journal
 
@@ -74,8 +74,8 @@
         seq, rows = config.known.get("seq", 0), entries(config.known, config.names)
         if taker is not None and taker.taken.rows:
             seq, rows = taker.taken.seq, taker.taken.rows
-        watch = Watch(http, config.discovery, config.names, seq if isinstance(seq, int) else 0, core.listed,
-                      callers(config.settings), config.seed)
+        watch = Watch(config.discovery, config.names, seq if isinstance(seq, int) else 0, core.listed,
+                      callers(config.settings), config.seed, longest_s(config.settings))
         core.listed(api.ListKind.RESTORED, rows)
         async with asyncio.TaskGroup() as group:  # a task that dies ends the process with its traceback
             tasks = [group.create_task(work) for work in
--- a/wheelstep/courier/spread.py
+++ b/wheelstep/courier/spread.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 from wheelstep.interface import Settings
 
+HEARTBEAT_S = 2.0  # while nothing changes, a watch brings an empty line so often (PROTOCOL, 'Discovery')
+TOLD_S = 6.0  # news counts as told so long after a watch fell silent (STANDING; PROTOCOL, 'Figures')
+MOVED_S = 4.0  # and so long after SIGHUP (STANDING)
+ANSWER_S = 1.0  # of these, left for the answer: discovery gets calls of all couriers, and a long list takes reading
+SILENT_S = (TOLD_S - ANSWER_S) / 2  # a quarter over a heartbeat: a call, and one after a silent call, fit in
 AGAIN_S = 0.25  # the shortest wait before a call that failed is tried again
-FIRST_MOST_S = 5.0  # what discovery has to tell counts as told after 6 s (PROTOCOL, 'Figures'), also where nobody asked
+FIRST_MOST_S = TOLD_S - ANSWER_S  # a start: also where nobody asked
 CALL_S = 0.1  # for each courier that there is, the calls of all are spread over so long
 STEPS = 2  # so often the span doubles from failure to failure
 
@@ -18,19 +24,39 @@
     return settings.senders if settings.ask_for_list else 1
 
 
-def wait_s(couriers: int, failures: int, rng: random.Random, lasted_s: float = 0.0) -> float:
+def longest_s(settings: Settings) -> float:
+    """The longest wait after failures: a courier whose call failed and that has not asked for four times
+    `ask_within_us` counts as told (WIRE, 'Settings')."""
+    return settings.ask_within_us * 4 / 1e6 or math.inf
+
+
+def wait_s(couriers: int, failures: int, rng: random.Random, lasted_s: float = 0.0, most_s: float = math.inf) -> float:
     """Seconds to wait before the next call, after so many failed ones in a row (0: the first since a start, or
-    since the place moved). `lasted_s`: for so long the call before had gone on.
+    since the place moved or a watch was lost). `lasted_s`: for so long the call before had gone on.
 
-    Jitter over a span that grows with the number of couriers and doubles with each failure. Guards a place that takes
-    so many calls a second from all couriers, turned-away ones among them, against all at once, as at a release; and
-    against being kept there by their repeated calls. It harms a courier that alone had bad luck: it hears of changes
-    some seconds later. One courier begins at once, and its first two calls begin `AGAIN_S` apart; see
+    Jitter over a span that grows with the number of couriers and doubles with each failure, up to `most_s`. Guards a
+    place that takes so many calls a second from all couriers, turned-away ones among them, against all at once, as at a
+    release; and against being kept there by their repeated calls. It harms a courier that alone had bad luck: it hears
+    of changes some seconds later. One courier begins at once, and its first two calls begin `AGAIN_S` apart; see
     `callers`."""
     if couriers <= 1 and failures == 1:
         return max(0.0, AGAIN_S - lasted_s)
     span_s = max(couriers - 1, 0) * CALL_S
     if not failures:
-        return rng.uniform(0.0, min(span_s, FIRST_MOST_S))
-    span_s = max(span_s, AGAIN_S) * 2 ** min(failures - 1, STEPS)
+        return rng.uniform(0.0, min(span_s, FIRST_MOST_S, most_s))
+    span_s = min(max(span_s, AGAIN_S) * 2 ** min(failures - 1, STEPS), most_s)
     return max(AGAIN_S, rng.uniform(span_s / 2, span_s))
+
+
+def silent_s(couriers: int, failures: int, rng: random.Random, most_s: float = math.inf) -> float:
+    """Seconds of silence after which a watch is opened beside the one that says nothing. `failures`: so many calls
+    in a row, that one among them where it was opened in a silence, said nothing either or were turned away.
+
+    All may have fallen silent at once, and news counts as told `TOLD_S` after that: first calls are spread over
+    what is left of it and no further. A call that has no answer may have met an outage: from then on as if it had
+    failed. An agent beside the courier is asked at no cost: as soon as it is seen, and again and again."""
+    if couriers <= 1:
+        return SILENT_S
+    if not failures:
+        return SILENT_S + rng.uniform(0.0, min((couriers - 1) * CALL_S, TOLD_S - ANSWER_S - SILENT_S))
+    return max(SILENT_S, wait_s(couriers, failures, rng, most_s=most_s))
--- a/wheelstep/rehearsal/fronts/standalone.py
+++ b/wheelstep/rehearsal/fronts/standalone.py
@@ -14,8 +14,6 @@
 from collections.abc import Mapping
 from typing import Any
 
-import aiohttp
-
 from wheelstep import interface as api
 from wheelstep.courier.config import Address, Config, load
 from wheelstep.courier.listing import entries
@@ -105,8 +103,8 @@
     async def run(self) -> None:
         """Until SIGTERM."""
         courier = serve.Courier(self._path, model.load(self._path))
-        async with aiohttp.ClientSession(auto_decompress=False, trust_env=False) as http, asyncio.TaskGroup() as group:
-            watch = Watch(http, self._config.discovery, self._config.names, 0, self._listed)
+        async with asyncio.TaskGroup() as group:
+            watch = Watch(self._config.discovery, self._config.names, 0, self._listed)
             following = group.create_task(watch.run())
             await courier.serve(self._renewed)
             following.cancel()
--- a/wheelstep/workers/supervisor.py
+++ b/wheelstep/workers/supervisor.py
@@ -12,14 +12,12 @@
 from collections.abc import Iterable, Sequence
 from typing import TYPE_CHECKING, Any
 
-import aiohttp
-
 from wheelstep import interface as api
 from wheelstep.courier.__main__ import follow_config
 from wheelstep.courier.config import Address, Config
 from wheelstep.courier.listing import entries
 from wheelstep.courier.rows import Row, write_rows
-from wheelstep.courier.spread import callers
+from wheelstep.courier.spread import callers, longest_s
 from wheelstep.courier.watch import Watch
 from wheelstep.workers import ownership
 from wheelstep.workers.frames import Frames
@@ -63,10 +61,10 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, terminated.set)
         seq = self._config.known.get("seq", 0)
-        async with aiohttp.ClientSession(auto_decompress=False, trust_env=False) as http, \
-                asyncio.TaskGroup() as self._group:
-            watch = Watch(http, self._config.discovery, self._config.names, seq if isinstance(seq, int) else 0,
-                          self._listed, callers(self._config.settings), self._config.seed)
+        async with asyncio.TaskGroup() as self._group:
+            watch = Watch(self._config.discovery, self._config.names, seq if isinstance(seq, int) else 0,
+                          self._listed, callers(self._config.settings), self._config.seed,
+                          longest_s(self._config.settings))
             tasks = [self._group.create_task(work) for work in (
                 self._tick(), watch.run(),
                 follow_config(self._config, renewed, watch, self, heeded=self._reload))]
