A notice that a kept connection swallowed goes out anew within its 300 ms

Seen: with a stand-in that answers the first request of each connection and none after it, fifty notices took 12.6 s each time: 2 s until the silence was noticed, 0.25 s of waiting, then one notice alone, and the next fifty over the kept connection again. Where the agent cut the connection in place of an answer, over 10 s in the same way.

At fault: Notices.run treated the first failure as a notice that is not taken (wait, alone, last); Notices._post waited 2 s for an answer that comes at once.

Now the first try has half of the 300 ms, the first failure is followed at once by the same notices on a fresh connection, and only the second in a row means alone, last and a wait. The limit doubles from try to try up to the 2 s of before, for an agent that is only slow.

--- a/wheelstep/courier/notices.py
+++ b/wheelstep/courier/notices.py
@@ -5,29 +5,59 @@
 import asyncio
 import json
 import logging
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from itertools import islice
 from typing import Any
 
 import aiohttp
 
 from wheelstep.courier.config import Address
-from wheelstep.courier.place import Place
 
-_AGAIN_S = 0.25  # before a notice that was not taken is sent again: the agent beside us takes it, at no cost
+_ANSWERED_S = 0.3  # after a message's time is up its notice must have been answered (PROTOCOL, 'The rules on sockets')
+_FIRST_TRY_S = _ANSWERED_S / 2  # it is answered at once: what is silent for half of that is a connection that is gone
+_MOST_TRY_S = 2.0  # doubled from try to try up to this, for an agent that is only slow
+_AGAIN_S = 0.25  # between tries from the second on: the agent beside us takes them, at no cost
 _MOST_LINES = 200  # notices in one request
 
 log = logging.getLogger(__name__)
 
 
+class _Place:
+    """Where something of the platform is found, and the exchange that is under way with it."""
+
+    def __init__(self, discovery: Address, path: str) -> None:
+        self._path = path
+        self._exchange: asyncio.Timeout | None = None
+        self.move(discovery)
+
+    def move(self, discovery: Address) -> None:
+        """From now on it is there. Guards against waiting for one that has gone: what is under way ends with
+        `TimeoutError`."""
+        self._url = f"http://{discovery.host}:{discovery.port}{self._path}"
+        if self._exchange is not None:
+            self._exchange.reschedule(asyncio.get_running_loop().time())
+
+    @asynccontextmanager
+    async def exchange(self) -> AsyncIterator[str]:
+        """Its address, for one exchange."""
+        async with asyncio.timeout(None) as self._exchange:
+            try:
+                yield self._url
+            finally:
+                self._exchange = None
+
+
 class Notices:
     """Tells the platform of every message that ended undelivered, again and again until it is answered."""
 
     def __init__(self, http: aiohttp.ClientSession, discovery: Address,
                  answered: Callable[[list[str]], None]) -> None:
         self._http, self._answered = http, answered
-        self._place = Place(discovery, "/v1/outcomes")
+        self._place = _Place(discovery, "/v1/outcomes")
         self._owed: dict[str, bytes] = {}
         self._any = asyncio.Event()
+        self._failures = 0  # in a row
 
     def move(self, discovery: Address) -> None:
         """What is unanswered goes to another address."""
@@ -43,18 +73,19 @@
 
     async def run(self) -> None:
         """Send what is owed, for good."""
-        most = _MOST_LINES
         while True:
             await self._any.wait()
-            batch = list(self._owed)[:most]
+            # Guards against one notice that is not taken holding up all others: alone, and last.
+            batch = list(islice(self._owed, _MOST_LINES if self._failures < 2 else 1))
             if await self._post(b"".join(self._owed[message] for message in batch)):
+                self._failures = 0
                 for message in batch:
                     del self._owed[message]
                 self._answered(batch)
-                most = _MOST_LINES
             else:
-                # Guards against one notice that is not taken holding up all others: alone, and last.
-                most = 1
+                self._failures += 1
+                if self._failures == 1:
+                    continue  # a kept connection may have been gone: once more at once, on a fresh one
                 self._owed[batch[0]] = self._owed.pop(batch[0])
                 await asyncio.sleep(_AGAIN_S)
             if not self._owed:
@@ -62,7 +93,7 @@
 
     async def _post(self, body: bytes) -> bool:
         try:
-            limit = aiohttp.ClientTimeout(total=2.0)
+            limit = aiohttp.ClientTimeout(total=min(_FIRST_TRY_S * 2 ** min(self._failures, 8), _MOST_TRY_S))
             async with self._place.exchange() as url, self._http.post(
                     url, data=body, timeout=limit) as answer:
                 if answer.status != 204:
