--- a/tests/test_crossings_listing.py
+++ b/tests/test_crossings_listing.py
@@ -7,11 +7,13 @@
 import random
 
 import pytest
+from helpers import SAFE
 from silent_agent import changes
 
+from wheelstep import Settings
 from wheelstep.courier.hedge import Hedge
 from wheelstep.courier.listing import Listing
-from wheelstep.courier.spread import ANSWER_S, HEARTBEAT_S, MOVED_S, SILENT_S, TOLD_S, wait_s
+from wheelstep.courier.spread import ANSWER_S, HEARTBEAT_S, MOVED_S, SILENT_S, TOLD_S, longest_s, wait_s
 
 
 @pytest.mark.parametrize("indent", [None, 1])
@@ -60,6 +62,8 @@
             number, _ = hedge.begin(at := hedge.due_s)
             hedge.ended(number, at + 0.1)
             assert hedge.due_s - at >= 19.9
+    asking = Settings(classes=(SAFE,), slots=4, senders=200, ask_for_list=True, ask_within_us=10_000_000)
+    assert max(wait_s(200, 9, random.Random(seed), most_s=longest_s(asking)) for seed in range(99)) <= 40.0
     lost = Hedge(200, random.Random(1), 0.0)
     lost.spoke(number := lost.begin(0.0)[0], 50.0)
     lost.ended(number, 50.0)
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -31,7 +31,7 @@
     from wheelstep.operator import Operator
     from wheelstep.upgrade.giver import Giver
 
-_FIRST_LIST_S = 0.2  # the agent beside the courier answers at once, unless discovery is down
+_FIRST_LIST_S = 0.2  # the agent beside the courier answers at once (PROTOCOL, 'Discovery') unless discovery is down
 
 log = logging.getLogger(__name__)
 
--- a/wheelstep/courier/watch.py
+++ b/wheelstep/courier/watch.py
@@ -71,6 +71,8 @@
                     with suppress(TimeoutError):
                         await asyncio.wait_for(self._sooner.wait(), left_s)
                     self._sooner.clear()
+                if self._open:
+                    log.info("discovery: a watch says nothing, the next is opened beside it")
                 number, ended = hedge.begin(loop.time())
                 self._end(ended)
                 if self.account is not None:
