Couriers that ask for the list call twice in the 6 s after a silence

Seen with benchmarks/silence.py, 200 couriers that ask: where the first call after a silence met silence too, news was known after 17.7 s (median) and 24.2 s (most), since the second call waited as after a failure. The list has to be known within 6 s after any silence. Now first calls spread over 1.5 s from 2.5 s of silence on, and the second follows 1 s after one that nobody answers; from the third on as after calls that were turned away, so an outage costs two calls a courier, then one in 10 to 20 s. A call that is refused still backs off at once.

--- a/wheelstep/courier/hedge.py
+++ b/wheelstep/courier/hedge.py
@@ -34,7 +34,7 @@
 
     def begin(self, now_s: float) -> tuple[int, list[int]]:
         """One is opened now: its number, and which has to end for it."""
-        before, silent = self._open.get(self._count), bool(self._open)
+        before = self._open.get(self._count)
         if before is not None and not before.spoke:
             self._failures += 1
         self._count += 1
@@ -42,7 +42,7 @@
         ended = list(self._open)[:-_MOST_OPEN]
         for number in ended:
             del self._open[number]
-        self.due_s = now_s + self._silent_s(max(self._failures, int(silent)))
+        self.due_s = now_s + self._silent_s(before is not None and before.spoke)
         return self._count, ended
 
     def spoke(self, number: int, now_s: float) -> list[int]:
@@ -52,7 +52,7 @@
             del self._open[other]
         self._open[number].spoke = True
         self._failures = 0
-        self.due_s = now_s + self._silent_s(0)
+        self.due_s = now_s + self._silent_s()
         return ended
 
     def ended(self, number: int, now_s: float) -> None:
@@ -74,5 +74,5 @@
         self.due_s = now_s + wait_s(self._couriers, 0, self._rng, most_s=MOVED_S - ANSWER_S)
         return ended
 
-    def _silent_s(self, failures: int) -> float:
-        return silent_s(self._couriers, failures, self._rng, self._most_s)
+    def _silent_s(self, succeeds: bool = False) -> float:
+        return silent_s(self._couriers, self._failures, succeeds, self._rng, self._most_s)
--- a/wheelstep/courier/spread.py
+++ b/wheelstep/courier/spread.py
@@ -48,15 +48,18 @@
     return max(AGAIN_S, rng.uniform(span_s / 2, span_s))
 
 
-def silent_s(couriers: int, failures: int, rng: random.Random, most_s: float = math.inf) -> float:
-    """Seconds of silence after which a watch is opened beside the one that says nothing. `failures`: so many calls
-    in a row, that one among them where it was opened in a silence, said nothing either or were turned away.
+def silent_s(couriers: int, failures: int, succeeds: bool, rng: random.Random, most_s: float = math.inf) -> float:
+    """Seconds of silence after which a watch is opened beside the one that says nothing. `succeeds`: that one was
+    itself opened for one that had been well and fell silent. `failures`: so many calls in a row were turned away, or
+    said nothing either.
 
-    All may have fallen silent at once, and news counts as told `TOLD_S` after that: first calls are spread over
-    what is left of it and no further. A call that has no answer may have met an outage: from then on as if it had
-    failed. An agent beside the courier is asked at no cost: as soon as it is seen, and again and again."""
+    All may have fallen silent at once, and news counts as told `TOLD_S` after that: first calls are spread over what
+    is left of it beside a second call, which follows once an answer is overdue. Then it may be an outage: as if they
+    had failed. An agent beside the courier is asked at no cost: as soon as it is seen, and again and again."""
     if couriers <= 1:
         return SILENT_S
+    if succeeds:
+        return ANSWER_S
     if not failures:
-        return SILENT_S + rng.uniform(0.0, min((couriers - 1) * CALL_S, TOLD_S - ANSWER_S - SILENT_S))
+        return SILENT_S + rng.uniform(0.0, min((couriers - 1) * CALL_S, TOLD_S - SILENT_S - 2 * ANSWER_S))
     return max(SILENT_S, wait_s(couriers, failures, rng, most_s=most_s))
