An agent that leaves a new call unanswered for a second is called once more

An agent answers at once and is asked at no cost, so the second call now follows after 1 s, as where couriers ask; the third after 2.5 s of silence, as before.

--- a/wheelstep/courier/hedge.py
+++ b/wheelstep/courier/hedge.py
@@ -42,7 +42,9 @@
         ended = list(self._open)[:-_MOST_OPEN]
         for number in ended:
             del self._open[number]
-        self.due_s = now_s + self._silent_s(before is not None and before.spoke)
+        # Where all ask, a start may meet a place that is slow since all start: there an answer is given longer.
+        prompt = before.spoke if before is not None else self._couriers <= 1 and not self._failures
+        self.due_s = now_s + self._silent_s(prompt)
         return self._count, ended
 
     def spoke(self, number: int, now_s: float) -> list[int]:
@@ -74,5 +76,5 @@
         self.due_s = now_s + wait_s(self._couriers, 0, self._rng, most_s=MOVED_S - ANSWER_S)
         return ended
 
-    def _silent_s(self, succeeds: bool = False) -> float:
-        return silent_s(self._couriers, self._failures, succeeds, self._rng, self._most_s)
+    def _silent_s(self, prompt: bool = False) -> float:
+        return silent_s(self._couriers, self._failures, prompt, self._rng, self._most_s)
--- a/wheelstep/courier/spread.py
+++ b/wheelstep/courier/spread.py
@@ -11,7 +11,7 @@
 TOLD_S = 6.0  # news counts as told so long after a watch fell silent (STANDING; PROTOCOL, 'Figures')
 MOVED_S = 4.0  # and so long after SIGHUP (STANDING)
 ANSWER_S = 1.0  # of these, left for the answer: discovery gets calls of all couriers, and a long list takes reading
-SILENT_S = (TOLD_S - ANSWER_S) / 2  # a quarter over a heartbeat: a call, and one after a silent call, fit in
+SILENT_S = HEARTBEAT_S * 1.25  # a line that is late by a quarter is no silence yet
 AGAIN_S = 0.25  # the shortest wait before a call that failed is tried again
 FIRST_MOST_S = TOLD_S - ANSWER_S  # a start: also where nobody asked
 CALL_S = 0.1  # for each courier that there is, the calls of all are spread over so long
@@ -48,18 +48,18 @@
     return max(AGAIN_S, rng.uniform(span_s / 2, span_s))
 
 
-def silent_s(couriers: int, failures: int, succeeds: bool, rng: random.Random, most_s: float = math.inf) -> float:
-    """Seconds of silence after which a watch is opened beside the one that says nothing. `succeeds`: that one was
-    itself opened for one that had been well and fell silent. `failures`: so many calls in a row were turned away, or
-    said nothing either.
+def silent_s(couriers: int, failures: int, prompt: bool, rng: random.Random, most_s: float = math.inf) -> float:
+    """Seconds of silence after which a watch is opened beside the one that says nothing. `prompt`: that one is a new
+    call, first at its place or first after one that had been well. `failures`: so many calls in a row were turned away,
+    or said nothing either.
 
     All may have fallen silent at once, and news counts as told `TOLD_S` after that: first calls are spread over what
     is left of it beside a second call, which follows once an answer is overdue. Then it may be an outage: as if they
     had failed. An agent beside the courier is asked at no cost: as soon as it is seen, and again and again."""
+    if prompt:
+        return ANSWER_S
     if couriers <= 1:
         return SILENT_S
-    if succeeds:
-        return ANSWER_S
     if not failures:
         return SILENT_S + rng.uniform(0.0, min((couriers - 1) * CALL_S, TOLD_S - SILENT_S - 2 * ANSWER_S))
     return max(SILENT_S, wait_s(couriers, failures, rng, most_s=most_s))
