--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -18,9 +18,11 @@
 from wheelstep.courier.config import Address, Config, ConfigError, load
 from wheelstep.courier.core import Core
 from wheelstep.courier.leaving import LEAVE_S, leave
+from wheelstep.courier.listing import entries
+from wheelstep.courier.notices import Notices
 from wheelstep.courier.opening import account, obtain, open_console, open_journal, recorder
-from wheelstep.courier.platform import Notices, Watch, entries
-from wheelstep.courier.spread import callers
+from wheelstep.courier.spread import callers, longest_s
+from wheelstep.courier.watch import Watch
 from wheelstep.journal import Journal
 
 if TYPE_CHECKING:  # what is off is not imported
@@ -29,7 +31,7 @@
     from wheelstep.operator import Operator
     from wheelstep.upgrade.giver import Giver
 
-_FIRST_LIST_S = 0.2  # the agent beside the courier answers at once, unless discovery is down
+_FIRST_LIST_S = 0.2  # the agent beside the courier answers at once (PROTOCOL, 'Discovery') unless discovery is down
 
 log = logging.getLogger(__name__)
 
@@ -72,8 +74,8 @@
         seq, rows = config.known.get("seq", 0), entries(config.known, config.names)
         if taker is not None and taker.taken.rows:
             seq, rows = taker.taken.seq, taker.taken.rows
-        watch = Watch(http, config.discovery, config.names, seq if isinstance(seq, int) else 0, core.listed,
-                      callers(config.settings), config.seed)
+        watch = Watch(config.discovery, config.names, seq if isinstance(seq, int) else 0, core.listed,
+                      callers(config.settings), config.seed, longest_s(config.settings))
         core.listed(api.ListKind.RESTORED, rows)
         async with asyncio.TaskGroup() as group:  # a task that dies ends the process with its traceback
             tasks = [group.create_task(work) for work in
