Clients: lingering close; what lies in the kernel is answered first

Seen: every close behind an answer was `transport.close()`, and every end of an idle, silent or slow connection, also at the shutdown, `transport.abort()`. Over unread bytes both are a reset. What stood in the listener's queue at the end was reset as well, and a connection accepted in the turn in which asyncio's `Server` closes failed its own assertion (`_attach`, 3.11) and was dropped. A wait for the disk that was ended left a request, read whole, with no answer.

Change: `ClientConnection` half-closes behind its last answer and throws away what comes (one largest request, then the client's sending stands still; 0.4 s, a client's own patience; a fifth of the connections, all of them at the end). One that the courier ends (`end`) is first read out: the loop polls once between the two calls of `_read_out`. Waits that are ended are answered by what is known (503, withdrawn). `ClientListener` accepts in place of asyncio's server, and closes in the turn in which its queue was seen empty. Pipelined requests that were read whole are all answered before the courier ends their connection. What bounds cut is one line of log.

--- a/wheelstep/courier/client_connection.py
+++ b/wheelstep/courier/client_connection.py
@@ -9,8 +9,11 @@
 from enum import Enum
 from typing import Protocol
 
-from wheelstep.courier.request import Request, RequestReader, answer
+from wheelstep.courier.request import MOST_BODY, MOST_HEAD, Request, RequestReader, answer
 
+# What is thrown away behind the half-close: one request of the largest size, since a client sends one at a time on a
+# connection (PROTOCOL, clients to couriers). Beyond it nothing is read, and the client's sending stands still.
+MOST_THROWN = MOST_BODY + MOST_HEAD
 _MOST_RAW = 16 * 1024  # bytes of a request under way that can be passed on to another process
 
 log = logging.getLogger(__name__)
@@ -21,6 +24,7 @@
     ASKING = "asking"  # a request has begun
     IDLE = "idle"  # the last request was answered
     HELD = "held"  # its request waits for something that may take a minute
+    ENDING = "ending"  # what has come by now is answered, what comes later is thrown away
 
 
 class Connections(Protocol):
@@ -33,6 +37,8 @@
 
     def turn(self, connection: ClientConnection, phase: Phase) -> None: ...
 
+    def lingers(self, connection: ClientConnection) -> None: ...
+
     def closed(self, connection: ClientConnection) -> None: ...
 
     def serve(self, request: Request, connection: ClientConnection) -> None: ...
@@ -43,14 +49,23 @@
 
 
 class ClientConnection(asyncio.Protocol):
-    """One client's connection: answers its requests in turn, and notes in which phase it is since when."""
+    """One client's connection: answers its requests in turn, and notes in which phase it is since when.
+
+    It ends by a lingering close (RFC 9112, 9.6): half-closed for writing behind the last answer, read and thrown away
+    until the client closes or a bound is reached (`ClientConnections`). A close over unread bytes would be a reset, and
+    that can destroy the answer on its way. What is read after the half-close is never served."""
 
     def __init__(self, connections: Connections) -> None:
         self._connections = connections
         self._reader: RequestReader | None = None  # made with the first byte
         self._whole: deque[Request] = deque()  # of one piece of bytes, while the one before them has to wait
         self._waits: asyncio.Future[None] | None = None  # what the answer under way has to wait for
-        self._clogged = self._ending = False
+        self._clogged = False
+        self._last = False  # what lies in the kernel's buffer by now is still answered, and nothing after
+        self._ended = False  # nothing more is answered: half-closed or gone
+        self._client_ended = False  # the client has half-closed
+        self._reading_out = False  # the loop has not polled yet since it was to end
+        self._thrown = 0  # bytes thrown away
         self.transport: asyncio.Transport | None = None
         self.phase, self.since = Phase.SILENT, 0.0
         self.raw: bytes | None = b""  # what came of the request under way, for another process; None: too much
@@ -62,7 +77,9 @@
         self._connections.opened(self)
 
     def data_received(self, data: bytes) -> None:
-        if self._ending:
+        if self._ended:
+            self._thrown += len(data)
+            self.flow()
             return
         if self.phase is not Phase.ASKING:
             self._connections.turn(self, Phase.ASKING)
@@ -80,9 +97,9 @@
         """Answer what is whole, in turn."""
         reader, served = self._reader, bool(self._whole)
         assert reader is not None
-        while self._whole and self._waits is None and not self._ending:
+        while self._whole and self._waits is None and not self._ended:
             self._connections.serve(self._whole.popleft(), self)
-        if self._waits is None and not self._whole and not self._ending:
+        if self._waits is None and not self._whole and not self._ended:
             if reader.refusal is not None:
                 self._connections.refused()
                 self.say(Request(), reader.refusal.status, reader.refusal.text + "\n", keep=False)
@@ -94,6 +111,8 @@
             elif self.phase in (Phase.ASKING, Phase.HELD):
                 self.raw = b""
                 self._connections.turn(self, Phase.IDLE)
+            if self._client_ended or (self._last and not self._reading_out):
+                self._half_close()
         self.flow()
 
     def wait(self, work: asyncio.Future[None], served: Callable[[asyncio.Future[None]], None],
@@ -109,41 +128,99 @@
                 served(work)
             except Exception:
                 log.exception("a request failed unexpectedly")
-                self.close()
-            if not self._ending:
+                self._half_close()
+            if not self._ended:
                 self._serve()
         work.add_done_callback(done)
 
     def say(self, request: Request, status: int, text: str = "", headers: tuple[tuple[str, str], ...] = (),
             keep: bool = True) -> bool:
         """Answer; False if there is nobody any more to hear it."""
-        if self.transport is None or self.transport.is_closing():
+        if self.transport is None or self.gone:
             return False
-        keep = keep and request.keep and self._connections.keeps()
+        keep = keep and request.keep  # the courier ends it only behind the last of what has come whole
+        keep = keep and (bool(self._whole) or not (self._last or self._client_ended) and self._connections.keeps())
         self.transport.write(answer(status, text, headers, keep, request.version))
         heard = not self.transport.is_closing()  # a write that fails closes at once
         if not keep:
-            self._ending = True
-            self.transport.close()
+            self._half_close()
         return heard
 
+    def end(self) -> None:
+        """Answer what lies in the kernel's buffer by now, or waits for its answer, and no more: a request whose last
+        byte was written is not lost (PROTOCOL, the rules on sockets)."""
+        if self._last or self.gone:
+            return
+        self._last = self._reading_out = True
+        self.flow()
+        loop = asyncio.get_running_loop()
+        loop.call_soon(loop.call_soon, self._read_out)  # the loop polls between the two, and reads before the second
+
+    def _read_out(self) -> None:
+        self._reading_out = False
+        if not self.busy:
+            self._half_close()
+
+    def hurry(self) -> None:
+        """Answer by what is known now."""
+        if self._waits is not None:
+            self._waits.cancel()
+
+    @property
+    def busy(self) -> bool:
+        """Is an answer owed to a request that was read whole?"""
+        return self._waits is not None or bool(self._whole)
+
+    @property
+    def unheard(self) -> bool:
+        """Would a close take something from the client: an answer that it has not taken yet, or its way to it?"""
+        return (self.busy or self._thrown >= MOST_THROWN
+                or (self.transport is not None and self.transport.get_write_buffer_size() > 0))
+
+    def _half_close(self) -> None:
+        if self._ended:
+            return
+        self._ended = True
+        self._whole.clear()
+        self._reader, self.raw = None, b""
+        if self.transport is None or self.transport.is_closing():
+            return
+        self._connections.lingers(self)
+        if self._client_ended:
+            self.transport.close()  # nothing more can come
+            return
+        try:
+            self.transport.write_eof()
+        except OSError:  # reset meanwhile
+            self.transport.abort()
+        self.flow()
+
+    def eof_received(self) -> bool:
+        """A client that has half-closed gets its answers, then the connection ends."""
+        self._client_ended = True
+        return self.busy and not self._ended
+
     @property
     def gone(self) -> bool:
         """Is there nobody any more to hear an answer?"""
-        return self.transport is None or self.transport.is_closing()
+        return self._ended or self.transport is None or self.transport.is_closing()
 
     def flow(self) -> None:
         """Read on unless something has to be waited for first."""
         if self.transport is None or self.transport.is_closing():
             return
-        if self._clogged or self._waits is not None or self._connections.paused:
+        if self._ended:
+            wait = self._thrown >= MOST_THROWN
+        else:
+            wait = self._clogged or self._waits is not None or (self._connections.paused and not self._last)
+        if wait:
             self.transport.pause_reading()
         else:
             self.transport.resume_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._connections.closed(self)
-        self._ending = True
+        self._ended = True
         self._whole.clear()
         if self._waits is not None:
             self._waits.cancel()
@@ -157,7 +234,7 @@
         self.flow()
 
     def close(self) -> None:
-        """At once: what a client still sends is not worth reading."""
-        self._ending = True
+        """At once. A client may be reset over what it has sent, and not hear what it was told."""
+        self._ended = True
         if self.transport is not None:
             self.transport.abort()
--- a/wheelstep/courier/client_connections.py
+++ b/wheelstep/courier/client_connections.py
@@ -7,13 +7,16 @@
 from typing import Protocol
 
 from wheelstep.courier.client_connection import ClientConnection, Phase
+from wheelstep.courier.client_listener import ACCEPT
 from wheelstep.courier.request import Request
 
-ACCEPT = 16  # connections taken on in one turn of the loop; the count may pass its limit by so many
 _ASK_S = 2.5  # for a request to come whole, from connecting or, on a kept connection, from its first byte
 _IDLE_S = 20.0  # an idle connection is kept so long while there is room
 _SPARE_S = 2.0  # and is the first to go after this when there is none
 _HELD_S = 65.0
+# A client waits so long for its answer and then closes the connection (PROTOCOL, clients to couriers): whoever has not
+# read it by then won't.
+LINGER_S = 0.4
 
 log = logging.getLogger(__name__)
 
@@ -28,7 +31,7 @@
         """Answer one, or let its connection wait."""
 
 
-_MOST_S = {Phase.IDLE: _IDLE_S, Phase.HELD: _HELD_S}
+_MOST_S = {Phase.IDLE: _IDLE_S, Phase.HELD: _HELD_S, Phase.ENDING: LINGER_S}
 
 
 class ClientConnections:
@@ -36,9 +39,13 @@
     ones that keep what they don't use; when there is no room, the good ones are let in first."""
 
     def __init__(self, server: Server, limit: int, keep: bool) -> None:
-        self._server, self._limit, self.keep = server, max(ACCEPT, limit - ACCEPT), keep
+        """A fifth of the limit is for those that end, so that an answer on its way is not cut for newcomers; all of it
+        when the courier ends."""
+        self._server, self._all, self.keep = server, limit, keep
+        self._most_ending = limit // 5
+        self._limit = max(ACCEPT, limit - self._most_ending - ACCEPT)
         self._phases: dict[Phase, dict[ClientConnection, None]] = {phase: {} for phase in Phase}
-        self._turned_away = 0
+        self._turned_away = self._cut = 0
         self.paused = False
 
     def serve(self, request: Request, connection: ClientConnection) -> None:
@@ -55,34 +62,54 @@
 
     def crowded(self) -> bool:
         """Is room short? Then an answer had better end its connection."""
-        return sum(map(len, self._phases.values())) * 4 > self._limit * 3
+        return self._open() * 4 > self._limit * 3
+
+    def _open(self) -> int:
+        return sum(map(len, self._phases.values())) - len(self._phases[Phase.ENDING])
 
     def opened(self, connection: ClientConnection) -> None:
         connection.since = time.monotonic()
         if self.paused:  # accepted in the turn in which the pause began
             connection.flow()
-        if sum(map(len, self._phases.values())) >= self._limit and not self._make_room():
-            self._turned_away += 1
-            connection.close()
-            return
+        room = self._open() < self._limit or self._make_room()
         self._phases[Phase.SILENT][connection] = None
+        if not room:
+            self._turned_away += 1
+            self._end(connection)
 
     def _make_room(self) -> bool:
-        """Close one: idle for a while, or silent or slow for longest. Each phase is in order of time."""
+        """End one: idle for a while, or silent or slow for longest. Each phase is in order of time."""
         idle = next(iter(self._phases[Phase.IDLE]), None)
         if idle is not None and time.monotonic() - idle.since >= _SPARE_S:
-            return self._close(idle)
-        owing = next(iter([*self._phases[Phase.SILENT], *self._phases[Phase.ASKING]]), None)
-        return owing is not None and self._close(owing)
+            return self._end(idle)
+        owing = (connection for phase in (Phase.SILENT, Phase.ASKING) for connection in self._phases[phase])
+        first = next((connection for connection in owing if not connection.busy), None)
+        return first is not None and self._end(first)
+
+    def _end(self, connection: ClientConnection) -> bool:
+        self.lingers(connection)
+        connection.end()
+        return True
 
-    def _close(self, connection: ClientConnection) -> bool:
+    def lingers(self, connection: ClientConnection) -> None:
+        """It ends, and has so long from now. Beyond the bound the one that has had longest is cut."""
+        self.closed(connection)
+        connection.phase, connection.since = Phase.ENDING, time.monotonic()
+        ending = self._phases[Phase.ENDING]
+        ending[connection] = None
+        if len(ending) > (self._all if self._server.closing else self._most_ending):
+            first = next(iter(ending))
+            if first is not connection and first.gone:  # else it is still to be read out, or owed an answer
+                self._cut_one(first)
+
+    def _cut_one(self, connection: ClientConnection) -> None:
+        self._cut += connection.unheard
         self.closed(connection)
         connection.close()
-        return True
 
     def turn(self, connection: ClientConnection, phase: Phase) -> None:
         """Into another phase. The first request must come whole in time from connecting."""
-        if connection not in self._phases[connection.phase]:
+        if connection not in self._phases[connection.phase] or connection.phase is Phase.ENDING:
             return
         del self._phases[connection.phase][connection]
         if connection.phase is not Phase.SILENT:
@@ -94,12 +121,26 @@
         self._phases[connection.phase].pop(connection, None)
 
     def sweep(self) -> None:
-        """Close what has owed a request, or been idle, for too long."""
+        """End what has owed a request, been idle or waited for too long, and close what has had its time to end."""
+        if self.paused:
+            return
         now = time.monotonic()
         for phase, connections in self._phases.items():
             most_s = _MOST_S.get(phase, _ASK_S)
             for connection in [connection for connection in connections if now - connection.since >= most_s]:
-                self._close(connection)
+                if connection.busy:
+                    connection.hurry()
+                elif phase is Phase.ENDING:
+                    self._cut_one(connection)
+                else:
+                    self._end(connection)
+        self.report()
+
+    def report(self) -> None:
+        """One line for each kind of what was ended early."""
+        if self._cut:
+            log.info("cut %d connections before their clients had taken their answers", self._cut)
+            self._cut = 0
         if self._turned_away:
             log.info("turned away %d connections", self._turned_away)
             self._turned_away = 0
@@ -108,8 +149,20 @@
         """Every connection."""
         return [connection for connections in self._phases.values() for connection in connections]
 
-    def close(self) -> None:
-        """End those that wait for nothing."""
-        for phase in (Phase.SILENT, Phase.IDLE):
-            for connection in list(self._phases[phase]):
-                self._close(connection)
+    def end(self, silent: bool) -> None:
+        """The courier ends: those that rest, also the `silent` ones. What may take a minute is answered now."""
+        for connection in [*self._phases[Phase.IDLE], *(self._phases[Phase.SILENT] if silent else ())]:
+            self._end(connection)
+        for connection in list(self._phases[Phase.HELD]):
+            connection.hurry()
+
+    def hurry(self) -> None:
+        """What still waits for something is answered by what is known."""
+        for connection in self.all():
+            connection.hurry()
+
+    def cut(self) -> None:
+        """Close all at once."""
+        for connection in self.all():
+            self._cut_one(connection)
+        self.report()
--- a/wheelstep/courier/client_server.py
+++ b/wheelstep/courier/client_server.py
@@ -14,7 +14,8 @@
 from collections.abc import Callable, Mapping
 
 from wheelstep.courier.client_connection import ClientConnection, Phase
-from wheelstep.courier.client_connections import ACCEPT, ClientConnections
+from wheelstep.courier.client_connections import LINGER_S, ClientConnections
+from wheelstep.courier.client_listener import ClientListener
 from wheelstep.courier.config import Address
 from wheelstep.courier.desk import BadRequestError, Desk, Front, RefusedError, UnansweredError
 from wheelstep.courier.listen import QUEUE, bind
@@ -24,7 +25,7 @@
 
 _COME_BACK = (("Retry-After", "1"),)
 _TURNS = 20  # of the loop, in which what has come whole gets its answer
-_STOP_S = 0.5  # for requests under way at the end
+STOP_S = LINGER_S  # at the end, for requests under way and for clients to take their answers
 _SETTLE_S = 1.0  # for messages that are written down and not answered yet
 _SWEEP_S = 0.25
 
@@ -41,45 +42,44 @@
         self._front = front
         self._desk, self._classes, self._most = desk, classes, most
         self._find, self._keep = find, keep
-        self._spare: socket.socket | None = None  # the listener, while nothing is taken on
         self.closing = False  # answers end their connections from now on
+        self.refusing = False  # and messages are turned away
         self.bad = self._no_room = 0
         self._connections: ClientConnections | None = None
-        self._server: asyncio.Server | None = None
+        self._listener: ClientListener | None = None
 
     async def start(self, listen: Address, listener: socket.socket | None = None) -> int:
         """Listen, at `listener` if it is given, and return the port."""
         connections = self._connections = self._connections or ClientConnections(self, self._most, self._keep)
         listener = listener or bind(listen)
-        self._server = await asyncio.get_running_loop().create_server(
-            lambda: ClientConnection(connections), sock=listener, backlog=ACCEPT)
-        listener.listen(QUEUE)  # asyncio takes its backlog for the kernel's queue and its own turn alike
-        return int(listener.getsockname()[1])
+        listener.listen(QUEUE)  # another process may have had it
+        self._listener = ClientListener(listener, lambda: ClientConnection(connections))
+        self._listener.resume()
+        return int(self._listener.socket.getsockname()[1])
 
     # --- from one process to the next (wheelstep.upgrade) ---
 
     async def pause(self) -> socket.socket:
         """Take no connection on and read nothing; what has come whole gets its answer. The listener: its queue goes on
         taking connections."""
-        assert self._server is not None and self._connections is not None
-        self._spare = self._server.sockets[0].dup()
-        self._server.close()
+        assert self._listener is not None and self._connections is not None
+        self._listener.pause()
         self._connections.paused = True
         for connection in self._connections.all():
             connection.flow()
         async with asyncio.timeout(_SETTLE_S):
             for _ in range(_TURNS):
                 await asyncio.sleep(0)
-            while any(connection.taking for connection in self._connections.all()):
+            while self._listener.opening or any(connection.taking for connection in self._connections.all()):
                 await asyncio.sleep(0.002)
-        return self._spare
+        return self._listener.socket
 
     async def resume(self) -> None:
         """After all: go on."""
-        if self._spare is None or self._connections is None:
+        if self._listener is None or self._connections is None or not self._connections.paused:
             return
-        await self.start(Address("", 0), self._spare)
-        self._spare, self._connections.paused = None, False
+        self._listener.resume()
+        self._connections.paused = False
         for connection in self._connections.all():
             connection.flow()
 
@@ -89,16 +89,17 @@
         assert self._connections is not None
         return [(client.transport.get_extra_info("socket").fileno(), client.phase is Phase.IDLE, client.raw)
                 for client in self._connections.all()
-                if client.transport is not None and not client.transport.is_closing() and client.raw is not None
+                if client.transport is not None and not client.gone and client.raw is not None
                 and not client.taking and not client.transport.get_write_buffer_size()]
 
     def let_go(self) -> None:
         """Another process has them: this one's handles are closed."""
-        if self._spare is not None:
-            self._spare.close()
+        if self._listener is not None:
+            self._listener.close()
         if self._connections is not None:
             for connection in self._connections.all():
-                if connection.transport is not None and not connection.transport.get_write_buffer_size():
+                if (connection.transport is not None and not connection.gone
+                        and not connection.transport.get_write_buffer_size()):
                     connection.close()
 
     async def adopt(self, client: socket.socket, idle: bool, raw: bytes) -> None:
@@ -125,19 +126,32 @@
                 log.warning("no room for %d messages", self._no_room)
                 self._no_room = 0
 
+    def refuse(self) -> None:
+        """Turn messages away from now on."""
+        self.refusing = True
+
     async def stop(self) -> None:
-        """Answer what is under way and end the connections."""
-        if self._server is not None:
-            self._server.close()
-        if self._connections is None:
+        """Answer what is under way, what lies in the kernel's buffers and what stands in its queue, and end the
+        connections. Whoever has connected and not asked yet has half of the time for it."""
+        self.closing = self.refusing = True
+        if self._connections is None or self._listener is None:
             return
-        self._connections.close()
-        until = asyncio.get_running_loop().time() + _STOP_S
-        while self._connections.all() and asyncio.get_running_loop().time() < until:
-            await asyncio.sleep(0.01)
-            self._connections.close()
-        for connection in self._connections.all():
-            connection.close()
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        self._listener.pause()
+        queued = True
+        while (left_s := began + STOP_S - loop.time()) > 0:
+            if queued and not (queued := self._listener.accept()):
+                self._listener.close()  # in the turn in which its queue was seen empty
+            self._connections.end(silent=left_s < STOP_S / 2)
+            if not queued and not self._listener.opening and not self._connections.all():
+                break
+            await asyncio.sleep(0 if queued or self._listener.opening else 0.01)
+        self._listener.close()
+        self._connections.hurry()
+        for _ in range(_TURNS):
+            await asyncio.sleep(0)
+        self._connections.cut()
 
     # --- what requests ask ---
 
@@ -179,9 +193,10 @@
                 connection.say(request, 202)
         elif not desk.serves(message.destination):
             raise BadRequestError("no such destination")
+        elif self.refusing:
+            self._refuse(request, message, desk, connection)
         elif desk.full():
-            desk.handed_in(message, 503)
-            connection.say(request, 503, "holds all it can\n", _COME_BACK)
+            self._refuse(request, message, desk, connection, "holds all it can")
         elif not connection.gone:  # else nobody hears it
             try:
                 desk.take(message)
@@ -211,6 +226,8 @@
             connection.close()
         elif error is not None:
             raise error
+        elif not connection.gone:  # its time is up, or the courier's
+            self._refuse(request, message, desk, connection)
 
     def _taken(self, request: Request, message: Stored, desk: Desk, connection: ClientConnection) -> None:
         if connection.say(request, 202, "", self._front.says(message) if self._front is not None else ()):
@@ -223,5 +240,9 @@
 
     def _turn_away(self, request: Request, message: Stored, desk: Desk, connection: ClientConnection) -> None:
         self._no_room += 1
+        self._refuse(request, message, desk, connection, "no room")
+
+    def _refuse(self, request: Request, message: Stored, desk: Desk, connection: ClientConnection,
+                why: str = "not now") -> None:
         desk.handed_in(message, 503)
-        connection.say(request, 503, "no room\n", _COME_BACK)
+        connection.say(request, 503, f"{why}\n", _COME_BACK)
--- a/wheelstep/courier/leaving.py
+++ b/wheelstep/courier/leaving.py
@@ -6,12 +6,13 @@
 import logging
 from collections.abc import Awaitable
 
-from wheelstep.courier.client_server import ClientServer
+from wheelstep.courier.client_server import STOP_S, ClientServer
 from wheelstep.courier.core import Core
 
 _WORK_ON_S = 2.0  # from SIGTERM until no new attempt starts
 _CLOSE_S = 2.8  # until clients' connections are ended
-LEAVE_S = 3.2  # until calls still under way are left to the next process
+_TURN_AWAY_S = _CLOSE_S  # until messages get 503: what is taken from _WORK_ON_S on waits for the next process
+LEAVE_S = _CLOSE_S + STOP_S  # until calls still under way are left to the next process
 
 log = logging.getLogger(__name__)
 
@@ -30,9 +31,11 @@
 
     await until(_WORK_ON_S)
     core.stop()
+    turn = asyncio.get_running_loop().call_at(began + _TURN_AWAY_S, server.refuse)
     await core.outlet.finish(_CLOSE_S - _WORK_ON_S)
     server.closing = True
     await until(_CLOSE_S)
+    turn.cancel()
     await server.stop()
     await core.outlet.finish(max(0.0, began + LEAVE_S - asyncio.get_running_loop().time()))
     log.info("stopped")
--- a/wheelstep/courier/request.py
+++ b/wheelstep/courier/request.py
@@ -15,7 +15,7 @@
 import httptools
 
 MOST_BODY = 64 * 1024
-_MOST_HEAD = 32 * 1024
+MOST_HEAD = 32 * 1024
 _MOST_TARGET = 8 * 1024
 _MOST_FIELDS = 128
 
@@ -77,7 +77,7 @@
                 self._refuse(400, f"no HTTP that can be read: {error}")
             if self.inside and self._in_head:
                 self._head += len(data) or 1
-        if self.refusal is None and self.inside and self._in_head and self._held() > _MOST_HEAD:
+        if self.refusal is None and self.inside and self._in_head and self._held() > MOST_HEAD:
             self._refuse(431, "a head of more than 32 KiB")
         return self._found
 
@@ -116,7 +116,7 @@
         now = self._now
         self._fields += 1
         self._head += len(name) + len(value)
-        if self._fields > _MOST_FIELDS or self._head > _MOST_HEAD:
+        if self._fields > _MOST_FIELDS or self._head > MOST_HEAD:
             self._stop(431, "a head of more than 128 fields or 32 KiB")
         key = name.decode("latin-1").lower()
         if key in now.once:
