--- /dev/null
+++ b/tests/test_crossings_shutdown.py
@@ -0,0 +1,129 @@
+"""The end of the real process: what crosses SIGTERM, SIGKILL and the closing of clients' connections."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import socket
+from pathlib import Path
+
+import pytest
+from client_sockets import rest
+from loopback import ALONE, LIMIT_S, Call, Reply, Scene, run
+from test_client_server import request
+from test_courier import health
+
+from wheelstep.journal import Journal
+
+
+def dial(address: str, data: bytes = b"") -> socket.socket:
+    client = socket.create_connection(tuple(address.split(":")))  # type: ignore[arg-type]
+    client.sendall(data)
+    client.setblocking(False)
+    return client
+
+
+async def first_line(client: socket.socket) -> bytes:
+    return (await asyncio.wait_for(asyncio.get_running_loop().sock_recv(client, 4096), LIMIT_S)).split(b"\r\n")[0]
+
+
+async def told_to_end(s: Scene) -> None:
+    s.courier.process.terminate()
+    while await health(s.courier.address) == 200:
+        await asyncio.sleep(0.005)
+
+
+def test_all_that_lies_in_the_kernel_when_all_times_are_up_is_answered(tmp_path: Path) -> None:
+    """The process stands still from SIGTERM until the time in which it should have ended. Meanwhile come requests on
+    resting and on new connections, a second SIGTERM and a SIGHUP: all of it in one turn of its loop."""
+    async def scene() -> None:
+        world = Scene(tmp_path)
+        world.courier.settings = ALONE
+        async with world as s:
+            resting = [dial(s.courier.address, request(f"before{n}")) for n in range(20)]
+            for client in resting:
+                assert b" 202 " in await first_line(client)
+            await s.endpoint.wait(20)
+            await told_to_end(s)
+            began = asyncio.get_running_loop().time()
+            s.courier.process.send_signal(signal.SIGSTOP)
+            for number, client in enumerate(resting):
+                client.sendall(request(f"m{number}"))
+            new = [dial(s.courier.address, request(f"n{n}")) for n in range(200)]
+            s.courier.process.send_signal(signal.SIGTERM)
+            s.courier.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(began + 3.3 - asyncio.get_running_loop().time())
+            s.courier.process.send_signal(signal.SIGCONT)
+            answers = [await rest(client) for client in [*resting, *new]]  # none is reset
+            for client in [*resting, *new]:
+                client.close()
+            assert await asyncio.wait_for(s.courier.process.wait(), 1.5) == 0
+            assert {answer[:13] for answer in answers} <= {b"HTTP/1.1 202 ", b"HTTP/1.1 503 "}
+            assert all(answer.count(b"HTTP/1.1") == 1 for answer in answers)
+            taken = {f"m{n}" if n < 20 else f"n{n - 20}" for n, answer in enumerate(answers) if b" 202 " in answer}
+            journal = Journal(tmp_path / "state", 3_000_000)
+            kept = {name for name in journal.messages if not name.startswith("before")}
+            sent = {call.headers["x-request-id"] for call in s.endpoint.calls[20:]}
+            assert kept | sent == taken  # left to the next process, or done
+            journal.close()
+    run(scene())
+
+
+def test_told_to_end_again_in_its_last_moments_it_still_ends_with_0(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """After the loop is closed, which would give the signals their deadly meaning back."""
+    (tmp_path / "sitecustomize.py").write_text("""
+import asyncio, os, signal
+run = asyncio.run
+def again(*given, **more):
+    run(*given, **more)
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+        os.kill(os.getpid(), number)
+asyncio.run = again
+""")
+    monkeypatch.setenv("PYTHONPATH", str(tmp_path))
+
+    async def scene() -> None:
+        async with Scene(tmp_path) as s:
+            assert await s.courier.terminate() == 0
+    run(scene())
+
+
+@pytest.mark.parametrize("status", [200, 500])
+@pytest.mark.parametrize("step", ["no new attempt", "ending clients", "stopped"])
+def test_killed_at_any_step_of_its_end_all_is_tried_once(tmp_path: Path, step: str, status: int) -> None:
+    """A message is taken on, and an outcome comes, after new attempts have stopped. The next process tries the first;
+    what was delivered, or may have run in a class that is never repeated, goes nowhere again."""
+    async def scene() -> None:
+        async with Scene(tmp_path) as s:
+            release = asyncio.Event()
+
+            async def held(call: Call) -> Reply:
+                await release.wait()
+                return status, {}, b""
+            s.endpoint.reply = held
+            client = dial(s.courier.address, request("out"))
+            assert b" 202 " in await first_line(client)
+            await s.endpoint.wait(1)
+            await told_to_end(s)
+            await s.courier.wait_log("no new attempt")
+            client.sendall(request("late"))
+            assert b" 202 " in await first_line(client)
+            release.set()
+            if status == 500:
+                await s.courier.wait_log("out attempt 0")  # its outcome was read
+            await s.courier.wait_log(step)
+            assert {call.headers["x-request-id"] for call in s.endpoint.calls} == {"out"}
+            with contextlib.suppress(ProcessLookupError):  # it has just ended by itself
+                s.courier.process.kill()
+            await s.courier.process.wait()
+            s.endpoint.reply = s.endpoint._fine
+            await s.courier.start()
+            await s.endpoint.wait(2)
+            if status == 500:
+                await s.platform.wait_notice("out")
+            assert await s.courier.terminate() == 0
+            assert [call.headers["x-request-id"] for call in s.endpoint.calls] == ["out", "late"]
+            client.close()
+    run(scene())
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -17,7 +17,7 @@
 from wheelstep.courier.client_server import ClientServer
 from wheelstep.courier.config import Address, Config, ConfigError, load
 from wheelstep.courier.core import Core
-from wheelstep.courier.leaving import LEAVE_S, leave
+from wheelstep.courier.leaving import LEAVE_S, deafen, leave
 from wheelstep.courier.opening import account, obtain, open_console, open_journal, recorder
 from wheelstep.courier.platform import Notices, Watch, entries
 from wheelstep.courier.spread import callers
@@ -126,6 +126,7 @@
         core.recorder.close()
     if giver is None or not giver.given:
         journal.close()
+    deafen()
 
 
 def join(config: Config, found: Fleet, journal: Journal) -> FleetDaemon:
--- a/wheelstep/courier/leaving.py
+++ b/wheelstep/courier/leaving.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import signal
 from collections.abc import Awaitable
 
 from wheelstep.courier.client_server import STOP_S, ClientServer
@@ -31,11 +32,23 @@
 
     await until(_WORK_ON_S)
     core.stop()
+    log.info("no new attempt from now on")
     turn = asyncio.get_running_loop().call_at(began + _TURN_AWAY_S, server.refuse)
     await core.outlet.finish(_CLOSE_S - _WORK_ON_S)
     server.closing = True
     await until(_CLOSE_S)
     turn.cancel()
+    log.info("ending clients' connections")
     await server.stop()
     await core.outlet.finish(max(0.0, began + LEAVE_S - asyncio.get_running_loop().time()))
     log.info("stopped")
+
+
+def deafen() -> None:
+    """For the rest of the process. The loop gives signals back when it is closed, and one told to end a second time
+    would die of it in its last moments, in place of ending with 0."""
+    numbers = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
+    signal.pthread_sigmask(signal.SIG_BLOCK, numbers)  # between the two steps
+    for number in numbers:
+        asyncio.get_running_loop().remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
