--- a/tests/client_sockets.py
+++ b/tests/client_sockets.py
@@ -10,7 +10,7 @@
 from loopback import LIMIT_S
 from test_client_server import Owner, request
 
-from wheelstep.courier.client_connection import Phase
+from wheelstep.courier.client_phases import Phase
 from wheelstep.courier.client_server import ClientServer
 from wheelstep.courier.config import Address
 
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -13,8 +13,9 @@
 from loopback import run
 from test_client_server import request
 
-from wheelstep.courier.client_connection import MOST_THROWN, Phase
+from wheelstep.courier.client_connection import MOST_THROWN
 from wheelstep.courier.client_connections import LINGER_S
+from wheelstep.courier.client_phases import Phase
 
 
 @pytest.mark.parametrize("last", [request("m", headers=CLOSE), b"nonsense\r\n\r\n"], ids=["202", "400"])
--- a/wheelstep/courier/client_connection.py
+++ b/wheelstep/courier/client_connection.py
@@ -6,9 +6,8 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from enum import Enum
-from typing import Protocol
 
+from wheelstep.courier.client_phases import Connections, Phase
 from wheelstep.courier.request import MOST_BODY, MOST_HEAD, Request, RequestReader, answer
 
 # What is thrown away behind the half-close: one request of the largest size, since a client sends one at a time on a
@@ -19,35 +18,6 @@
 log = logging.getLogger(__name__)
 
 
-class Phase(Enum):
-    SILENT = "silent"  # connected, and nothing came yet
-    ASKING = "asking"  # a request has begun
-    IDLE = "idle"  # the last request was answered
-    HELD = "held"  # its request waits for something that may take a minute
-    ENDING = "ending"  # what has come by now is answered, what comes later is thrown away
-
-
-class Connections(Protocol):
-    """What a connection asks of all of them together: see `ClientConnections`."""
-
-    keep: bool
-    paused: bool
-
-    def opened(self, connection: ClientConnection) -> None: ...
-
-    def turn(self, connection: ClientConnection, phase: Phase) -> None: ...
-
-    def lingers(self, connection: ClientConnection) -> None: ...
-
-    def closed(self, connection: ClientConnection) -> None: ...
-
-    def serve(self, request: Request, connection: ClientConnection) -> None: ...
-
-    def refused(self) -> None: ...
-
-    def keeps(self) -> bool: ...
-
-
 class ClientConnection(asyncio.Protocol):
     """One client's connection: answers its requests in turn, and notes in which phase it is since when.
 
--- a/wheelstep/courier/client_connections.py
+++ b/wheelstep/courier/client_connections.py
@@ -6,8 +6,9 @@
 import time
 from typing import Protocol
 
-from wheelstep.courier.client_connection import ClientConnection, Phase
+from wheelstep.courier.client_connection import ClientConnection
 from wheelstep.courier.client_listener import ACCEPT
+from wheelstep.courier.client_phases import Phase
 from wheelstep.courier.request import Request
 
 _ASK_S = 2.5  # for a request to come whole, from connecting or, on a kept connection, from its first byte
--- a/wheelstep/courier/client_server.py
+++ b/wheelstep/courier/client_server.py
@@ -13,9 +13,10 @@
 import socket
 from collections.abc import Callable, Mapping
 
-from wheelstep.courier.client_connection import ClientConnection, Phase
+from wheelstep.courier.client_connection import ClientConnection
 from wheelstep.courier.client_connections import LINGER_S, ClientConnections
 from wheelstep.courier.client_listener import ClientListener
+from wheelstep.courier.client_phases import Phase
 from wheelstep.courier.config import Address
 from wheelstep.courier.desk import BadRequestError, Desk, Front, RefusedError, UnansweredError
 from wheelstep.courier.listen import QUEUE, bind
