--- a/tests/test_crossings_shutdown.py
+++ b/tests/test_crossings_shutdown.py
@@ -70,9 +70,13 @@
     run(scene())
 
 
+@pytest.mark.parametrize("workers", [0, 2])
 def test_told_to_end_again_in_its_last_moments_it_still_ends_with_0(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, workers: int) -> None:
     """After the loop is closed, which would give the signals their deadly meaning back."""
+    operator = tmp_path / "operator.toml" if workers else None
+    if operator is not None:
+        operator.write_text(f"[workers]\ncount = {workers}\n")
     (tmp_path / "sitecustomize.py").write_text("""
 import asyncio, os, signal
 run = asyncio.run
@@ -85,7 +89,7 @@
     monkeypatch.setenv("PYTHONPATH", str(tmp_path))
 
     async def scene() -> None:
-        async with Scene(tmp_path) as s:
+        async with Scene(tmp_path, operator) as s:
             assert await s.courier.terminate() == 0
     run(scene())
 
--- a/wheelstep/standalone/serve.py
+++ b/wheelstep/standalone/serve.py
@@ -19,7 +19,7 @@
 from wheelstep.courier.client_server import ClientServer
 from wheelstep.courier.config import Address, Config, ConfigError, from_data
 from wheelstep.courier.core import Core
-from wheelstep.courier.leaving import leave
+from wheelstep.courier.leaving import deafen, leave
 from wheelstep.courier.opening import open_journal
 from wheelstep.courier.platform import Notices
 from wheelstep.courier.rows import Row
@@ -139,6 +139,7 @@
                 task.cancel()
         ends.close()
         journal.close()
+        deafen()
 
     async def _change(self, read: Callable[[], Standalone]) -> _Fresh:
         """Read and work out off the loop what changes, then let it count. Raises `FileError`, `ConfigError`."""
--- a/wheelstep/workers/supervisor.py
+++ b/wheelstep/workers/supervisor.py
@@ -17,6 +17,7 @@
 from wheelstep import interface as api
 from wheelstep.courier.__main__ import follow_config
 from wheelstep.courier.config import Address, Config
+from wheelstep.courier.leaving import deafen
 from wheelstep.courier.platform import Watch, entries
 from wheelstep.courier.rows import Row, write_rows
 from wheelstep.courier.spread import callers
@@ -74,6 +75,7 @@
             for task in tasks:
                 task.cancel()
         log.info("stopped")
+        deafen()
 
     # --- the list ---
 
