--- a/benchmarks/shutdown.py
+++ b/benchmarks/shutdown.py
@@ -11,6 +11,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import json
 import os
 import random
@@ -136,7 +137,8 @@
                 async with asyncio.timeout(_KILL_S):
                     await process.wait()
             except TimeoutError:
-                process.kill()
+                with contextlib.suppress(ProcessLookupError):  # it has ended just now
+                    process.kill()
                 await process.wait()
             took = time.monotonic() - began
     await platform.stop()
