--- a/tests/test_crossings_end.py
+++ b/tests/test_crossings_end.py
@@ -15,7 +15,7 @@
 
 from wheelstep import interface as api
 from wheelstep.courier.core import Core
-from wheelstep.courier.watch import entries
+from wheelstep.courier.listing import entries
 from wheelstep.journal import Journal, Stored
 
 _200 = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
--- a/tests/test_crossings_window.py
+++ b/tests/test_crossings_window.py
@@ -22,7 +22,7 @@
 from wheelstep import interface as api
 from wheelstep.courier.call import Item
 from wheelstep.courier.core import Core
-from wheelstep.courier.platform import entries
+from wheelstep.courier.listing import entries
 from wheelstep.interface import Outcome
 from wheelstep.journal import Journal, Stored
 
--- a/wheelstep/workers/supervisor.py
+++ b/wheelstep/workers/supervisor.py
@@ -15,6 +15,7 @@
 from wheelstep import interface as api
 from wheelstep.courier.__main__ import follow_config
 from wheelstep.courier.config import Address, Config
+from wheelstep.courier.leaving import deafen
 from wheelstep.courier.listing import entries
 from wheelstep.courier.rows import Row, write_rows
 from wheelstep.courier.spread import callers, longest_s
@@ -73,6 +74,7 @@
             for task in tasks:
                 task.cancel()
         log.info("stopped")
+        deafen()
 
     # --- the list ---
 
