Property test: random orders of events that cross at one real courier, judged from outside

The crossings were each looked at alone; nothing played them in random orders on real sockets. A judge of its own says whether every message answered 202 has one end, no unsafe one is called for twice once it may have run, every request that was read is answered, and keys keep their order. No limit in time is judged.

--- /dev/null
+++ b/tests/crossings_judge.py
@@ -0,0 +1,168 @@
+"""What was seen of one courier at a crossing of events, and whether it kept its word. No I/O, nothing of the courier.
+
+Times are seconds by the one clock of the test process, which has all clients, endpoints and the platform. They are used
+for what came before what; a limit in time is nowhere judged, so a slow machine changes no verdict.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+MOST_CROSSED = 3  # requests in a play may cross the end of their connection, which nobody can rule out
+SURE_S = 1.0  # whoever has stood ready for so long has read what was written to it
+
+
+@dataclass
+class HandIn:
+    """A message as its client handed it in, maybe twice: `status` is the last answer, 0 where none came."""
+
+    message: str
+    effect: str  # safe, keyed or unsafe
+    key: str = ""
+    destination: int = 0
+    begun_at: float = 0.0
+    whole_at: float = 0.0  # the last byte was written; 0: never
+    status: int = 0
+    heard_at: float = 0.0
+    ended_at: float = 0.0  # the courier ended the connection with no answer
+    fresh: bool = True  # no request was answered on this connection before
+    left: bool = False  # its client went away
+    tried: int = 1
+
+
+@dataclass
+class Call:
+    """A call whose last byte an endpoint read; `status` is that of the first line it wrote, 0 where it wrote none."""
+
+    message: str
+    endpoint: str
+    first_at: float
+    last_at: float
+    status: int = 0
+    told_at: float = 0.0
+    broken: bool = False  # the endpoint ended or reset the connection, so that its answer may be lost
+    closed_at: float = 0.0  # the connection has ended
+
+    @property
+    def ran(self) -> bool:
+        return self.status not in (429, 503)
+
+
+@dataclass
+class Seen:
+    """All of one play. `away` are the spans from a signal until the courier served again."""
+
+    hand_ins: list[HandIn] = field(default_factory=list)
+    calls: list[Call] = field(default_factory=list)
+    notices: list[tuple[float, str, str]] = field(default_factory=list)  # when, message, outcome
+    away: list[tuple[float, float]] = field(default_factory=list)
+    killed: list[float] = field(default_factory=list)
+    exits: list[int] = field(default_factory=list)  # after SIGTERM
+    log: list[str] = field(default_factory=list)
+    order: list[str] = field(default_factory=list)  # the events in the order in which they were begun
+
+    def gone_near(self, at: float) -> bool:
+        """Was the process away, or about to be?"""
+        return any(begin - SURE_S <= at <= end + SURE_S for begin, end in self.away)
+
+    def killed_near(self, begin: float, end: float) -> bool:
+        return any(begin - SURE_S <= at <= end + SURE_S for at in self.killed)
+
+
+@dataclass
+class _Message:
+    handed: HandIn
+    calls: list[Call] = field(default_factory=list)
+    notices: list[tuple[float, str]] = field(default_factory=list)
+
+    @property
+    def over_at(self) -> float | None:
+        """Delivered, or its notice answered."""
+        ends = [call.told_at for call in self.calls if call.status == 200] + [at for at, _ in self.notices]
+        return min(ends, default=None)
+
+
+def faults(seen: Seen) -> list[str]:
+    """Each with the message and the cause; none where all was kept."""
+    messages = {handed.message: _Message(handed) for handed in seen.hand_ins}
+    for call in seen.calls:
+        messages[call.message].calls.append(call)
+    for at, name, outcome in seen.notices:
+        messages[name].notices.append((at, outcome))
+    found = [f"exit code {code} after SIGTERM" for code in seen.exits if code]
+    found += [f"the log has {line.strip()!r}" for line in seen.log if "Traceback" in line or "unexpectedly" in line]
+    for message in messages.values():
+        found += [f"{message.handed.message}: {what}" for rule in (_answer, _end, _once)
+                  for what in rule(seen, message)]
+    crossed = [one for one in seen.hand_ins if one.tried > 1 or one.ended_at]
+    crossed = [one for one in crossed if not seen.killed_near(one.begun_at, one.ended_at or one.whole_at)]
+    if len(crossed) > MOST_CROSSED:
+        found.append(f"no answer to {len(crossed)} requests whose connection was ended: "
+                     + ", ".join(one.message for one in crossed))
+    return found + list(_order(messages))
+
+
+def _answer(seen: Seen, message: _Message) -> Iterator[str]:
+    """Every request whose last byte was read gets an answer."""
+    handed = message.handed
+    if handed.status or handed.left:
+        return
+    if seen.killed_near(handed.begun_at, handed.ended_at or handed.whole_at):
+        return  # nobody answers for the dead
+    if message.calls or message.notices:
+        yield "no answer to its client, though it was taken on"
+    elif handed.whole_at and not handed.ended_at:
+        yield "no answer, and its connection stays open"
+    elif handed.whole_at and handed.ended_at - handed.whole_at > SURE_S:
+        yield f"no answer, its connection ended {handed.ended_at - handed.whole_at:.1f} s after its last byte"
+
+
+def _end(seen: Seen, message: _Message) -> Iterator[str]:
+    """What was answered 202 is delivered, or refused, or failed: one of them."""
+    if message.handed.status not in (200, 202):
+        if message.handed.status and message.calls:
+            yield f"called for, though its client was told {message.handed.status}"
+        return
+    if message.over_at is None:
+        yield f"answered 202, no end; {len(message.calls)} calls"
+    outcomes = [outcome for _, outcome in message.notices]
+    if len(set(outcomes)) > 1:
+        yield f"two ends: {outcomes}"
+    for (early, _), (late, _) in zip(message.notices, message.notices[1:], strict=False):
+        if not any(begin <= late and end + SURE_S >= early for begin, end in seen.away):
+            yield f"its end was told twice: {outcomes}"
+    for call in message.calls:
+        later = [at for at, _ in message.notices if at > call.told_at + SURE_S]
+        if call.status == 200 and later and not call.broken and not seen.gone_near(call.told_at) \
+                and (not call.closed_at or call.closed_at > call.told_at + SURE_S):
+            yield f"{outcomes[0]}, though it was delivered before"
+
+
+def _once(seen: Seen, message: _Message) -> Iterator[str]:
+    """No unsafe message is called for once it may have run, nor handed back then."""
+    if message.handed.effect != "unsafe":
+        return
+    ran = [call for call in message.calls if call.ran]
+    if len(ran) > 1:
+        yield (f"unsafe and called for {len(ran)} times: at {ran[0].endpoint} ({ran[0].status}), then "
+               f"{ran[1].last_at - ran[0].last_at:.3f} s later at {ran[1].endpoint}")
+    if ran and any(outcome == "handed_back" for _, outcome in message.notices):
+        yield "unsafe and handed back, though a call had come whole"
+
+
+def _order(messages: dict[str, _Message]) -> Iterator[str]:
+    """A call for a message of a key comes once those before it are over."""
+    lines: dict[str, list[_Message]] = defaultdict(list)
+    for message in messages.values():
+        if message.handed.key and message.handed.status in (200, 202):
+            lines[message.handed.key].append(message)
+    for key, line in lines.items():
+        line.sort(key=lambda message: message.handed.whole_at)
+        for number, message in enumerate(line):
+            first = min((call.first_at for call in message.calls), default=None)
+            for other in line[:number]:
+                if first is not None and other.over_at is not None and first < other.over_at:
+                    yield (f"{message.handed.message}: of key {key}, called for {other.over_at - first:.3f} s before "
+                           f"{other.handed.message} was over")
--- /dev/null
+++ b/tests/crossings_world.py
@@ -0,0 +1,233 @@
+"""Plays an order of `crossings_plan` at one real courier, with clients, endpoints and the platform about it."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+from crossings_clients import Clients, Line
+from crossings_judge import Call, HandIn, Seen
+from crossings_plan import ENDPOINTS, Step, plan
+from loopback import SETTINGS, Courier, Platform, host
+
+from wheelstep.rehearsal.standins import wire
+
+WARM_S = 20.0  # for the courier to serve again, on a crowded machine
+CROWD = 90  # clients may hold a third of 256 descriptors
+ENDS_S = 12.0  # beyond the last deadline, for what is still owed
+CLASSES: dict[str, dict[str, Any]] = {
+    "safe": {"effect": "repeatable"}, "keyed": {"effect": "by_key", "group": "all", "key_ttl_us": 3_000_000},
+    "unsafe": {"effect": "once"}, "ordered-safe": {"effect": "repeatable", "by_arrival": True},
+    "ordered-unsafe": {"effect": "once", "by_arrival": True}}
+GIVEN = {**SETTINGS, "services": [{"name": name, "promise_us": 500_000, "deadline_us": 3_000_000, **given}
+                                  for name, given in CLASSES.items()],
+         "specifics": {**SETTINGS["specifics"], "per_call": [1]},
+         # Idle connections go early on both sides, so that calls cross their ends.
+         "caps": {**SETTINGS["caps"], "open_cap": 40, "conn_idle_us": 400_000, "dial_timeout_us": 300_000},
+         # A destination is let off soon, so that there are calls all along.
+         "rules": {**SETTINGS["rules"], "cold_us": 500_000, "cold_from": 0.9}}
+ENDS = ("whole",) * 40 + ("close after", "halves", "half", "line", "hang", "reset", "end", "503", "429", "500", "late",
+                          "resets idle")
+
+
+class _Link(wire.Server):
+    """One connection to an endpoint."""
+
+    def __init__(self, play: Play, endpoint: str) -> None:
+        super().__init__()
+        self._play, self._endpoint = play, endpoint
+        self._calls: list[Call] = []
+
+    def requested(self, request: wire.Request) -> None:
+        if request.method != "POST":
+            self.answer(200)
+            return
+        name = request.headers["x-request-id"]
+        call = Call(name, self._endpoint, request.first_at, request.last_at)
+        self._calls.append(call)
+        self._play.seen.calls.append(call)
+        self._play.tries[name] += 1
+        # By the message and its try, not by what came before it here: the same order plays alike.
+        rng = random.Random(f"{self._play.seed} {name} {self._play.tries[name]}")
+        self._play.spawn(self._reply(call, rng.choice(ENDS), rng))
+
+    async def _reply(self, call: Call, how: str, rng: random.Random) -> None:
+        await asyncio.sleep(rng.choice([0.0, 0.0, 0.001, 0.02, 0.1]))
+        match how:
+            case "whole" | "close after" | "resets idle" | "late":
+                await asyncio.sleep(0.7 if how == "late" else 0.0)
+                self._tell(call, 200, b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+                if how != "whole":
+                    await asyncio.sleep(rng.choice([0.0, 0.002, 0.1, 0.2]))
+                    self._end(call, how != "close after")
+            case "halves" | "half":
+                self._tell(call, 200, b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no")
+                await asyncio.sleep(rng.choice([0.0, 0.02, 0.3]))
+                if how == "halves":
+                    self.write(b"k")
+                else:
+                    self._end(call, rng.random() < 0.5)
+            case "line":
+                self.write(b"HTTP/1.1 20")
+                await asyncio.sleep(rng.choice([0.0, 0.1]))
+                self._end(call, rng.random() < 0.5)
+            case "reset" | "end":
+                self._end(call, how == "reset")
+            case "503" | "429" | "500":
+                self._tell(call, int(how), wire.render(int(how), {"Retry-After": "0.1"} if how == "429" else {}, b""))
+
+    def _tell(self, call: Call, status: int, data: bytes) -> None:
+        if not self.gone:
+            call.status, call.told_at = status, time.monotonic()
+            self.write(data)
+
+    def _end(self, call: Call, reset: bool) -> None:
+        call.broken = True
+        if reset:
+            self.abort()
+        elif self.transport is not None:
+            self.transport.close()
+
+    def lost(self) -> None:
+        for call in self._calls:
+            call.closed_at = call.closed_at or time.monotonic()
+
+
+class _Desk(Platform):
+    """Keeps every notice."""
+
+    def __init__(self, seen: Seen) -> None:
+        super().__init__()
+        self._seen = seen
+
+    def _hear(self, courier: str, notice: dict[str, Any]) -> None:
+        self._seen.notices.append((time.monotonic(), notice["message"], notice["outcome"]))
+        super()._hear(courier, notice)
+
+
+class Play:
+    """One order at one courier."""
+
+    def __init__(self, seed: int, folder: Path, *program: str, ends_s: float = ENDS_S) -> None:
+        self._ends_s = ends_s
+        self.seed, self.seen, self.tries = seed, Seen(), Counter[str]()
+        self._platform = _Desk(self.seen)
+        self._courier = Courier(folder, self._platform, GIVEN)
+        self._courier.program = program or Courier.program
+        self._ports = {name: wire.Port(lambda name=name: _Link(self, name)) for name in ENDPOINTS}  # type: ignore[misc]
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._life: asyncio.Task[None] | None = None
+        self._up = True  # its handlers of signals are set
+
+    def spawn(self, work: Awaitable[None]) -> asyncio.Task[None]:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)  # type: ignore[arg-type]
+        return task  # type: ignore[return-value]
+
+    async def run(self) -> Seen:
+        for port in self._ports.values():
+            await port.listen()
+        await self._platform.start()
+        self._platform.list(*(host(name, port.address, ENDPOINTS[name]) for name, port in self._ports.items()))
+        await self._courier.start()
+        self._courier.listen = self._courier.address
+        self._clients = Clients(self._courier.address)
+        try:
+            asked: list[asyncio.Task[None]] = []
+            for step in plan(self.seed):
+                await asyncio.sleep(step.after_s)
+                self.seen.order.append(str(step))
+                if step.what == "message":
+                    handed = HandIn(step.name, step.effect, step.key, step.destination)
+                    self.seen.hand_ins.append(handed)
+                    asked.append(self.spawn(self._clients.hand_in(handed, 2_000, step.way)))
+                else:
+                    self._event(step)
+            await asyncio.gather(*asked)
+            if self._life is not None:
+                await self._life
+            await self._ended()
+        finally:
+            self.seen.log = self._courier.log
+            self._clients.close()
+            if self._courier.process.returncode is None:
+                await self._courier.kill()
+            for task in self._tasks:
+                task.cancel()
+            await self._platform.stop()
+            for port in self._ports.values():
+                port.close()
+        return self.seen
+
+    def _event(self, step: Step) -> None:
+        platform = self._platform
+        match step.what:
+            case "drain" | "remove" | "back":
+                state = {"drain": "DRAINING", "remove": "DELETED", "back": "SERVING"}[step.what]
+                platform.change(host(step.name, self._ports[step.name].address, ENDPOINTS[step.name], state))
+            case "silent":
+                platform.down = True
+            case "heard":
+                platform.back()
+            case "mute" | "unmute":
+                platform.takes_notices = step.what == "unmute"
+            case "refuse" | "hush":
+                self.spawn(self._away(self._ports[step.name], step.what == "hush"))
+            case "HUP" if self._up:
+                self._courier.process.send_signal(signal.SIGHUP)
+            case "crowd":
+                self.spawn(self._crowd())
+            case "again" if self._life is not None and self._courier.process.returncode is None:
+                self._courier.process.terminate()
+            case "TERM" | "KILL":
+                self._life = self.spawn(self._restart(step.what, self._life))
+
+    async def _away(self, port: wire.Port, hush: bool) -> None:
+        """An endpoint takes no connection for a while; what is written to one that waits in its queue is read later."""
+        port.refuse()
+        if hush:
+            port.hush()
+        await asyncio.sleep(0.4)
+        await port.listen()
+
+    async def _crowd(self) -> None:
+        """More silent connections than clients may hold."""
+        lines = await asyncio.gather(*(Line.dial(self._courier.address) for _ in range(CROWD)))
+        await asyncio.sleep(0.3)
+        for line in lines:
+            if line is not None:
+                line.reset()
+
+    async def _restart(self, what: str, before: asyncio.Task[None] | None) -> None:
+        if before is not None:
+            await before
+        began = time.monotonic()
+        self.seen.away.append((began, began + 1e9))
+        if what == "KILL":
+            self.seen.killed.append(began)
+            await self._courier.kill()
+        else:
+            self.seen.exits.append(await self._courier.terminate())
+        self._up = False
+        async with asyncio.timeout(WARM_S):
+            await self._courier.start()
+        self._up, self.seen.away[-1] = True, (began, time.monotonic())
+
+    async def _ended(self) -> None:
+        """Wait until nothing is owed, or it is too late for it."""
+        self._platform.takes_notices = True
+        self._platform.back()
+        until = time.monotonic() + 2.0 + self._ends_s
+        owed: Callable[[], set[str]] = lambda: (  # noqa: E731
+            {one.message for one in self.seen.hand_ins if one.status in (200, 202)}
+            - {call.message for call in self.seen.calls if call.status == 200}
+            - {name for _, name, _ in self.seen.notices})
+        while owed() and time.monotonic() < until:
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.3)  # for a second end that nobody should tell
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -188,6 +188,8 @@
 class Courier:
     """The real process; `address` changes with each start."""
 
+    program: tuple[str, ...] = ("wheelstep.courier",)
+
     def __init__(self, folder: Path, platform: Platform, settings: dict[str, Any] | None = None,
                  operator: Path | None = None, disk_mb: float = 3, console: bool = False) -> None:
         self.folder, self.platform, self.operator, self.disk_mb = folder, platform, operator, disk_mb
@@ -255,7 +257,7 @@
         if self.operator is not None:
             env["UMBERCHUTE_OPERATOR"] = str(self.operator)
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "wheelstep.courier", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE)
+            sys.executable, "-m", *self.program, cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE)
         started.append(self.process)
         self._serving: asyncio.Future[str] = asyncio.get_running_loop().create_future()
         self._reading = asyncio.create_task(self._read_log(self._serving))
