Crossings: pauses of the process; signals sent past subprocess; what was seen of a message in trouble

A signal sent through subprocess takes the exit code of a process that just ended with it: one play of 200 told 255 for 0. A pause (SIGSTOP for 0.3 s) leaves what came meanwhile in the kernel, as a busy machine does.

--- a/benchmarks/channels_rig/load.py
+++ b/benchmarks/channels_rig/load.py
@@ -19,7 +19,8 @@
 
 @dataclass(frozen=True)
 class Load:
-    """`channels` are taken at random by `seed`; `every_s`: each connection sends so often, 0 as soon as it heard."""
+    """`channels` are taken at random by `seed`; `every_s`: each connection sends so often, 0 as soon as it heard.
+    `each`: and so many at most, 0 any."""
 
     address: str
     links: int
@@ -28,6 +29,7 @@
     every_s: float
     seconds: float
     name: str  # before the ids of messages
+    each: int = 0
 
 
 @dataclass
@@ -68,7 +70,7 @@
 
     def _next(self) -> None:
         now = time.perf_counter()
-        if now >= self._until:
+        if now >= self._until or 0 < self._load.each <= self._count:
             self.over.set_result(None)
             self._transport.close()
             return
--- a/tests/crossings_judge.py
+++ b/tests/crossings_judge.py
@@ -104,6 +104,23 @@
     return found + list(_order(messages))
 
 
+def about(seen: Seen, fault: str) -> list[str]:
+    """All that was seen of the message that a fault begins with, times from the first hand-in on."""
+    name, start = fault.partition(":")[0], min((one.begun_at for one in seen.hand_ins if one.begun_at), default=0.0)
+    rows: list[tuple[float, str]] = [(at, f"told {outcome}") for at, one, outcome in seen.notices if one == name]
+    for handed in seen.hand_ins:
+        if handed.message == name:
+            rows += [(handed.begun_at, f"handed in ({handed.tried} times)"), (handed.whole_at, "last byte"),
+                     (handed.heard_at, f"heard {handed.status}"), (handed.ended_at, "its connection ended")]
+    for call in seen.calls:
+        if call.message == name:
+            rows += [(call.first_at, f"call at {call.endpoint}"), (call.told_at, f"answered {call.status}"),
+                     (call.closed_at, "that connection ended")]
+    rows += [(at, "KILL") for at in seen.killed] + [(begin, "signal") for begin, _ in seen.away]
+    rows += [(end, "serves again") for _, end in seen.away]
+    return [f"  {at - start:.3f} {what}" for at, what in sorted(rows) if at] if len(rows) > 2 else []
+
+
 def _answer(seen: Seen, message: _Message) -> Iterator[str]:
     """Every request whose last byte was read gets an answer."""
     handed = message.handed
--- a/tests/crossings_plan.py
+++ b/tests/crossings_plan.py
@@ -43,7 +43,7 @@
     after_s = rng.choice([0.0, 0.0, 0.002, 0.01, 0.03, 0.06, 0.1])
     if rng.random() < 0.14:
         what = rng.choice(["drain", "remove", "back", "back", "refuse", "hush", "silent", "heard", "mute", "unmute",
-                           "HUP", "crowd"])
+                           "HUP", "crowd", "pause"])
         return Step(after_s, what, rng.choice(list(ENDPOINTS)) if what in (
             "drain", "remove", "back", "refuse", "hush") else "")
     effect = rng.choice(["safe", "keyed", "unsafe", "unsafe"])
--- a/tests/crossings_world.py
+++ b/tests/crossings_world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import signal
 import time
@@ -180,14 +181,29 @@
             case "refuse" | "hush":
                 self.spawn(self._away(self._ports[step.name], step.what == "hush"))
             case "HUP" if self._up:
-                self._courier.process.send_signal(signal.SIGHUP)
+                self._signal(signal.SIGHUP)
             case "crowd":
                 self.spawn(self._crowd())
-            case "again" if self._life is not None and self._courier.process.returncode is None:
-                self._courier.process.terminate()
+            case "pause":
+                self.spawn(self._pause())
+            case "again" if self._life is not None:
+                self._signal(signal.SIGTERM)
             case "TERM" | "KILL":
                 self._life = self.spawn(self._restart(step.what, self._life))
 
+    async def _pause(self) -> None:
+        """The process gets no processor for a while: what came meanwhile lies in the kernel."""
+        process = self._courier.process
+        self._signal(signal.SIGSTOP)
+        await asyncio.sleep(0.3)
+        if self._courier.process is process:
+            self._signal(signal.SIGCONT)
+
+    def _signal(self, number: int) -> None:
+        """Past `subprocess`, which looks first whether the process has ended and takes its exit code with it."""
+        if self._courier.process.returncode is None:
+            os.kill(self._courier.process.pid, number)
+
     async def _away(self, port: wire.Port, hush: bool) -> None:
         """An endpoint takes no connection for a while; what is written to one that waits in its queue is read later."""
         port.refuse()
--- a/tests/test_crossings_property.py
+++ b/tests/test_crossings_property.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 import pytest
-from crossings_judge import faults
+from crossings_judge import about, faults
 from crossings_plan import plan
 from crossings_world import Play
 
@@ -21,7 +21,8 @@
 def test_whatever_crosses_the_courier_keeps_its_word(seed: int, tmp_path: Path) -> None:
     seen = asyncio.run(asyncio.wait_for(Play(seed, tmp_path).run(), 120))
     found = faults(seen)
-    assert not found, "\n".join([f"seed {seed} (CROSSINGS_SEEDS={seed}):", *found, "order:", *seen.order, *seen.log])
+    told = [line for fault in found for line in (fault, *about(seen, fault))]
+    assert not found, "\n".join([f"seed {seed} (CROSSINGS_SEEDS={seed}):", *told, "order:", *seen.order, *seen.log])
     taken = sum(one.status == 202 for one in seen.hand_ins)
     assert taken > 30 and len({one.message for one in seen.calls}) > 15, f"seed {seed}: {taken} taken on"
     print(f"seed {seed}: {taken} of {len(seen.hand_ins)} taken on, {len(seen.calls)} calls, {len(seen.notices)} "
