--- a/tests/crossings_world.py
+++ b/tests/crossings_world.py
@@ -19,6 +19,7 @@
 
 from wheelstep.rehearsal.standins import wire
 
+MOST_AWAY = 10  # steps that come to no process, however long a crowded machine takes to start one
 WARM_S = 20.0  # for the courier to serve again, on a crowded machine
 CROWD = 90  # clients may hold a third of 256 descriptors
 ENDS_S = 12.0  # beyond the last deadline, for what is still owed
@@ -141,8 +142,12 @@
         self._clients = Clients(self._courier.address)
         try:
             asked: list[asyncio.Task[None]] = []
+            away = 0
             for step in plan(self.seed):
                 await asyncio.sleep(step.after_s)
+                away = 0 if self._up else away + 1
+                if away > MOST_AWAY and self._life is not None:
+                    await self._life
                 self.seen.order.append(str(step))
                 if step.what == "message":
                     handed = HandIn(step.name, step.effect, step.key, step.destination)
