--- a/tests/client_sockets.py
+++ b/tests/client_sockets.py
@@ -46,6 +46,7 @@
         if receive_buffer:
             client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         client.connect(self._address)
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # else its system holds a second part back
         client.sendall(data)
         client.setblocking(False)
         self._clients.append(client)
