--- a/tests/crossings_judge.py
+++ b/tests/crossings_judge.py
@@ -68,6 +68,12 @@
     log: list[str] = field(default_factory=list)
     order: list[str] = field(default_factory=list)  # the events in the order in which they were begun
 
+    def owed(self) -> set[str]:
+        """Answered 202, and no end yet."""
+        return ({one.message for one in self.hand_ins if one.status in (200, 202)}
+                - {call.message for call in self.calls if call.status == 200}
+                - {name for _, name, _ in self.notices})
+
     def gone_near(self, at: float) -> bool:
         """Was the process away, or about to be?"""
         return any(begin - SURE_S <= at <= end + SURE_S for begin, end in self.away)
--- a/tests/crossings_world.py
+++ b/tests/crossings_world.py
@@ -8,7 +8,7 @@
 import signal
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
 from pathlib import Path
 from typing import Any
 
@@ -245,10 +245,6 @@
         self._platform.takes_notices = True
         self._platform.back()
         until = time.monotonic() + 2.0 + self._ends_s
-        owed: Callable[[], set[str]] = lambda: (  # noqa: E731
-            {one.message for one in self.seen.hand_ins if one.status in (200, 202)}
-            - {call.message for call in self.seen.calls if call.status == 200}
-            - {name for _, name, _ in self.seen.notices})
-        while owed() and time.monotonic() < until:
+        while self.seen.owed() and time.monotonic() < until:
             await asyncio.sleep(0.02)
         await asyncio.sleep(0.3)  # for a second end that nobody should tell
