--- a/wheelstep/courier/notices.py
+++ b/wheelstep/courier/notices.py
@@ -15,7 +15,7 @@
 from wheelstep.courier.config import Address
 
 _ANSWERED_S = 0.3  # after a message's time is up its notice must have been answered (PROTOCOL, 'The rules on sockets')
-_FIRST_TRY_S = _ANSWERED_S / 2  # it is answered at once: what is silent for half of that is a connection that is gone
+_FIRST_TRY_S = _ANSWERED_S / 3  # it is answered at once; so the second try, twice as long, ends in time too
 _MOST_TRY_S = 2.0  # doubled from try to try up to this, for an agent that is only slow
 _AGAIN_S = 0.25  # between tries from the second on: the agent beside us takes them, at no cost
 _MOST_LINES = 200  # notices in one request
