--- a/benchmarks/silence.py
+++ b/benchmarks/silence.py
@@ -36,6 +36,7 @@
     ready.release()
     await quiet.wait()
     began, agent.seq = loop.time(), 2
+    agent.opened[0][0].say(b"\n")  # the last line, for all at this moment
     agent.opened[0][0].hush()
     if down_s:
         await asyncio.sleep(down_s)
