A call that is written at once sets no timer for its write

Each call entered `asyncio.timeout_at` in `Connection._write`, though most are taken by the system at once and then nothing is waited for. Change: return before it.

--- a/wheelstep/courier/connection.py
+++ b/wheelstep/courier/connection.py
@@ -155,6 +155,7 @@
         self._transport.write(part)
         if not self._paused:
             self.written = not self._transport.is_closing() and not self._held_back  # a failed write closes at once
+            return
         try:
             async with asyncio.timeout_at(until_s if until_s < math.inf else None):
                 while self._paused and not self._ended:
