--- a/wheelstep/shards/types.py
+++ b/wheelstep/shards/types.py
@@ -92,8 +92,8 @@
 
 
 class Learned(msgspec.Struct, frozen=True, array_like=True, tag=60):
-    """What a home, or who held it for one, has learned of a shard. `number` rises with each of the sender's; `handover`:
-    the sender is home no more and takes nothing new for the shard."""
+    """What a home, or who held it for one, has learned of a shard. `number` rises with each of the sender's;
+    `handover`: the sender is home no more and takes nothing new for the shard."""
 
     shard: int
     number: int
