--- a/wheelstep/interface.py
+++ b/wheelstep/interface.py
@@ -6,23 +6,27 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
-
-class Effect(Enum):
-    """What a repeat of a message does at its destination."""
-
-    SAFE = "safe"  # harmless
-    KEYED = "keyed"  # dropped while the destination remembers the key
-    UNSAFE = "unsafe"  # takes effect again
-
-
-class Decay(Enum):
-    """How worth falls once the promised time has passed."""
-
-    EVEN = "even"  # evenly down to the late worth at the deadline
-    HALVES = "halves"  # by half with each further promise, not under the late worth
+from wheelstep.actions import Action as Action
+from wheelstep.actions import CancelAttempt as CancelAttempt
+from wheelstep.actions import CloseIdle as CloseIdle
+from wheelstep.actions import Fail as Fail
+from wheelstep.actions import Health as Health
+from wheelstep.actions import NoteHealth as NoteHealth
+from wheelstep.actions import Probe as Probe
+from wheelstep.actions import Refuse as Refuse
+from wheelstep.actions import SetTimer as SetTimer
+from wheelstep.actions import StartAttempt as StartAttempt
+from wheelstep.actions import Subscribe as Subscribe
+from wheelstep.actions import WriteLog as WriteLog
+from wheelstep.settings import Decay as Decay
+from wheelstep.settings import Effect as Effect
+from wheelstep.settings import Kind as Kind
+from wheelstep.settings import MessageClass as MessageClass
+from wheelstep.settings import Settings as Settings
+from wheelstep.settings import check_settings as check_settings
 
 
 class Outcome(Enum):
@@ -73,62 +77,6 @@
     UNAVAILABLE = "unavailable"
 
 
-@dataclass(frozen=True, slots=True)
-class MessageClass:
-    """One class of messages; `key_ttl_us` and `zone_keys` matter for keyed ones only."""
-
-    promise_us: int
-    deadline_us: int
-    effect: Effect
-    worth: float = 1.0
-    late_worth: float = 0.0
-    key_ttl_us: int = 0
-    zone_keys: bool = False  # repeats are dropped inside one zone only
-    ordered: bool = False
-    most_attempts: int = 0  # 0: as many as the settings say
-
-
-@dataclass(frozen=True, slots=True)
-class Kind:
-    """One kind of destination: are its endpoints separate routes, and how many messages fill a call."""
-
-    routes_apart: bool = False
-    per_call: int = 1
-
-
-@dataclass(frozen=True, slots=True)
-class Settings:
-    """What a sender is told at its start."""
-
-    classes: tuple[MessageClass, ...]
-    slots: int
-    hold_limit: int = 1 << 30
-    kinds: tuple[Kind, ...] = (Kind(),)
-    decay: Decay = Decay.EVEN
-    senders: int = 1
-    zone: int = 0
-    zone_fees: tuple[float, ...] = ()  # points for each message that a separate route in the zone takes on
-    cross_zone_price: float = 0.0
-    handshake_price: float = 0.0  # points for a new connection with each message
-    max_attempts: int = 1 << 30
-    may_probe: bool = False
-    may_duplicate: bool = False
-    ask_for_list: bool = False
-    ask_within_us: int = 0
-    weights_are_rates: bool = False
-    limits_reported: bool = False  # answers tell of the limit (`LimitReport`)
-    tick_us: int = 1000
-    answer_slack_us: int = 0
-    max_retry_after_us: int = 0
-    conn_idle_us: int = 0  # idle connections are closed after this; 0 where that is not known
-    drain_grace_us: int = 0
-    fall_multiple: float = 1.0
-    overload_for_us: int = 1_000_000
-    cold_from: float = 1.0
-    cold_us: int = 0
-    order_settle_us: int = 0
-
-
 @dataclass(frozen=True, slots=True)
 class EndpointInfo:
     """One line of the list."""
@@ -218,24 +166,6 @@
     limit: LimitReport | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Health:
-    """What must not be forgotten of an endpoint: is it out or on its way back, and for how long; what it carried a
-    second before; the paced rate of its route (0: unpaced), and what that carries a second now; its usual round trip;
-    of its destination the window of calls and the mean time of a call. 0 where nothing is known."""
-
-    sick: bool
-    returning: bool
-    base: float
-    rate: float
-    returning_us: int = 0
-    carried: float = 0.0
-    usual_us: int = 0
-    deviation_us: int = 0
-    window: float = 0.0
-    tau_us: int = 0
-
-
 @dataclass(frozen=True, slots=True)
 class HealthRestored:
     """What an earlier process of this sender noted last of an endpoint, and how long ago."""
@@ -269,124 +199,3 @@
 
 Event = (MembershipReceived | MessageAccepted | MessageRestored | AttemptEnded | ProbeEnded | TimerFired
          | MessageWithdrawn | HealthRestored | ClassesChanged)
-
-
-@dataclass(frozen=True, slots=True)
-class StartAttempt:
-    """Send the message; attempts of a message are numbered from 0 in the order of these. Its last byte goes out within
-    `latest_us` (0: no bound), or none does: then it ends as `NOT_SENT`."""
-
-    message: str
-    endpoint: str
-    timeout_us: int
-    latest_us: int = 0
-    once: bool = False  # it may not be sent again: not on a connection that the endpoint may be about to end
-
-
-@dataclass(frozen=True, slots=True)
-class Refuse:
-    """Final: handed back, safe to hand in again; `retry_after_us` is a hint to the client."""
-
-    message: str
-    retry_after_us: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Fail:
-    """Final: ended without a word on whether it took effect."""
-
-    message: str
-
-
-@dataclass(frozen=True, slots=True)
-class CancelAttempt:
-    """Stop waiting for one attempt."""
-
-    message: str
-    attempt: int
-
-
-@dataclass(frozen=True, slots=True)
-class Probe:
-    """Check an endpoint without a message."""
-
-    endpoint: str
-
-
-@dataclass(frozen=True, slots=True)
-class CloseIdle:
-    """Close the idle connections to an endpoint, those that have been idle for so long at least."""
-
-    endpoint: str
-    idle_us: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class SetTimer:
-    """Ask for a `TimerFired`."""
-
-    timer: int
-    in_us: int
-
-
-@dataclass(frozen=True, slots=True)
-class Subscribe:
-    """Ask for the list and its changes from now on."""
-
-
-@dataclass(frozen=True, slots=True)
-class WriteLog:
-    """One plain line for the operators."""
-
-    text: str
-
-
-@dataclass(frozen=True, slots=True)
-class NoteHealth:
-    """Keep this for a later process of this sender, in place of what was noted of the endpoint before."""
-
-    endpoint: str
-    health: Health
-
-
-Action = (StartAttempt | Refuse | Fail | CancelAttempt | Probe | CloseIdle | SetTimer | Subscribe | WriteLog
-          | NoteHealth)
-
-_COUNTS = ("slots", "hold_limit", "senders", "max_attempts", "tick_us")
-_TIMES = ("ask_within_us", "answer_slack_us", "max_retry_after_us", "conn_idle_us", "drain_grace_us",
-          "overload_for_us", "cold_us", "order_settle_us")
-
-
-@dataclass(frozen=True, slots=True)
-class _Bad:
-    """Collects what makes no sense in some settings."""
-
-    names: list[str] = field(default_factory=list)
-
-    def unless(self, good: bool, name: str) -> None:
-        if not good:
-            self.names.append(name)
-
-
-def check_settings(settings: Settings) -> None:
-    """Raise `ValueError` naming the first field that makes no sense."""
-    bad = _Bad()
-    for name in _COUNTS:
-        bad.unless(getattr(settings, name) >= 1, name)
-    for name in _TIMES:
-        bad.unless(getattr(settings, name) >= 0, name)
-    bad.unless(bool(settings.classes), "classes")
-    bad.unless(bool(settings.kinds), "kinds")
-    bad.unless(0 < settings.cold_from <= 1, "cold_from")
-    bad.unless(settings.fall_multiple > 0, "fall_multiple")
-    for index, cls in enumerate(settings.classes):
-        at = f"classes[{index}]"
-        bad.unless(cls.promise_us > 0, f"{at}.promise_us")
-        bad.unless(cls.promise_us <= cls.deadline_us, f"{at}.deadline_us")
-        bad.unless(cls.worth >= 0, f"{at}.worth")
-        bad.unless(0 <= cls.late_worth <= 1, f"{at}.late_worth")
-        bad.unless(cls.effect is not Effect.KEYED or cls.key_ttl_us > 0, f"{at}.key_ttl_us")
-    for index, kind in enumerate(settings.kinds):
-        bad.unless(kind.per_call >= 1, f"kinds[{index}].per_call")
-    if bad.names:
-        raise ValueError(f"settings: {bad.names[0]} makes no sense")
