Ring: caps rounded by each courier's own name, so that no death moves all

Seen: caps by a total rounded to powers of 1.05 rise for all at once: with 550 couriers and 16,384 shards 2 of 55 deaths in a row moved 113 and 207 shards (26 and 30 were least; trial). Change: a cap is load times the exact share, rounded up from an own fraction on, at least the share rounded up.

--- a/wheelstep/shards/points.py
+++ b/wheelstep/shards/points.py
@@ -4,7 +4,7 @@
 
 from array import array
 from bisect import bisect_left, bisect_right
-from collections.abc import Collection, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 
 import xxhash
 
@@ -73,10 +73,11 @@
         return come
 
     def _all_anew(self) -> None:
-        points = [(place, name) for name, places in self.of.items() for place in places]
-        points.sort()
-        self.places = array("Q", [place for place, _ in points])
-        self.names = [name for _, name in points]
+        names = [name for name in sorted(self.of) for _ in self.of[name]]
+        places = [place for name in sorted(self.of) for place in self.of[name]]
+        order = sorted(range(len(places)), key=places.__getitem__)  # stable: at one place by name
+        self.places = array("Q", [places[at] for at in order])
+        self.names = [names[at] for at in order]
 
     def _bisect(self, place: int, name: str) -> int:
         at = bisect_left(self.places, place)
@@ -113,10 +114,3 @@
             if name not in seen:
                 seen.add(name)
                 yield name
-
-
-def counts_of(points: int, weights: Collection[tuple[str, float, float]]) -> dict[str, tuple[int, int]]:
-    """For `Points.change`, from couriers with their weight before and now, where their number of points differs."""
-    def count(weight: float) -> int:
-        return max(1, round(points * weight)) if weight > 0 else 0
-    return {name: (count(before), count(now)) for name, before, now in weights if count(before) != count(now)}
--- a/wheelstep/shards/ring.py
+++ b/wheelstep/shards/ring.py
@@ -14,19 +14,13 @@
 from collections.abc import Iterator, Mapping, Set
 from heapq import heapify, heappop, heappush
 
-from wheelstep.shards.points import MASK, Points, ShardPlaces, counts_of
+from wheelstep.shards.points import MASK, Points, ShardPlaces
+from wheelstep.shards.shares import Caps, counted, counts_of
 
-GRID = 1.05  # caps follow the total weight in steps of this at most
-LEAST_WEIGHT, MOST_WEIGHT = 1e-6, 64.0  # couriers that are lighter or heavier count as these
 MOST_SHARDS = 1 << 20
 SHARD = (1 << 32) - 1  # a pair's score is `distance << 32 | shard`, at one courier
 
 
-def counted(weight: float) -> float:
-    """A weight as it counts on the ring; 0: not at all."""
-    return min(max(weight, LEAST_WEIGHT), MOST_WEIGHT) if 0 < weight < math.inf else 0.0
-
-
 class HashRing:
     """Homes of shards 0 to `shards` - 1. A courier holds at most `load` times its share by weight (rounded up), and has
     `points` points on the ring at weight 1. Raises `ValueError` for numbers that make no ring."""
@@ -34,14 +28,14 @@
     def __init__(self, shards: int, load: float = 1.25, points: int = 64) -> None:
         if not 0 < shards <= MOST_SHARDS:
             raise ValueError(f"expected 1 to {MOST_SHARDS} shards, found {shards}")
-        if not 1 < load < math.inf or points < 1:
-            raise ValueError(f"expected a load above 1 and a point or more, found {load} and {points}")
-        self._shards, self._load, self._per_weight = shards, load, points
-        self._step = math.log(min(GRID, math.sqrt(load)))
+        if not 1 <= load < math.inf or points < 1:
+            raise ValueError(f"expected a load of 1 or more and a point or more, found {load} and {points}")
+        self._shards, self._per_weight = shards, points
         self._places = ShardPlaces(shards)
         self._place = self._places.of
         self._points = Points()
         self._weights: dict[str, float] = {}
+        self._rule = Caps(shards, load)
         self._caps: dict[str, int] = {}
         self._held: dict[str, list[int]] = {}  # scores of the shards at home there, ascending
         # Shards that would rather be there than where they are, and some that no more would.
@@ -97,7 +91,7 @@
                 self._passed.setdefault(name, array("I"))
             else:
                 del self._weights[name], self._held[name], self._passed[name]
-        caps, self._caps = self._caps, self._new_caps()
+        caps, self._caps = self._caps, self._rule.of(self._weights)
         moved = sum(abs(now - before) for before, now in counts.values())
         if 3 * moved > len(self._points.places):
             self._all_anew()
@@ -118,16 +112,6 @@
         self._before.clear()
         return changed
 
-    def _new_caps(self) -> dict[str, int]:
-        """From the total weight, rounded up in steps, so that most changes of it change no cap."""
-        if not self._weights:
-            return {}
-        total = math.fsum(self._weights.values())
-        steps = math.ceil(math.log(total) / self._step)
-        total = max(total, math.exp(steps * self._step))
-        share = self._load * self._shards / total
-        return {name: math.ceil(share * weight) for name, weight in self._weights.items()}
-
     def _all_anew(self) -> None:
         """Every shard asks from its place on: less work than repairs, where much has changed."""
         for shard in range(self._shards):
