The hop moves from workers to forwarding

Couriers that divide destinations need what workers have among themselves: a message asked of its owner before it is journalled.

--- a/wheelstep/workers/hop.py
+++ b/wheelstep/forwarding/client.py
@@ -3,7 +3,7 @@
 
 Asked: `ask` (a message, under a number). Answered: `taken`, `known`, `unsettled`, or `bad` or `full` with the reason.
 Then `begin` (the client has heard 202) or `withdraw` (it went before). A connection that ends with neither counts as
-`begin`: the client may have heard. Here is the asking side; the owner's is `counter`.
+`begin`: the client may have heard. Here is the asking side; the owner's is `server`.
 """
 
 from __future__ import annotations
@@ -24,7 +24,7 @@
 log = logging.getLogger(__name__)
 
 
-class Passage:
+class ForwardClient:
     """The way to one other worker. Dialled when first needed, and again after it broke.
 
     Each question has a number of its own, and its answer names it: a client that went and came again with the same
@@ -143,8 +143,8 @@
     ready = True
     syncs = True  # its answer is waited for
 
-    def __init__(self, passage: Passage) -> None:
-        self._passage = passage
+    def __init__(self, client: ForwardClient) -> None:
+        self._client = client
         self._message: Stored | None = None
         self.frames: Frames | None = None  # where it was asked, if it was
         self.number = -1
@@ -168,15 +168,15 @@
     def durable(self) -> asyncio.Future[None]:
         """Ask the owner, who writes it down; the errors are those of the owner's own desk."""
         assert self._message is not None
-        return self._passage.ask(self, self._message)
+        return self._client.ask(self, self._message)
 
     def begin(self, name: str) -> None:
         if not self.known:
-            self._passage.tell("begin", self)
+            self._client.tell("begin", self)
 
     def withdraw(self, name: str) -> None:
         if not self.known:
-            self._passage.tell("withdraw", self)
+            self._client.tell("withdraw", self)
 
     def handed_in(self, message: Stored, status: int) -> None:
         """The owner records it."""
--- a/wheelstep/workers/counter.py
+++ b/wheelstep/forwarding/server.py
@@ -1,4 +1,4 @@
-"""The owner's side of `hop`: what other workers hand in here is taken, begun or withdrawn."""
+"""The owner's side of `client`: what other workers hand in here is taken, begun or withdrawn."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from wheelstep.workers.frames import Frames
 
 
-class Counter:
+class ForwardServer:
     """The owner's side: one connection from another worker."""
 
     def __init__(self, find: Callable[[int], Core | None]) -> None:
