Forwarding takes its dial, texts, waits and bounds from its user; bad heads end the connection

Needed: couriers forward over sealed streams to any desk, not workers over Unix sockets to a Core alone.

ForwardServer(find) gets the whole message and gives a desk or Turned; a desk whose durable fails may also say bad, away, or nothing at all, and has then withdrawn. Heads are checked (heads.py): unknown answers, numbers that were not asked or were used, ends of what was not answered end the connection, counted. Workers use it by workers/between.py. share_of and shard_of are one function (wheelstep/dividing.py).

--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -15,11 +15,11 @@
 from test_rehearsal import rehearse
 
 from wheelstep.courier.desk import BadRequestError, UnansweredError
-from wheelstep.forwarding.client import ForwardClient, RemoteDesk
-from wheelstep.forwarding.server import ForwardServer
+from wheelstep.forwarding.client import RemoteDesk
 from wheelstep.journal import NoRoomError, Stored
 from wheelstep.rehearsal.rig import module_command
 from wheelstep.rehearsal.standins.machine import children
+from wheelstep.workers.between import OwnerSide, forward_client
 from wheelstep.workers.ownership import share_of
 
 
@@ -86,11 +86,11 @@
     def __init__(self, folder: Path) -> None:
         self.path = str(folder / "hop")
         self.owner = Owner()
-        self.counters: list[ForwardServer] = []
-        self.passage = ForwardClient(self.path)
+        self.counters: list[OwnerSide] = []
+        self.passage = forward_client(self.path)
 
     def _counter(self) -> Any:
-        self.counters.append(ForwardServer(lambda destination: self.owner))  # type: ignore[arg-type, return-value]
+        self.counters.append(OwnerSide(lambda destination: self.owner))  # type: ignore[arg-type, return-value]
         return self.counters[-1].frames
 
     async def __aenter__(self) -> Hop:
--- a/wheelstep/forwarding/server.py
+++ b/wheelstep/forwarding/server.py
@@ -1,93 +1,155 @@
-"""The owner's side of `client`: what other workers hand in here is taken, begun or withdrawn."""
+"""The owner's side of `client`: what other processes hand in here is taken, begun or withdrawn."""
 
 from __future__ import annotations
 
 import asyncio
+import logging
+from collections import Counter
 from collections.abc import Callable
-from typing import Any
+from dataclasses import dataclass
+from typing import Any, Literal
 
-from wheelstep.courier.core import Core
+import msgspec
+
+from wheelstep.courier.desk import BadRequestError, Desk, UnansweredError
+from wheelstep.forwarding.errors import NotAskedError
+from wheelstep.forwarding.heads import Ask, Begin, Withdraw, said
+from wheelstep.forwarding.link import Link
 from wheelstep.journal import NoRoomError, Stored
-from wheelstep.workers.frames import Frames
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Turned:
+    """No desk takes it here: `away` where another process serves it, `full` where none can just now."""
+
+    is_: Literal["full", "away"]
+    why: str
 
 
 class ForwardServer:
-    """The owner's side: one connection from another worker."""
+    """The owner's side of one connection from another process. `find` gives the desk of a message, or why there is
+    none. Tell it the connection by `attach`, each frame by `heard`, its end by `lost`."""
 
-    def __init__(self, find: Callable[[int], Core | None]) -> None:
-        self._find = find
-        self.frames = Frames(self._heard, self._lost)
-        self._pending: dict[int, tuple[Core, Stored]] = {}  # taken, and its client has not heard for all we know
+    def __init__(self, find: Callable[[Stored], Desk | Turned], *, most: int = 20_000) -> None:
+        """`most` messages are taken and not begun at once; beyond that it is `full`."""
+        self._find, self._most = find, most
+        self._link: Link | None = None
+        self._ended = False
+        self._next = 0  # numbers below were asked
+        self._pending: dict[int, tuple[Desk, Stored]] = {}  # taken, and its client has not heard for all we know
         self._tasks: dict[int, asyncio.Task[None]] = {}  # taken, and waiting for a sync
+        self.refused: Counter[str] = Counter()  # frames that were none of an asker, by reason
+
+    def attach(self, link: Link) -> None:
+        """Where answers go."""
+        self._link = link
 
-    def _heard(self, head: dict[str, Any], body: bytes) -> None:
-        number = int(head["n"])
-        match head["do"]:
-            case "ask":
-                self._ask(number, Stored(str(head["id"]), str(head["class"]), int(head["dest"]), int(head["deadline"]),
-                                         head["key"], head["token"], bool(head["again"]), body))
-            case "begin" if number in self._pending:
-                core, message = self._pending.pop(number)
-                self._begin(core, message)
-            case "withdraw":
-                if (task := self._tasks.pop(number, None)) is not None:
+    def heard(self, head: dict[str, Any], body: bytes) -> None:
+        """A frame. One that no asker sends ends the connection, and nothing of it is taken over."""
+        if self._ended:
+            return
+        try:
+            one = said(head)
+        except msgspec.ValidationError as error:
+            self._break(f"no ask: {error}")
+            return
+        match one:
+            case Ask() if one.n < self._next:
+                self._break("an ask under a number that was used")
+            case Ask():
+                self._next = one.n + 1
+                self._ask(one.n, one.message(body))
+            case Begin() | Withdraw() if one.n >= self._next:
+                self._break("an end of what was not asked")
+            case Begin() if one.n in self._tasks:
+                self._break("a begin of what was not answered")
+            case Begin() if one.n in self._pending:
+                self._begin(*self._pending.pop(one.n))
+            case Withdraw():
+                if (task := self._tasks.pop(one.n, None)) is not None:
                     task.cancel()
-                if number in self._pending:
-                    core, message = self._pending.pop(number)
-                    core.withdraw(message.id)
+                if one.n in self._pending:
+                    desk, message = self._pending.pop(one.n)
+                    desk.withdraw(message.id)
 
-    def _begin(self, core: Core, message: Stored) -> None:
-        if core.holds(message.id):
-            core.begin(message.id)
-            core.handed_in(message, 202)
+    def _begin(self, desk: Desk, message: Stored) -> None:
+        if desk.holds(message.id):
+            desk.begin(message.id)
+            desk.handed_in(message, 202)
 
     def _ask(self, number: int, message: Stored) -> None:
-        core = self._find(message.destination)
-        if core is None:
-            self._answer(number, "full", "its share is not open here just now")
-        elif core.holds(message.id):
-            self._answer(number, "unsettled" if core.settles(message.id) else "known")
-        elif not core.serves(message.destination):
+        desk = self._find(message)
+        if isinstance(desk, Turned):
+            self._answer(number, desk.is_, desk.why)
+        elif desk.holds(message.id):
+            self._answer(number, "unsettled" if desk.settles(message.id) else "known")
+        elif not desk.serves(message.destination):
             self._answer(number, "bad", "no such destination")
-        elif core.full():
-            core.handed_in(message, 503)
+        elif desk.full() or len(self._pending) >= self._most:
+            desk.handed_in(message, 503)
             self._answer(number, "full", "holds all it can")
         else:
             try:
-                core.take(message)
+                desk.take(message)
             except NoRoomError as error:
-                core.handed_in(message, 503)
-                self._answer(number, "full", str(error))
+                desk.handed_in(message, 503)
+                self._refuse(number, error)
                 return
-            self._pending[number] = core, message
-            if core.syncs:
-                self._tasks[number] = asyncio.create_task(self._settle(core, number, message.id))
+            self._pending[number] = desk, message
+            if desk.syncs:
+                self._tasks[number] = asyncio.create_task(self._settle(desk, number, message.id))
             else:
                 self._answer(number, "taken")
 
-    async def _settle(self, core: Core, number: int, name: str) -> None:
+    async def _settle(self, desk: Desk, number: int, name: str) -> None:
         try:
-            await core.durable()
-        except NoRoomError as error:
+            await desk.durable()
+        except Exception as error:  # guards against a message that nobody was told of, and a lost connection begins
             self._pending.pop(number, None)
-            core.withdraw(name)
-            self._answer(number, "full", str(error))
+            desk.withdraw(name)
+            self._refuse(number, error)
         else:
             self._answer(number, "taken")
         finally:
             self._tasks.pop(number, None)
 
-    def _answer(self, number: int, what: str, why: str = "") -> None:
-        self.frames.send({"n": number, "is": what, "why": why})
+    def _refuse(self, number: int, error: Exception) -> None:
+        """An answer where there is a true one; else the asker's time runs out."""
+        match error:
+            case NotAskedError():
+                self._answer(number, "away", str(error))
+            case NoRoomError():
+                self._answer(number, "full", str(error))
+            case BadRequestError():
+                self._answer(number, "bad", str(error))
+            case UnansweredError():
+                log.debug("no answer to a forwarded message: %s", error)
+            case _:
+                log.error("a forwarded message could not be taken", exc_info=error)
+
+    def _answer(self, number: int, kind: str, why: str = "") -> None:
+        if self._link is not None and not self._ended:
+            self._link.send({"n": number, "is": kind, "why": why})
+
+    def _break(self, why: str) -> None:
+        """Guards against a process that does not keep to this."""
+        self.refused[why.partition(":")[0]] += 1
+        log.error("a forwarding process sent %s: its connection is ended", why[:200])
+        self.lost()
+        if self._link is not None:
+            self._link.close()
 
-    def _lost(self) -> None:
-        """Guards against a message that its client was told of, and nobody begins."""
+    def lost(self) -> None:
+        """The connection has ended. Guards against a message that its client was told of, and nobody begins."""
+        self._ended = True
         for task in list(self._tasks.values()):  # not answered: its client was told nothing
             task.cancel()
         unanswered = set(self._tasks)
         pending, self._pending = self._pending, {}
-        for number, (core, message) in pending.items():
+        for number, (desk, message) in pending.items():
             if number in unanswered:
-                core.withdraw(message.id)
+                desk.withdraw(message.id)
             else:
-                self._begin(core, message)
+                self._begin(desk, message)
--- a/wheelstep/shards/types.py
+++ b/wheelstep/shards/types.py
@@ -5,16 +5,13 @@
 
 from __future__ import annotations
 
-import hashlib
 from typing import Any
 
 import msgspec
 
+from wheelstep.dividing import part_of
 
-def shard_of(destination: int, shards: int) -> int:
-    """The shard, from 0, that a destination belongs to. The same at every start and on every machine."""
-    digest = hashlib.blake2b(str(destination).encode(), digest_size=8).digest()
-    return int.from_bytes(digest, "big") % shards
+shard_of = part_of  # (destination, shards)
 
 
 def region_of(zone: str) -> str:
--- /dev/null
+++ b/wheelstep/workers/between.py
@@ -0,0 +1,39 @@
+"""Messages passed on between the workers of one courier (`wheelstep.forwarding`), over Unix sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from wheelstep.courier.desk import Desk
+from wheelstep.forwarding.client import ForwardClient
+from wheelstep.forwarding.link import Heard, Link, Lost
+from wheelstep.forwarding.server import ForwardServer, Turned
+from wheelstep.journal import Stored
+from wheelstep.workers.frames import Frames
+
+_DIAL_S = 0.2
+
+
+def forward_client(path: str) -> ForwardClient:
+    """The way to the worker that listens at `path`."""
+    async def dial(heard: Heard, lost: Lost) -> Link | None:
+        frames = Frames(heard, lost)
+        try:
+            async with asyncio.timeout(_DIAL_S):
+                await asyncio.get_running_loop().create_unix_connection(lambda: frames, path)
+        except (OSError, TimeoutError):
+            return None
+        return frames
+    return ForwardClient(dial, what="the worker that owns it")
+
+
+class OwnerSide:
+    """One connection from another worker; `find` gives the desk of a destination, None where its share is not open."""
+
+    def __init__(self, find: Callable[[int], Desk | None]) -> None:
+        def desk(message: Stored) -> Desk | Turned:
+            return find(message.destination) or Turned("full", "its share is not open here just now")
+        server = ForwardServer(desk)
+        self.frames = Frames(server.heard, server.lost)
+        server.attach(self.frames)
--- a/wheelstep/workers/ownership.py
+++ b/wheelstep/workers/ownership.py
@@ -8,17 +8,14 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections import deque
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 
+from wheelstep.dividing import part_of
 
-def share_of(destination: int, shares: int) -> int:
-    """The share, from 0, that a destination belongs to. The same at every start and on every machine."""
-    digest = hashlib.blake2b(str(destination).encode(), digest_size=8).digest()
-    return int.from_bytes(digest, "big") % shares
+share_of = part_of  # (destination, shares)
 
 
 def assign(shares: Iterable[int], workers: Sequence[int], before: Mapping[int, int]) -> dict[int, int]:
--- a/wheelstep/workers/worker.py
+++ b/wheelstep/workers/worker.py
@@ -27,9 +27,9 @@
 from wheelstep.courier.notices import Notices
 from wheelstep.courier.opening import account, open_journal, recorder
 from wheelstep.courier.rows import Row, read_rows
-from wheelstep.forwarding.client import ForwardClient, RemoteDesk
-from wheelstep.forwarding.server import ForwardServer
+from wheelstep.forwarding.client import RemoteDesk
 from wheelstep.journal import FolderInUseError, Journal
+from wheelstep.workers.between import OwnerSide, forward_client
 from wheelstep.workers.closed import ClosedDesk
 from wheelstep.workers.frames import Frames
 from wheelstep.workers.journals import Journals
@@ -59,7 +59,7 @@
         self._core = Core(config, self._journals)
         self._opening: set[int] = set()
         self._owners: dict[int, int] = {}
-        self._clients = {other: ForwardClient(path) for other, path in enumerate(paths) if other != number}
+        self._clients = {other: forward_client(path) for other, path in enumerate(paths) if other != number}
         self._path = paths[number]
         self._of: dict[int, int] = {}  # destination -> share, as far as asked for
         self._leaving = asyncio.Event()
@@ -170,7 +170,7 @@
         async with aiohttp.ClientSession(auto_decompress=False, trust_env=False) as http, \
                 asyncio.TaskGroup() as self._group:
             self._notices = self._core.notices = Notices(http, self._config.discovery, self._core.answered)
-            counters = await loop.create_unix_server(lambda: ForwardServer(self._ours).frames, self._path)
+            counters = await loop.create_unix_server(lambda: OwnerSide(self._ours).frames, self._path)
             self._tasks = [self._group.create_task(work) for work in (
                 self._beat(), server.sweep(), self._notices.run(), self._core.outlet.sweep())]
             if self._core.account is not None:
