--- a/wheelstep/courier/listing.py
+++ b/wheelstep/courier/listing.py
@@ -5,7 +5,7 @@
 import json
 import logging
 import re
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
 from wheelstep import interface as api
@@ -23,10 +23,10 @@
 
 class Listing:
     """The objects in what one watch brings, however they are laid out over lines and reads. What is over `most` bytes
-    is passed over and not kept."""
+    is passed over and not kept. `loads` reads one object's bytes; raises `ValueError`."""
 
-    def __init__(self, most: int = MOST_BYTES) -> None:
-        self._most, self._held = most, bytearray()
+    def __init__(self, most: int = MOST_BYTES, loads: Callable[[bytearray], dict[str, Any]] = json.loads) -> None:
+        self._most, self._loads, self._held = most, loads, bytearray()
         self._at = self._depth = 0  # what stands before `_at` has been looked at
         self._quoted = self._over = False  # inside a string; inside an object that is too long
         self._passed = 0
@@ -54,7 +54,7 @@
                 self._pass_over()
                 yield None
             else:
-                yield json.loads(held[begin:self._at])
+                yield self._loads(held[begin:self._at])
             begin = self._at
         if self._depth and (self._over or len(held) - begin > self._most):
             self._over, begin = True, self._at
--- a/wheelstep/courier/watch.py
+++ b/wheelstep/courier/watch.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import logging
 import math
 import random
 from collections.abc import Callable, Mapping
 from contextlib import suppress
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -15,7 +17,7 @@
 from wheelstep import interface as api
 from wheelstep.courier.config import Address, Names
 from wheelstep.courier.hedge import Hedge
-from wheelstep.courier.listing import Listing, entries
+from wheelstep.courier.listing import MOST_BYTES, Listing, entries
 
 if TYPE_CHECKING:  # what is off is not imported
     from wheelstep.account.writer import Account
@@ -25,7 +27,22 @@
 
 log = logging.getLogger(__name__)
 
-Listed = Callable[[api.ListKind, list[tuple[api.EndpointInfo, Address]]], None]
+Entries = Callable[[Mapping[str, Any], Names], list[Any]]
+Listed = Callable[[api.ListKind, list[Any]], None]
+"""What comes of a list: its rows as `Reading.entries` gives them, which are a courier's rows unless said otherwise."""
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """How lists are read: the most bytes of one, one's bytes to an object, and that to rows. Both raise
+    `ValueError`."""
+
+    most_bytes: int = MOST_BYTES
+    loads: Callable[[bytearray], dict[str, Any]] = json.loads
+    entries: Entries = entries
+
+
+_READING = Reading()
 
 
 class Watch:
@@ -33,9 +50,10 @@
     `couriers` (see `spread.callers`) that lost it at the same moment; `most_s`: see `spread.longest_s`."""
 
     def __init__(self, discovery: Address, names: Names, seq: int, listed: Listed, couriers: int = 1, seed: int = 0,
-                 most_s: float = math.inf) -> None:
+                 most_s: float = math.inf, reading: Reading = _READING) -> None:
         self._discovery, self._names, self._listed, self._seq = discovery, names, listed, seq
         self._couriers, self._rng, self._most_s = couriers, random.Random(f"watch {seed}"), most_s
+        self._reading = reading
         self._hedge: Hedge | None = None
         self._open: dict[int, asyncio.Task[None]] = {}
         self._answered, self._sooner = asyncio.Event(), asyncio.Event()
@@ -91,7 +109,7 @@
             async with http.get(url, params=params, timeout=_NO_LIMIT) as answer:
                 if answer.status != 200:
                     raise ValueError(f"status {answer.status}")
-                listing = Listing()
+                listing = Listing(self._reading.most_bytes, self._reading.loads)
                 async for data in answer.content.iter_any():
                     for found in listing.feed(data):
                         self._end(hedge.spoke(number, loop.time()))
@@ -113,6 +131,6 @@
         whole = bool(data.get("whole"))
         if not whole and data["seq"] <= self._seq:
             return  # known already
-        rows = entries(data, self._names)
+        rows = self._reading.entries(data, self._names)
         self._seq = data["seq"]
         self._listed(api.ListKind.WHOLE if whole else api.ListKind.CHANGES, rows)
--- a/wheelstep/shards/list_client.py
+++ b/wheelstep/shards/list_client.py
@@ -14,6 +14,8 @@
 from wheelstep.shards.refusals import Refusals
 from wheelstep.shards.types import Behind, Current, Follow, Frame, ListRow, ShardRows, Unfollow
 
+__all__ = ["Changed", "Dial", "HangUp", "ListAct", "ListClient", "Note", "Tell"]
+
 BACKOFF_US = 250_000  # the first wait after a round of all control machines, at most; doubled with each round
 MOST_BACKOFF_US = 8_000_000
 NEVER_US = 1 << 62
--- a/wheelstep/shards/list_rows.py
+++ b/wheelstep/shards/list_rows.py
@@ -19,6 +19,7 @@
 HEALTHS = ("SERVING", "DRAINING", DELETED)
 ROW_BYTES = 1_024  # a row packed, at most
 SHARD_ROWS = 65_536  # rows of one shard, at most
+_NULL = msgspec.Raw(b"null")
 _MASK = (1 << 64) - 1
 
 _pack = msgspec.msgpack.Encoder().encode
@@ -67,7 +68,7 @@
     try:
         outer = _OUTER.decode(data)
         found: dict[str, Any] = {name: msgspec.json.decode(raw) for name, raw in outer.items() if name != "hosts"}
-        if "hosts" in outer:
+        if outer.get("hosts", _NULL) != _NULL:
             found["hosts"] = _HOSTS.decode(outer["hosts"])
     except msgspec.DecodeError as error:
         raise ValueError(f"no list: {error}") from error
@@ -108,11 +109,13 @@
         return f"health {row.health!r:.80}; expected one of {', '.join(HEALTHS)}"
     try:
         Address.parse(row.dial)
-        if len(_pack(row)) > ROW_BYTES:
-            return f"row of {len(_pack(row))} bytes; expected {ROW_BYTES} at most"
+    except ValueError as error:
+        return f"dial: {error}"[:200] + "; expected host:port"
+    try:
+        size = len(_pack(row))
     except (ValueError, OverflowError) as error:
-        return f"{error}"[:200]
-    return ""
+        return f"row that can't be written: {error}"[:200] + "; expected UTF-8 and 64 bits"
+    return f"row of {size} bytes; expected {ROW_BYTES} at most" if size > ROW_BYTES else ""
 
 
 def deleted(row: ListRow) -> ListRow:
--- a/wheelstep/shards/list_server.py
+++ b/wheelstep/shards/list_server.py
@@ -101,8 +101,8 @@
         return [(name, frame) for name in sorted(names) if shard not in self._peers[name].owed]
 
     def _changes(self, now_us: int, seq: int, rows: Iterable[ListRow]) -> Iterator[Tells]:
-        """Told slice by slice under the version before, which all of it is newer than; the last has the new one."""
-        left = iter(rows)
+        """Told slice by slice, all under the new version: whoever has a part of it must not be told older rows."""
+        self.seq, left = max(self.seq, seq), iter(rows)
         while part := list(islice(left, SLICE_CHANGES)):
             before: dict[int, tuple[ListRow, ...]] = {}
             for row in part:
@@ -117,13 +117,12 @@
                 if set(new) != set(old):
                     tells += self._differences(shard, self._followers[shard], old, new)
             yield tells
-        self.seq = max(self.seq, seq)
         yield self._caught_up(now_us)
 
     def _caught_up(self, now_us: int) -> Tells:
         tells: Tells = []
         for name, peer in self._peers.items():
-            if peer.waiting is not None and peer.waits_for <= self.seq:
+            if peer.waiting is not None and self._known and peer.waits_for <= self.seq:
                 digests, peer.waiting = peer.waiting, None
                 tells += self._follow(now_us, name, peer, digests)
         return tells
