--- a/wheelstep/shards/refusals.py
+++ b/wheelstep/shards/refusals.py
@@ -1,4 +1,4 @@
-"""What was refused of others, counted by reason, and a line for operators now and then. No I/O."""
+"""What was refused of others, counted by reason, and lines for operators now and then. No I/O."""
 
 from __future__ import annotations
 
@@ -16,10 +16,14 @@
         self._last: dict[str, str] = {}
         self._told: dict[str, tuple[int, int]] = {}  # when a line was given, and the count then
 
-    def note(self, reason: str, who: str, expected: str) -> None:
-        """One more; reasons are few and known."""
+    def add(self, reason: str, line: str) -> None:
+        """One more; reasons are few and known. `line` says of whom, what was found and what was expected."""
         self.counts[reason] += 1
-        self._last[reason] = f"{who or 'unknown sender'} refused ({reason}): expected {expected}"
+        self._last[reason] = line
+
+    def note(self, reason: str, who: str, expected: str) -> None:
+        """The same, of a packet."""
+        self.add(reason, f"{who or 'unknown sender'} refused ({reason}): expected {expected}")
 
     def lines(self, now_us: int) -> list[str]:
         """One a reason in 10 seconds, where there was another since."""
@@ -29,5 +33,5 @@
             count = self.counts[reason]
             if count > told and now_us - at_us >= NOTE_EVERY_US:
                 self._told[reason] = now_us, count
-                lines.append(f"{self._what}: {text}; {count - told} since the last line")
+                lines.append(f"{self._what}: {text}; {count - told} refused since the last line")
         return lines
