Shard node: membership, homes, lists by shard, forwarding and learned state put together

The node is thin: what is decided, ring, hosting, handoff, router and list client decide. Peers' datagrams are a class of their own, used by both daemons.

--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -29,6 +29,7 @@
     from wheelstep.fleet.daemon import FleetDaemon
     from wheelstep.fleet.settings import Fleet
     from wheelstep.operator import Operator
+    from wheelstep.shards.daemon import ShardDaemon
     from wheelstep.upgrade.giver import Giver
 
 _FIRST_LIST_S = 0.2  # the agent beside the courier answers at once (PROTOCOL, 'Discovery') unless discovery is down
@@ -52,14 +53,14 @@
             console.stop()
             return
         journal, taker = got
-    fleet: FleetDaemon | None = None
+    fleet: FleetDaemon | ShardDaemon | None = None
     if operator is not None and operator.fleet is not None:
         fleet = join(config, operator.fleet, journal)
-    core = Core(config, journal if fleet is None else fleet.kept)
+    core = Core(config if fleet is None else fleet.config, journal if fleet is None else fleet.kept)
     if operator is not None:
         core.recorder, core.account = recorder(operator, config), account(operator, config)
-    desk, front = (core, None) if fleet is None else fleet.join(core)
-    server = ClientServer(desk, core.ordered, config.sockets // 3, keep=console is not None, front=front)
+    desk, front, find = (core, None, None) if fleet is None else fleet.join(core)
+    server = ClientServer(desk, core.ordered, config.sockets // 3, find, keep=console is not None, front=front)
     giver: Giver | None = None
     if console is not None:
         from wheelstep.console.figures import Figures
@@ -76,16 +77,18 @@
             seq, rows = taker.taken.seq, taker.taken.rows
         watch = Watch(config.discovery, config.names, seq if isinstance(seq, int) else 0, core.listed,
                       callers(config.settings), config.seed, longest_s(config.settings))
-        core.listed(api.ListKind.RESTORED, rows)
+        watches = fleet is None or not fleet.lists  # else the fleet tells which endpoints there are
+        if watches:
+            core.listed(api.ListKind.RESTORED, rows)
         async with asyncio.TaskGroup() as group:  # a task that dies ends the process with its traceback
             tasks = [group.create_task(work) for work in
-                     (core.notices.run(), watch.run(), core.outlet.sweep(), server.sweep(),
-                      journal.compact_for_good(),
-                      follow_config(config, renewed, watch, core.notices, core=core, again=again))]
+                     (core.notices.run(), core.outlet.sweep(), server.sweep(), journal.compact_for_good(),
+                      follow_config(config, renewed, watch, core.notices, core=core, again=again),
+                      *([watch.run()] if watches else []))]
             if core.account is not None:
                 tasks.append(group.create_task(core.account.run(core.gauge)))
                 watch.account = core.account
-            if taker is None:  # what is restored may not go to an endpoint that the list has lost meanwhile
+            if taker is None and watches:  # what is restored may not go to an endpoint that the list has lost meanwhile
                 await watch.told(_FIRST_LIST_S)
             if fleet is not None:
                 fleet.restore()
@@ -133,16 +136,19 @@
     deafen()
 
 
-def join(config: Config, found: Fleet, journal: Journal) -> FleetDaemon:
+def join(config: Config, found: Fleet, journal: Journal) -> FleetDaemon | ShardDaemon:
     """The fleet that the operator's file describes. Raises `ConfigError`."""
-    from wheelstep.fleet.daemon import FleetDaemon
     if config.console is not None:
         raise ConfigError("console: given beside fleet.on = true; expected one of them: a fleet's courier is replaced "
                           "by moving its parts")
+    if found.part.shards.on:
+        from wheelstep.shards.daemon import ShardDaemon
+        return ShardDaemon(config, found, journal)
+    from wheelstep.fleet.daemon import FleetDaemon
     return FleetDaemon(config, found, journal)
 
 
-def reread(path: str, fleet: FleetDaemon) -> None:
+def reread(path: str, fleet: FleetDaemon | ShardDaemon) -> None:
     """The operator's file again: its contracts change. One that can't be used changes nothing."""
     from wheelstep.operator import OperatorError
     from wheelstep.operator import load as load_operator
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -54,6 +54,12 @@
                 self.outlet.close_idle(info.endpoint)
         self.endpoints.tell(kind, [info for info, _ in rows])
 
+    def forget(self, destinations: Iterable[int]) -> None:
+        """They are served here no more: none of their endpoints is listed, and nothing of them is owed."""
+        gone = tuple(destinations)
+        self.endpoints.destinations.difference_update(gone)
+        self.turns.post(api.DestinationsDropped(gone))
+
     def _unlist(self, endpoint: str) -> None:
         self.endpoints.remove(endpoint)
         self.outlet.unlist(endpoint)
--- a/wheelstep/fleet/daemon.py
+++ b/wheelstep/fleet/daemon.py
@@ -10,7 +10,7 @@
 import logging
 import random
 import time
-from collections.abc import Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from concurrent.futures import ThreadPoolExecutor
 
 from wheelstep.channels.book import Book
@@ -20,6 +20,7 @@
 from wheelstep.channels.kept import Kept
 from wheelstep.courier.config import Address, Config, ConfigError
 from wheelstep.courier.core import Core
+from wheelstep.courier.desk import Desk, Front
 from wheelstep.fleet.clocks import now_ms, now_us
 from wheelstep.fleet.log import Log, LogBrokenError, LogDamagedError
 from wheelstep.fleet.node import Node
@@ -39,8 +40,10 @@
 class FleetDaemon:
     """`kept` goes beneath the core in the journal's place. Raises `ConfigError`."""
 
+    lists = False  # which endpoints there are comes from discovery
+
     def __init__(self, config: Config, fleet: Fleet, journal: Journal) -> None:
-        self._config, self._fleet, self._part = config, fleet, fleet.part
+        self.config, self._fleet, self._part = config, fleet, fleet.part
         self.book = Book(fleet.contracts, fleet.part.parts, fleet.part.most_channels, now_ms())
         self.kept = Kept(journal, self.book, fleet.part.parts, now_ms)
         self._disk = Folder(config.state / "fleet")
@@ -63,11 +66,11 @@
             log.error("%s: put aside; this courier's vote begins blank", error)
             return Log.anew(self._disk, max(least, error.boot + 1)), ()
         except OSError as error:
-            raise ConfigError(f"{self._config.state / 'fleet'}: {error}") from error
+            raise ConfigError(f"{self.config.state / 'fleet'}: {error}") from error
 
-    def join(self, core: Core) -> tuple[ChannelDesk, ChannelFront]:
+    def join(self, core: Core) -> tuple[Desk, Front | None, Callable[[int], Desk] | None]:
         """The parts that need the core: what the client server asks."""
-        part, config = self._part, self._config
+        part, config = self._part, self.config
         self._core = core
         self.content = ChannelContent(core, self.kept, self.book, now_ms)
         listen = Address.parse(part.listen or "")
@@ -82,7 +85,7 @@
         self.desk = ChannelDesk(core, self.kept, self.content, now_ms, lambda: int(time.time() * 1000))
         front = ChannelFront(core.ordered, self.book, self.content, part.parts, now_ms, self._owner)
         core.outlet.sign = signed(self.kept, self.content)
-        return self.desk, front
+        return self.desk, front, None
 
     def restore(self) -> None:
         """Take up what the journal holds. Messages of channels wait until their part is this courier's again."""
--- a/wheelstep/fleet/peers.py
+++ b/wheelstep/fleet/peers.py
@@ -13,7 +13,8 @@
 from aiohttp import web
 
 from wheelstep.courier.config import Address
-from wheelstep.fleet.packets import DATAGRAM, STREAM, STREAM_BYTES, Elder, PacketError, Reason, Seal
+from wheelstep.fleet.datagrams import Datagrams
+from wheelstep.fleet.packets import STREAM, STREAM_BYTES, Elder, PacketError, Reason, Seal
 from wheelstep.fleet.types import Answer, Ask, Packet, Stood, Voted
 from wheelstep.moves.types import Moved
 
@@ -31,14 +32,20 @@
 
     def __init__(self, keys: Sequence[bytes], fleet: str, me: str, boot: int, now_us: Callable[[], int], heard: Heard,
                  asked: Asked) -> None:
-        self._now_us, self._heard, self._asked = now_us, heard, asked
+        self._now_us, self._asked = now_us, asked
         self.datagrams = Seal(keys, fleet, me, boot)
         self.streams = Seal(keys, fleet, me, boot, lane="stream", most_bytes=STREAM_BYTES)
+        self._packets = Datagrams(self.datagrams, now_us, self._sendto, heard, self._elder)
         self._transport: asyncio.DatagramTransport | None = None
         self._runner: web.AppRunner | None = None
         self._session: aiohttp.ClientSession | None = None
         self._open = 0
-        self.dropped = 0  # datagrams that could not be sent, asks beyond the bound
+        self._dropped = 0  # datagrams that the system could not send, asks beyond the bound
+
+    @property
+    def dropped(self) -> int:
+        """Datagrams that could not be sent, asks beyond the bound."""
+        return self._dropped + self._packets.dropped
 
     async def start(self, listen: Address) -> None:
         """Listen. Raises `OSError`."""
@@ -68,35 +75,18 @@
 
     def send(self, address: str, name: str, packet: Packet) -> None:
         """To the member `name` ("" if it is not known) at an address; may be lost."""
+        self._packets.send(address, name, packet)
+
+    def _sendto(self, data: bytes, address: str) -> None:
         host, _, port = address.rpartition(":")
-        try:
-            data = self.datagrams.pack(name, packet)
-            if self._transport is not None:
-                self._transport.sendto(data, (host, int(port)))
-        except (ValueError, OSError) as error:
-            self.dropped += 1
-            log.debug("a datagram to %s could not be sent: %s", address, error)
+        if self._transport is not None:
+            self._transport.sendto(data, (host, int(port)))
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        address = f"{addr[0]}:{addr[1]}"
-        try:
-            opened = self.datagrams.open(data, DATAGRAM)
-        except PacketError as error:
-            if error.reason is Reason.OLD_BOOT and self._transport is not None:
-                elder = self.datagrams.stale_boot(error.sender, self._now_us())
-                if elder is not None:
-                    self._transport.sendto(elder, addr)
-            return
-        if isinstance(opened.payload, Elder):
-            self._elder(opened.payload)
-            return
-        try:
-            self._heard(opened.sender, address, opened.payload)
-        except Exception:  # guards the socket: one packet that can't be used may not end it
-            log.exception("a packet of %s could not be used", opened.sender)
+        self._packets.received(data, f"{addr[0]}:{addr[1]}")
 
     def error_received(self, exc: Exception) -> None:
-        self.dropped += 1
+        self._dropped += 1
 
     def _elder(self, elder: Elder) -> None:
         for seal in (self.datagrams, self.streams):
@@ -126,7 +116,7 @@
 
     async def _serve(self, request: web.Request) -> web.Response:
         if self._open >= _MOST_ASKS:
-            self.dropped += 1
+            self._dropped += 1
             return web.Response(status=503)
         self._open += 1
         try:
--- a/wheelstep/fleet/settings.py
+++ b/wheelstep/fleet/settings.py
@@ -25,6 +25,20 @@
     """`[fleet]` can't be used; one line with place and expectation."""
 
 
+class ShardsPart(Part):
+    """Destinations divided among the couriers (wheelstep.shards)."""
+
+    on: bool = False
+    count: Annotated[int, Field(ge=1, le=1 << 20)] = 16_384  # the same at all, for good
+    regions: Annotated[int, Field(ge=1, le=16)] = 1  # each has a home of its own for every destination
+    control: Annotated[dict[Name, Address], Field(max_length=256)] = {}  # machines that tell the list by shard
+    load: Annotated[float, Field(ge=1.05, le=4)] = 1.25  # a courier's shards over its part by weight, at most
+    guests: Annotated[int, Field(ge=1, le=4_096)] = 64
+    guest_idle: Annotated[Time, Field(ge=100_000, le=3_600_000_000)] = 30_000_000
+    opens_within: Annotated[Time, Field(ge=0, le=5_000_000)] = 300_000
+    push_every: Annotated[Time, Field(ge=250_000, le=3_600_000_000)] = 5_000_000
+
+
 class FleetPart(Part):
     """The couriers that share work with this one."""
 
@@ -50,6 +64,7 @@
     call_bound: Time = 2_000_000
     probation: Time = 10_000_000
     most_channels: Annotated[int, Field(ge=1, le=1_000_000)] = 20_000
+    shards: ShardsPart = ShardsPart()
 
 
 def settings_of(part: FleetPart) -> NodeSettings:
@@ -86,11 +101,24 @@
     if part.key_file is None or part.listen is None:
         missing = "key_file" if part.key_file is None else "listen"
         raise FleetError(f"fleet.{missing}: missing; expected a value where fleet.on is true")
-    if len(part.voters) not in (3, 5) or len(set(part.voters)) != len(part.voters):
+    if part.shards.on:
+        _check_shards(part, declared)
+    elif len(part.voters) not in (3, 5) or len(set(part.voters)) != len(part.voters):
         raise FleetError(f"fleet.voters: {list(part.voters)}; expected 3 or 5 different names")
     return Fleet(part, [_key(folder / path) for path in (part.key_file, *part.old_key_files)], declared)
 
 
+def _check_shards(part: FleetPart, declared: Contracts) -> None:
+    if part.voters or len(declared):
+        found = "fleet.voters" if part.voters else "contract"
+        raise FleetError(f"{found}: given beside fleet.shards.on = true; expected one of them: channels' parts and "
+                         "shards are not yet shared by one fleet")
+    if not part.shards.control:
+        raise FleetError("fleet.shards.control: missing; expected a name and an address of one control machine or more")
+    if both := sorted(part.shards.control.keys() & part.peers.keys()):
+        raise FleetError(f"fleet.shards.control: {both[0]!r} is a peer as well; expected different names")
+
+
 def _key(path: Path) -> bytes:
     try:
         text = path.read_text(encoding="ascii").strip()
--- a/wheelstep/interface.py
+++ b/wheelstep/interface.py
@@ -197,5 +197,13 @@
     classes: tuple[MessageClass, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class DestinationsDropped:
+    """This sender has no more to do with these: what was learned of one that has no endpoint, message or call left is
+    forgotten."""
+
+    destinations: tuple[int, ...]
+
+
 Event = (MembershipReceived | MessageAccepted | MessageRestored | AttemptEnded | ProbeEnded | TimerFired
-         | MessageWithdrawn | HealthRestored | ClassesChanged)
+         | MessageWithdrawn | HealthRestored | ClassesChanged | DestinationsDropped)
--- a/wheelstep/policy/holding.py
+++ b/wheelstep/policy/holding.py
@@ -68,6 +68,12 @@
             self._destinations[number] = Destination(number, self._s, self._t1_us, self._rng)
         return self._destinations[number]
 
+    def _forget(self, number: int) -> None:
+        known = self._destinations.get(number)
+        if known is not None and not (known.endpoints or known.waiting or known.calls_out):
+            for table in (self._destinations, self._ready, self._news):
+                table.pop(number, None)
+
     def _make_room(self) -> None:
         """Hand back what is worth least once its destination's backlog has gone, before others are turned
         away. So no backlog shuts out the rest; it harms one that is about to go faster than one in T1. Among
--- a/wheelstep/policy/sender.py
+++ b/wheelstep/policy/sender.py
@@ -63,6 +63,9 @@
                 self._recall(self._endpoints[event.endpoint], event)
             case api.ClassesChanged():
                 self._classes(event.classes)
+            case api.DestinationsDropped():
+                for number in event.destinations:
+                    self._forget(number)
 
     def _members(self, event: api.MembershipReceived) -> None:
         if event.kind is api.ListKind.UNAVAILABLE:
--- /dev/null
+++ b/wheelstep/shards/book.py
@@ -0,0 +1,79 @@
+"""The courier's journal, and beside it which messages are owed by shard (`courier.ports.Book`)."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+from wheelstep.courier.ports import Book
+from wheelstep.journal import Stored
+from wheelstep.shards.types import shard_of
+
+
+class ShardBook:
+    """Everything goes to the journal beneath it. A message counts as owed until its end is written down."""
+
+    def __init__(self, journal: Book, shards: int) -> None:
+        self._journal, self._shards = journal, shards
+        self._owed: dict[int, dict[str, Stored]] = {}
+        for message in journal.messages.values():
+            if message.notice is None:
+                self._add(message)
+
+    def of(self, shard: int) -> Mapping[str, Stored]:
+        """What is owed of it, in the order in which it was taken on."""
+        return self._owed.get(shard, {})
+
+    def counts(self) -> dict[int, int]:
+        """How many messages are owed, by shard."""
+        return {shard: len(messages) for shard, messages in self._owed.items()}
+
+    def _add(self, message: Stored) -> None:
+        self._owed.setdefault(shard_of(message.destination, self._shards), {})[message.id] = message
+
+    def _ended(self, name: str) -> None:
+        if (message := self._journal.messages.get(name)) is None:
+            return
+        shard = shard_of(message.destination, self._shards)
+        if (owed := self._owed.get(shard)) is not None:
+            owed.pop(name, None)
+            if not owed:
+                del self._owed[shard]
+
+    # --- courier.ports.Book ---
+
+    @property
+    def messages(self) -> dict[str, Stored]:
+        return self._journal.messages
+
+    @property
+    def marks(self) -> dict[str, Any]:
+        return self._journal.marks
+
+    @property
+    def waits(self) -> bool:
+        return self._journal.waits
+
+    def take(self, message: Stored) -> None:
+        self._journal.take(message)
+        self._add(self._journal.messages[message.id])
+
+    def attempt(self, message: str, number: int, at_ms: int, endpoint: str) -> None:
+        self._journal.attempt(message, number, at_ms, endpoint)
+
+    def outcome(self, message: str, number: int, may_have_run: bool) -> None:
+        self._journal.outcome(message, number, may_have_run)
+
+    def end(self, message: str, outcome: str, retry_ms: int) -> None:
+        self._ended(message)
+        self._journal.end(message, outcome, retry_ms)
+
+    def over(self, message: str) -> None:
+        self._ended(message)
+        self._journal.over(message)
+
+    def mark(self, name: str, value: Any) -> None:
+        self._journal.mark(name, value)
+
+    async def durable(self) -> None:
+        await self._journal.durable()
--- /dev/null
+++ b/wheelstep/shards/node.py
@@ -0,0 +1,234 @@
+"""One courier's part in a sharded fleet: membership, homes, lists, forwarding and learned state put together on the
+running loop's clock. The same for real, hollow and simulated couriers; what is decided, others decide.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping, Sequence, Set
+
+from wheelstep.courier.desk import Desk
+from wheelstep.courier.rows import Row
+from wheelstep.fleet.datagrams import Datagrams
+from wheelstep.fleet.membership import Membership
+from wheelstep.fleet.packets import Elder, Seal
+from wheelstep.fleet.types import Action, Member, Note, Packet, SendPacket, State
+from wheelstep.forwarding.client import ForwardClient
+from wheelstep.forwarding.server import ForwardServer
+from wheelstep.shards.homes import Homes
+from wheelstep.shards.hosting import NEVER_US, Life
+from wheelstep.shards.links import Links
+from wheelstep.shards.lives import Lives
+from wheelstep.shards.ports import Net, Shelf
+from wheelstep.shards.router import Router, Sight
+from wheelstep.shards.routing import Routing
+from wheelstep.shards.settings import NodeSettings
+from wheelstep.shards.streams import Streams
+from wheelstep.shards.types import ListRow
+from wheelstep.shards.waits import Waits
+
+READY_S = 5.0  # a courier whose shards have no rows by then forwards for others all the same
+
+
+class ShardNode:
+    """`seeds` (name to address) are other couriers to ask first, `control` the control machines. `read` makes a
+    courier's row of a line of the list and raises what `UNREADABLE` lists. `note` tells operators a line."""
+
+    def __init__(self, me: Member, settings: NodeSettings, seeds: Mapping[str, str], control: Mapping[str, str],
+                 keys: Sequence[bytes], fleet: str, boot: int, shelf: Shelf, net: Net,
+                 read: Callable[[ListRow], Row], rng: random.Random, note: Callable[[str], None]) -> None:
+        self._loop = asyncio.get_running_loop()
+        self.settings, self.shards, self._shelf, self._net = settings, settings.shards, shelf, net
+        self._note, self._me = note, me.name
+        now_us = self.now_us()
+        self.membership = Membership(me, seeds, settings.members, rng, now_us)
+        self.homes = Homes(me, settings.shards, settings.load)
+        self.waits = Waits()
+        self.router = Router(me.name, settings.settle_us)
+        self.lives = Lives(me.name, boot, settings, control, shelf, self.homes, self.router, self.waits, read, rng,
+                           self.now_us, self._arm, note)
+        self.hosting, self.handoff = self.lives.hosting, self.lives.handoff
+        self.routing = Routing(self, self.router, self.waits, settings.opens_within_us)
+        seal = Seal(keys, fleet, me.name, boot)
+        self._datagrams = Datagrams(seal, self.now_us, lambda data, to: net.send(to, data), self._packet, self._elder)
+        self._seal = seal
+        self.links = self.lives.links = Links(
+            self.membership.address_of, lambda: ForwardServer(self.routing.asked), self.lives.heard, self.lives.lost,
+            settings.dial_us / 1e6)
+        self.links.streams = self.streams = Streams(net, keys, fleet, me.name, boot, self.links.heard, self.links.lost,
+                                                    self.now_us)
+        self._clients: dict[str, ForwardClient] = {}
+        self._was: list[str | None] = []  # each shard's home when it was looked at last; empty until formed
+        self._began_us = self._grew_us = now_us
+        self._settled = self._leaving = False
+        self._timer: asyncio.TimerHandle | None = None
+
+    def now_us(self) -> int:
+        """The loop's clock, whole microseconds."""
+        return int(self._loop.time() * 1e6)
+
+    # --- what is asked from outside ---
+
+    async def start(self, listen: str) -> str:
+        """Listen to peers and begin; the address. Raises `OSError`."""
+        address = await self._net.listen(listen, self.streams.accept, self._datagrams.received)
+        self.lives.owed()  # of an earlier process
+        self._tick()
+        return address
+
+    @property
+    def formed(self) -> bool:
+        """Does this courier know the others, so that it takes part?"""
+        return bool(self._was) and not self.membership.doubled
+
+    @property
+    def ready(self) -> bool:
+        """May clients come? Once its shards were open, or some seconds have passed."""
+        if not self._settled and self.formed:
+            late = self.now_us() > self._began_us + self.settings.forms_within_us + int(READY_S * 1e6)
+            self._settled = late or not self.hosting.of(Life.OPENING)
+        return self._settled and self.formed and not self._leaving
+
+    def desk(self, destination: int) -> Desk:
+        """Of a destination, for one request of a client's."""
+        return self.routing.find(destination)
+
+    def figures(self) -> dict[str, int]:
+        """For operators: shards by what they are here, couriers, ways of messages, what was refused."""
+        found = {life.value: len(self.hosting.of(life)) for life in Life}
+        found["couriers"] = len(self.membership.members())
+        found |= {f"message {what}": count for what, count in self.router.counts.items()}
+        refused = self.streams.refused + self.lives.list_client.refused + self.lives.counts
+        return found | {f"refused {why}": count for why, count in refused.items()}
+
+    async def leave(self, within_s: float = 0.5) -> None:
+        """Home of nothing any more: others are, and hear what was learned."""
+        self._leaving = True
+        self._members(self.membership.leave(self.now_us()))
+        self._arm()
+        until_s = self._loop.time() + within_s
+        while self.handoff.next_us() < NEVER_US and self._loop.time() < until_s:
+            await asyncio.sleep(0.02)
+
+    async def close(self) -> None:
+        """The process ends: say so, and end all of it."""
+        self._members(self.membership.left(self.now_us()))
+        if self._timer is not None:
+            self._timer.cancel()
+        for client in self._clients.values():
+            client.close()
+        self.waits.close()
+        self.links.close()
+        await self._net.close()
+
+    # --- routing.Places ---
+
+    @property
+    def desk_here(self) -> Desk:
+        """The courier's own."""
+        return self._shelf.desk
+
+    def plain(self, shard: int) -> bool:
+        """Is it home here, with nothing that speaks against taking any message of it?"""
+        if self.hosting.life(shard) is not Life.HOME or not self.formed or self.handoff.sizes()["rests"]:
+            return False
+        sizes = self.router.sizes()
+        return not sizes["asks"] and not sizes["passed"] and not sizes["taken"]
+
+    def sight(self, destination: int, shard: int, message_class: str, key: str | None) -> Sight:
+        """What the router decides by."""
+        life = self.hosting.life(shard)
+        owes = key is not None and life in (Life.LEAVING, Life.GUEST) and self._shelf.owes_key(
+            destination, message_class, key)
+        rests_us = 0 if key is None else self.handoff.rests_us(self.now_us(), destination, message_class, key)
+        home = self.homes.home(shard) if self.formed else None
+        room = self.formed and self.hosting.guest_room()
+        return Sight(life, home, owes, rests_us, room, self.hosting.has_rows(shard))
+
+    def be_guest(self, shard: int) -> bool:
+        """Serve it for a while; False without room."""
+        try:
+            return self.lives.be_guest(shard)
+        finally:
+            self._arm()
+
+    def client(self, courier: str) -> ForwardClient:
+        """The way to another courier."""
+        if courier not in self._clients:
+            self._clients[courier] = ForwardClient(
+                lambda heard, lost: self.links.forward(courier, heard, lost), what="courier")
+        return self._clients[courier]
+
+    # --- members ---
+
+    def _packet(self, sender: str, address: str, packet: Packet) -> None:
+        self._members(self.membership.heard(self.now_us(), sender, address, packet))
+        self._arm()
+
+    def _elder(self, elder: Elder) -> None:
+        if self._seal.heard_elder(elder, self.now_us()):
+            self._note(f"the fleet knows a later life of this courier: boot {self._seal.boot} from now on")
+
+    def _members(self, actions: Sequence[Action]) -> None:
+        for action in actions:
+            match action:
+                case SendPacket(address, packet):
+                    self._datagrams.send(address, self.membership.name_at(address), packet)
+                case Note(text):
+                    self._note(text)
+        if changed := self.membership.changed():
+            now_us = self.now_us()
+            self._grew_us = now_us
+            for member in changed:
+                if member.state is State.GONE and member.name in self._clients:
+                    self._clients.pop(member.name).close()
+            self._moved(self.homes.saw(now_us, changed))
+
+    def _form(self, now_us: int) -> None:
+        """Once it has heard of nobody new for a while: before, it would take itself for the home of all."""
+        quiet = now_us >= self._grew_us + self.settings.forms_quiet_us and len(self.membership.members()) > 1
+        if self._was or not (quiet or now_us >= self._began_us + self.settings.forms_within_us):
+            return
+        self._was = [None] * self.shards
+        self._moved(range(self.shards), first=True)
+        self._note(f"fleet: this courier is home of {len(self.homes.mine())} shards of {self.shards}, "
+                   f"{len(self.membership.members())} couriers")
+
+    def _moved(self, shards: Set[int] | range, first: bool = False) -> None:
+        """Other homes than before, by this courier's view."""
+        if not self._was:
+            return
+        for shard in shards:
+            home, was = self.homes.home(shard), self._was[shard]
+            self._was[shard] = home
+            if home == was:
+                continue
+            if home == self._me:
+                former = self.membership.member(was) if was else None
+                alone = len(self.membership.members()) == 1
+                taught = alone if first else former is None or former.state is State.GONE
+                self.lives.came_home(shard, taught)
+            elif was == self._me:
+                self.lives.left_home(shard, home)
+
+    # --- the clock ---
+
+    def _tick(self) -> None:
+        self._timer = None
+        now_us = self.now_us()
+        self._members(self.membership.tick(now_us))
+        self._form(now_us)
+        self.lives.tick(now_us)
+        for line in self.streams.notes():
+            self._note(line)
+        self._arm()
+
+    def _arm(self) -> None:
+        due_us = min(self.membership.next_us(), self.lives.next_us())
+        if not self._was:
+            due_us = min(due_us, self._grew_us + self.settings.forms_quiet_us,
+                         self._began_us + self.settings.forms_within_us)
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._loop.call_later(max(due_us - self.now_us(), 1_000) / 1e6, self._tick)
--- /dev/null
+++ b/wheelstep/shards/shelf.py
@@ -0,0 +1,102 @@
+"""A real courier's side of a shard node: its core, by shard (`ports.Shelf`)."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import astuple
+
+from wheelstep import interface as api
+from wheelstep.courier.core import Core
+from wheelstep.courier.rows import Row
+from wheelstep.shards.book import ShardBook
+from wheelstep.shards.types import EndpointHealth, OwedKey, shard_of
+
+_FRESH_S = 0.5  # the module is asked for its notes this often at most: many shards are told of in one turn
+
+
+class CoreShelf:
+    """`book` is the core's journal; what it notes of endpoints is given back once their rows are there again."""
+
+    def __init__(self, core: Core, book: ShardBook, shards: int) -> None:
+        self._core, self._book, self._shards = core, book, shards
+        self._remembered: dict[str, tuple[int, api.Health]] = {}  # endpoint -> when, by an earlier process
+        self._notes: dict[int, list[api.NoteHealth]] = {}  # by shard
+        self._noted_s = -_FRESH_S
+
+    @property
+    def desk(self) -> Core:
+        return self._core
+
+    # --- the list ---
+
+    def listed(self, rows: Sequence[Row]) -> None:
+        self._core.listed(api.ListKind.CHANGES, list(rows))
+        now_ms = int(time.time() * 1000)
+        for info, _ in rows:
+            if info.state is not api.EndpointState.REMOVED and (known := self._remembered.pop(info.endpoint, None)):
+                at_ms, health = known
+                self._restored(info.endpoint, health, max(0, now_ms - at_ms) * 1000)
+
+    def drop(self, destinations: Iterable[int]) -> None:
+        self._core.forget(destinations)
+
+    # --- what is owed ---
+
+    def owed(self) -> Mapping[int, int]:
+        return self._book.counts()
+
+    def owed_keys(self, shard: int) -> Sequence[OwedKey]:
+        now_ms, left = int(time.time() * 1000), dict[tuple[int, str, str], int]()
+        for message in self._book.of(shard).values():
+            if message.key is not None:
+                name = message.destination, message.message_class, message.key
+                left[name] = max(left.get(name, 0), message.deadline_ms - now_ms)
+        return [OwedKey(*name, max(0, left_ms) * 1000) for name, left_ms in left.items()]
+
+    def owes_key(self, destination: int, message_class: str, key: str) -> bool:
+        of = self._book.of(shard_of(destination, self._shards))
+        return any(message.key == key and message.destination == destination
+                   and message.message_class == message_class for message in of.values())
+
+    # --- learned state ---
+
+    def learned(self, shard: int) -> tuple[Sequence[EndpointHealth], Sequence[tuple[str, int]]]:
+        self._look()
+        healths = [EndpointHealth(note.endpoint, 0, astuple(note.health)) for note in self._notes.get(shard, ())]
+        waits = [(endpoint, left_us) for endpoint, left_us in self._core.waits().items()
+                 if shard_of(self._core.endpoints.listed[endpoint].destination, self._shards) == shard]
+        return healths, waits
+
+    def _look(self) -> None:
+        now_s = time.monotonic()
+        if now_s - self._noted_s < _FRESH_S:
+            return
+        self._noted_s, self._notes = now_s, {}
+        for note in self._core.turns.sender.notes(int(now_s * 1e6)):
+            if (info := self._core.endpoints.listed.get(note.endpoint)) is not None:
+                self._notes.setdefault(shard_of(info.destination, self._shards), []).append(note)
+
+    def adopt(self, healths: Sequence[EndpointHealth], waits: Sequence[tuple[str, int]]) -> None:
+        now_s = time.monotonic()
+        for told in healths:
+            if told.endpoint in self._core.endpoints.listed:
+                self._restored(told.endpoint, api.Health(*told.fields), told.ago_us)  # type: ignore[arg-type]
+        for endpoint, left_us in waits:
+            self._core.endpoints.told_to_wait(endpoint, now_s, left_us / 1e6)
+
+    def _restored(self, endpoint: str, health: api.Health, ago_us: int) -> None:
+        self._core.turns.post(api.HealthRestored(endpoint, health, ago_us))
+
+    # --- from one process to the next ---
+
+    def restore(self) -> None:
+        """Take up what the journal holds. Rows come later, and with them what an earlier process noted of their
+        endpoints."""
+        marks = dict(self._book.marks)
+        for endpoint, value in marks.items():
+            if not endpoint.startswith(":"):
+                at_ms, *health = value
+                self._remembered[endpoint] = at_ms, api.Health(*health)
+        self._core.restore({name: value for name, value in marks.items() if name.startswith(":")},
+                           self._book.messages.values())
