--- a/wheelstep/shards/streams.py
+++ b/wheelstep/shards/streams.py
@@ -61,7 +61,10 @@
         gives way."""
         link = StreamLink(self, "", self._nonce(NONCE_BYTES))
         if len(self._links) >= self._most and self._strangers:
-            next(iter(self._strangers)).silent()
+            oldest = next(iter(self._strangers))
+            oldest.silent()
+            self._links.discard(oldest)  # its end is told by and by
+            self.known(oldest)
         if self._closed or len(self._links) >= self._most:
             self.refuse(link, "links", f"{self._most} links at most")
             pipe.close()
