--- a/wheelstep/shards/router.py
+++ b/wheelstep/shards/router.py
@@ -37,7 +37,7 @@
 
 class Router:
     """Decides for one courier. Bounds: `most_doubts` ids under way, in doubt or waiting here (an ask reserves the place
-    that its doubt would need, so beyond it nothing is asked); `most_taken` ids that another took, the oldest forgotten
+    that its doubt would need, so beyond it nothing is asked); `most_taken` ids that were taken, the oldest forgotten
     first; `most_passed` ordered keys (see `passed`)."""
 
     def __init__(self, me: str, settle_us: int, most_doubts: int = 10_000, most_passed: int = 100_000,
@@ -70,9 +70,8 @@
             self._asks.pop(handed.id)
             self._keep_taken(handed, courier)
             return None
-        if answer is Answer.SILENT:
-            ask.doubt = True
-        if ask.doubt or handed.id in self._taken:
+        ask.doubt = ask.doubt or answer is Answer.SILENT
+        if ask.doubt:
             self._asks.put(handed.id, ask, ask.handed.until_us)
             why = "no answer in time" if answer is Answer.SILENT else "may have been taken"
             return self._counted(NoAnswer(why), handed)
@@ -100,6 +99,11 @@
             return ComeAgain(_COME_AGAIN_US, "key passed on may be open") if isinstance(way, Ask) else way
         return ComeAgain(_COME_AGAIN_US, "not open yet") if sight.life is Life.OPENING else None
 
+    def not_taken(self, message: str) -> None:
+        """What was to be taken `Here` was not: the desk is full."""
+        if self._taken.get(message) == self._me:
+            self._taken.pop(message)
+
     def handed_over(self, now_us: int, shard: int, courier: str) -> None:
         """That courier handed the shard over to this one, with the keys that it owes (`Handoff.rests_us`)."""
         self._passed.handed_over(now_us, shard, courier)
@@ -168,13 +172,11 @@
         return self._ask(now_us, handed, holder, former=True)
 
     def _ask(self, now_us: int, handed: Handed, courier: str, former: bool = False) -> Way:
-        ask = self._asks.get(handed.id)
+        ask, known = self._asks.get(handed.id), handed.id in self._taken
         if ask is None:
             if len(self._asks) >= self._most_doubts:
-                if handed.id in self._taken:
-                    return NoAnswer("may have been taken")
-                return ComeAgain(_COME_AGAIN_US, "too many in doubt")
-            ask = _Ask(courier, handed, former=former)
+                return NoAnswer("may have been taken") if known else ComeAgain(_COME_AGAIN_US, "too many in doubt")
+            ask = _Ask(courier, handed, doubt=known, former=former)
         elif handed.until_us > ask.handed.until_us:
             ask.handed = handed
         ask.under_way = True
@@ -220,8 +222,7 @@
         match way:
             case Here(guest):
                 self.counts["guest" if guest else "here"] += 1
-                if guest:  # its home is not asked for it later
-                    self._keep_taken(handed, self._me)
+                self._keep_taken(handed, self._me)  # nobody is asked for it later, be it ended and forgotten by then
             case Ask():
                 self.counts["asked"] += 1
             case WaitOpen():
