--- /dev/null
+++ b/tests/test_shard_handoff.py
@@ -0,0 +1,163 @@
+"""Learned state: given, pushed, kept, taken over; what is refused; ordered keys that a former home still owes."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+from handoffs import FIELDS, HERE, SHARDS, S, handoff, health, learned, owed, rests, sent
+
+from wheelstep.shards.handoff import Adopt, SendTo, Taught
+from wheelstep.shards.learned import MOST_US, differs
+from wheelstep.shards.timed import NEVER_US
+from wheelstep.shards.types import (
+    Batch,
+    Current,
+    EndpointHealth,
+    KeysOver,
+    Learned,
+    LearnedHeard,
+    OwedKey,
+    shard_of,
+)
+
+
+def test_a_handover_is_sent_until_it_is_heard_and_is_older_each_time() -> None:
+    mine = handoff("a")
+    [act] = mine.gave(0, 0, "b", [health(ago_us=5)], [("e", 3 * S), ("f", S)], [owed("k"), owed("l", S // 2)])
+    assert act == SendTo("b", learned(1, True, healths=(health(ago_us=5),), waits=(("e", 3 * S), ("f", S)),
+                                      keys=(owed("k"), owed("l", S // 2))))
+    assert mine.next_us() == S and mine.tick(S - 1) == []
+    again = learned(1, True, healths=(health(ago_us=S + 5),), waits=(("e", 2 * S),), keys=(owed("k", 59 * S),))
+    assert mine.tick(S) == [SendTo("b", again)]
+    assert mine.heard(S + 1, "c", LearnedHeard(0, 1), False) == [] and mine.next_us() == 2 * S  # not who was told
+    mine.heard(S + 1, "b", LearnedHeard(0, 1), False)
+    assert mine.next_us() == NEVER_US and mine.tick(9 * S) == []
+
+
+def test_a_handover_that_is_never_heard_is_given_up_and_counted() -> None:
+    mine = handoff("a", tries=3)
+    frames = sent(mine.gave(0, 0, "b", [], [], []), Learned)
+    while mine.next_us() < NEVER_US:
+        frames += sent(mine.tick(mine.next_us()), Learned)
+    assert len(frames) == 3 and mine.counts["given_up"] == 1
+    assert mine.dropped(9 * S, 0) == [] and mine.sizes()["given"] == 0
+
+
+def test_what_comes_to_a_home_is_adopted_at_once_and_to_another_when_it_opens() -> None:
+    frame = learned(1, True, healths=(health(ago_us=7),), waits=(("e", 3 * S),))
+    home = handoff()
+    assert home.heard(0, "a", frame, True) == [SendTo("a", LearnedHeard(0, 1)),
+                                               Adopt(0, (health(ago_us=7),), (("e", 3 * S),)), Taught(0)]
+    assert home.heard(1, "a", frame, True) == [SendTo("a", LearnedHeard(0, 1))]  # its answer was lost
+    later = handoff()
+    assert later.heard(0, "a", frame, False) == [SendTo("a", LearnedHeard(0, 1))]
+    assert later.opening(2 * S, 0) == [Adopt(0, (health(ago_us=2 * S + 7),), (("e", S),)), Taught(0)]
+    assert later.opening(3 * S, 0) == []
+    pushed = handoff()
+    pushed.heard(0, "a", learned(1, False, healths=(health(),)), False)
+    assert pushed.opening(S, 0) == [Adopt(0, (health(ago_us=S),), ())]  # a push is no handover
+
+
+def test_of_two_tellings_the_one_noted_later_wins_and_a_handover_where_they_are_equal() -> None:
+    mine = handoff()
+    mine.heard(10 * S, "a", learned(1, False, healths=(health("e", 0, base=1.0), health("f", 5 * S, base=1.0))), False)
+    mine.heard(12 * S, "c", learned(9, False, healths=(health("e", 3 * S, base=2.0), health("f", S, base=2.0))), False)
+    mine.heard(12 * S, "a", learned(2, True, healths=(health("e", 2 * S, base=3.0),)), False)
+    [adopt, _] = mine.opening(12 * S, 0)
+    assert isinstance(adopt, Adopt)
+    assert {each.endpoint: each.fields[2] for each in adopt.healths} == {"e": 3.0, "f": 2.0}
+    mine.heard(30 * S, "a", learned(3, True), False)
+    assert Taught(0) not in mine.opening(41 * S, 0)  # a handover of long ago is none of now
+
+
+def test_a_push_tells_what_changed_since_that_courier_had_it() -> None:
+    mine = handoff("a")
+
+    def push(now_us: int, to: str = "b", *, heard: bool = True, **given: Any) -> list[Any]:
+        acts = mine.push(now_us, 0, to, given.get("healths", ()), given.get("waits", ()), given.get("keys", ()))
+        for frame in sent(acts, Learned):
+            if heard:
+                mine.heard(now_us, to, LearnedHeard(0, frame.number), False)
+        return [act.frame for act in acts if isinstance(act, SendTo)]
+    first = [health("e"), health("f")]
+    assert push(0) == []
+    assert push(0, healths=first)[0].healths == tuple(first)
+    assert push(5 * S, healths=[health("e", carried=2.2), health("f")]) == []  # noise
+    assert push(10 * S, healths=[health("e", carried=3.0), health("f")])[0].healths == (health("e", carried=3.0),)
+    assert push(15 * S, healths=first[:1], waits=[("e", 9 * S)], heard=False)[0].waits == (("e", 9 * S),)
+    assert len(push(16 * S, healths=first, waits=[("e", 8 * S)])[0].healths) == 2  # it has not said that it had it
+    assert push(17 * S, healths=first, waits=[("e", 7 * S)]) == []
+    assert len(push(18 * S, "c", healths=first)[0].healths) == 2
+    mine.lost("c")
+    assert len(push(19 * S, "c", healths=first)[0].healths) == 2
+    assert push(20 * S, "c", healths=first, keys=[owed("k"), owed("l")])[0].keys == (owed("k"), owed("l"))
+    assert push(25 * S, "c", healths=first, keys=[owed("k", 55 * S), owed("l", 90 * S)])[0].keys == (owed("l", 90 * S),)
+    assert push(30 * S, "c", healths=first, keys=[owed("k", 50 * S)]) == [KeysOver(0, ((HERE, "x", "l"),))]
+
+
+@pytest.mark.parametrize(("new", "told", "news"), [
+    ((True, 1.0), (False, 1.0), True), ((True, 1.0), (True, 1.125), False), ((True, 1.0), (True, 1.2), True),
+    ((True, 0.0), (True, 0.001), True), ((True, 0), (True, 0.0), False), ((True, 1.0), (), True)])
+def test_what_is_worth_telling(new: tuple[float, ...], told: tuple[float, ...], news: bool) -> None:
+    assert differs(new, told) is news
+
+
+@pytest.mark.parametrize(("frame", "why"), [
+    (Learned(SHARDS, 1, True), "shard out of range"), (Learned(-1, 1, True), "shard out of range"),
+    (learned(0), "number out of range"), (learned(4), "old number"),
+    (learned(9, healths=(health(ago_us=-1),)), "age makes no sense"),
+    (learned(9, healths=(health(ago_us=MOST_US + 1),)), "age makes no sense"),
+    (learned(9, healths=(health(""),)), "endpoint makes no sense"),
+    (learned(9, healths=(EndpointHealth("e", 0, FIELDS[:-1]),)), "wrong number of health fields"),
+    (learned(9, healths=(EndpointHealth("e", 0, (1.0, *FIELDS[1:])),)), "health flag is none"),
+    *((learned(9, healths=(health(), EndpointHealth("f", 0, (*FIELDS[:2], value, *FIELDS[3:])))),
+       "health field makes no sense") for value in (float("nan"), float("inf"), -1.0, 1e300, True)),
+    (learned(9, waits=(("e", 0),)), "wait makes no sense"),
+    (learned(9, waits=(("e", 1 << 62),)), "wait makes no sense"),
+    (learned(9, keys=(owed(left_us=-5),)), "key's time makes no sense"),
+    (learned(9, keys=(owed(destination=next(each for each in range(99) if shard_of(each, SHARDS))),)),
+     "key of another shard"),
+    (learned(9, keys=(OwedKey(-1, "x", "k", 5),)), "key of another shard"),
+    (learned(9, keys=(owed("k" * 513),)), "key makes no sense"),
+    (learned(9, waits=(("e", 1),) * 70_000), "too many rows"),
+    (KeysOver(SHARDS, ()), "shard out of range"), (KeysOver(0, ((-2, "x", "k"),)), "key of another shard"),
+    (Current(1), "no frame of a handover")])
+def test_what_makes_no_sense_is_refused_counted_and_leaves_no_trace(frame: Any, why: str) -> None:
+    mine = handoff()
+    mine.heard(0, "a", learned(5, healths=(health("old"),), keys=(owed("old"),)), False)
+    assert mine.heard(S, "a", frame, True) == [] and mine.refused == {why: 1}
+    assert rests(mine, S, "old") == 59 * S and mine.sizes()["rests"] == 1
+    assert mine.opening(S, 0) == [Adopt(0, (health("old", S),), ()), Taught(0)]
+
+
+def test_a_courier_refuses_what_seems_to_come_from_itself_and_takes_what_it_sends() -> None:
+    mine, other = handoff("a", boot=3), handoff("b")
+    [act] = mine.gave(0, 0, "b", [health(rate=float("inf")), health("f", 1 << 61)], [("e", 1 << 61), ("f", -1)],
+                      [owed("k", 1 << 61), owed("long" * 200), owed("gone", 0)])
+    frame = msgspec.msgpack.decode(msgspec.msgpack.encode(Batch((act.frame,))), type=Batch).frames[0]
+    assert mine.heard(0, "a", frame, True) == [] and mine.refused == {"from itself": 1}
+    assert len(other.heard(0, "a", frame, True)) == 3 and not other.refused
+    assert frame.number > 3 << 32 and [each.endpoint for each in frame.healths] == ["f"]
+    assert rests(other, 0) == MOST_US and rests(other, S, "any") == 59 * S  # all of a destination whose key is too long
+
+
+def test_what_is_kept_is_bounded_by_shards_and_bytes_the_oldest_out() -> None:
+    mine = handoff(most_kept=2)
+    for number, shard in enumerate((0, 1, 0, 2), 1):
+        mine.heard(number, "a", Learned(shard, number, False, (health(),)), False)
+    assert [bool(mine.opening(9, shard)) for shard in range(3)] == [True, False, True]
+    small = handoff(most_bytes=2_000)
+    for shard in range(3):
+        small.heard(0, "a", Learned(shard, 1, False, (health("e"), health("f"))), False)
+    assert 0 < small.sizes()["kept_bytes"] <= 2_000 and not small.opening(1, 0) and small.opening(1, 2)
+    small.heard(0, "c", Learned(1, 1, False, tuple(health(f"e{number}") for number in range(99))), False)
+    assert small.sizes()["kept"] == small.sizes()["kept_bytes"] == 0
+
+
+def test_one_that_is_home_again_takes_its_handover_back() -> None:
+    mine = handoff("a")
+    mine.gave(0, 0, "b", [], [], [owed()])
+    mine.opening(1, 0)
+    assert mine.next_us() == NEVER_US and mine.keys_over(2, 0, [(HERE, "x", "k")]) == []
--- a/wheelstep/shards/learned.py
+++ b/wheelstep/shards/learned.py
@@ -94,8 +94,8 @@
 
 def older(healths: Iterable[EndpointHealth], by_us: int) -> tuple[EndpointHealth, ...]:
     """The same after that time; those that nobody would take over are left out."""
-    return tuple(EndpointHealth(health.endpoint, min(MOST_US, health.ago_us + by_us), health.fields)
-                 for health in healths if not wrong_health(health))
+    aged = (EndpointHealth(health.endpoint, min(MOST_US, health.ago_us + by_us), health.fields) for health in healths)
+    return tuple(health for health in aged if not wrong_health(health))
 
 
 def waits_after(waits: Waits, by_us: int) -> tuple[tuple[str, int], ...]:
