--- a/benchmarks/membership_cost.py
+++ b/benchmarks/membership_cost.py
@@ -14,8 +14,8 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from tests.membership_world import World  # noqa: E402
 from wheelstep.fleet.types import State  # noqa: E402
+from wheelstep.rehearsal.simulation.membership_world import World  # noqa: E402
 
 
 def cost(couriers: int, seed: int, seconds: float) -> str:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from tests.membership_world import World
 from wheelstep.fleet.doubt import doubt
 from wheelstep.fleet.membership import Limits, Membership
 from wheelstep.fleet.news import News
 from wheelstep.fleet.roster import Roster
 from wheelstep.fleet.types import Ack, Hello, Member, Note, Ping, PingReq, Roll, SendPacket, State
+from wheelstep.rehearsal.simulation.membership_world import World
 
 ALIVE, GONE = {State.ALIVE}, {State.GONE}
 
