Capacity page computed from result files, with slopes and the state before

Change: benchmarks/measure/ measures single parts (each size in a process of its own, bounded to 4 minutes) and writes result files; benchmarks/slopes.py tells constant, linear, n log n and quadratic apart by a stated rule; benchmarks/capacity.py writes docs/CAPACITY.md or compares it. Rows without a run say so.

--- /dev/null
+++ b/benchmarks/measure/membership.py
@@ -0,0 +1,96 @@
+"""What membership costs a courier, by the time after all have started together and by kind of packet, in virtual time
+with real seals. Members have names and addresses as long as real ones, unless short ones are asked for.
+
+    python -m benchmarks.measure.membership
+"""
+
+from __future__ import annotations
+
+import gc
+import random
+from collections import Counter
+
+from benchmarks.measure.result import Row, measure, resident
+from wheelstep.fleet.membership import QUIET, Membership
+from wheelstep.fleet.packets import Seal
+from wheelstep.fleet.types import Member, State
+from wheelstep.rehearsal.simulation.membership_world import World
+
+SIZES = (30, 100, 300, 600, 1_100)
+WINDOWS = (("start", 2), ("early", 20), ("quiet", 60))  # one after the other, in seconds of virtual time
+SEED = 1
+
+
+class Weighed(Seal):
+    """A seal that counts what it packs, by kind."""
+
+    counts: Counter[str]
+    sizes: Counter[str]
+
+    def pack(self, to: str, payload: object) -> bytes:
+        data = super().pack(to, payload)
+        self.counts[type(payload).__name__] += 1
+        self.sizes[type(payload).__name__] += len(data)
+        return data
+
+
+class Real(World):
+    """Members are told apart by names, addresses and zones as long as an operator's."""
+
+    def __init__(self, count: int, seed: int, short: bool = False, sealed: bool = True) -> None:
+        self.counts: Counter[str] = Counter()
+        self.sizes: Counter[str] = Counter()
+        self._short = short
+        super().__init__(count, seed, sealed=sealed)
+
+    def add(self, process: str, *, name: str = "", incarnation: int = 0) -> Membership:
+        if self._short:
+            courier = super().add(process, name=name, incarnation=incarnation)
+        else:
+            number = int(process[1:])
+            place = f"10.{number % 6}.{number // 250 + 10}.{number % 250}"
+            if process in self.seeds:
+                self.seeds[process] = f"{place}:7946"
+            me = Member(f"courier-{number:04d}", incarnation, State.ALIVE, f"{place}:7946", f"http://{place}:8080",
+                        zone=f"region-{number % 2}/zone-{number % 6}")
+            seeds = {f"courier-{int(seed[1:]):04d}": address for seed, address in self.seeds.items()}
+            courier = Membership(me, seeds, self.limits, random.Random(self.rng.random()), self.now_us)
+            self.couriers[process], self.at[me.address] = courier, process
+            self._push(courier.next_us(), process, None)
+        seal = Weighed(b"k" * 16, "fleet", courier.me.name, self.now_us + 1)
+        seal.counts, seal.sizes = self.counts, self.sizes
+        self.seals[process] = seal
+        return courier
+
+
+def cost(couriers: int, names: str, asks: bool = True) -> Row:
+    """Bytes, packets and microseconds of processor time a courier a second in each window, in all and by kind. Without
+    `asks` couriers hold from the start that they know everybody, and ask nobody for a roll in their first periods."""
+    gc.collect()
+    base = resident()
+    world = Real(couriers, SEED, names == "short")
+    world.form()
+    for courier in world.couriers.values():
+        courier._quiet = courier._quiet if asks else QUIET
+    row: Row = {}
+    for window, seconds in WINDOWS:
+        for counter in (world.counts, world.sizes, world.sent):
+            counter.clear()
+        world.cpu_s = 0.0
+        world.run(seconds)
+        each = couriers * seconds
+        row[window] = {"seconds": seconds, "bytes": sum(world.sizes.values()) / each,
+                       "packets": sum(world.counts.values()) / each, "cpu_us": world.cpu_s / each * 1e6,
+                       "bytes_by_kind": {kind: size / each for kind, size in sorted(world.sizes.items())},
+                       "packets_by_kind": {kind: count / each for kind, count in sorted(world.counts.items())}}
+    gc.collect()
+    refused = sum(courier.refused["busy"] for courier in world.couriers.values())
+    return {**row, "memory_kb": (resident() - base) / couriers / 1e3, "hellos_refused": refused / couriers}
+
+
+if __name__ == "__main__":
+    measure("before-membership", "membership", __doc__,
+            [*({"couriers": couriers, "names": "real"} for couriers in SIZES),
+             *({"couriers": couriers, "names": "short"} for couriers in (300, 600, 1_100)),
+             *({"couriers": couriers, "names": "short", "asks": False} for couriers in (300, 1_100))],
+            cost, {"windows": WINDOWS}, SEED)
--- /dev/null
+++ b/benchmarks/page/membership.py
@@ -0,0 +1,41 @@
+"""Why membership's bytes rise with the fleet."""
+
+from __future__ import annotations
+
+from benchmarks.page.results import Figure, Results, plain, slope, table, written
+
+FILE = "before-membership"
+
+
+def membership(results: Results) -> str:
+    """The rise between 300 and 1,100, by kind of packet and by time after the start."""
+    def at(couriers: int, path: str, **where: object) -> Figure:
+        return results.at(FILE, path, "bytes/s", couriers=couriers, names="short", **where)
+
+    rows = []
+    for couriers in (300, 600, 1_100):
+        for window in ("start", "early", "quiet"):
+            found = results.rows(FILE, couriers=couriers, names="short", asks=None)
+            if found:
+                kinds = found[0][window]["bytes_by_kind"]
+                rows.append((plain(couriers), WINDOWS[window], at(couriers, f"{window}.bytes", asks=None),
+                             written(kinds.get("Roll", 0.0), "bytes/s"),
+                             written(sum(size for kind, size in kinds.items() if kind != "Roll"), "bytes/s")))
+    without = at(1_100, "early.bytes", asks=False)
+    with_ = at(1_100, "early.bytes", asks=None)
+    small = at(300, "early.bytes", asks=None)
+    real = results.law(FILE, "couriers", "quiet.bytes", names="real")
+    return "\n\n".join((
+        "### Why membership's bytes rise between 300 and 1,100 couriers",
+        f"From 2 s to 22 s after a start of all together a courier sends {small} at 300 couriers and {with_} at 1,100. "
+        "It is the start: a courier that starts asks another one for its whole table (`Hello`, answered by a `Roll` of "
+        "all members) each period until three of these have told of nobody new, and a `Roll` goes out in packets of "
+        "one in 10 ms. At 300 all that is over within 2 s; at 1,100 it goes on through the window. With couriers that "
+        f"hold from the start that they know everybody (`QUIET` reached), the same window has {without}. Short names "
+        "(`c17`), as in the measurement that was to be explained:",
+        table(("couriers", "seconds after the start", "bytes a second a courier", "of it `Roll`", "all else"), rows),
+        "What stays is one look into another's whole table in 60 periods (30 s): "
+        f"{slope(real, 'couriers', 'bytes/s')}, with names and addresses as long as real ones."))
+
+
+WINDOWS = {"start": "0 to 2", "early": "2 to 22", "quiet": "22 to 82"}
--- /dev/null
+++ b/benchmarks/page/size.py
@@ -0,0 +1,105 @@
+"""The size, and the table for each role."""
+
+from __future__ import annotations
+
+from benchmarks.page.after import After
+from benchmarks.page.parts import Before, per_courier
+from benchmarks.page.results import Figure, Results, plain, table, written
+
+HEADS = ("what", "at this size", "slope", "run", "budget", "carried by", "verdict")
+
+
+def size(results: Results) -> str:
+    """1: what is stated, and what follows from it."""
+    of = results.stated
+    each = of("events_a_second") / of("couriers")
+    rate = of("events_a_second") / of("destinations")
+    return "\n\n".join((
+        "## 1. The size",
+        table(("stated by the operators", ""), (
+            ("couriers", plain(of("couriers"))),
+            ("events a second", plain(of("events_a_second"))),
+            ("destinations", f"{plain(of('destinations'))}, {written(of('down_share'), 'share')} of them down at any "
+                             "time"),
+            ("backlog", f"{of('backlog') / 1e9:.1f} billion events"),
+            ("regions and zones", f"{plain(of('regions'))} and {plain(of('zones'))}"),
+            ("changes of configuration", f"{plain(of('changes_a_day'))} a day, in force everywhere within "
+                                         f"{written(of('changes_within_s'), 's')}"),
+            ("budgets of a courier, for control", f"{written(of('budget_core'), 'share')} of a core, "
+             f"{written(of('budget_memory'), 'bytes')}, {written(of('budget_bytes_s'), 'bytes/s')}"),
+            ("machines for control", plain(of("control_machines"))),
+            ("an ordinary day", f"{plain(of('machines_lost_a_day'))} machines fail, {plain(of('restarts_a_day'))} are "
+                                "restarted or replaced"))),
+        "What follows by division alone:",
+        table(("", "every courier has every destination", "destinations divided, one home in each region"), (
+            ("events a second a courier", plain(each), f"{plain(each)}, handed in; as many to deliver"),
+            ("destinations a courier", plain(of("destinations")), plain(per_courier(results))),
+            ("calls of one courier to one destination", f"one in {written(of('couriers') / rate, 's')}",
+             f"one in {written(of('regions') / rate, 's')}"),
+            ("backlog a courier", f"{plain(of('backlog') / of('couriers'))} messages", "the same")))))
+
+
+def row(what: str, figure: Figure, carried: str, most: float | None = None, unit: str = "") -> tuple[str, ...]:
+    """A line of a role's table; `most`: the budget."""
+    return (what, str(figure), figure.how or "-", figure.source or "-",
+            written(most, unit or figure.unit) if most is not None else "-", carried, figure.verdict(most) or "-")
+
+
+def roles(results: Results) -> str:
+    """2: state, messages, processor time and memory of each role."""
+    before, after, of = Before(results), After(results), results.stated
+    couriers, destinations, shards = of("couriers"), of("destinations"), of("shards")
+    core, memory, wire = of("budget_core"), of("budget_memory"), of("budget_bytes_s")
+    full = (round(couriers), round(destinations))
+    courier = (
+        row("members: processor time", before.membership(couriers, "cpu_us", "share", 1e-6), "`fleet/membership`",
+            core),
+        row("members: memory", before.members(couriers), "`fleet/roster`, windows of `fleet/packets`", memory),
+        row("members: bytes sent", before.membership(couriers, "bytes", "bytes/s"), "`fleet/membership`", wire),
+        row("members: packets sent", before.membership(couriers, "packets", "/s"), "`fleet/membership`"),
+        row("who is home: memory", results.told("shard_plan", "couriers", couriers, "memory_mb", "bytes", 1e6,
+                                                shards=round(shards)), "`shards/ring`", memory),
+        row("who is home: one courier gone", results.told("shard_plan", "couriers", couriers, "gone_ms", "s", 1e-3,
+                                                          shards=round(shards)), "`shards/ring`"),
+        row("all control together: processor time", after.quiet(*full, "core_share", "share"), "the scale run", core),
+        row("all control together: memory", after.quiet(*full, "memory_bytes", "bytes"), "the scale run", memory),
+        row("all control together: bytes sent", after.quiet(*full, "bytes_s", "bytes/s"), "the scale run", wire))
+    mine = per_courier(results)
+    owner = (
+        row(f"module for {plain(mine)} destinations: memory", before.module(mine), "`policy/`, rows of its own shards",
+            memory),
+        row(f"module for {plain(mine)} destinations: one turn", before.module(mine, "turn_s", "s", 1.0), "`policy/`"),
+        row("a held message: module", _held(before, results, "module"), "`policy/`"),
+        row("a held message: journal's state", _held(before, results, "journal"), "`journal/state`"))
+    voter = tuple(
+        row(f"renewal of {plain(parts)} parts: processor time", before.voter(parts, "core_share", "share"),
+            "`fleet/register`", core) for parts in (1_024, round(shards), 131_072))
+    placing = tuple(
+        row(f"plan of {plain(parts)} parts, each tenth of a lease", before.plan(round(couriers), parts, "core_share",
+                                                                               "share"),
+            "`fleet/assignment`", core) for parts in (1_024, round(shards), 131_072))
+    control = (
+        row("whole list, compact: bytes", before.listing(destinations, "file_mb", "bytes", 1e6), "`courier/listing`"),
+        row("whole list read: processor time", before.listing(destinations, "read_s", "s"), "`courier/listing`"),
+        row("whole list read: memory", before.listing(destinations, "memory_mb", "bytes", 1e6), "`courier/listing`"),
+        row("list by shard: memory", results.told("list_server", "destinations", destinations, "memory_mb", "bytes",
+                                                  1e6), "`shards/list_server`"),
+        row("a change told: processor time", results.told("list_server", "destinations", destinations, "change_us",
+                                                          "s", 1e-6), "`shards/list_server`"))
+    partner = (
+        row("connections open to one destination", after.quiet(*full, "connections_a_destination"), "homes"),
+        row("handshakes a message", after.quiet(*full, "handshakes_a_message"), "homes, `courier/pool`",
+            of("aim_handshakes")))
+    agent = (row("discovery's agent beside a courier: whole list held", Figure(None, "bytes"), "not divided"),)
+    parts = [("Client-facing courier", courier), ("Owner of destinations (home)", owner),
+             ("Courier that shares channels (parts)", placing), ("Voter", voter), ("Control machine", control),
+             ("Agent", agent), ("Partner, as it sees the fleet", partner)]
+    return "\n\n".join(["## 2. Each role", "Figures of a single part are of that part alone; the budget beside it is "
+                        "the whole one. \"Extrapolated\" says that the size was not run: law, residual and the "
+                        "largest size that was run stand beside it.",
+                        *(f"### {name}\n\n{table(HEADS, rows)}" for name, rows in parts)])
+
+
+def _held(before: Before, results: Results, part: str) -> Figure:
+    largest = max((row["held"] for row in results.rows("before-held", part=part)), default=0)
+    return before.held(largest, part, "memory_bytes", "bytes")
--- /dev/null
+++ b/benchmarks/page/verdicts.py
@@ -0,0 +1,77 @@
+"""What is over budget, why destinations are divided first, and how to run all of it again."""
+
+from __future__ import annotations
+
+from benchmarks.page.after import After
+from benchmarks.page.parts import Before, per_courier
+from benchmarks.page.results import Figure, Results, plain, table, written
+
+
+def over(results: Results) -> str:
+    """7: in so many words."""
+    before, after, of = Before(results), After(results), results.stated
+    couriers, destinations = of("couriers"), of("destinations")
+    full = (round(couriers), round(destinations))
+    core, memory, wire = of("budget_core"), of("budget_memory"), of("budget_bytes_s")
+    held = of("backlog") / couriers
+    lines = []
+
+    def say(what: str, figure: Figure, most: float, then: str) -> None:
+        if figure.value is not None and figure.value > most:
+            lines.append(f"- {what}: {figure} where {written(most, figure.unit)} are allowed, "
+                         f"{figure.value / most:.1f} times. {then}")
+
+    say("Before, the module's state for all destinations", before.module(destinations), memory,
+        "Divided, a courier holds its own shards' alone.")
+    say("The list while one courier reads it whole", before.listing(destinations, "memory_mb", "bytes", 1e6), memory,
+        "Only control machines read it whole now, and they have their machines to themselves.")
+    for parts in (1_024, round(of("shards")), 131_072):
+        say(f"A plan of {plain(parts)} parts of channels at each tenth of a lease",
+            before.plan(round(couriers), parts, "core_share", "share"), core,
+            "It costs by parts; shards don't use it. Channels at that many parts are over budget still.")
+    for parts in (round(of("shards")), 131_072):
+        say(f"A voter's renewal of {plain(parts)} parts", before.voter(parts, "core_share", "share"), core,
+            "Shards need no leases; it concerns channels alone.")
+    say("Membership", before.membership(couriers, "bytes", "bytes/s"), wire, "")
+    backlog = before.held(200_000, "module", "memory_bytes", "bytes").times(held)
+    say("A courier's part of the backlog, in the module alone", backlog, memory,
+        "Not control, but nothing carries it beyond memory yet.")
+    for field, unit, most, what in (("memory_bytes", "bytes", memory, "memory"), ("core_share", "share", core,
+                                    "processor time"), ("bytes_s", "bytes/s", wire, "bytes a second")):
+        figure = after.quiet(*full, field, unit)
+        say(f"After, control of a courier in the scale run: {what}", figure, most, "")
+        if figure.value is None:
+            lines.append(f"- After, control of a courier at full size, {what}: not measured.")
+    lost = results.at("before-destinations", "entries", destinations=round(destinations), part="indented")
+    if lost.value == 0:
+        size = results.at("before-destinations", "file_mb", "bytes", 1e6, destinations=round(destinations),
+                          part="indented")
+        lines.append(f"- Before, a whole list that comes indented ({size}) was passed over: a courier had none.")
+    mine = before.module(per_courier(results))
+    whole = before.listing(destinations, "file_mb", "bytes", 1e6)
+    rate = of("events_a_second") / destinations
+    why = (
+        ("memory", before.module(destinations), mine, written(memory, "bytes")),
+        ("calls of one courier to one destination", f"one in {written(couriers / rate, 's')}",
+         f"one in {written(of('regions') / rate, 's')}", "-"),
+        ("a whole list at the bytes allowed", whole.times(1 / wire, "s"),
+         whole.times(per_courier(results) / destinations / wire, "s"), "-"),
+        ("the list in one turn of the module", before.module(destinations, "turn_s", "s", 1.0),
+         before.module(per_courier(results), "turn_s", "s", 1.0), "-"))
+    return "\n\n".join((
+        "## 7. What is over budget", "\n".join(lines) or "Nothing that was measured.",
+        "### Why destinations are divided first",
+        "Of all that is over, these three come from one cause, every courier holding, calling and learning every "
+        "destination, and no other mechanism mends more than one of them. The right column is by division of the left "
+        "one's law, not a run; what the run shows stands in section 3.",
+        table(("what", "all at each", "divided", "allowed"), why)))
+
+
+def again(results: Results) -> str:
+    """8: the commands, and the files that were used."""
+    return "\n\n".join((
+        "## 8. To run it again",
+        "    python -m benchmarks.measure.destinations     # and held, placement, voters, membership, members, deaths\n"
+        "    python benchmarks/capacity.py                 # this page; --check compares only",
+        "Each measurement writes its file in `benchmarks/results/`. Figures of this page come from these runs:",
+        table(("file", "commit", "load", "machine"), results.machine())))
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,96 @@
+"""The capacity page is what its command gives from the result files, and slopes are told apart."""
+
+from __future__ import annotations
+
+import json
+import random
+import shutil
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from benchmarks import capacity
+from benchmarks.page.results import NOT_MEASURED, Results
+from benchmarks.slopes import LAWS, fit
+
+SIZES = {"destinations": (1_000, 4_000, 14_000, 50_000, 140_000), "couriers": (100, 300, 600, 1_100)}
+
+
+def test_the_page_is_what_the_files_give() -> None:
+    assert capacity.PAGE.read_text() == capacity.page(capacity.FILES), "python benchmarks/capacity.py writes it anew"
+
+
+def test_a_figure_changed_in_the_page_is_noticed(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("sys.argv", ["capacity.py", "--check"])
+    monkeypatch.setattr(capacity, "ROOT", tmp_path)
+    monkeypatch.setattr(capacity, "PAGE", tmp_path / "CAPACITY.md")
+    text = capacity.page(capacity.FILES)
+    assert " 521 MB" in text or " MB" in text
+    for there, code in ((text, 0), (text.replace(" MB", "0 MB", 1), 1), (text + "| 1 |\n", 1), ("", 1)):
+        capacity.PAGE.write_text(there)
+        assert capacity.main() == code
+        assert capacity.PAGE.read_text() == there  # it is only compared
+
+
+def larger(value: Any) -> Any:
+    """The same with each figure that was measured doubled."""
+    if isinstance(value, dict):
+        return {key: larger(one) for key, one in value.items()}
+    return value * 2 if isinstance(value, int | float) and not isinstance(value, bool) else value
+
+
+def test_a_figure_changed_in_a_file_is_noticed(tmp_path: Path) -> None:
+    results = Results(capacity.FILES)
+    for section in capacity.SECTIONS:
+        section(results)
+    assert results.used
+    page = capacity.page(capacity.FILES)
+    for name in results.used:
+        folder = tmp_path / name
+        shutil.copytree(capacity.FILES, folder)
+        one = json.loads((folder / f"{name}.json").read_text())
+        one["rows"] = [larger(row) for row in one.get("rows", ())]
+        (folder / f"{name}.json").write_text(json.dumps({**one, **larger({"quiet": one.get("quiet", {})})}))
+        assert capacity.page(folder) != page, name
+
+
+def test_without_a_run_a_row_says_so(tmp_path: Path) -> None:
+    shutil.copy(capacity.FILES / "stated.json", tmp_path)
+    bare = capacity.page(tmp_path)
+    assert "within |" not in bare and "OVER BUDGET" not in bare
+    rows = [line for line in bare.split("## 2.")[1].split("## 7.")[0].splitlines() if line.startswith("| ")]
+    measured = [line for line in rows if not line.startswith(("| what |", "| ---", "| couriers |", "| failure |"))]
+    assert len(measured) > 30
+    for line in measured:
+        if "| one in" not in line:  # by division of what is stated
+            assert NOT_MEASURED in line, line
+    full = capacity.page(capacity.FILES)
+    assert full.count(NOT_MEASURED) < bare.count(NOT_MEASURED)
+
+
+@pytest.mark.parametrize("sizes", SIZES)
+@pytest.mark.parametrize("law", LAWS)
+def test_slopes_recover_a_known_law_under_noise(law: str, sizes: str) -> None:
+    most, found = max(SIZES[sizes]), []
+    for seed in range(100):
+        rng = random.Random(seed)
+        by = 0.0 if law == "constant" else rng.uniform(1, 9) / LAWS[law](most)
+        at = rng.uniform(1, 9) if law == "constant" else 0.01
+        points = [(n, (at + by * LAWS[law](n)) * rng.uniform(0.98, 1.02)) for n in SIZES[sizes]]
+        taken = fit(points)
+        found.append(taken.law)
+        told = taken.value(2 * most)
+        assert told is not None and taken.residual < 0.1
+        if taken.law == law:
+            assert told == pytest.approx(at + by * LAWS[law](2 * most), rel=0.1)
+    assert found.count(law) >= 95, found
+
+
+def test_slopes_refuse_what_they_cannot_tell() -> None:
+    with pytest.raises(ValueError, match="3 sizes"):
+        fit([(1, 1), (2, 2), (3, 3), (3, 3.1)])
+    with pytest.raises(ValueError, match="not above 0"):
+        fit([(1, 0), (2, 2), (3, 3), (4, 4)])
+    stepped = fit([(100, 1), (300, 1), (600, 90), (1_100, 4)])
+    assert stepped.law == "none" and stepped.value(2_000) is None and stepped.residual > 0.25
