--- a/benchmarks/measure/membership.py
+++ b/benchmarks/measure/membership.py
@@ -17,7 +17,8 @@
 from wheelstep.rehearsal.simulation.membership_world import World
 
 SIZES = (30, 100, 300, 600, 1_100)
-WINDOWS = (("start", 2), ("early", 20), ("quiet", 60))  # one after the other, in seconds of virtual time
+AFTER_START = (("start", 2), ("early", 20))  # windows one after the other, in seconds of virtual time
+LATER = (("settled", 2), ("early", 20), ("quiet", 60))
 SEED = 1
 
 
@@ -63,9 +64,10 @@
         return courier
 
 
-def cost(couriers: int, names: str, asks: bool = True) -> Row:
+def cost(couriers: int, names: str, asks: bool) -> Row:
     """Bytes, packets and microseconds of processor time a courier a second in each window, in all and by kind. Without
-    `asks` couriers hold from the start that they know everybody, and ask nobody for a roll in their first periods."""
+    `asks` couriers hold from the start that they know everybody, as they do later: they ask nobody for a roll in their
+    first periods."""
     gc.collect()
     base = resident()
     world = Real(couriers, SEED, names == "short")
@@ -76,7 +78,7 @@
     gc.freeze()  # a collection looks at all couriers' objects, where a real one would at its own: not counted here
     gc.disable()
     row: Row = {}
-    for window, seconds in WINDOWS:
+    for window, seconds in AFTER_START if asks else LATER:
         for counter in (world.counts, world.sizes, world.sent):
             counter.clear()
         world.cpu_s = 0.0
@@ -93,7 +95,7 @@
 
 if __name__ == "__main__":
     measure("before-membership", "membership", __doc__,
-            [*({"couriers": couriers, "names": "real"} for couriers in SIZES),
-             *({"couriers": couriers, "names": "short"} for couriers in (300, 600, 1_100)),
-             *({"couriers": couriers, "names": "short", "asks": False} for couriers in (300, 1_100))],
-            cost, {"windows": WINDOWS}, SEED)
+            [*({"couriers": couriers, "names": "real", "asks": False} for couriers in SIZES),
+             *({"couriers": couriers, "names": "short", "asks": asks} for couriers in (300, 600, 1_100)
+               for asks in (True, False))],
+            cost, {"windows_asking": AFTER_START, "windows_settled": LATER}, SEED)
--- a/benchmarks/measure/result.py
+++ b/benchmarks/measure/result.py
@@ -49,11 +49,13 @@
     return f"{name}, {os.cpu_count()} cores, {memory:.0f} GB, Python {platform.python_version()}"
 
 
-def write(name: str, what: str, parameters: Mapping[str, Any], seed: int, rows: Sequence[Row], load: str) -> Path:
-    """Write `benchmarks/results/NAME.json`; `load`: the machine's before and after."""
+def write(name: str, what: str, state: str, parameters: Mapping[str, Any], seed: int, rows: Sequence[Row],
+          load: str) -> Path:
+    """Write `benchmarks/results/NAME.json`; `state`: the commit when it began, `load`: the machine's before and
+    after."""
     path = RESULTS / f"{name}.json"
     RESULTS.mkdir(exist_ok=True)
-    path.write_text(json.dumps({"what": what, "commit": commit(), "machine": machine(), "parameters": dict(parameters),
+    path.write_text(json.dumps({"what": what, "commit": state, "machine": machine(), "parameters": dict(parameters),
                                 "seed": seed, "load": load, "rows": list(rows)}, indent=1) + "\n")
     return path
 
@@ -83,11 +85,11 @@
     parser = argparse.ArgumentParser(description=doc, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--name", default=name, help="of the result file")
     args = parser.parse_args()
-    before, rows = os.getloadavg()[0], []
+    before, state, rows = os.getloadavg()[0], commit(), []
     for one in cases:
         row = apart(case, **one)
         if row is not None:
             rows.append({**one, **row})
             load = f"{before:.1f} before, {os.getloadavg()[0]:.1f} after"
-            write(args.name, what, parameters, seed, rows, load)
+            write(args.name, what, state, parameters, seed, rows, load)
     print(f"{len(rows)} rows: benchmarks/results/{args.name}.json")
--- a/benchmarks/page/laws.py
+++ b/benchmarks/page/laws.py
@@ -9,10 +9,10 @@
 
 PARTS: tuple[Law, ...] = (
     ("couriers", "membership: bytes sent a second", "before-membership", "quiet.bytes", "bytes/s", 1.0,
-     {"names": "real"}),
+     {"names": "real", "asks": False}),
     ("couriers", "membership: packets sent a second", "before-membership", "quiet.packets", "/s", 1.0,
-     {"names": "real"}),
-    ("couriers", "membership: processor time", "before-membership", "quiet.cpu_us", "share", 1e-6, {"names": "real"}),
+     {"names": "real", "asks": False}),
+    ("couriers", "membership: processor time", "before-membership", "quiet.cpu_us", "share", 1e-6, {"names": "real", "asks": False}),
     ("couriers", "members: memory", "before-members", "memory_kb", "bytes", 1e3, {}),
     ("couriers", "until a death is known to all", "before-deaths", "median_s", "s", 1.0, {}),
     ("couriers", "a plan of 16,384 parts", "before-placement", "plan_ms", "s", 1e-3, {"parts": 16_384}),
--- a/benchmarks/page/membership.py
+++ b/benchmarks/page/membership.py
@@ -16,17 +16,16 @@
 
     rows = []
     for couriers in (300, 600, 1_100):
-        for window in ("start", "early", "quiet"):
-            found = results.rows(FILE, couriers=couriers, names="short", asks=None)
-            if found:
-                kinds = found[0][window]["bytes_by_kind"]
-                rows.append((plain(couriers), WINDOWS[window], at(couriers, f"{window}.bytes", asks=None),
+        for asks, window, seconds in WINDOWS:
+            for found in results.rows(FILE, couriers=couriers, names="short", asks=asks):
+                kinds = found[window]["bytes_by_kind"]
+                rows.append((plain(couriers), seconds, at(couriers, f"{window}.bytes", asks=asks),
                              written(kinds.get("Roll", 0.0), "bytes/s"),
                              written(sum(size for kind, size in kinds.items() if kind != "Roll"), "bytes/s")))
     without = at(1_100, "early.bytes", asks=False)
-    with_ = at(1_100, "early.bytes", asks=None)
-    small = at(300, "early.bytes", asks=None)
-    real = results.law(FILE, "couriers", "quiet.bytes", names="real")
+    with_ = at(1_100, "early.bytes", asks=True)
+    small = at(300, "early.bytes", asks=True)
+    real = results.law(FILE, "couriers", "quiet.bytes", names="real", asks=False)
     return "\n\n".join((
         "### Why membership's bytes rise between 300 and 1,100 couriers",
         f"From 2 s to 22 s after a start of all together a courier sends {small} at 300 couriers and {with_} at 1,100. "
@@ -61,4 +60,5 @@
             + table(("couriers", "destinations", "virtual time", "sockets", "ratio", "run"), rows))
 
 
-WINDOWS = {"start": "0 to 2", "early": "2 to 22", "quiet": "22 to 82"}
+WINDOWS = ((True, "start", "0 to 2"), (True, "early", "2 to 22"),
+           (False, "early", "2 to 22, without the asks of a start"), (False, "quiet", "22 to 82, without them"))
--- a/benchmarks/page/parts.py
+++ b/benchmarks/page/parts.py
@@ -32,7 +32,7 @@
     def membership(self, couriers: float, field: str, unit: str, by: float = 1.0, window: str = "quiet") -> Figure:
         """Membership of so many couriers, a courier a second."""
         return self.results.told("before-membership", "couriers", couriers, f"{window}.{field}", unit, by,
-                                 names="real")
+                                 names="real", asks=False)
 
     def members(self, couriers: float) -> Figure:
         """Memory of the table of members."""
