--- a/benchmarks/measure/list_server.py
+++ b/benchmarks/measure/list_server.py
@@ -12,9 +12,9 @@
 from collections.abc import Iterable
 
 import msgspec
-from wheelstep.shards.list_server import ListServer
 
 from benchmarks.measure.result import Row, measure, resident
+from wheelstep.shards.list_server import ListServer
 from wheelstep.shards.types import Batch, Follow, Frame, ListRow
 
 SIZES = (1_000, 4_000, 14_000, 50_000, 140_000)
--- a/benchmarks/page/failures.py
+++ b/benchmarks/page/failures.py
@@ -94,6 +94,9 @@
 def changes(results: Results) -> str:
     """6: configuration, and a region that is cut off."""
     of, after = results.stated, After(results)
+    def listed(field: str) -> Figure:
+        return results.told("list_server", "destinations", of("destinations"), field, "bytes")
+
     whole = Before(results).listing(of("destinations"), "file_mb", "bytes", 1e6)
     seconds = whole.times(1 / of("budget_bytes_s"), "s")
     cut = after.fault("regions cut")
@@ -104,7 +107,9 @@
         f"{written(86_400 / of('changes_a_day'), 's')}). Discovery tells the control machines, they tell each courier "
         "the rows of the shards that it serves. Until all that serve the shard have it, 99 of 100: "
         f"{told} (bound: {written(of('told_within_s'), 's')} after discovery had it). A whole list for each courier "
-        f"would take {seconds} at {written(of('budget_bytes_s'), 'bytes/s')} (`before-destinations`).\n"
+        f"would take {seconds} at {written(of('budget_bytes_s'), 'bytes/s')} (`before-destinations`); "
+        f"the rows of its own shards are {listed('follow_bytes')}, and where its control machine is lost the next one "
+        f"answers {listed('again_bytes')} if nothing has changed (`list_server`).\n"
         "- **The operators' file** (classes, limits, keys, weights): a file on each machine and SIGHUP. Nothing of "
         "this program carries it; how long it takes is the operators' own way of copying files, and is not measured "
         "here. "
--- a/benchmarks/page/size.py
+++ b/benchmarks/page/size.py
@@ -6,6 +6,13 @@
 from benchmarks.page.parts import Before, per_courier
 from benchmarks.page.results import Figure, Results, plain, table, written
 
+LIST = (("memory", "memory_mb", "bytes", 1e6), ("a whole list taken up", "whole_s", "s", 1.0),
+        ("the longest turn of that", "longest_step_ms", "s", 1e-3),
+        ("told to a courier that begins", "follow_bytes", "bytes", 1.0),
+        ("processor time of that", "follow_ms", "s", 1e-3),
+        ("told to a courier that comes over from a lost machine", "again_bytes", "bytes", 1.0),
+        ("a change: processor time", "change_us", "s", 1e-6),
+        ("a change: told in all", "change_bytes", "bytes", 1.0))
 HEADS = ("what", "at this size", "slope", "run", "budget", "carried by", "verdict")
 
 
@@ -92,10 +99,8 @@
             "`shards/control`"),
         row("in the fleet, idle: processor time", after.quiet(*full, "control_machine.cpu_us_per_s", "share", 1e-6),
             "`shards/control`"),
-        row("list by shard: memory", results.told("list_server", "destinations", destinations, "memory_mb", "bytes",
-                                                  1e6), "`shards/list_server`"),
-        row("a change told: processor time", results.told("list_server", "destinations", destinations, "change_us",
-                                                          "s", 1e-6), "`shards/list_server`"))
+        *(row(f"list by shard: {what}", results.told("list_server", "destinations", destinations, field, unit, by),
+              "`shards/list_server`") for what, field, unit, by in LIST))
     partner = (
         row("handshakes a message at its real rate", after.quiet(*full, "calls.hollow_handshakes_per_message",
                                                                  spell="dense"), "homes, `courier/pool`",
