--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -70,6 +70,43 @@
     assert full.count(NOT_MEASURED) < bare.count(NOT_MEASURED)
 
 
+def scale_run(hollow: int, undivided: bool, memory: float) -> dict[str, Any]:
+    """A scale run's result, as far as the page reads it."""
+    idle = {"seconds": 20, "hollow": {
+        "memory_bytes": memory, "cpu_us_per_s": 20_000, "membership_bytes_sent_per_s": 900, "packets_sent_per_s": 9,
+        "list_bytes_sent_per_s": 50, "peer_bytes_dialled_here_per_s": 250, "membership_bytes_received_per_s": 13_000,
+        "list_bytes_received_per_s": 70, "shards_busiest_over_mean": 1.25}}
+    calls = {"hollow_calls_to_down_10_s_share": 0.0003, "hollow_handshakes_per_message": 0.04, "handed_in": 500}
+    fault = {"fault": "zone", "couriers": 183, "homes_steady_s": 17.0, "flood": {"most_packets_per_s_over_usual": 6.5}}
+    return {"what": "scale_run", "commit": "c", "machine": {"cores": 8}, "seed": 1, "load": {"start": 1, "end": 2},
+            "parameters": {"hollow": hollow, "real": 0, "destinations": 140_000, "undivided": undivided, "hosts": 2,
+                           "down_share": 0.01, "down_s": 40.0, "rate": 0.01},
+            "start": {"host_memory_bytes_empty": hollow * 500_000},
+            "quiet": {"idle": idle, "dense": {"calls": calls, "hollow": {}, "seconds": 20}},
+            "faults": [] if undivided else [fault],
+            "checks": {"followed": {"lost": 0, "doubled": 3}, "hollow_taken": 77, "hollow_without_end": 0}}
+
+
+def test_scale_runs_are_read_and_held_against_budgets(tmp_path: Path) -> None:
+    shutil.copy(capacity.FILES / "stated.json", tmp_path)
+    for name, run in (("scale-1", scale_run(1_084, False, 30e6)), ("scale-2", scale_run(1_100, True, 512e6)),
+                      ("scale-3", scale_run(300, False, 23e6))):
+        (tmp_path / f"{name}.json").write_text(json.dumps(run))
+    page = capacity.page(tmp_path)
+    lines = {line.split(" |")[0].strip("| "): line for line in page.splitlines() if line.startswith("| ")}
+    assert "| 29 MB |" in lines["all control together: memory"] and "within" in lines["all control together: memory"]
+    assert "| 2% |" in lines["all control together: processor time"]
+    assert "| 1.2 KB/s |" in lines["all control together: bytes sent"]
+    assert "**OVER BUDGET by 1.1 times**" in lines["all control together: bytes received"]
+    assert "| 1,100 | 140,000 | **511 MB** | 29 MB |" in page and "| 300 | 140,000 | not measured | 22 MB |" in page
+    assert "1.2 KB/s / **13.1 KB/s** |" in page
+    assert "| 4% | under 5% |" in page  # 0.03% of calls, where 0.75% would go there without knowledge
+    assert "| 0.04 | under 0.1 |" in page and "| 1.25 | at most 1.3 |" in page
+    assert "| zone | 183 | not measured |" in lines["zone"] and "| 17 s |" in lines["zone"]
+    assert "| 6.5 / - / - / - | `scale-1` |" in lines["zone"]
+    assert "0 were lost and 3 doubled" in page and "77 messages 0 have no end" in page
+
+
 @pytest.mark.parametrize("sizes", SIZES)
 @pytest.mark.parametrize("law", LAWS)
 def test_slopes_recover_a_known_law_under_noise(law: str, sizes: str) -> None:
