--- /dev/null
+++ b/benchmarks/page/compare.py
@@ -0,0 +1,99 @@
+"""Before and after, against the budgets and the aims."""
+
+from __future__ import annotations
+
+from benchmarks.page.after import After
+from benchmarks.page.parts import COURIERS, DESTINATIONS, Before
+from benchmarks.page.results import NOT_MEASURED, Figure, Results, plain, table, written
+
+
+def cell(figure: Figure, most: float) -> str:
+    """A figure, bold where it is over the budget."""
+    return f"**{figure}**" if figure.value is not None and figure.value > most else f"{figure}"
+
+
+def either(run: Figure, parts: Figure, most: float) -> str:
+    """By the scale run, else by single parts and said so."""
+    if run.value is None and parts.value is not None:
+        return f"{cell(parts, most)} (by parts)"
+    return cell(run, most)
+
+
+def compare(results: Results) -> str:
+    """3: both states in one table."""
+    before, after, was, of = Before(results), After(results), After(results, divided=False), results.stated
+    core, memory, wire = of("budget_core"), of("budget_memory"), of("budget_bytes_s")
+    rows = []
+    for couriers in COURIERS:
+        for destinations in DESTINATIONS:
+            size = (couriers, destinations)
+            sent = cell(after.sent(*size), wire), cell(after.received(*size), wire)
+            rows.append((plain(couriers), plain(destinations),
+                         either(was.memory(*size), before.memory(*size), memory), cell(after.memory(*size), memory),
+                         either(was.core(*size), before.membership(couriers, "cpu_us", "share", 1e-6), core),
+                         cell(after.core(*size), core),
+                         either(was.sent(*size), before.membership(couriers, "bytes", "bytes/s"), wire),
+                         " / ".join(sent) if after.sent(*size).value is not None else NOT_MEASURED))
+    heads = ("couriers", "destinations", f"memory before (of {written(memory, 'bytes')})", "after",
+             f"processor time before (of {written(core, 'share')})", "after",
+             f"sent a second before (of {written(wire, 'bytes')})", "after: sent / received")
+    return "\n\n".join((
+        "## 3. Before and after",
+        "Before: every courier holds, calls and learns every destination. After: destinations divided. Both by scale "
+        "runs, idle: no messages, members and list alone. \"By parts\": no such scale run; then memory is the "
+        "module's and the members', processor time and bytes are membership's. Bold: over the budget.",
+        table(heads, rows), *_others(results)))
+
+
+def _others(results: Results) -> tuple[str, ...]:
+    before, after, was, of = Before(results), After(results), After(results, divided=False), results.stated
+    full = (of("couriers"), of("destinations"))
+    rate = of("events_a_second") / of("destinations")
+    lost = after.fault("two machines")
+    found = lost[1] if lost else {}
+    calls = "calls.hollow_"
+    rows: list[tuple[object, ...]] = [
+        ("calls to destinations that have been down for 10 s or more, of those that would be made if nobody learned "
+         "anything", was.ignorant(*full), after.ignorant(*full), f"under {written(of('aim_down_share'), 'share')}"),
+        ("... of all calls", was.quiet(*full, f"{calls}calls_to_down_10_s_share", "share", spell="dense"),
+         after.quiet(*full, f"{calls}calls_to_down_10_s_share", "share", spell="dense"), "-"),
+        ("handshakes a message, each destination at its real rate",
+         was.quiet(*full, f"{calls}handshakes_per_message", spell="dense"),
+         after.quiet(*full, f"{calls}handshakes_per_message", spell="dense"), f"under {plain(of('aim_handshakes'))}"),
+        ("calls of one courier to one destination (by division)", f"one in {written(of('couriers') / rate, 's')}",
+         f"one in {written(of('regions') / rate, 's')}", "-"),
+        ("share of messages that take the hop", "none", hop_share(after, *full), "-"),
+        ("202 at the median, hollow couriers", was.quiet(*full, f"{calls}202_p50_us", "s", 1e-6, "dense"),
+         after.quiet(*full, f"{calls}202_p50_us", "s", 1e-6, "dense"), "-"),
+        ("202, 99 of 100, hollow couriers", was.quiet(*full, f"{calls}202_p99_us", "s", 1e-6, "dense"),
+         after.quiet(*full, f"{calls}202_p99_us", "s", 1e-6, "dense"), "-"),
+        ("until a death is known to all", before.death(of("couriers")),
+         Figure(found.get("gone_in_all_views_s"), "s"), "-"),
+        ("until the last message for a dead courier's destinations without a 202", "all serve all",
+         Figure(found.get("unserved_until_s"), "s"), "-"),
+        ("until each of them has its home", "-", Figure(found.get("homes_steady_s"), "s"), "-"),
+        ("moves over the least possible, two machines lost", "-", Figure(found.get("moves_over_least")), "-"),
+        ("busiest courier over the mean, by shards", "-",
+         after.quiet(*full, "hollow.shards_busiest_over_mean"), f"at most {plain(of('aim_busiest'))}"),
+        ("busiest courier over the mean, by messages taken", "-",
+         after.quiet(*full, "hollow.taken_busiest_over_mean", spell="spread"), "-")]
+    return (table(("what", "before", "after", "aim"), rows), _hop(results))
+
+
+def hop_share(after: After, couriers: float, destinations: float) -> Figure:
+    """Messages asked of another courier, of all that were handed in."""
+    asked = after.quiet(couriers, destinations, "nodes.asked", "share", spell="spread")
+    handed = after.quiet(couriers, destinations, "calls.handed_in", spell="spread")
+    return Figure(None, "share") if not handed.value else asked.times(1 / handed.value)
+
+
+def _hop(results: Results) -> str:
+    """What the hop costs, by its own measurement."""
+    rows = results.rows("forwarding_cost")
+    if not rows:
+        return "What the hop costs by itself (rate, 202 at the median and 99 of 100, processor time): not measured."
+    results.used["forwarding_cost"] = None
+    heads = list(rows[0])
+    return "What the hop costs by itself (`forwarding_cost`):\n\n" + table(
+        heads, [[plain(value) if isinstance(value := row.get(head), int | float) else value for head in heads]
+                for row in rows])
