--- /dev/null
+++ b/tests/test_shard_homes.py
@@ -0,0 +1,78 @@
+"""Homes by membership: this courier's region alone, who takes part, and who would follow a home."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wheelstep.fleet.types import Member, State
+from wheelstep.shards.homes import Homes
+
+SHARDS = 60
+ME = Member("me", 1, State.ALIVE, "", "", 1.0, "east/1")
+
+
+def member(name: str, zone: str = "east/1", state: State = State.ALIVE, weight: float = 1.0) -> Member:
+    return Member(name, 1, state, "", "", weight, zone)
+
+
+def couriers(homes: Homes) -> set[str | None]:
+    return {homes.home(shard) for shard in range(SHARDS)}
+
+
+def test_this_courier_counts_from_the_first_news_on() -> None:
+    homes = Homes(ME, SHARDS)
+    assert couriers(homes) == {None} and homes.mine() == set() and homes.next(0) is None
+    assert homes.saw(0, []) == set(range(SHARDS)) == homes.mine()
+    assert couriers(homes) == {"me"} and homes.next(0) is None
+    changed = homes.saw(1, [member("a")])
+    assert changed == {shard for shard in range(SHARDS) if homes.home(shard) == "a"} != set()
+    assert homes.mine() == set(range(SHARDS)) - changed and homes.saw(2, [member("a")]) == set()
+    assert all({homes.home(shard), homes.next(shard)} == {"a", "me"} for shard in range(SHARDS))
+    assert homes.home(SHARDS) is None and homes.next(SHARDS) is None and homes.next(-1) is None
+
+
+def test_its_own_state_counts_too() -> None:
+    homes = Homes(ME, SHARDS)
+    homes.saw(0, [member("a"), member("me", state=State.LEAVING)])
+    assert homes.mine() == set() and couriers(homes) == {"a"}
+    homes.saw(1, [member("me")])
+    assert homes.mine()
+    homes.saw(2, [member("me", state=State.GONE), member("a", state=State.GONE)])
+    assert couriers(homes) == {None} and homes.next(0) is None
+
+
+def test_who_takes_part() -> None:
+    """Suspects stay; those that leave, are gone, weigh nothing or are of another region do not."""
+    homes = Homes(ME, SHARDS)
+    assert homes.saw(0, [member("a"), member("west", "west/1"), member("plain", "east"), member("none", weight=0.0),
+                         member("old", state=State.GONE), member("going", state=State.LEAVING)])
+    assert couriers(homes) == {"me", "a", "plain"}
+    assert homes.saw(1, [member("a", state=State.SUSPECT)]) == set() and "a" in couriers(homes)
+    had = {shard for shard in range(SHARDS) if homes.home(shard) == "a"}
+    assert had <= homes.saw(2, [member("a", state=State.LEAVING)]) and couriers(homes) == {"me", "plain"}
+    homes.saw(3, [member("a")])
+    assert had == {shard for shard in range(SHARDS) if homes.home(shard) == "a"}
+    assert had <= homes.saw(4, [member("a", "west/1")]) and couriers(homes) == {"me", "plain"}
+    assert homes.saw(5, [member("west", "east/2")]) and couriers(homes) == {"me", "plain", "west"}
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(news=st.lists(st.dictionaries(st.sampled_from("abcdef"), st.tuples(
+    st.sampled_from(["east/1", "east/2", "east/3", "west/1"]),
+    st.sampled_from([State.ALIVE, State.ALIVE, State.SUSPECT, State.GONE])), max_size=6), min_size=1, max_size=5))
+def test_next_is_of_another_zone_if_there_is_one(news: list[dict[str, tuple[str, State]]]) -> None:
+    homes = Homes(ME, SHARDS)
+    zones = {"me": "east/1"}
+    for at, each in enumerate(news):
+        homes.saw(at, [member(name, zone, state) for name, (zone, state) in each.items()])
+        for name, (zone, state) in each.items():
+            zones.pop(name, None)
+            if zone != "west/1" and state is not State.GONE:
+                zones[name] = zone
+        for shard in range(SHARDS):
+            home, walk = homes.home(shard), list(homes.ring.walk(shard))
+            assert home is not None and sorted(walk) == sorted(zones)
+            others = [name for name in walk if name != home]
+            away = [name for name in others if zones[name] != zones[home]]
+            assert homes.next(shard) == next(iter(away or others), None)
--- a/wheelstep/shards/homes.py
+++ b/wheelstep/shards/homes.py
@@ -53,14 +53,12 @@
         if home is None:
             return None
         zone = self._zones[home]
-        first = None
         for name in self.ring.walk(shard):
             if name == home:
                 continue
             if self._zones[name] != zone or len(self._in_zone) == 1:
                 return name
-            first = first or name
-        return first
+        return None
 
     def mine(self) -> Set[int]:
         """The shards that this courier is home of."""
