Tests: a refused message that is asked again, and the bounds of sockets

Each could be broken in the code without a test failing before: stale pending of a refused ask, the bound of accepted pipes, room for new ones.

--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -64,14 +64,13 @@
                 await answer
             assert type(caught.value) is seen and desk.ended is ended
             assert s.home.withdrawn == ["m1"]
-            s.links[0].close()  # nothing of it is left to begin
-            while s.client._link is not None:
-                await asyncio.sleep(0)
-            desk, answer = s.ask(message("m2"))
+            desk, answer = s.ask(message("m1"))
             await s.home.until(lambda: len(s.home.waits) == 2)
-            s.home.waits[1].set_result(None)
-            await answer
-            assert s.home.begun == [] and desk.ended is Ended.TAKEN
+            s.links[0].close()  # nothing of the first is left to begin
+            with pytest.raises(UnansweredError):
+                await answer
+            await s.home.until(lambda: s.home.withdrawn == ["m1", "m1"])
+            assert s.home.begun == [] and desk.ended is Ended.SILENT
     run(work())
 
 
--- a/tests/test_shard_links.py
+++ b/tests/test_shard_links.py
@@ -10,6 +10,7 @@
 
 from wheelstep.fleet.packets import STREAM_BYTES
 from wheelstep.shards.net import Sockets
+from wheelstep.shards.ports import Lost, Pipe, Received
 from wheelstep.shards.stream_link import BATCH_BYTES, BEHIND_BYTES
 from wheelstep.shards.types import Batch, Current, Forwarded
 
@@ -39,6 +40,7 @@
             await node.until(lambda: node.lost == [link])
             assert not link.send(Current(3)) and await node.streams.dial("b", "b:1", 20) is None
             await asyncio.sleep(0)
+            wire.lost()
             assert node.lost == [link]
         await dialled("b", "")
         await dialled("c", "sender")
@@ -191,21 +193,29 @@
 
 def test_pipes_are_bounded_and_a_port_in_use_is_told() -> None:
     async def work() -> None:
-        net, ends = Sockets(most_pipes=2), asyncio.Event()
-        address = await net.listen("127.0.0.1:0", lambda pipe: (lambda data: None, lambda: None), lambda *_: None)
+        net, far, ends = Sockets(most_pipes=1), Sockets(most_pipes=2), asyncio.Queue[int]()
+        here = asyncio.Queue[int]()
+
+        def accept(pipe: Pipe) -> tuple[Received, Lost]:
+            pipe.write(b"x")
+            return lambda data: None, lambda: here.put_nowait(1)
+        address = await net.listen("127.0.0.1:0", accept, lambda *_: None)
         with pytest.raises(OSError):
-            await Sockets().listen(address, lambda pipe: (lambda data: None, lambda: None), lambda *_: None)
-        first = await net.dial(address, lambda data: None, ends.set)
-        with pytest.raises(OSError, match="expected fewer"):
-            while True:  # its other half counts once it was accepted
-                await asyncio.sleep(0)
-                await net.dial(address, lambda data: None, lambda: None)
-        assert net.dropped >= 1
+            await Sockets().listen(address, accept, lambda *_: None)
         for wrong in ("nowhere", "127.0.0.1:x", ":1", "127.0.0.1:99999"):
             with pytest.raises(OSError):
                 await Sockets().dial(wrong, lambda data: None, lambda: None)
-        first.close()
         async with asyncio.timeout(20):
-            await ends.wait()
+            for _ in range(2):
+                first, there = await asyncio.gather(*(
+                    far.dial(address, lambda data: None, lambda number=number: ends.put_nowait(number))
+                    for number in range(2)))
+                with pytest.raises(OSError, match="expected fewer"):
+                    await far.dial(address, lambda data: None, lambda: None)
+                number = await ends.get()  # of two that came, one was beyond the bound
+                assert net.dropped == far.dropped and here.empty()
+                (first, there)[1 - number].close()
+                assert await ends.get() == 1 - number and await here.get() == 1
+        assert net.dropped == 2
         await net.close()
     run(work())
