--- a/benchmarks/page/membership.py
+++ b/benchmarks/page/membership.py
@@ -25,6 +25,7 @@
     without = at(1_100, "early.bytes", asks=False)
     with_ = at(1_100, "early.bytes", asks=True)
     small = at(300, "early.bytes", asks=True)
+    wire = results.stated("budget_bytes_s")
     real = results.law(FILE, "couriers", "quiet.bytes", names="real", asks=False)
     return "\n\n".join((
         "### Why membership's bytes rise between 300 and 1,100 couriers",
@@ -36,7 +37,9 @@
         "(`c17`), as in the measurement that was to be explained:",
         table(("couriers", "seconds after the start", "bytes a second a courier", "of it `Roll`", "all else"), rows),
         "What stays is one look into another's whole table in 60 periods (30 s): "
-        f"{slope(real, 'couriers', 'bytes/s')}, with names and addresses as long as real ones.",
+        f"{slope(real, 'couriers', 'bytes/s')}, with names and addresses as long as real ones. "
+        + (f"By this law the budget of {written(wire, 'bytes/s')} is reached at {plain((wire - real.at) / real.by)} "
+           "couriers (extrapolated)." if real is not None and real.law == "linear" and real.by else ""),
         _both(results)))
 
 
