--- a/benchmarks/page/compare.py
+++ b/benchmarks/page/compare.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from statistics import median
+from typing import Any
+
 from benchmarks.page.after import After
 from benchmarks.page.parts import COURIERS, DESTINATIONS, Before
 from benchmarks.page.results import NOT_MEASURED, Figure, Results, plain, table, written
@@ -73,6 +77,10 @@
          Figure(found.get("unserved_until_s"), "s"), "-"),
         ("until each of them has its home", "-", Figure(found.get("homes_steady_s"), "s"), "-"),
         ("moves over the least possible, two machines lost", "-", Figure(found.get("moves_over_least")), "-"),
+        *((f"moves over the least possible, {what}, by the plan alone", "-",
+           results.told("shard_plan", "couriers", round(of("couriers") / of("regions")), field,
+                        shards=round(of("shards"))), "-")
+          for what, field in (("one courier gone", "one_moves_over_least"), ("a sixth", "sixth_moves_over_least"))),
         ("busiest courier over the mean, by shards", "-",
          after.quiet(*full, "hollow.shards_busiest_over_mean"), f"at most {plain(of('aim_busiest'))}"),
         ("busiest courier over the mean, by messages taken", "-",
@@ -88,12 +96,18 @@
 
 
 def _hop(results: Results) -> str:
-    """What the hop costs, by its own measurement."""
+    """What the hop costs, by its own measurement: medians of its runs."""
     rows = results.rows("forwarding_cost")
     if not rows:
-        return "What the hop costs by itself (rate, 202 at the median and 99 of 100, processor time): not measured."
+        return "What the hop costs by itself (messages a second, processor time of both): not measured."
     results.used["forwarding_cost"] = None
-    heads = list(rows[0])
-    return "What the hop costs by itself (`forwarding_cost`):\n\n" + table(
-        heads, [[plain(value) if isinstance(value := row.get(head), int | float) else value for head in heads]
-                for row in rows])
+    kinds: dict[str, list[Mapping[str, Any]]] = {}
+    for row in rows:
+        kinds.setdefault(row["kind"], []).append(row)
+
+    def middle(of: list[Mapping[str, Any]], field: str) -> float:
+        return median(float(row[field]) for row in of)
+    return "What the hop costs by itself, two processes (`forwarding_cost`; medians):\n\n" + table(
+        ("over", "runs", "messages a second", "processor time a message: asker", "home"),
+        [(kind, len(of), plain(middle(of, "rate")), written(middle(of, "asker_us") / 1e6, "s"),
+          written(middle(of, "home_us") / 1e6, "s")) for kind, of in kinds.items()])
--- a/benchmarks/page/size.py
+++ b/benchmarks/page/size.py
@@ -6,6 +6,8 @@
 from benchmarks.page.parts import Before, per_courier
 from benchmarks.page.results import Figure, Results, plain, table, written
 
+PLAN = (("memory", "bytes", "bytes", 1.0), ("made anew", "build_ms", "s", 1e-3),
+        ("one courier gone", "death_median_ms", "s", 1e-3), ("a sixth gone", "sixth_gone_ms", "s", 1e-3))
 LIST = (("memory", "memory_mb", "bytes", 1e6), ("a whole list taken up", "whole_s", "s", 1.0),
         ("the longest turn of that", "longest_step_ms", "s", 1e-3),
         ("told to a courier that begins", "follow_bytes", "bytes", 1.0),
@@ -57,17 +59,16 @@
     before, after, of = Before(results), After(results), results.stated
     couriers, destinations, shards = of("couriers"), of("destinations"), of("shards")
     core, memory, wire = of("budget_core"), of("budget_memory"), of("budget_bytes_s")
-    full = (couriers, destinations)
+    full, region = (couriers, destinations), round(couriers / of("regions"))
     courier = (
         row("members: processor time", before.membership(couriers, "cpu_us", "share", 1e-6), "`fleet/membership`",
             core),
         row("members: memory", before.members(couriers), "`fleet/roster`, windows of `fleet/packets`", memory),
         row("members: bytes sent", before.membership(couriers, "bytes", "bytes/s"), "`fleet/membership`", wire),
         row("members: packets sent", before.membership(couriers, "packets", "/s"), "`fleet/membership`"),
-        row("who is home: memory", results.told("shard_plan", "couriers", couriers, "memory_mb", "bytes", 1e6,
-                                                shards=round(shards)), "`shards/ring`", memory),
-        row("who is home: one courier gone", results.told("shard_plan", "couriers", couriers, "gone_ms", "s", 1e-3,
-                                                          shards=round(shards)), "`shards/ring`"),
+        *(row(f"who is home, {plain(shards)} shards, a region's {plain(region)} couriers: {what}",
+              results.told("shard_plan", "couriers", region, field, unit, by, shards=round(shards)), "`shards/ring`",
+              memory if field == "bytes" else None) for what, field, unit, by in PLAN),
         row("all control together: processor time", after.core(*full), "`shards/node`", core),
         row("all control together: memory", after.memory(*full), "`shards/node`", memory),
         row("all control together: bytes sent", after.sent(*full), "`shards/node`", wire),
