--- a/benchmarks/page/laws.py
+++ b/benchmarks/page/laws.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from benchmarks.page.after import After
-from benchmarks.page.results import NOT_MEASURED, Results, slope, table
+from benchmarks.page.results import Results, slope, table
 
 Law = tuple[str, str, str, str, str, float, dict[str, object]]
 
@@ -26,6 +26,11 @@
     ("shards", "ring of 550 couriers: made anew", "shard_plan", "build_ms", "s", 1e-3, {"couriers": 550}),
     ("shards", "ring of 550 couriers: one courier gone", "shard_plan", "death_median_ms", "s", 1e-3,
      {"couriers": 550}),
+    ("changes_per_s", "a control machine: processor time", "changes", "core_share", "share", 1.0, {}),
+    ("changes_per_s", "a control machine: bytes told a second", "changes", "bytes_s", "bytes/s", 1.0, {}),
+    ("zones", "who is next, for one shard", "zones", "next_us", "s", 1e-6, {}),
+    ("zones", "a zone's loss in one turn of a courier", "zones", "zone_gone_ms", "s", 1e-3, {}),
+    ("zones", "moves over the least, a zone lost", "zones", "moves_over_least", "", 1.0, {}),
     ("destinations", "module: memory", "before-destinations", "memory_mb", "bytes", 1e6, {"part": "module"}),
     ("destinations", "module: the list in one turn", "before-destinations", "turn_s", "s", 1.0, {"part": "module"}),
     ("destinations", "whole list: bytes", "before-destinations", "file_mb", "bytes", 1e6, {"part": "compact"}),
@@ -58,13 +63,15 @@
 
 def laws(results: Results) -> str:
     """Each law with its residual and run."""
-    rows = [(over, what, slope(results.law(name, over, path, by, **where), over, unit), f"`{name}`")
-            for over, what, name, path, unit, by, where in PARTS]
+    rows = []
+    for over, what, name, path, unit, by, where in PARTS:
+        label = over.replace("_per_s", " a second")
+        law = results.law(name, over, path, by, **where)
+        rows.append((label, what, slope(law, label, unit), f"`{name}`" if law else "-"))
     after = After(results)
     for destinations in (14_000, 140_000):
         for what, path, unit, by in RUNS:
             law = after.law(destinations, f"quiet.idle.{path}", by)
             rows.append(("couriers", f"divided, {destinations:,} destinations, idle: {what}",
                          slope(law, "couriers", unit), "`scale-*`" if law else "-"))
-    rows += [(over, "all of control", NOT_MEASURED, "-") for over in ("rate of changes", "zones")]
     return "### Slopes\n\n" + table(("by", "what", "law", "run"), rows)
--- a/benchmarks/page/size.py
+++ b/benchmarks/page/size.py
@@ -60,6 +60,7 @@
     couriers, destinations, shards = of("couriers"), of("destinations"), of("shards")
     core, memory, wire = of("budget_core"), of("budget_memory"), of("budget_bytes_s")
     full, region = (couriers, destinations), round(couriers / of("regions"))
+    zones = round(of("zones") / of("regions"))
     courier = (
         row("members: processor time", before.membership(couriers, "cpu_us", "share", 1e-6), "`fleet/membership`",
             core),
@@ -69,6 +70,8 @@
         *(row(f"who is home, {plain(shards)} shards, a region's {plain(region)} couriers: {what}",
               results.told("shard_plan", "couriers", region, field, unit, by, shards=round(shards)), "`shards/ring`",
               memory if field == "bytes" else None) for what, field, unit, by in PLAN),
+        row(f"a zone of {plain(zones)} in the region gone, in one turn",
+            results.told("zones", "zones", zones, "zone_gone_ms", "s", 1e-3), "`shards/homes`"),
         row("all control together: processor time", after.core(*full), "`shards/node`", core),
         row("all control together: memory", after.memory(*full), "`shards/node`", memory),
         row("all control together: bytes sent", after.sent(*full), "`shards/node`", wire),
