--- a/benchmarks/page/after.py
+++ b/benchmarks/page/after.py
@@ -6,11 +6,9 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from benchmarks.page.results import Figure, Results, slope
+from benchmarks.page.results import NEAR, Figure, Results, slope
 from benchmarks.slopes import Fit, fit
 
-NEAR = 0.05  # a run with so much more or fewer couriers counts as one of the size
-
 
 def couriers_of(one: Mapping[str, Any]) -> int:
     """Hollow and real ones of a run."""
--- a/benchmarks/page/results.py
+++ b/benchmarks/page/results.py
@@ -13,6 +13,7 @@
 from benchmarks.slopes import Fit, fit
 
 NOT_MEASURED = "not measured"
+NEAR = 0.05  # a run so near to a size counts as one of it
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,11 +132,15 @@
 
     def told(self, name: str, over: str, size: float, path: str, unit: str = "", by: float = 1.0,
              **where: Any) -> Figure:
-        """A figure at a size: as run, if that size was; else by the law, and said so."""
-        run = self.at(name, path, unit, by, **{over: size}, **where)
+        """A figure at a size: as run, if that size was, or one within 5% of it; else by the law, and said so."""
+        near = min((float(row[over]) for row in self.rows(name, **where) if over in row), default=0.0,
+                   key=lambda one: abs(one - size))
+        at = near if abs(near - size) <= NEAR * size else size
+        run = self.at(name, path, unit, by, **{over: at}, **where)
         law = self.law(name, over, path, by, **where)
         if run.value is not None:
-            return replace(run, how=slope(law, over, unit)) if law else run
+            how = [f"run at {plain(at)}"] * (at != size) + [slope(law, over, unit)] * (law is not None)
+            return replace(run, how="; ".join(how))
         value = None if law is None else law.value(size)
         if law is None or value is None:
             return Figure(None, unit)
--- a/benchmarks/page/size.py
+++ b/benchmarks/page/size.py
@@ -111,7 +111,8 @@
             of("aim_handshakes")),
         row("probes a second, of all partners", partner_probes(after, *full), "`policy/`"),
         row("connections open to one destination", Figure(None), "homes"))
-    agent = (row("discovery's agent beside a courier: whole list held", Figure(None, "bytes"), "not divided"),)
+    agent = (row("discovery's agent beside a courier: whole list held", Figure(None, "bytes"),
+                 "the platform's, not this program's; couriers in shards ask control machines"),)
     parts = [("Client-facing courier", courier), ("Owner of destinations (home)", owner),
              ("Courier that shares channels (parts)", placing), ("Voter", voter), ("Control machine", control),
              ("Agent", agent), ("Partner, as it sees the fleet", partner)]
