--- /dev/null
+++ b/wheelstep/rehearsal/shard_world/__init__.py
@@ -0,0 +1,7 @@
+"""A sharded fleet in one process and one thread: the asyncio code that daemons run, on loops in virtual time, with
+network, disks, partners, clients and faults drawn from one seed. The same seed plays the same run.
+
+Imports `wheelstep.shards`, `wheelstep.forwarding` and `wheelstep.fleet`; nothing of the daemon imports it. Reading
+order: `world` (time), `loop`, `clock`, `process`, `net`, `partners`, `discovery`, `disk`, `shelf`, `desk`, `door`,
+`courier`, `control`, `clients`, `faults`, `check` (the invariants), `run`, `broken`.
+"""
