--- /dev/null
+++ b/wheelstep/rehearsal/shard_world/control.py
@@ -0,0 +1,44 @@
+"""A control machine: the real `ControlMachine`, told of the list by the world in the place of its watch."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from types import SimpleNamespace
+from typing import Any, cast
+
+import msgspec
+
+from wheelstep import interface as api
+from wheelstep.courier.config import Address
+from wheelstep.rehearsal.shard_world.discovery import Discovery
+from wheelstep.rehearsal.shard_world.machine import FLEET, KEYS, Machine
+from wheelstep.rehearsal.shard_world.net import SimNet
+from wheelstep.rehearsal.shard_world.process import Process
+from wheelstep.shards.control import ControlMachine
+from wheelstep.shards.types import ListRow
+
+
+class Control(Machine):
+    """Over its lives."""
+
+    discovery: Discovery
+    shards: int
+
+    async def main(self, process: Process) -> None:
+        loop = process.loop
+        machine = ControlMachine(self.name, KEYS, FLEET, self.disk.boot, self.shards, SimNet(self.fabric, process),
+                                 Address("discovery", 1), lambda: int(loop.time() * 1e6))
+        seen = SimpleNamespace(seq=0, move=lambda address: None)
+        machine.watch = cast(Any, seen)
+        await machine.start(self.address)
+
+        def told(seq: int, whole: bool, rows: Sequence[ListRow]) -> None:
+            seen.seq = seq
+            machine._listed(api.ListKind.WHOLE if whole else api.ListKind.CHANGES, [_raw(row) for row in rows])
+        self.discovery.watch(process, told)
+        await machine._take_up()
+
+
+def _raw(row: ListRow) -> msgspec.Raw:
+    return msgspec.Raw(msgspec.json.encode({"host": row.host, "dial": row.dial, "site": row.site, "class": row.kind,
+                                            "block": row.block, "health": row.health, "share": row.share}))
--- /dev/null
+++ b/wheelstep/rehearsal/shard_world/partners.py
@@ -0,0 +1,58 @@
+"""Destinations' endpoints: calls take a while, take effect once they run, and answer, or not."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from wheelstep.journal import Stored
+from wheelstep.rehearsal.shard_world.check import Check
+from wheelstep.rehearsal.shard_world.process import Process
+from wheelstep.rehearsal.shard_world.world import MS, World
+
+LATEST_US = 600 * MS  # after its first byte a call takes effect, if it does
+
+
+class Outcome(Enum):
+    """Of a call, as its caller hears it."""
+
+    OK = "ok"
+    REFUSED = "refused"  # it did not run
+    DOWN = "down"  # nobody there
+
+
+@dataclass(slots=True)
+class Partners:
+    """All of them. `down`: endpoints that nobody answers for."""
+
+    world: World
+    check: Check
+    rng: random.Random
+    refuse: float = 0.05
+    silent: float = 0.05
+    slow: float = 0.15
+    down: set[str] = field(default_factory=set)
+
+    def call(self, process: Process, endpoint: str, message: Stored, heard: Callable[[Outcome], None]) -> None:
+        """The first byte goes out now; `heard` may never be told."""
+        rng = self.rng
+        self.check.sent(process.name, endpoint, message)
+        there = 300 + int(rng.random() * 2 * MS)
+        if endpoint in self.down:
+            self.world.after(there, self._answer, process, message, heard, Outcome.DOWN)
+            return
+        if rng.random() < self.refuse:
+            self.world.after(there + MS, self._answer, process, message, heard, Outcome.REFUSED)
+            return
+        works = int(rng.random() * (LATEST_US - 10 * MS if rng.random() < self.slow else 30 * MS))
+        self.world.after(there + works, self.check.effect, message)
+        if rng.random() >= self.silent:
+            self.world.after(there + works + MS, self._answer, process, message, heard, Outcome.OK)
+        else:
+            self.world.after(LATEST_US + 50 * MS, self.check.call_over, message)
+
+    def _answer(self, process: Process, message: Stored, heard: Callable[[Outcome], None], outcome: Outcome) -> None:
+        self.check.call_over(message)
+        process.deliver(heard, outcome)
--- a/wheelstep/rehearsal/shard_world/world.py
+++ b/wheelstep/rehearsal/shard_world/world.py
@@ -29,7 +29,8 @@
         self.mark = zlib.crc32(str(seed).encode())
         self.lines: list[str] | None = [] if traced else None
         self.count: Counter[str] = Counter()
-        self.offset_us = 0  # of the clock of the process whose turn it is
+        self.who = ""  # whose turn it is
+        self.offset_us = 0  # of that one's clock
         self._queue: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
         self._asked = 0
 
