--- a/wheelstep/rehearsal/shard_world/courier.py
+++ b/wheelstep/rehearsal/shard_world/courier.py
@@ -41,7 +41,8 @@
         me = Member(self.name, boot, State.ALIVE, self.address, self.address, self.weight, self.place)
         seeds = {name: address for name, address in self.seeds.items() if name != self.name}
         node = ShardNode(me, self.settings, seeds, self.control, KEYS, FLEET, boot, shelf,
-                         SimNet(self.fabric, process), read, random.Random(f"{self.world.seed} {self.name} {boot} node"),
+                         SimNet(self.fabric, process), read,
+                         random.Random(f"{self.world.seed} {self.name} {boot} node"),
                          lambda text: self.world.trace(self.name, "notes", text), shelf.owed())
         ways = node.client
         cast(Any, node).client = lambda courier: _Watched(ways(courier), self, courier)
--- a/wheelstep/rehearsal/shard_world/faults.py
+++ b/wheelstep/rehearsal/shard_world/faults.py
@@ -75,8 +75,9 @@
                 for _ in range(3):
                     self.world.after(rng.randrange(4 * S), self._flap, courier)
             case "for good":
-                region = [one for one in self.fleet if region_of(one.place) == region_of(courier.place) and not one.lost]
-                if len(region) > 2 and not self.gone:
+                region = region_of(courier.place)
+                left = [one for one in self.fleet if region_of(one.place) == region and not one.lost]
+                if len(left) > 2 and not self.gone:
                     self.gone += 1
                     courier.lost = True
                     self.world.count["lost couriers"] += 1
--- a/wheelstep/rehearsal/shard_world/final.py
+++ b/wheelstep/rehearsal/shard_world/final.py
@@ -30,7 +30,8 @@
     homes: dict[str, dict[str | None, list[str]]] = {}
     for courier in fleet:
         assert courier.node is not None
-        homes.setdefault(region_of(courier.place), {}).setdefault(courier.node.homes.home(shard), []).append(courier.name)
+        by = homes.setdefault(region_of(courier.place), {})
+        by.setdefault(courier.node.homes.home(shard), []).append(courier.name)
     for region, by in homes.items():
         if len(by) != 1:
             check.fail(AGREED, f"shard {shard} in {region}: {by}")
--- a/wheelstep/rehearsal/shard_world/loop.py
+++ b/wheelstep/rehearsal/shard_world/loop.py
@@ -33,10 +33,10 @@
 class VirtualLoop(asyncio.BaseEventLoop):
     """`offset_us`: how far its clock is from true time. `failed` hears of what no program caught."""
 
-    def __init__(self, world: World, number: int = 0, offset_us: int = 0,
+    def __init__(self, world: World, name: str = "", number: int = 0, offset_us: int = 0,
                  failed: Callable[[dict[str, Any]], None] | None = None) -> None:
         super().__init__()
-        self.world, self.number, self.offset_us = world, number, offset_us
+        self.world, self.name, self.number, self.offset_us = world, name, number, offset_us
         self.stopped = False  # SIGSTOP
         self.dead = False  # never again
         self.turns = 0
@@ -80,16 +80,16 @@
         if self._last_us - self._watched[0] > 100 * MS:
             self._watched = self._last_us, self.turns
         elif self.turns - self._watched[1] > MOST_TURNS - 1_000:
-            raise SpinError(f"process {self.number} turns its loop without a pause")
+            raise SpinError(f"process {self.name} turns its loop without a pause")
         self.world.stamp(self.number)
-        self.world.offset_us, self._inside = self.offset_us, True
+        self.world.who, self.world.offset_us, self._inside = self.name, self.offset_us, True
         before = asyncio._get_running_loop()
         asyncio._set_running_loop(self)
         try:
             self._run_once()  # type: ignore[attr-defined]
         finally:
             asyncio._set_running_loop(before)
-            self._inside = False
+            self.world.who, self._inside = "", False
         self._next()
 
     def _next(self) -> None:
--- a/wheelstep/rehearsal/shard_world/process.py
+++ b/wheelstep/rehearsal/shard_world/process.py
@@ -28,7 +28,7 @@
                  failed: Callable[[dict[str, Any]], None] | None = None) -> None:
         self.world, self.name, self.place = world, name, place
         self.alive = True
-        self.loop = VirtualLoop(world, number, world.rng.randrange(10**11), failed)
+        self.loop = VirtualLoop(world, name, number, world.rng.randrange(10**11), failed)
         self.pipes: list[Ending] = []
         self.on_end: list[Callable[[bool], None]] = []  # told whether the machine went with it
         self._waiting: list[tuple[Callable[..., object], tuple[Any, ...]]] = []
--- a/wheelstep/rehearsal/shard_world/run.py
+++ b/wheelstep/rehearsal/shard_world/run.py
@@ -102,8 +102,8 @@
         check.disks = lambda: {one.name: set(one.disk.rows) for one in self.fleet}
         self.destinations = [world.rng.randrange(1, 100_000) for _ in range(setup.destinations)]
         self._list()
-        self.faults = faults.Faults(world, fabric, self.fleet, self.controls, self.discovery, self.partners, self._burst,
-                                    self.reach.look)
+        self.faults = faults.Faults(world, fabric, self.fleet, self.controls, self.discovery, self.partners,
+                                    self._burst, self.reach.look)
         self.faults.play(faults.draw(seed, setup.calm_us, setup.faults_us - S, setup.most_faults)
                          if plan is None else plan)
         for machine in (*self.controls, *self.fleet):
@@ -135,8 +135,8 @@
         rng = random.Random(self.seed ^ 0x1157)
         for number, destination in enumerate(self.destinations):
             for place in range(rng.choice((1, 1, 2, 3))):
-                self.discovery.change(ListRow(f"e{number}.{place}", f"127.0.0.1:{1_000 + 10 * number + place}", "r1", "",
-                                              destination, "SERVING"))
+                self.discovery.change(ListRow(f"e{number}.{place}", f"127.0.0.1:{1_000 + 10 * number + place}", "r1",
+                                              "", destination, "SERVING"))
         at_us = 3 * S
         while at_us < self.setup.faults_us + 2 * S:
             at_us += rng.randrange(1_200 * MS)
@@ -207,9 +207,9 @@
                 world.run(setup.faults_us + setup.quiet_us - 3 * S)
                 self._probe()
                 world.run(setup.faults_us + setup.quiet_us)
-                final(self.check, self.fleet, self._probes, setup.shards)
                 if errors.found:
                     self.check.fail(ERROR, errors.found)
+                final(self.check, self.fleet, self._probes, setup.shards)
         except ViolationError as error:
             text, rule = str(error), error.rule
         except Exception as error:  # code under test that fails is a finding like any other
