--- a/benchmarks/shard_simulation.py
+++ b/benchmarks/shard_simulation.py
@@ -54,8 +54,8 @@
                 print(result.text, flush=True)
                 rules[result.rule] += 1
     took = time.perf_counter() - began
-    print(f"{len(seeds)} seeds, {rules.total()} broken {dict(rules)}; {events} events in {took:.1f} s with {given.jobs} "
-          f"processes, {took * given.jobs / len(seeds):.2f} s of one a seed")
+    print(f"{len(seeds)} seeds, {rules.total()} broken {dict(rules)}; {events} events in {took:.1f} s with "
+          f"{given.jobs} processes, {took * given.jobs / len(seeds):.2f} s of one a seed")
     print("\n".join(f"  {number:>9} {name}" for name, number in sorted(count.items())))
     sys.exit(bool(rules))
 
--- a/wheelstep/rehearsal/shard_world/courier.py
+++ b/wheelstep/rehearsal/shard_world/courier.py
@@ -43,7 +43,7 @@
         node = ShardNode(me, self.settings, seeds, self.control, KEYS, FLEET, boot, shelf,
                          SimNet(self.fabric, process), read,
                          random.Random(f"{self.world.seed} {self.name} {boot} node"),
-                         lambda text: self.world.trace(self.name, "notes", text), shelf.owed())
+                         lambda text: self.world.trace(self.name, "notes", text))
         ways = node.client
         cast(Any, node).client = lambda courier: _Watched(ways(courier), self, courier)
         self.node, self.shelf, self.door = node, shelf, None
@@ -54,9 +54,22 @@
         self.door = Door(process, boot, shelf, node.desk, self.check)
 
     def kill(self, vanish: bool = False) -> None:
+        if self.process is not None:
+            self.total()
         super().kill(vanish)
         self.door = None
 
+    def total(self) -> None:
+        """Add this life's figures to the run's."""
+        node, shelf = self.node, self.shelf
+        if node is None or shelf is None:
+            return
+        self.node = None
+        for name, number in (*node.router.counts.items(), *((f"list {one}", number) for one, number
+                                                            in node.lives.list_client.refused.items())):
+            self.world.count[name] += number
+        self.world.count["healths adopted"] += shelf.adopted
+
     def leave(self) -> None:
         """SIGTERM: others become home, then the process ends."""
         process = self.process
--- a/wheelstep/rehearsal/shard_world/faults.py
+++ b/wheelstep/rehearsal/shard_world/faults.py
@@ -80,6 +80,7 @@
                 if len(left) > 2 and not self.gone:
                     self.gone += 1
                     courier.lost = True
+                    courier.check.lost.add(courier.name)
                     self.world.count["lost couriers"] += 1
                     courier.kill(rng.random() < 0.5)
             case "stop" | "stall":
@@ -176,4 +177,5 @@
         for machine in (*self.fleet, *self.controls):
             machine.wake()
             machine.start()
+            self.world.after(4 * S, machine.start)  # one that is just leaving
         self.changed()
--- a/wheelstep/rehearsal/shard_world/net.py
+++ b/wheelstep/rehearsal/shard_world/net.py
@@ -15,6 +15,8 @@
 from wheelstep.shards.types import region_of
 
 KERNEL = 128 << 10  # bytes that a kernel takes off a process's hands
+UNREAD_US = 10 * S  # what the other machine has not taken for so long ends a pipe
+PROBED_US = 20 * S  # so long a silent pipe to a machine that is off lives
 SYNS_US = (0, S, 3 * S, 7 * S)  # when a connection is tried
 
 
@@ -149,12 +151,17 @@
         self._out_bytes = 0
         self._last_us = 0
         self._sent = self._dropped_from = 0
+        self._read_on = False  # has its dialler, or its listener, gone on with it?
+        self._early: list[bytes] = []  # what came before
+        self._ends_early = False
+        self._stalls = 0  # so often it did
         self._under_way = 0  # bytes that the other side has not read
         process.pipes.append(self)
 
     def accepted(self, accept: Accept) -> None:
         """At the listener, in its turn."""
         self.hears, self.lost = accept(self)
+        self._read_on = True
 
     def dialled(self, answer: asyncio.Future[SimPipe]) -> None:
         """At the dialler, in its turn."""
@@ -163,6 +170,16 @@
             self.close()
         else:
             answer.set_result(self)
+            loop = self.process.loop  # as asyncio has it, nothing is read before the dialler has gone on
+            loop.call_soon(loop.call_soon, self._open)
+
+    def _open(self) -> None:
+        self._read_on = True
+        early, self._early = self._early, []
+        for data in early:
+            self._read(data)
+        if self._ends_early:
+            self._hung_up()
 
     # --- ports.Pipe ---
 
@@ -194,7 +211,10 @@
             self._under_way += len(data)
         if self._out or fabric.blocked(self.process.name, self.peer.process.name):
             self._out.append(data)
-            fabric.stalled[self.number] = self
+            if self.number not in fabric.stalled:
+                fabric.stalled[self.number] = self
+                self._stalls += 1
+                fabric.world.after(UNREAD_US, self._unread, self._stalls)
             return
         self._send(data, 0)
 
@@ -217,6 +237,11 @@
         for data in out:
             self._send(data, extra_us)
 
+    def _unread(self, stall: int) -> None:
+        """Nothing has got through for so long."""
+        if self.number in self._fabric.stalled and stall == self._stalls:
+            self.process.deliver(self._hung_up)
+
     def _arrive(self, number: int, data: bytes | None) -> None:
         if self._dropped_from and number >= self._dropped_from and data is not None:
             return
@@ -225,6 +250,8 @@
             if data is not None and not self._fabric.blocked(peer.process.name, self.process.name):
                 delay = self._fabric.delay(peer.process.name, self.process.name)
                 self._fabric.world.after(delay, self.process.deliver, self._hung_up)  # as its machine says of it
+            elif data is not None:
+                self._fabric.world.after(UNREAD_US, self.process.deliver, self._hung_up)
             return
         if data is None:
             peer.process.deliver(peer._hung_up)
@@ -232,12 +259,17 @@
             peer.process.deliver(peer._read, data)
 
     def _read(self, data: bytes) -> None:
+        if not self._read_on:
+            self._early.append(data)
+            return
         self.peer._under_way -= len(data)
         if not self.ended and self.hears is not None:
             self.hears(data)
 
     def _hung_up(self) -> None:
-        if not self.ended:
+        if not self._read_on:
+            self._ends_early = True
+        elif not self.ended:
             self.ended = True
             self._tell()
 
@@ -249,6 +281,7 @@
         self.ended = True
         if vanished:
             self._out.clear()
+            self._fabric.world.after(PROBED_US, self.peer.process.deliver, self.peer._hung_up)
             return
         if self._fabric.rng.random() < 0.5:
             self._dropped_from = max(1, self._sent - int(self._fabric.rng.random() * 4))  # what was under way
--- a/wheelstep/rehearsal/shard_world/run.py
+++ b/wheelstep/rehearsal/shard_world/run.py
@@ -219,6 +219,8 @@
         finally:
             log.removeHandler(errors)
             log.propagate, log.level = before[0], before[1]
+            for courier in self.fleet:
+                courier.total()
             self._bury()
             if before[2]:
                 gc.enable()
