--- a/benchmarks/page/membership.py
+++ b/benchmarks/page/membership.py
@@ -21,7 +21,10 @@
                 kinds = found[window]["bytes_by_kind"]
                 rows.append((plain(couriers), seconds, at(couriers, f"{window}.bytes", asks=asks),
                              written(kinds.get("Roll", 0.0), "bytes/s"),
-                             written(sum(size for kind, size in kinds.items() if kind != "Roll"), "bytes/s")))
+                             written(sum(size for kind, size in kinds.items() if kind != "Roll"), "bytes/s"),
+                             results.at(FILE, f"{window}.packets", "/s", couriers=couriers, names="short", asks=asks),
+                             results.at(FILE, f"{window}.cpu_us", "share", 1e-6, couriers=couriers, names="short",
+                                        asks=asks)))
     without = at(1_100, "early.bytes", asks=False)
     with_ = at(1_100, "early.bytes", asks=True)
     small = at(300, "early.bytes", asks=True)
@@ -35,7 +38,8 @@
         "one in 10 ms. At 300 all that is over within 2 s; at 1,100 it goes on through the window. With couriers that "
         f"hold from the start that they know everybody (`QUIET` reached), the same window has {without}. Short names "
         "(`c17`), as in the measurement that was to be explained:",
-        table(("couriers", "seconds after the start", "bytes a second a courier", "of it `Roll`", "all else"), rows),
+        table(("couriers", "seconds after the start", "bytes a second a courier", "of it `Roll`", "all else", "packets",
+               "of a core"), rows),
         "What stays is one look into another's whole table in 60 periods (30 s): "
         f"{slope(real, 'couriers', 'bytes/s')}, with names and addresses as long as real ones. "
         + (f"By this law the budget of {written(wire, 'bytes/s')} is reached at {plain((wire - real.at) / real.by)} "
