--- /dev/null
+++ b/wheelstep/rehearsal/scale/shelf.py
@@ -0,0 +1,82 @@
+"""A hollow courier's side of a shard node (`shards.ports.Shelf`): its desk, and what it has learned."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import astuple
+
+from wheelstep import interface as api
+from wheelstep.courier.rows import Row
+from wheelstep.rehearsal.scale.desk import HollowDesk
+from wheelstep.rehearsal.scale.settings import ORDERED
+from wheelstep.shards.types import EndpointHealth, OwedKey, shard_of
+
+_DROPPED = getattr(api, "DestinationDropped", None)  # the module's word for it, where it has one
+
+
+class HollowShelf(HollowDesk):
+    """Its own desk. Waits told it has none: the table of partners tells none."""
+
+    @property
+    def desk(self) -> HollowDesk:
+        """Itself."""
+        return self
+
+    def listed(self, rows: Sequence[Row]) -> None:
+        """Changes of the list for shards that are served here."""
+        self.take_list(rows)
+
+    def drop(self, destinations: Iterable[int]) -> None:
+        """Forget rows, health and the module's state."""
+        gone = set(destinations)
+        infos = [info for info in self.listed_endpoints.values() if info.destination in gone]
+        removed = [api.EndpointInfo(info.endpoint, info.destination, info.kind, info.zone, api.EndpointState.REMOVED)
+                   for info in infos]
+        for info in infos:
+            self._unlist(info.endpoint)
+            self.healths.pop(info.endpoint, None)
+            self._partners.close_idle(self._now_s(), info.endpoint)
+        self.turns.post(api.MembershipReceived(api.ListKind.CHANGES, tuple(removed)))
+        if _DROPPED is not None:
+            for destination in gone:
+                self.turns.post(_DROPPED(destination))
+
+    def owed(self) -> Mapping[int, int]:
+        """How many messages are held, by shard."""
+        return self.owed_by_shard
+
+    def owed_keys(self, shard: int) -> Sequence[OwedKey]:
+        """Ordered keys of which messages are held."""
+        left: dict[tuple[int, str, str], int] = {}
+        now_ms = int(time.time() * 1000)
+        for message in self.held.values():
+            if message.key is not None and ORDERED[message.message_class] \
+                    and shard_of(message.destination, self._shards) == shard:
+                name = message.destination, message.message_class, message.key
+                left[name] = max(left.get(name, 0), (message.deadline_ms - now_ms) * 1000)
+        return [OwedKey(*name, left_us) for name, left_us in left.items()]
+
+    def owes_key(self, destination: int, message_class: str, key: str) -> bool:
+        """Is a message of this ordered key held?"""
+        return any(message.key == key and message.destination == destination
+                   and message.message_class == message_class for message in self.held.values())
+
+    def learned(self, shard: int) -> tuple[Sequence[EndpointHealth], Sequence[tuple[str, int]]]:
+        """Health of the shard's endpoints."""
+        now_us = time.monotonic_ns() // 1000
+        found = []
+        for endpoint, (at_us, health) in self.healths.items():
+            info = self.listed_endpoints.get(endpoint)
+            if info is not None and shard_of(info.destination, self._shards) == shard:
+                found.append(EndpointHealth(endpoint, max(0, now_us - at_us), astuple(health)))
+        return found, ()
+
+    def adopt(self, healths: Sequence[EndpointHealth], waits: Sequence[tuple[str, int]]) -> None:
+        """Take over what another has learned."""
+        now_us = time.monotonic_ns() // 1000
+        for told in healths:
+            if told.endpoint in self.listed_endpoints:
+                health = api.Health(*told.fields)  # type: ignore[arg-type]
+                self.healths[told.endpoint] = now_us - told.ago_us, health
+                self.turns.post(api.HealthRestored(told.endpoint, health, told.ago_us))
