--- /dev/null
+++ b/wheelstep/rehearsal/scale/courier.py
@@ -0,0 +1,152 @@
+"""One hollow courier: a real shard node on real sockets, behind the run's distances, over a hollow shelf."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+from wheelstep.courier.rows import Row
+from wheelstep.fleet.membership import Limits
+from wheelstep.fleet.types import Member, State
+from wheelstep.rehearsal.scale.downs import Downs
+from wheelstep.rehearsal.scale.links import Links
+from wheelstep.rehearsal.scale.net import DelayedNet
+from wheelstep.rehearsal.scale.partners import Counts, Partners
+from wheelstep.rehearsal.scale.plan import Plan, Site
+from wheelstep.rehearsal.scale.settings import NAMES, settings
+from wheelstep.rehearsal.scale.shelf import HollowShelf
+from wheelstep.rehearsal.scale.traffic import Draw, Histogram, Traffic
+from wheelstep.shards.net import Sockets
+from wheelstep.shards.node import ShardNode
+from wheelstep.shards.settings import NodeSettings
+from wheelstep.shards.types import ListRow
+from wheelstep.simhost import settings_from
+
+FLEET = "scale"
+
+
+def key(plan: Plan) -> bytes:
+    """That all packets are sealed with."""
+    return random.Random(f"key/{plan.seed}").randbytes(32)
+
+
+def read_row(line: ListRow) -> Row:
+    """A courier's row of a line of the list."""
+    return NAMES.entry({"host": line.host, "dial": line.dial, "site": line.site, "class": line.kind,
+                        "block": line.block, "health": line.health, "share": line.share})
+
+
+@dataclass
+class Shared:
+    """What the couriers of a process share."""
+
+    plan: Plan
+    links: Links
+    counts: Counts = field(default_factory=Counts)
+    answers: Counter[str] = field(default_factory=Counter)
+    took: Histogram = field(default_factory=Histogram)
+    waited: Histogram = field(default_factory=Histogram)
+    notes: Counter[str] = field(default_factory=Counter)  # operators' lines by their first words
+
+    def __post_init__(self) -> None:
+        plan = self.plan
+        self.zones = plan.zones_of_addresses()
+        self.control = plan.control_machines()
+        self.settings = settings_from(settings(plan.hollow + plan.real if plan.undivided else plan.regions))
+        self.downs = Downs(plan.seed, plan.down_share, plan.down_s)
+        self.seeds = plan.seeds()
+        self.boot = time.time_ns() // 1_000_000
+        self.loop_epoch_s = plan.epoch_s  # the loop's clock is the machine's
+
+    def note(self, text: str) -> None:
+        """A line for operators: counted by how it begins."""
+        if len(self.notes) < 1_000:
+            self.notes[" ".join(text.split()[:5])] += 1
+
+
+class HollowCourier:
+    """One life of it."""
+
+    def __init__(self, shared: Shared, site: Site) -> None:
+        self.shared, self.site = shared, site
+        plan = shared.plan
+        shared.boot += 1  # so that a later life's is higher
+        rng = random.Random(f"{plan.seed}/{site.name}/{shared.boot}")
+        self.net = DelayedNet(Sockets(), site.zone, shared.zones, shared.links, frozenset(shared.control.values()))
+        partners = Partners(shared.downs, shared.counts, shared.settings.conn_idle_us / 1e6, 1.0, rng)
+        self.shelf = HollowShelf(shared.settings, rng.randrange(1 << 30), plan.shards, partners, shared.counts,
+                                 shared.loop_epoch_s)
+        me = Member(site.name, shared.boot, State.ALIVE, site.address, site.serves, 1.0, site.zone)
+        self.node = ShardNode(
+            me, NodeSettings(shards=plan.shards, members=Limits(period_us=plan.probe_us)),
+            {name: address for name, address in shared.seeds.items() if name != site.name}, shared.control,
+            [key(plan)], FLEET, shared.boot, self.shelf, self.net, read_row, rng, shared.note)
+        self.traffic = Traffic(site.name, self.node.desk, lambda: self.node.ready, Draw(plan.destinations, rng), rng,
+                               shared.answers, shared.took, shared.waited)
+        self.marked: frozenset[int] = frozenset()
+
+    @property
+    def ready(self) -> bool:
+        """May clients come?"""
+        return self.node.ready
+
+    @property
+    def silent(self) -> bool:
+        """Has it died without a word?"""
+        return self.net.silent
+
+    async def start(self) -> None:
+        """Listen and begin. Raises `OSError`."""
+        await self.node.start(self.site.address)
+
+    def shards(self) -> frozenset[int]:
+        """Those that it is home of, by its own view."""
+        return frozenset(self.node.homes.mine())
+
+    def sees(self, name: str) -> bool:
+        """Does it hold this courier for one that may be home?"""
+        member = self.node.membership.member(name)
+        return member is not None and member.state < State.LEAVING
+
+    def members(self) -> int:
+        """Couriers that it knows, itself included."""
+        return len(self.node.membership.members())
+
+    def figures(self) -> dict[str, float]:
+        """Numbers that add up over couriers."""
+        return {f"node_{name}": value for name, value in self.node.figures().items()}
+
+    async def leave(self) -> list[str]:
+        """A planned end: others take over first. What it still owes then, as a real one's next process would find in
+        its journal."""
+        self.traffic.stop()
+        await self.node.leave()
+        return await self._end()
+
+    async def kill(self) -> list[str]:
+        """SIGKILL: its sockets end, and nothing is said."""
+        self.net.mute = True
+        return await self._end()
+
+    def silence(self) -> list[str]:
+        """The machine lost its power: nothing comes from it any more. Its sockets stay until `close`."""
+        self.traffic.stop()
+        self.net.silent = True
+        self.shelf.end()
+        return [name for name in self.shelf.held if not self.shelf.settles(name)]
+
+    async def _end(self) -> list[str]:
+        self.traffic.stop()
+        self.shelf.end()
+        with contextlib.suppress(OSError):
+            await self.node.close()
+        return [name for name in self.shelf.held if not self.shelf.settles(name)]
+
+    async def close(self) -> None:
+        """What `silence` left."""
+        self.net.silent, self.net.mute = False, True
+        with contextlib.suppress(OSError):
+            await self.node.close()
--- a/wheelstep/rehearsal/scale/desk.py
+++ b/wheelstep/rehearsal/scale/desk.py
@@ -32,7 +32,6 @@
         self.listed_endpoints: dict[str, api.EndpointInfo] = {}
         self.destinations: Counter[int] = Counter()  # endpoints of each
         self.held: dict[str, Stored] = {}  # taken on; the end is owed
-        self.healths: dict[str, tuple[int, api.Health]] = {}  # when noted, by the module's clock
         self._numbers: dict[str, int] = {}
         self._settling: set[str] = set()
         self._calls: dict[tuple[str, int], tuple[asyncio.TimerHandle, str, float]] = {}  # attempts that are out
@@ -89,14 +88,15 @@
 
     # --- the list, whole or in part ---
 
-    def take_list(self, rows: Sequence[tuple[api.EndpointInfo, object]]) -> None:
-        """Changes."""
+    def take_list(self, rows: Sequence[tuple[api.EndpointInfo, object]],
+                  kind: api.ListKind = api.ListKind.CHANGES) -> None:
+        """Changes, or all of it."""
         for info, _ in rows:
             self._unlist(info.endpoint)
             if info.state is not api.EndpointState.REMOVED:
                 self.listed_endpoints[info.endpoint] = info
                 self.destinations[info.destination] += 1
-        self.turns.post(api.MembershipReceived(api.ListKind.CHANGES, tuple(info for info, _ in rows)))
+        self.turns.post(api.MembershipReceived(kind, tuple(info for info, _ in rows)))
 
     def _unlist(self, endpoint: str) -> None:
         known = self.listed_endpoints.pop(endpoint, None)
@@ -114,10 +114,10 @@
                 self._numbers[message] = number + 1
                 self._call(endpoint, [(Item(message, number, None, b""), timeout_us)])
             case api.Refuse(message):
-                self._counts.handed_back += 1
+                self._counts.end(message, "handed_back")
                 self._forget(message)
             case api.Fail(message):
-                self._counts.given_up += 1
+                self._counts.end(message, "given_up")
                 self._forget(message)
             case api.CancelAttempt(message, attempt) if (message, attempt) in self._calls:
                 handle, endpoint, began_s = self._calls[message, attempt]
@@ -128,8 +128,6 @@
                 self._probe(endpoint)
             case api.CloseIdle(endpoint, idle_us):
                 self._partners.close_idle(self._now_s(), endpoint, idle_us / 1e6)
-            case api.NoteHealth(endpoint, health) if endpoint in self.listed_endpoints:
-                self.healths[endpoint] = (self.turns.now_us, health)
 
     def _call(self, endpoint: str, sends: Sequence[tuple[Item, int]]) -> None:
         info = self.listed_endpoints.get(endpoint)
@@ -146,7 +144,7 @@
         self._partners.ended(self._now_s(), endpoint, outcome)
         complete = outcome is api.Outcome.OK or item.message not in self.held
         if outcome is api.Outcome.OK:
-            self._counts.delivery(item.message)
+            self._counts.delivery(item.message, self._now_s())
             if item.message in self.held:
                 self._forget(item.message)
         self.turns.post(api.AttemptEnded(item.message, item.attempt, endpoint, outcome, int(spent_s * 1e6), complete))
--- a/wheelstep/rehearsal/scale/discovery.py
+++ b/wheelstep/rehearsal/scale/discovery.py
@@ -1,7 +1,7 @@
 """Discovery for control machines: the whole list of a run's destinations, and changes at a stated rate.
 
 `python -m wheelstep.rehearsal.scale.discovery PLAN.json`: prints its address, then obeys lines on stdin (`figures`,
-`changes PER_S`) and ends with its stdin. A change replaces a destination's endpoint: the old name is told as gone, the
+`changes PER_S`, `ended`) and ends with its stdin. A change replaces a destination's endpoint: the old name is told as gone, the
 new one at the same address.
 """
 
@@ -16,6 +16,7 @@
 from typing import Any
 
 from wheelstep.rehearsal.scale.nursery import die_with_parent, end_with_stdin
+from wheelstep.rehearsal.scale.partners import TRACKED
 from wheelstep.rehearsal.scale.plan import Plan, read
 from wheelstep.rehearsal.scale.settings import row
 from wheelstep.rehearsal.standins.wire import Port, Request, Server
@@ -41,6 +42,7 @@
         self.per_s = plan.changes_per_s
         self.wholes = self.bytes_out = self.changes = 0
         self.changed_at: dict[str, float] = {}  # a new endpoint -> the machine's clock
+        self.ended: dict[str, str] = {}  # messages that are followed, and ended undelivered
         self._whole: bytes | None = None
         self.watches: set[_Connection] = set()
         self.port = Port(lambda: _Connection(self))
@@ -72,6 +74,13 @@
         for watch in self.watches:
             watch.line(line)
 
+    def heard(self, body: bytes) -> None:
+        """Notices of real couriers."""
+        for line in body.splitlines():
+            notice = json.loads(line)
+            if str(notice["message"]).startswith(TRACKED):
+                self.ended[notice["message"]] = notice["outcome"]
+
     async def run(self) -> None:
         """Change and stay alive, for good."""
         loop = asyncio.get_running_loop()
@@ -99,6 +108,7 @@
     def requested(self, request: Request) -> None:
         path, _, query = request.target.partition("?")
         if request.method == "POST":
+            self._discovery.heard(request.body)
             self.answer(204)
         elif path == "/v1/servers" and "watch=1" in query:
             discovery = self._discovery
@@ -130,7 +140,7 @@
         what, _, rest = line.partition(" ")
         if what == "changes":
             discovery.per_s = float(rest)
-        print(json.dumps(discovery.figures()), flush=True)
+        print(json.dumps(discovery.ended if what == "ended" else discovery.figures()), flush=True)
     work.cancel()
 
 
--- a/wheelstep/rehearsal/scale/net.py
+++ b/wheelstep/rehearsal/scale/net.py
@@ -51,6 +51,7 @@
         self._inner, self._me, self._zones, self._links, self._control = inner, me, zones, links, control
         self.traffic = Traffic()
         self.silent = False
+        self.mute = False  # its process was killed: no last word goes out
 
     async def listen(self, address: str, accept: Accept, datagram: Callable[[bytes, str], None]) -> str:
         """Listen; what comes is counted."""
@@ -85,7 +86,7 @@
     def send(self, address: str, data: bytes) -> None:
         """A datagram, later; lost where the zones are cut."""
         zone = self._zones.get(address, "")
-        if self.silent or self._links.is_cut(self._me, zone):
+        if self.silent or self.mute or self._links.is_cut(self._me, zone):
             return
         self.traffic.datagrams_out += 1
         self.traffic.datagram_bytes_out += len(data) + _UDP_BYTES
@@ -185,7 +186,7 @@
 
     def write(self, data: bytes) -> None:
         """Later."""
-        if self._over:
+        if self._over or self._net.mute:
             return
         traffic, size = self._net.traffic, len(data) + _TCP_BYTES
         if self._control:
--- a/wheelstep/rehearsal/scale/partners.py
+++ b/wheelstep/rehearsal/scale/partners.py
@@ -33,13 +33,23 @@
     delivered: int = 0
     handed_back: int = 0
     given_up: int = 0
-    tracked: dict[str, int] = field(default_factory=dict)  # id -> deliveries
+    tracked: dict[str, list[float]] = field(default_factory=dict)  # id -> when it was delivered
+    ended: dict[str, str] = field(default_factory=dict)  # id -> how it ended undelivered
 
-    def delivery(self, message: str) -> None:
+    def delivery(self, message: str, now_s: float) -> None:
         """A partner has it."""
         self.delivered += 1
         if message.startswith(TRACKED) and len(self.tracked) < _MOST_TRACKED:
-            self.tracked[message] = self.tracked.get(message, 0) + 1
+            self.tracked.setdefault(message, []).append(now_s)
+
+    def end(self, message: str, how: str) -> None:
+        """It is over, and was not delivered."""
+        if how == "handed_back":
+            self.handed_back += 1
+        else:
+            self.given_up += 1
+        if message.startswith(TRACKED) and len(self.ended) < _MOST_TRACKED:
+            self.ended[message] = how
 
 
 class Partners:
--- a/wheelstep/rehearsal/scale/shelf.py
+++ b/wheelstep/rehearsal/scale/shelf.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import astuple
+from typing import Any
 
 from wheelstep import interface as api
 from wheelstep.courier.rows import Row
@@ -12,12 +13,18 @@
 from wheelstep.rehearsal.scale.settings import ORDERED
 from wheelstep.shards.types import EndpointHealth, OwedKey, shard_of
 
-_DROPPED = getattr(api, "DestinationDropped", None)  # the module's word for it, where it has one
+_FRESH_S = 0.5  # as a real courier's shelf: the module is asked for its notes this often at most
 
 
 class HollowShelf(HollowDesk):
     """Its own desk. Waits told it has none: the table of partners tells none."""
 
+    _noted_s = -_FRESH_S
+
+    def __init__(self, *given: Any) -> None:
+        super().__init__(*given)
+        self._notes: dict[int, list[EndpointHealth]] = {}  # by shard
+
     @property
     def desk(self) -> HollowDesk:
         """Itself."""
@@ -35,12 +42,9 @@
                    for info in infos]
         for info in infos:
             self._unlist(info.endpoint)
-            self.healths.pop(info.endpoint, None)
             self._partners.close_idle(self._now_s(), info.endpoint)
         self.turns.post(api.MembershipReceived(api.ListKind.CHANGES, tuple(removed)))
-        if _DROPPED is not None:
-            for destination in gone:
-                self.turns.post(_DROPPED(destination))
+        self.turns.post(api.DestinationsDropped(tuple(gone)))
 
     def owed(self) -> Mapping[int, int]:
         """How many messages are held, by shard."""
@@ -64,19 +68,18 @@
 
     def learned(self, shard: int) -> tuple[Sequence[EndpointHealth], Sequence[tuple[str, int]]]:
         """Health of the shard's endpoints."""
-        now_us = time.monotonic_ns() // 1000
-        found = []
-        for endpoint, (at_us, health) in self.healths.items():
-            info = self.listed_endpoints.get(endpoint)
-            if info is not None and shard_of(info.destination, self._shards) == shard:
-                found.append(EndpointHealth(endpoint, max(0, now_us - at_us), astuple(health)))
-        return found, ()
+        now_s = time.monotonic()
+        if now_s - self._noted_s >= _FRESH_S:
+            self._noted_s, self._notes = now_s, {}
+            for note in self.turns.sender.notes(int(now_s * 1e6)):
+                if (info := self.listed_endpoints.get(note.endpoint)) is not None:
+                    of = shard_of(info.destination, self._shards)
+                    self._notes.setdefault(of, []).append(EndpointHealth(note.endpoint, 0, astuple(note.health)))
+        return self._notes.get(shard, ()), ()
 
     def adopt(self, healths: Sequence[EndpointHealth], waits: Sequence[tuple[str, int]]) -> None:
         """Take over what another has learned."""
-        now_us = time.monotonic_ns() // 1000
         for told in healths:
             if told.endpoint in self.listed_endpoints:
                 health = api.Health(*told.fields)  # type: ignore[arg-type]
-                self.healths[told.endpoint] = now_us - told.ago_us, health
                 self.turns.post(api.HealthRestored(told.endpoint, health, told.ago_us))
