--- a/wheelstep/rehearsal/scale/courier.py
+++ b/wheelstep/rehearsal/scale/courier.py
@@ -15,7 +15,7 @@
 from wheelstep.rehearsal.scale.links import Links
 from wheelstep.rehearsal.scale.net import DelayedNet
 from wheelstep.rehearsal.scale.partners import Counts, Partners
-from wheelstep.rehearsal.scale.plan import Plan, Site
+from wheelstep.rehearsal.scale.plan import FLEET, Plan, Site, key
 from wheelstep.rehearsal.scale.settings import NAMES, settings
 from wheelstep.rehearsal.scale.shelf import HollowShelf
 from wheelstep.rehearsal.scale.traffic import Draw, Histogram, Traffic
@@ -25,13 +25,6 @@
 from wheelstep.shards.types import ListRow
 from wheelstep.simhost import settings_from
 
-FLEET = "scale"
-
-
-def key(plan: Plan) -> bytes:
-    """That all packets are sealed with."""
-    return random.Random(f"key/{plan.seed}").randbytes(32)
-
 
 def read_row(line: ListRow) -> Row:
     """A courier's row of a line of the list."""
@@ -136,14 +129,14 @@
         self.traffic.stop()
         self.net.silent = True
         self.shelf.end()
-        return [name for name in self.shelf.held if not self.shelf.settles(name)]
+        return list(self.shelf.held)
 
     async def _end(self) -> list[str]:
         self.traffic.stop()
         self.shelf.end()
         with contextlib.suppress(OSError):
             await self.node.close()
-        return [name for name in self.shelf.held if not self.shelf.settles(name)]
+        return list(self.shelf.held)
 
     async def close(self) -> None:
         """What `silence` left."""
--- a/wheelstep/rehearsal/scale/desk.py
+++ b/wheelstep/rehearsal/scale/desk.py
@@ -147,6 +147,8 @@
             self._counts.delivery(item.message, self._now_s())
             if item.message in self.held:
                 self._forget(item.message)
+            else:
+                self._counts.repeats += 1
         self.turns.post(api.AttemptEnded(item.message, item.attempt, endpoint, outcome, int(spent_s * 1e6), complete))
 
     def _probe(self, endpoint: str) -> None:
@@ -170,8 +172,13 @@
             del self.owed_by_shard[shard]
 
     def end(self) -> None:
-        """The courier has gone: nothing more happens."""
+        """The courier has gone: nothing more happens. What was not answered yet is forgotten."""
+        if self.over:
+            return
         self.over = True
+        for name in self._settling & self.held.keys():
+            del self.held[name]
+            self._counts.unsettled += 1
         self.turns.end()
         for handle in [*self._probes, *(handle for handle, _, _ in self._calls.values())]:
             handle.cancel()
--- a/wheelstep/rehearsal/scale/discovery.py
+++ b/wheelstep/rehearsal/scale/discovery.py
@@ -1,8 +1,8 @@
 """Discovery for control machines: the whole list of a run's destinations, and changes at a stated rate.
 
 `python -m wheelstep.rehearsal.scale.discovery PLAN.json`: prints its address, then obeys lines on stdin (`figures`,
-`changes PER_S`, `ended`) and ends with its stdin. A change replaces a destination's endpoint: the old name is told as gone, the
-new one at the same address.
+`changes PER_S`, `ended`) and ends with its stdin. A change replaces a destination's endpoint: the old name is told as
+gone, the new one at the same address.
 """
 
 from __future__ import annotations
--- a/wheelstep/rehearsal/scale/fleet.py
+++ b/wheelstep/rehearsal/scale/fleet.py
@@ -17,10 +17,9 @@
 
 from wheelstep.rehearsal.scale import nursery
 from wheelstep.rehearsal.scale.clients import Clients
-from wheelstep.rehearsal.scale.courier import key
 from wheelstep.rehearsal.scale.links import Links
 from wheelstep.rehearsal.scale.nursery import Child
-from wheelstep.rehearsal.scale.plan import Plan, check, write
+from wheelstep.rehearsal.scale.plan import Plan, check, key, write
 from wheelstep.rehearsal.scale.real import Control, RealCourier
 from wheelstep.rehearsal.scale.traffic import Draw
 
--- a/wheelstep/rehearsal/scale/host.py
+++ b/wheelstep/rehearsal/scale/host.py
@@ -66,6 +66,7 @@
         for message in self._kept.pop(name, []):
             courier.shelf.take(message)
             courier.shelf.begin(message.id)
+            courier.shelf.taken -= 1  # by the life before
         courier.traffic.draw.dense = self._traffic[1]
         courier.traffic.set(self._traffic[0])
 
@@ -95,8 +96,7 @@
                 self._silent.append(courier)
             else:
                 await (courier.leave() if how == "leave" else courier.kill())
-                held = courier.shelf.held
-                self._kept[name] = [message for message in held.values() if not courier.shelf.settles(message.id)]
+                self._kept[name] = list(courier.shelf.held.values())
         return {"ended": len(ended), "at_s": time.monotonic()}
 
     # --- what is asked ---
--- a/wheelstep/rehearsal/scale/partners.py
+++ b/wheelstep/rehearsal/scale/partners.py
@@ -31,6 +31,8 @@
     probes_down_long: int = 0
     handshakes: int = 0
     delivered: int = 0
+    repeats: int = 0  # deliveries of messages that were over, or are held by another
+    unsettled: int = 0  # taken, and neither begun nor withdrawn when their courier ended
     handed_back: int = 0
     given_up: int = 0
     tracked: dict[str, list[float]] = field(default_factory=dict)  # id -> when it was delivered
--- a/wheelstep/rehearsal/scale/plan.py
+++ b/wheelstep/rehearsal/scale/plan.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import random
+
 import msgspec
 
 REAL_PER_S = 327.0  # messages that a courier of the fleet ahead takes a second
 PEERS_PORT, CLIENTS_PORT = 9_700, 9_701
+FLEET = "scale"
 SEEDS = 5  # couriers that a starting one knows
 RACKS = 8  # in a zone
 
@@ -120,6 +123,11 @@
         raise ValueError("hollow, real: 0 couriers; expected one or more")
 
 
+def key(plan: Plan) -> bytes:
+    """That all packets are sealed with."""
+    return random.Random(f"key/{plan.seed}").randbytes(32)
+
+
 def read(data: bytes) -> Plan:
     """Of a file. Raises `ValueError`."""
     plan = msgspec.json.decode(data, type=Plan)
--- a/wheelstep/rehearsal/scale/real.py
+++ b/wheelstep/rehearsal/scale/real.py
@@ -12,9 +12,8 @@
 from typing import Any
 
 from wheelstep.rehearsal.fleet.courier import operator_file
-from wheelstep.rehearsal.scale.courier import FLEET
 from wheelstep.rehearsal.scale.nursery import die_with_parent
-from wheelstep.rehearsal.scale.plan import CLIENTS_PORT, PEERS_PORT, Plan, Site
+from wheelstep.rehearsal.scale.plan import CLIENTS_PORT, FLEET, PEERS_PORT, Plan, Site
 from wheelstep.rehearsal.scale.settings import settings
 from wheelstep.rehearsal.standins.wire import Client
 
--- a/wheelstep/rehearsal/scale/undivided.py
+++ b/wheelstep/rehearsal/scale/undivided.py
@@ -16,11 +16,11 @@
 from wheelstep.fleet.membership import Limits, Membership
 from wheelstep.fleet.packets import Elder, Seal
 from wheelstep.fleet.types import Action, Member, Packet, SendPacket, State
-from wheelstep.rehearsal.scale.courier import FLEET, Shared, key
+from wheelstep.rehearsal.scale.courier import Shared
 from wheelstep.rehearsal.scale.desk import HollowDesk
 from wheelstep.rehearsal.scale.net import DelayedNet
 from wheelstep.rehearsal.scale.partners import Partners
-from wheelstep.rehearsal.scale.plan import Site
+from wheelstep.rehearsal.scale.plan import FLEET, Site, key
 from wheelstep.rehearsal.scale.settings import NAMES
 from wheelstep.rehearsal.scale.traffic import Draw, Traffic
 from wheelstep.shards.net import Sockets
@@ -136,7 +136,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.net.close()
-        return [name for name in self.shelf.held if not self.shelf.settles(name)]
+        return list(self.shelf.held)
 
     def silence(self) -> list[str]:
         """Without a word."""
