--- a/wheelstep/forwarding/heads.py
+++ b/wheelstep/forwarding/heads.py
@@ -55,6 +55,7 @@
 
 
 Said = Ask | Begin | Withdraw
+_SAID: dict[str, type[Said]] = {"ask": Ask, "begin": Begin, "withdraw": Withdraw}
 
 
 def ask_head(number: int, message: Stored) -> dict[str, Any]:
@@ -65,7 +66,11 @@
 
 def said(head: dict[str, Any]) -> Said:
     """What an asker says. `msgspec.ValidationError` where it is none of this."""
-    one: Said = msgspec.convert(head, Said)
+    do = head.get("do")
+    kind = _SAID.get(do) if isinstance(do, str) else None  # a union would be taken apart anew for each head
+    if kind is None:
+        raise msgspec.ValidationError("expected ask, begin or withdraw")
+    one: Said = msgspec.convert(head, kind)
     return one
 
 
