--- a/wheelstep/shards/daemon.py
+++ b/wheelstep/shards/daemon.py
@@ -74,7 +74,7 @@
         self.node = ShardNode(me, settings_of(part), peers, part.shards.control, self._fleet.keys, part.name,
                               self._boot, self._shelf, Sockets(), self._read,
                               random.Random(f"{config.seed} {self._boot}"),
-                              lambda text: log.info("%s", text))
+                              lambda text: log.info("%s", text), frozenset(config.names.classes))
         self._shelf.restore()
 
     def _read(self, row: ListRow) -> Row:
--- a/wheelstep/shards/lives.py
+++ b/wheelstep/shards/lives.py
@@ -10,6 +10,7 @@
 
 from wheelstep.courier.config import UNREADABLE
 from wheelstep.courier.rows import Row
+from wheelstep.journal import Stored
 from wheelstep.shards import handoff, hosting, list_client
 from wheelstep.shards.handoff import Handoff
 from wheelstep.shards.homes import Homes
@@ -30,6 +31,7 @@
     LearnedHeard,
     ListRow,
     ShardRows,
+    shard_of,
 )
 from wheelstep.shards.waits import Waits
 
@@ -40,6 +42,7 @@
     def __init__(self, me: str, boot: int, settings: NodeSettings, control: Mapping[str, str], shelf: Shelf,
                  homes: Homes, router: Router, waits: Waits, read: Callable[[ListRow], Row], rng: random.Random,
                  now_us: Callable[[], int], arm: Callable[[], None], note: Callable[[str], None]) -> None:
+        self._shards = settings.shards
         self._control, self._shelf, self._waits, self._read = dict(control), shelf, waits, read
         self._now_us, self._arm, self._note, self._dial_s = now_us, arm, note, settings.control_dial_us / 1e6
         self.hosting = Hosting(settings.guests, settings.guest_idle_us, settings.opens_within_us)
@@ -55,11 +58,12 @@
 
     def came_home(self, shard: int, taught: bool) -> None:
         """It is home here from now on; `taught`: nobody is there to hand learned state over."""
+        if self.hosting.has_rows(shard):  # else once they are there: what is adopted needs them
+            self.handed(self.handoff.opening(self._now_us(), shard))
         self.hosted(self.hosting.became_home(self._now_us(), shard, taught))
-        self.handed(self.handoff.opening(self._now_us(), shard))
 
     def left_home(self, shard: int, to: str | None) -> None:
-        """It is home here no more."""
+        """It is home elsewhere, and was here, or is owed here still."""
         self.hosted(self.hosting.left_home(self._now_us(), shard))
         if to is not None:
             self.handed(self.teaching.give(self._now_us(), shard, to))
@@ -70,6 +74,13 @@
         self.hosted(acts or ())
         return acts is not None
 
+    def took(self, message: Stored) -> None:
+        """A message was taken for a shard whose home is another."""
+        now_us, shard = self._now_us(), shard_of(message.destination, self._shards)
+        self.hosting.used(now_us, shard)
+        if message.key is not None and self.hosting.life(shard) is Life.LEAVING:
+            self.handed(self.teaching.owes_more(now_us, shard))
+
     def owed(self) -> None:
         """Serve what is owed for as long as it is; drop what is served for nothing."""
         self.hosted(self.hosting.owed(self._now_us(), self._shelf.owed()))
@@ -124,6 +135,8 @@
                 case list_client.Changed(shard, rows, first):
                     self._shelf.listed(self._rows(rows))
                     if first:
+                        if self.hosting.life(shard) in (Life.OPENING, Life.HOME):
+                            self.handed(self.handoff.opening(self._now_us(), shard))
                         self.hosted(self.hosting.rows_came(self._now_us(), shard))
                         self._waits.news(shard)
                 case list_client.Note(text):
--- a/wheelstep/shards/node.py
+++ b/wheelstep/shards/node.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Mapping, Sequence, Set
+from collections.abc import Callable, Collection, Mapping, Sequence, Set
 
 from wheelstep.courier.desk import Desk
 from wheelstep.courier.rows import Row
@@ -16,6 +16,7 @@
 from wheelstep.fleet.types import Action, Member, Note, Packet, SendPacket, State
 from wheelstep.forwarding.client import ForwardClient
 from wheelstep.forwarding.server import ForwardServer
+from wheelstep.journal import Stored
 from wheelstep.shards.homes import Homes
 from wheelstep.shards.hosting import NEVER_US, Life
 from wheelstep.shards.links import Links
@@ -33,14 +34,16 @@
 
 class ShardNode:
     """`seeds` (name to address) are other couriers to ask first, `control` the control machines. `read` makes a
-    courier's row of a line of the list and raises what `UNREADABLE` lists. `note` tells operators a line."""
+    courier's row of a line of the list and raises what `UNREADABLE` lists. `note` tells operators a line. `classes` are
+    those that messages may be of; None: any."""
 
     def __init__(self, me: Member, settings: NodeSettings, seeds: Mapping[str, str], control: Mapping[str, str],
                  keys: Sequence[bytes], fleet: str, boot: int, shelf: Shelf, net: Net,
-                 read: Callable[[ListRow], Row], rng: random.Random, note: Callable[[str], None]) -> None:
+                 read: Callable[[ListRow], Row], rng: random.Random, note: Callable[[str], None],
+                 classes: Collection[str] | None = None) -> None:
         self._loop = asyncio.get_running_loop()
         self.settings, self.shards, self._shelf, self._net = settings, settings.shards, shelf, net
-        self._note, self._me = note, me.name
+        self._note, self._me, self._classes = note, me.name, classes
         now_us = self.now_us()
         self.membership = Membership(me, seeds, settings.members, rng, now_us)
         self.homes = Homes(me, settings.shards, settings.load)
@@ -153,6 +156,15 @@
         finally:
             self._arm()
 
+    def took(self, message: Stored) -> None:
+        """A message was taken here though another is home."""
+        self.lives.took(message)
+        self._arm()
+
+    def knows(self, message_class: str) -> bool:
+        """Is there such a class?"""
+        return self._classes is None or message_class in self._classes
+
     def client(self, courier: str) -> ForwardClient:
         """The way to another courier."""
         if courier not in self._clients:
@@ -209,7 +221,7 @@
                 alone = len(self.membership.members()) == 1
                 taught = alone if first else former is None or former.state is State.GONE
                 self.lives.came_home(shard, taught)
-            elif was == self._me:
+            elif was == self._me or self.hosting.life(shard) is Life.LEAVING:
                 self.lives.left_home(shard, home)
 
     # --- the clock ---
--- a/wheelstep/shards/routing.py
+++ b/wheelstep/shards/routing.py
@@ -52,6 +52,10 @@
 
     def be_guest(self, shard: int) -> bool: ...
 
+    def took(self, message: Stored) -> None: ...
+
+    def knows(self, message_class: str) -> bool: ...
+
     def client(self, courier: str) -> ForwardClient: ...
 
 
@@ -120,23 +124,21 @@
 
     def _take(self, answer: asyncio.Future[None], desk: RoutedDesk, message: Stored, guest: bool) -> None:
         mine = self._places.desk_here
-        if not mine.serves(message.destination):
-            answer.set_exception(BadRequestError("no such destination"))
-            return
-        if mine.holds(message.id):  # another client's, meanwhile
-            answer.set_exception(UnansweredError("another client hands it in just now"))
-            return
-        if mine.full():
-            answer.set_exception(NoRoomError("holds all it can"))
-            return
         try:
+            if not mine.serves(message.destination):
+                raise BadRequestError("no such destination")
+            if mine.holds(message.id):  # another client's, meanwhile
+                raise UnansweredError("another client hands it in just now")
+            if mine.full():
+                raise NoRoomError("holds all it can")
             mine.take(message)
-        except NoRoomError as error:
+        except (BadRequestError, UnansweredError, NoRoomError) as error:
+            self._router.not_taken(message.id)
             answer.set_exception(error)
             return
         desk.inner = mine
         if guest:
-            self._places.hosting.used(self._places.now_us(), shard_of(message.destination, self._places.shards))
+            self._places.took(message)
         if mine.syncs:
             mine.durable().add_done_callback(partial(_settle, answer))
         else:
@@ -171,17 +173,24 @@
         mine, handed = self._places.desk_here, self._handed(message)
         if mine.holds(message.id):
             return mine
+        if not self._places.knows(message.message_class):
+            return RoutedDesk(mine, partial(_failed, BadRequestError("its class is not known here")))
         if self._places.hosting.life(handed.shard) is Life.OPENING:
             return RoutedDesk(mine, self._wait_open)
         match self._router.asked(self._places.now_us(), handed, self._sight(handed)):
-            case Here():
-                return mine
+            case Here(guest):
+                return RoutedDesk(mine, partial(self._take_now, True)) if guest else mine
             case ComeAgain(_, why):
                 return Turned("full", why)
             case NoAnswer(why):
-                return RoutedDesk(mine, partial(_unanswered, why))
+                return RoutedDesk(mine, partial(_failed, UnansweredError(why)))
         return Turned("away", "it is not at home here")
 
+    def _take_now(self, guest: bool, desk: RoutedDesk, message: Stored) -> asyncio.Future[None]:
+        answer: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._take(answer, desk, message, guest)
+        return answer
+
     def _wait_open(self, desk: RoutedDesk, message: Stored) -> asyncio.Future[None]:
         answer: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.waits.wait(shard_of(message.destination, self._places.shards), self._opens_s,
@@ -214,9 +223,9 @@
         answer.set_result(None)
 
 
-def _unanswered(why: str, desk: RoutedDesk, message: Stored) -> asyncio.Future[None]:
+def _failed(error: Exception, desk: RoutedDesk, message: Stored) -> asyncio.Future[None]:
     answer: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-    answer.set_exception(UnansweredError(why))
+    answer.set_exception(error)
     return answer
 
 
--- a/wheelstep/shards/teaching.py
+++ b/wheelstep/shards/teaching.py
@@ -29,6 +29,12 @@
             self._owed[shard] = {(key.destination, key.message_class, key.key) for key in keys}
         return self._handoff.gave(now_us, shard, to, healths, waits, keys)
 
+    def owes_more(self, now_us: int, shard: int) -> list[HandAct]:
+        """A message of an ordered key was taken here after the shard was given."""
+        keys = self._shelf.owed_keys(shard)
+        self._owed[shard] = {(key.destination, key.message_class, key.key) for key in keys}
+        return self._handoff.owes_more(now_us, shard, keys)
+
     def dropped(self, shard: int) -> None:
         """It is served here no more."""
         self._owed.pop(shard, None)
