--- a/tests/test_shard_control.py
+++ b/tests/test_shard_control.py
@@ -14,18 +14,18 @@
 import pytest
 from loopback import LIMIT_S, ROOT, run, started
 
-from wheelstep.courier.config import UNREADABLE, Names
+from wheelstep.courier.config import UNREADABLE, Address, Names
 from wheelstep.courier.listing import Listing
 from wheelstep.rehearsal.history import Figures, History
 from wheelstep.rehearsal.standins.platform import Agent, row
-from wheelstep.shards.control import LIST_BYTES
+from wheelstep.shards.control import LIST_BYTES, MOST_WAITING, ControlMachine
 from wheelstep.shards.control_settings import ControlError, read
 from wheelstep.shards.list_client import Changed, Dial, HangUp, ListAct, ListClient, Tell
 from wheelstep.shards.list_rows import courier_row, digest_of, read_entry, read_list
 from wheelstep.shards.list_server import ListServer
 from wheelstep.shards.net import Sockets
 from wheelstep.shards.streams import StreamLink, Streams
-from wheelstep.shards.types import Frame, ListRow, ShardRows
+from wheelstep.shards.types import Follow, Frame, ListRow, ShardRows
 
 KEY = "ab" * 32
 SHARDS = 64
@@ -99,6 +99,58 @@
     assert time.process_time() - begun_s < 30, "of the processor: 4 s where nothing else runs"
 
 
+class Peer:
+    """A link as the control machine sees it."""
+
+    def __init__(self) -> None:
+        self.peer, self.sent, self.open = "courier", list[Frame](), True
+
+    def send(self, frame: Frame) -> bool:
+        self.sent.append(frame)
+        return True
+
+    def close(self) -> None:
+        self.open = False
+
+
+def machine() -> ControlMachine:
+    return ControlMachine("x", [b"k" * 32], "fleet", 1, SHARDS, Sockets(), Address("127.0.0.1", 9), lambda: 0)
+
+
+async def _dialled_again() -> None:
+    control, first, second = machine(), Peer(), Peer()
+    list(control.server.steps(0, 1, True, ()))
+    control._heard(first, Follow(0, ((1, 0),)))  # type: ignore[arg-type]
+    control._heard(second, Follow(0, ((2, 0),)))  # type: ignore[arg-type]
+    assert not first.open and second.open and control.server.peers == 1
+    assert [type(frame).__name__ for frame in second.sent] == ["ShardRows", "Current"]
+    control._lost(first)  # type: ignore[arg-type]
+    assert control.server.peers == 1, "the end of the old link took the new one's follows"
+    control._lost(second)  # type: ignore[arg-type]
+    assert control.server.peers == 0
+    await control.close()
+
+
+def test_a_courier_that_dials_again_is_known_by_its_new_link() -> None:
+    run(_dialled_again())
+
+
+async def _too_many_changes() -> None:
+    control = machine()
+    for seq in range(1, MOST_WAITING + 1):
+        control.watch._take({"seq": seq, "whole": False, "hosts": []})
+    assert control.watch.seq == MOST_WAITING == len(control._waiting)
+    control.watch._take({"seq": MOST_WAITING + 1, "whole": False, "hosts": []})
+    assert control.watch.seq == 0 and not control._waiting, "the whole list has to be asked for"
+    control.watch._take({"seq": 1, "whole": False, "hosts": []})
+    control.watch._take({"seq": 2, "whole": True, "hosts": []})
+    assert len(control._waiting) == 1, "a whole list makes what waits old"
+
+
+def test_changes_that_wait_are_bounded() -> None:
+    run(_too_many_changes())
+
+
 class Courier:
     """A courier's side on real sockets: acts of `ListClient` on `Streams`, with what came counted."""
 
--- a/wheelstep/shards/control.py
+++ b/wheelstep/shards/control.py
@@ -26,7 +26,7 @@
 from wheelstep.shards.streams import StreamLink, Streams
 from wheelstep.shards.types import Frame, ListRow
 
-LIST_BYTES = 64 << 20  # of one list: 140,000 indented entries are 37 MB; up to three such are held at once
+LIST_BYTES = 64 << 20  # of one list: 140,000 indented entries are 38 to 42 MB; up to three such are held at once
 MOST_WAITING = 1_000  # lists of changes that wait to be taken up; beyond that the whole is asked for
 _NOTES_S = 5.0
 
