--- /dev/null
+++ b/tests/test_shard_list_client.py
@@ -0,0 +1,181 @@
+"""A courier's decisions on the list by shard."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import msgspec
+import pytest
+from shard_lists import SHARDS, World, at_work, mine, row, told
+
+from wheelstep.shards.list_acts import Changed, Dial, HangUp, Tell
+from wheelstep.shards.list_client import MOST_BACKOFF_US, ListClient
+from wheelstep.shards.list_server import ListServer
+from wheelstep.shards.types import Current, Follow, Frame, KeysOver, ListRow, ShardRows, shard_of
+
+BIG = ListRow("big", "d" * 900 + ":1", "a", "web", mine(0).block, "SERVING")
+
+
+@pytest.mark.parametrize("frame, why", [
+    (told(0, mine(1)), "shard"), (told(0, mine(0), mine(1), whole=True), "shard"), (told(7, mine(7)), "unasked"),
+    (told(SHARDS, mine(0)), "shard"), (told(SHARDS), "unasked"),
+    (told(0, mine(0), seq=9), "old"), (Current(9), "old"), (KeysOver(1, ()), "frame"), (Follow(0, ()), "frame"),
+    (told(0, row(mine(0).block, "DELETED"), whole=True), "row"), (told(0, row(mine(0).block, "WELL")), "row"),
+    (told(0, msgspec.structs.replace(mine(0), dial="nowhere")), "row"),
+    (told(0, msgspec.structs.replace(mine(0), host="h" * 1_100)), "row"),
+    (ShardRows(10, 0, 1, True, (mine(0),) * 65_537), "size"),
+    (ShardRows(10, 0, 1, True, tuple(msgspec.structs.replace(BIG, host=str(n)) for n in range(4_700))), "size")])
+def test_a_control_machine_that_tells_what_cannot_be_is_left(frame: Frame, why: str) -> None:
+    world = World("a", "b")
+    world.listed(10, True, [])
+    world.act(world.client.follow(world.now_us, range(7)))
+    world.run(0)
+    control, before = world.client.control, dict(world.seen)
+    world.acts.clear()
+    world.tell([("courier", frame)])
+    assert world.client.refused == {why: 1} and world.seen == before and not world.client.rows_of(0)
+    assert world.acts[0] == HangUp(control) and world.client.control not in ("", control)
+    assert len(world.notes) == 1 and control in world.notes[0] and "expected" in world.notes[0]
+    world.tell([("courier", frame)])
+    assert world.client.refused == {why: 2} and len(world.notes) == 1, "a second line within ten seconds"
+
+
+def test_rows_that_do_not_fit_are_asked_anew_once_then_their_control_machine_is_left() -> None:
+    world = at_work("a", "b", rows=[mine(0), mine(1)])
+    control = world.client.control
+    lie = ShardRows(11, 0, 77, False, (row(mine(0).block, "DRAINING"),))
+    world.acts.clear()
+    world.tell([("courier", lie)])
+    assert world.acts[0] == Tell(control, Follow(10, ((0, 0),))) and world.client.control == control
+    assert world.client.rows_of(0) == (mine(0),) and world.client.seq == 10
+    world.tell([("courier", told(1, row(mine(1).block, "DRAINING")))])  # another shard's are taken as ever
+    assert world.client.rows_of(1)[0].health == "DRAINING"
+    world.tell([("courier", lie)])
+    assert world.client.control not in ("", control) and world.client.refused == {"digest": 2}
+    assert world.client.rows_of(0) == (mine(0),)
+
+
+def test_what_was_under_way_is_passed_over_and_not_held_against_anybody() -> None:
+    world = at_work("a", "b", rows=[mine(0), mine(1)])
+    control = world.client.control
+    world.act(world.client.unfollow(world.now_us, [0]))
+    late = told(0, row(mine(0).block, "DRAINING"))
+    world.tell([("courier", late)])
+    assert not world.client.knows(0) and world.client.control == control
+    world.act(world.client.heard(world.now_us, "b" if control == "a" else "a", told(1, mine(0))))
+    world.act(world.client.follow(world.now_us, [0]))
+    assert world.client.knows(0) and world.client.control == control and not world.client.refused
+
+
+def test_a_difference_that_comes_before_the_whole_set_is_passed_over() -> None:
+    client = ListClient("courier", ["a"], SHARDS, random.Random(1), 0)
+    client.follow(0, [0])
+    assert client.tick(0) == [Dial("a")] and client.dialled(0, "a", True) == [Tell("a", Follow(0, ((0, 0),)))]
+    assert client.heard(0, "a", told(0, row(mine(0).block, "DRAINING"), known=(mine(1),))) == []
+    assert not client.refused and client.control == "a" and not client.knows(0)
+    assert client.heard(0, "a", told(0, whole=True)) == [Changed(0, (), True)] and client.knows(0)
+
+
+@pytest.mark.parametrize("block", range(1, 12))
+def test_a_host_that_moves_to_another_destination_stays_listed(block: int) -> None:
+    world = at_work("a", rows=[row(0), row(20)])
+    for seq, place in enumerate((block, 0, block), 11):
+        world.listed(seq, False, [row(0, block=place)])
+        assert world.seen == {"h0": row(0, block=place), "h20": row(20)}
+    away = shard_of(block, SHARDS)
+    stale = told(shard_of(0, SHARDS), *({row(0)} | set(world.client.rows_of(shard_of(0, SHARDS)))), seq=13, whole=True)
+    if away != stale.shard:  # two shards have it for a while; then the one told last has not
+        world.tell([("courier", stale)])
+        world.tell([("courier", told(away, seq=13, whole=True))])
+        assert world.seen["h0"] == row(0)
+
+
+def test_after_good_times_the_next_is_dialled_at_once() -> None:
+    world = at_work("a", "b", rows=[row(1)])
+    for _ in range(4):
+        world.run(10_000_000)
+        world.lose()
+        assert world.client.control
+        world.down.clear()
+
+
+def test_a_lost_control_machine_costs_no_rows_where_digests_agree() -> None:
+    rows = [row(number) for number in range(500)]
+    world = at_work("a", "b", "c", rows=rows)
+    assert world.sent["ShardRows"] == SHARDS and world.sent["bytes"] > 20_000
+    for lost in (1, 2):
+        world.sent.clear()
+        world.lose()
+        assert world.client.control, "the next is asked at once"
+        assert world.sent == {"Current": 1, "bytes": world.sent["bytes"]} and world.sent["bytes"] < 10, lost
+    world.down.clear()
+    world.listed(11, False, [row(1, "DRAINING")], *(name for name in world.servers if name != world.line))
+    world.sent.clear()
+    world.lose()
+    world.run(250_000)  # a whole round was lost
+    assert world.sent["ShardRows"] == 1 and world.client.seq == 11 and world.seen["h1"].health == "DRAINING"
+
+
+def test_an_older_control_machine_is_passed_by() -> None:
+    world = at_work("a", "b", "c", rows=[row(1)])
+    first = world.line
+    world.lose()
+    old = world.line  # the next in the courier's order
+    world.lose()
+    world.down.clear()
+    world.lose(down=False)
+    world.run(250_000)  # a whole round was lost
+    assert world.line == first
+    world.listed(11, False, [row(2)], *(name for name in world.servers if name != old))
+    world.lose()
+    assert world.line not in (first, old) and world.sent["Behind"] == 1 and set(world.seen) == {"h1", "h2"}
+
+
+def test_where_all_are_behind_it_goes_on_with_what_it_has_and_asks_around_ever_later() -> None:
+    world = at_work("a", "b", rows=[row(1)])
+    world.listed(11, False, [row(2)], world.line)
+    world.lose()
+    assert not world.client.control and world.sent["Behind"] == 1
+    world.servers = {name: ListServer(SHARDS) for name in world.servers}
+    world.listed(10, True, [row(1)])
+    world.down.clear()
+    world.acts.clear()
+    dials: list[int] = []
+    until_us = world.now_us + 120_000_000
+    while world.now_us < until_us:
+        count = len(world.acts)
+        world.run(world.client.next_us() - world.now_us)
+        dials += [world.now_us for act in world.acts[count:] if isinstance(act, Dial)]
+    gaps = [after - before for before, after in zip(dials, dials[1:], strict=False) if after > before]
+    assert max(gaps) <= MOST_BACKOFF_US < sum(gaps) and max(gaps[:2]) < 1_000_000 < max(gaps)
+    assert 10 < len(dials) < 100 and set(world.seen) == {"h1", "h2"} and world.client.knows(0)
+    world.listed(11, False, [row(2)])
+    world.run(8_000_000)
+    assert world.client.control and set(world.seen) == {"h1", "h2"}
+
+
+def test_silence_of_five_seconds_is_a_loss_and_two_are_none() -> None:
+    world = at_work("a", "b", rows=[row(1)])
+    first = world.client.control
+    world.run(60_000_000)
+    assert world.client.control == first
+    world.down.add(first)  # the connection stays, and nothing comes of it
+    silent_us = world.now_us
+    while world.client.control == first:
+        world.run(max(0, world.client.next_us() - world.now_us))
+    assert 3_000_000 < world.now_us - silent_us <= 5_000_000 and world.client.control
+    world.down.update("ab")
+    world.lose()
+    assert not world.client.control
+    world.run(60_000_000)
+    world.down.clear()
+    world.run(MOST_BACKOFF_US)
+    assert world.client.control and set(world.seen) == {"h1"}
+
+
+def test_couriers_are_divided_among_control_machines() -> None:
+    names = [f"control{number}" for number in range(17)]
+    first = Counter(ListClient(f"courier{number}", names, SHARDS, random.Random(1), 0).tick(0)[0].control
+                    for number in range(1_100))
+    assert len(first) == 17 and max(first.values()) < 100  # 65 each, by chance
