--- a/benchmarks/scale_run.py
+++ b/benchmarks/scale_run.py
@@ -66,7 +66,7 @@
     progress = Progress(parts, given.spell)
     print(f"{couriers} hollow and {given.real} real couriers, {destinations} destinations", file=sys.stderr, flush=True)
     result = asyncio.run(_playing(Given(_plan(given, couriers, destinations), parts, given.spell,
-                                        min(180.0, given.minutes * 30), given.minutes), progress))
+                                        min(180.0, given.minutes * 30), given.minutes, given.folder), progress))
     text = json.dumps(result, indent=1) + "\n"
     if len(text) > _MOST_BYTES:
         text = json.dumps(result, separators=(",", ":")) + "\n"
@@ -79,7 +79,8 @@
         print(text)
     checks = result["checks"]
     followed = checks["followed"]
-    return not (followed["lost"] or followed["doubled"] or checks["left_running"] or checks["hollow_without_end"])
+    return not (followed["lost"] or followed["doubled"] or checks["left_running"] or checks["hollow_without_end"]
+                or checks["hollow_exceptions"])
 
 
 async def _playing(given: Given, progress: Progress) -> dict[str, object]:
@@ -107,6 +108,7 @@
     options.add_argument("--sweep", default="", help="numbers of couriers")
     options.add_argument("--sweep-destinations", default="14000,140000")
     options.add_argument("--json", type=Path)
+    options.add_argument("--folder", type=Path, help="a new folder for logs, which stays")
     given = options.parse_args()
     parts = [part for part in given.parts.split(",") if part]
     if strange := set(parts) - set(PARTS):
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -63,6 +63,7 @@
     assert seen.gone and not seen.unreached, seen.unreached[:5]
     assert followed["taken"] >= 8 * DESTINATIONS and followed["delivered"] > 0
     assert (followed["lost"], followed["doubled"], followed["wrong"]) == (0, 0, [])
+    assert checks["hollow_exceptions"] == 0, result["notes"]
     assert checks["hollow_without_end"] == 0 and checks["hollow_held"] == 0 and checks["left_running"] == 0
     assert told == ["start", "drain", "end"]
 
--- a/wheelstep/rehearsal/scale/courier.py
+++ b/wheelstep/rehearsal/scale/courier.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import random
+import re
 import time
 from collections import Counter
 from dataclasses import dataclass, field
@@ -43,6 +44,7 @@
     took: Histogram = field(default_factory=Histogram)
     waited: Histogram = field(default_factory=Histogram)
     notes: Counter[str] = field(default_factory=Counter)  # operators' lines by their first words
+    exceptions: int = 0  # that nobody heard
 
     def __post_init__(self) -> None:
         plan = self.plan
@@ -51,13 +53,13 @@
         self.settings = settings_from(settings(plan.hollow + plan.real if plan.undivided else plan.regions))
         self.downs = Downs(plan.seed, plan.down_share, plan.down_s)
         self.seeds = plan.seeds()
-        self.boot = time.time_ns() // 1_000_000
+        self.boot = int(time.time())  # as a real one's
         self.loop_epoch_s = plan.epoch_s  # the loop's clock is the machine's
 
     def note(self, text: str) -> None:
         """A line for operators: counted by how it begins."""
         if len(self.notes) < 1_000:
-            self.notes[" ".join(text.split()[:5])] += 1
+            self.notes[re.sub(r"\d+", "N", " ".join(text.split()[:12]))] += 1
 
 
 class HollowCourier:
--- a/wheelstep/rehearsal/scale/figures.py
+++ b/wheelstep/rehearsal/scale/figures.py
@@ -57,7 +57,7 @@
 
 
 def _times(prefix: str, after: Mapping[str, int], before: Mapping[str, int]) -> dict[str, float | None]:
-    counts = {int(step): count for step, count in less(after, before).items() if count > 0}
+    counts = {int(step): int(count) for step, count in less(after, before).items() if count > 0}
     return {f"{prefix}_p50_us": percentile_us(counts, 0.5), f"{prefix}_p99_us": percentile_us(counts, 0.99)}
 
 
--- a/wheelstep/rehearsal/scale/host.py
+++ b/wheelstep/rehearsal/scale/host.py
@@ -17,6 +17,7 @@
 import json
 import sys
 import time
+import traceback
 from collections import Counter
 from dataclasses import asdict
 from pathlib import Path
@@ -30,6 +31,7 @@
 
 _STARTS_AT_ONCE = 8
 _MOST_SECONDS = 900
+_MOST_TRACES = 50
 
 
 class Host:
@@ -135,6 +137,7 @@
                 "taken": {name: courier.shelf.taken for name, courier in self._up.items()},
                 "shards": {name: len(courier.shards()) for name, courier in self._up.items()},
                 "failed_s": max((courier.traffic.failed_s for courier in self._up.values()), default=0.0),
+                "exceptions": shared.exceptions,
                 "notes": dict(shared.notes.most_common(12)), "cpu_s": time.process_time(), "at_s": time.monotonic()}
 
     def seen(self, names: list[str]) -> dict[str, Any]:
@@ -196,6 +199,14 @@
                 return {"delivered": self._shared.counts.tracked, "ended": self._shared.counts.ended}
         raise ValueError(f"{line!r}: no such command")
 
+    def failed(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """Something raised that nobody heard: it is counted by its text, and its traceback goes to the log."""
+        error = context.get("exception")
+        self._shared.note(f"exception: {type(error).__name__}: {str(error)[:80]}")
+        self._shared.exceptions += 1
+        if self._shared.exceptions <= _MOST_TRACES:
+            traceback.print_exception(error) if error is not None else print(context, file=sys.stderr)
+
     async def look(self) -> None:
         """Once a second, for good."""
         while True:
@@ -213,6 +224,7 @@
 
 async def _serve(plan: Plan, number: int) -> None:
     host = Host(plan, number)
+    asyncio.get_running_loop().set_exception_handler(host.failed)
     print(json.dumps({"hosts": len(host.sites())}), flush=True)
     work = asyncio.create_task(host.look())
     async for line in end_with_stdin():
--- a/wheelstep/rehearsal/scale/play.py
+++ b/wheelstep/rehearsal/scale/play.py
@@ -36,6 +36,7 @@
     spell_s: float = 20.0
     start_s: float = 120.0  # until all are up
     minutes: float = 10.0  # in all
+    folder: Path | None = None  # for logs and files, kept; else one that goes with the run
 
 
 def machine() -> dict[str, Any]:
@@ -67,7 +68,9 @@
     Raises `NoRunError`, `TimeoutError`, and `EOFError` where a process has ended."""
     raise_limits()
     load, (base, lock) = os.getloadavg(), take_base()
-    with tempfile.TemporaryDirectory(prefix="umberchute-scale-") as name, lock:
+    with tempfile.TemporaryDirectory(prefix="umberchute-scale-") as temporary, lock:
+        name = str((given.folder or Path(temporary)).resolve())
+        Path(name).mkdir(parents=True, exist_ok=True)
         plan = _placed(given.plan, base, Path(name))
         fleet = Fleet(plan, Path(name))
         day = Day(fleet, given.spell_s, tell)
@@ -131,5 +134,6 @@
             + owed["held"] + owed["kept"] + len(owed["lost"]))
     return {"followed": as_dict(verdict), "hollow_taken": taken, "hollow_without_end": taken - ends,
             "hollow_held": owed["held"], "hollow_kept": owed["kept"], "hollow_lost_with_machines": len(owed["lost"]),
+            "hollow_exceptions": sum(host["exceptions"] for host in last["hosts"]),
             "hollow_repeats": counts["repeats"], "hollow_open": owed["open"],
             "answers": dict(figures.sums(last, "answers")), "real_answers": dict(fleet.clients.answers)}
--- a/wheelstep/rehearsal/scale/real.py
+++ b/wheelstep/rehearsal/scale/real.py
@@ -72,8 +72,7 @@
         with contextlib.suppress(OSError):
             lines = re.findall(r"figures: (.*)", self.log.read_text(errors="replace"))
             if lines:
-                pairs = (item.partition("=") for item in lines[-1].split())
-                return {name: float(value) for name, _, value in pairs}
+                return {name: float(value) for name, value in re.findall(r"([a-z][^=]*)=(\d+)", lines[-1])}
         return {}
 
 
--- a/wheelstep/rehearsal/scale/settings.py
+++ b/wheelstep/rehearsal/scale/settings.py
@@ -32,6 +32,7 @@
                  "may_duplicate": True, "may_probe": True},
         "rules": {"order_settle_us": 300_000, "cold_us": 10_000_000, "cold_from": 0.3, "fall_multiple": 1.5,
                   "overload_for_us": 3_000_000, "drain_grace_us": 250_000},
+        "prices": {"handshake": 0.06, "probe": 0.01},  # as of a site and of `serve`: idle connections are worth a place
         "tick_us": 5_000,
     }
 
