--- a/benchmarks/scale_run.py
+++ b/benchmarks/scale_run.py
@@ -57,7 +57,7 @@
     hosts = given.hosts or max(1, min(16, couriers // 30))
     return Plan(seed=given.seed, hollow=couriers, real=given.real, destinations=destinations, regions=given.regions,
                 zones=given.zones, control=given.control, shards=given.shards, rate=given.rate, hosts=hosts, base=16,
-                epoch_s=0.0, links="", undivided=given.undivided, changes_per_s=given.changes,
+                epoch_s=0.0, boot=0, links="", undivided=given.undivided, changes_per_s=given.changes,
                 down_share=given.down, down_s=given.down_seconds)
 
 
--- a/tests/test_scale_parts.py
+++ b/tests/test_scale_parts.py
@@ -30,7 +30,7 @@
 
 ZONES = ["r0/z0", "r0/z1", "r1/z0"]
 PLAN = Plan(seed=1, hollow=50, real=3, destinations=140_000, regions=2, zones=6, control=4, shards=64, rate=0.01,
-            hosts=4, base=20, epoch_s=0.0, links="", partners="127.0.0.1:9")
+            hosts=4, base=20, epoch_s=0.0, boot=0, links="", partners="127.0.0.1:9")
 WAIT_S = 10.0
 
 
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -21,7 +21,8 @@
 DESTINATIONS = 240
 WAIT_S = 30.0
 PLAN = Plan(seed=3, hollow=60, real=3, destinations=DESTINATIONS, regions=2, zones=6, control=2, shards=256, rate=0.002,
-            hosts=2, base=16, epoch_s=0.0, links="", probe_us=200_000, down_share=0.01, down_s=2.0, changes_per_s=2.0)
+            hosts=2, base=16, epoch_s=0.0, boot=0, links="", probe_us=200_000, down_share=0.01, down_s=2.0,
+            changes_per_s=2.0)
 
 
 class Seen:
--- a/wheelstep/rehearsal/scale/courier.py
+++ b/wheelstep/rehearsal/scale/courier.py
@@ -5,13 +5,12 @@
 import contextlib
 import random
 import re
-import time
 from collections import Counter
 from dataclasses import dataclass, field
 
 from wheelstep.courier.rows import Row
 from wheelstep.fleet.membership import Limits
-from wheelstep.fleet.types import Member, State
+from wheelstep.fleet.types import Member, Roll, State
 from wheelstep.rehearsal.scale.downs import Downs
 from wheelstep.rehearsal.scale.links import Links
 from wheelstep.rehearsal.scale.net import DelayedNet
@@ -53,7 +52,8 @@
         self.settings = settings_from(settings(plan.hollow + plan.real if plan.undivided else plan.regions))
         self.downs = Downs(plan.seed, plan.down_share, plan.down_s)
         self.seeds = plan.seeds()
-        self.boot = int(time.time())  # as a real one's
+        self.lives: Counter[str] = Counter()
+        self.members = tuple(member(site, plan.boot) for site in plan.sites() if site.host >= 0)
         self.loop_epoch_s = plan.epoch_s  # the loop's clock is the machine's
 
     def note(self, text: str) -> None:
@@ -62,23 +62,28 @@
             self.notes[re.sub(r"\d+", "N", " ".join(text.split()[:12]))] += 1
 
 
+def member(site: Site, boot: int) -> Member:
+    """What others are told of it."""
+    return Member(site.name, boot, State.ALIVE, site.address, site.serves, 1.0, site.zone)
+
+
 class HollowCourier:
     """One life of it."""
 
     def __init__(self, shared: Shared, site: Site) -> None:
         self.shared, self.site = shared, site
         plan = shared.plan
-        shared.boot += 1  # so that a later life's is higher
-        rng = random.Random(f"{plan.seed}/{site.name}/{shared.boot}")
+        boot = plan.boot + shared.lives[site.name]
+        shared.lives[site.name] += 1
+        rng = random.Random(f"{plan.seed}/{site.name}/{boot}")
         self.net = DelayedNet(Sockets(), site.zone, shared.zones, shared.links, frozenset(shared.control.values()))
         partners = Partners(shared.downs, shared.counts, shared.settings.conn_idle_us / 1e6, 1.0, rng)
         self.shelf = HollowShelf(shared.settings, rng.randrange(1 << 30), plan.shards, partners, shared.counts,
                                  shared.loop_epoch_s)
-        me = Member(site.name, shared.boot, State.ALIVE, site.address, site.serves, 1.0, site.zone)
         self.node = ShardNode(
-            me, NodeSettings(shards=plan.shards, members=Limits(period_us=plan.probe_us)),
+            member(site, boot), NodeSettings(shards=plan.shards, members=Limits(period_us=plan.probe_us)),
             {name: address for name, address in shared.seeds.items() if name != site.name}, shared.control,
-            [key(plan)], FLEET, shared.boot, self.shelf, self.net, read_row, rng, shared.note)
+            [key(plan)], FLEET, boot, self.shelf, self.net, read_row, rng, shared.note)
         self.traffic = Traffic(site.name, self.node.desk, lambda: self.node.ready, Draw(plan.destinations, rng), rng,
                                shared.answers, shared.took, shared.waited)
         self.marked: frozenset[int] = frozenset()
@@ -93,6 +98,14 @@
         """Has it died without a word?"""
         return self.net.silent
 
+    def prime(self) -> None:
+        """Before its start: it hears of all hollow couriers at once. A whole fleet that begins at one moment is nothing
+        that is measured here, and would cost each ring a change for every member."""
+        others = tuple(one for one in self.shared.members if one.name != self.site.name)
+        if others:
+            told = Roll(0, others)
+            self.node._members(self.node.membership.heard(self.node.now_us(), others[0].name, others[0].address, told))
+
     async def start(self) -> None:
         """Listen and begin. Raises `OSError`."""
         await self.node.start(self.site.address)
--- a/wheelstep/rehearsal/scale/fleet.py
+++ b/wheelstep/rehearsal/scale/fleet.py
@@ -108,8 +108,10 @@
                 self.pids.add(courier.pid)
                 if not await courier.ready(within_s):
                     raise NoRunError(f"{courier.name} is not ready after {within_s:.0f} s:\n{courier.tail()}")
-        hollow = asyncio.gather(*(host.ask("start") for host in self.hosts))
-        await asyncio.gather(hollow, *map(one, self.real))
+        await self.ask("make")
+        await self.ask("start")
+        await self.formed(self.plan.hollow, within_s)
+        await asyncio.gather(*map(one, self.real))
         await self.formed(self.plan.hollow + self.plan.real, within_s)
 
     async def formed(self, members: int, within_s: float) -> None:
--- a/wheelstep/rehearsal/scale/host.py
+++ b/wheelstep/rehearsal/scale/host.py
@@ -2,7 +2,8 @@
 
 Says `{"hosts": N}` once it runs, then obeys lines on stdin, each answered by a line of JSON, and ends with its stdin:
 
-- `start`, `count` (how many are up, ready, and know how many others), `figures`, `seconds` (traffic second by second),
+- `make`, then `start` (all couriers; the first takes the longer), `count` (how many are up, ready, and know how many
+  others), `figures`, `seconds` (traffic second by second),
 - `traffic PER_S DENSE` (of each courier; the share of destinations that get any), `changed NAME...` (who lists an
   endpoint),
 - `kill NAME...`, `leave NAME...`, `silence NAME...`, `back NAME...` (the next life; what `kill` and `leave` left is
@@ -46,6 +47,7 @@
             from wheelstep.rehearsal.scale.undivided import UndividedCourier
             self._make = UndividedCourier
         self._sites = {site.name: site for site in plan.sites() if site.host == number}
+        self._made: dict[str, Any] = {}
         self._up: dict[str, Any] = {}
         self._silent: list[Any] = []
         self._kept: dict[str, list[Stored]] = {}  # as in the journals of those that are down
@@ -62,7 +64,10 @@
     # --- lives ---
 
     async def _start(self, name: str) -> None:
-        courier = self._make(self._shared, self._sites[name])
+        for former in [one for one in self._silent if one.site.name == name]:  # the new machine has its address
+            self._silent.remove(former)
+            await former.close()
+        courier = self._made.pop(name, None) or self._make(self._shared, self._sites[name])
         await courier.start()
         self._up[name] = courier
         for message in self._kept.pop(name, []):
@@ -72,6 +77,13 @@
         courier.traffic.draw.dense = self._traffic[1]
         courier.traffic.set(self._traffic[0])
 
+    def make(self) -> dict[str, Any]:
+        """All, and each knows all others; nothing is sent yet."""
+        for name, site in self._sites.items():
+            self._made[name] = self._make(self._shared, site)
+            self._made[name].prime()
+        return {"made": len(self._made)}
+
     async def start(self) -> dict[str, Any]:
         """All, a few at a time."""
         turns = asyncio.Semaphore(_STARTS_AT_ONCE)
@@ -79,7 +91,6 @@
         async def one(name: str) -> None:
             async with turns:
                 await self._start(name)
-                await asyncio.sleep(0.02)
         await asyncio.gather(*map(one, self._sites))
         return {"up": len(self._up)}
 
@@ -191,7 +202,7 @@
                 return self.set_traffic(float(rest[0]), float(rest[1]))
             case "seen" | "changed":
                 return getattr(self, what)(rest)
-            case "count" | "figures" | "mark" | "moved" | "owed":
+            case "make" | "count" | "figures" | "mark" | "moved" | "owed":
                 return getattr(self, what)()
             case "seconds":
                 return self._seconds
--- a/wheelstep/rehearsal/scale/plan.py
+++ b/wheelstep/rehearsal/scale/plan.py
@@ -48,6 +48,7 @@
     hosts: int
     base: int  # second part of every address
     epoch_s: float  # the machine's monotonic clock at the start, the same in every process
+    boot: int  # of the first life of each hollow courier: Unix seconds, as a real one's
     links: str  # the file of cuts
     partners: str = ""  # ip:port of the stand-in partners; the ip differs by destination
     discovery: str = ""
--- a/wheelstep/rehearsal/scale/play.py
+++ b/wheelstep/rehearsal/scale/play.py
@@ -106,7 +106,8 @@
 
 def _placed(plan: Plan, base: int, folder: Path) -> Plan:
     import msgspec
-    return msgspec.structs.replace(plan, base=base, epoch_s=time.monotonic(), links=str(folder / "links"))
+    return msgspec.structs.replace(plan, base=base, epoch_s=time.monotonic(), boot=int(time.time()),
+                                   links=str(folder / "links"))
 
 
 def _parameters(given: Given) -> dict[str, Any]:
--- a/wheelstep/rehearsal/scale/undivided.py
+++ b/wheelstep/rehearsal/scale/undivided.py
@@ -15,8 +15,8 @@
 from wheelstep.fleet.datagrams import Datagrams
 from wheelstep.fleet.membership import Limits, Membership
 from wheelstep.fleet.packets import Elder, Seal
-from wheelstep.fleet.types import Action, Member, Packet, SendPacket, State
-from wheelstep.rehearsal.scale.courier import Shared
+from wheelstep.fleet.types import Action, Packet, Roll, SendPacket, State
+from wheelstep.rehearsal.scale.courier import Shared, member
 from wheelstep.rehearsal.scale.desk import HollowDesk
 from wheelstep.rehearsal.scale.net import DelayedNet
 from wheelstep.rehearsal.scale.partners import Partners
@@ -35,17 +35,17 @@
     def __init__(self, shared: Shared, site: Site) -> None:
         self.shared, self.site = shared, site
         plan = shared.plan
-        shared.boot += 1
-        rng = random.Random(f"{plan.seed}/{site.name}/{shared.boot}")
+        boot = plan.boot + shared.lives[site.name]
+        shared.lives[site.name] += 1
+        rng = random.Random(f"{plan.seed}/{site.name}/{boot}")
         self.net = DelayedNet(Sockets(), site.zone, shared.zones, shared.links, frozenset())
         partners = Partners(shared.downs, shared.counts, shared.settings.conn_idle_us / 1e6, 1.0, rng)
         self.shelf = HollowDesk(shared.settings, rng.randrange(1 << 30), plan.shards, partners, shared.counts,
                                 shared.loop_epoch_s)
-        me = Member(site.name, shared.boot, State.ALIVE, site.address, site.serves, 1.0, site.zone)
         seeds = {name: address for name, address in shared.seeds.items() if name != site.name}
         self._loop = asyncio.get_running_loop()
-        self.membership = Membership(me, seeds, Limits(period_us=plan.probe_us), rng, self._now_us())
-        seal = Seal([key(plan)], FLEET, site.name, shared.boot)
+        self.membership = Membership(member(site, boot), seeds, Limits(period_us=plan.probe_us), rng, self._now_us())
+        seal = Seal([key(plan)], FLEET, site.name, boot)
         self._datagrams = Datagrams(seal, self._now_us, lambda data, to: self.net.send(to, data), self._packet,
                                     self._elder)
         self._watch = Watch(Address.parse(plan.discovery), NAMES, 0, self._listed, couriers=plan.hollow,
@@ -67,6 +67,12 @@
         """Has it the list?"""
         return bool(self.shelf.destinations)
 
+    def prime(self) -> None:
+        """Before its start: as the other kind."""
+        others = tuple(one for one in self.shared.members if one.name != self.site.name)
+        if others:
+            self.membership.heard(self._now_us(), others[0].name, others[0].address, Roll(0, others))
+
     async def start(self) -> None:
         """Listen and begin."""
         await self.net.listen(self.site.address, self._accept, self._datagrams.received)
