--- a/wheelstep/rehearsal/scale/host.py
+++ b/wheelstep/rehearsal/scale/host.py
@@ -2,7 +2,8 @@
 
 Says `{"hosts": N}` once it runs, then obeys lines on stdin, each answered by a line of JSON, and ends with its stdin:
 
-- `start`, `count` (how many are up, ready, and know how many others), `figures`, `seconds` (traffic second by second),
+- `make`, then `start` (all couriers; the first takes the longer), `count` (how many are up, ready, and know how many
+  others), `figures`, `seconds` (traffic second by second),
 - `traffic PER_S DENSE` (of each courier; the share of destinations that get any), `changed NAME...` (who lists an
   endpoint),
 - `kill NAME...`, `leave NAME...`, `silence NAME...`, `back NAME...` (the next life; what `kill` and `leave` left is
@@ -17,6 +18,7 @@
 import json
 import sys
 import time
+import traceback
 from collections import Counter
 from dataclasses import asdict
 from pathlib import Path
@@ -30,6 +32,7 @@
 
 _STARTS_AT_ONCE = 8
 _MOST_SECONDS = 900
+_MOST_TRACES = 50
 
 
 class Host:
@@ -44,6 +47,7 @@
             from wheelstep.rehearsal.scale.undivided import UndividedCourier
             self._make = UndividedCourier
         self._sites = {site.name: site for site in plan.sites() if site.host == number}
+        self._made: dict[str, Any] = {}
         self._up: dict[str, Any] = {}
         self._silent: list[Any] = []
         self._kept: dict[str, list[Stored]] = {}  # as in the journals of those that are down
@@ -60,7 +64,10 @@
     # --- lives ---
 
     async def _start(self, name: str) -> None:
-        courier = self._make(self._shared, self._sites[name])
+        for former in [one for one in self._silent if one.site.name == name]:  # the new machine has its address
+            self._silent.remove(former)
+            await former.close()
+        courier = self._made.pop(name, None) or self._make(self._shared, self._sites[name])
         await courier.start()
         self._up[name] = courier
         for message in self._kept.pop(name, []):
@@ -70,6 +77,13 @@
         courier.traffic.draw.dense = self._traffic[1]
         courier.traffic.set(self._traffic[0])
 
+    def make(self) -> dict[str, Any]:
+        """All, and each knows all others; nothing is sent yet."""
+        for name, site in self._sites.items():
+            self._made[name] = self._make(self._shared, site)
+            self._made[name].prime()
+        return {"made": len(self._made)}
+
     async def start(self) -> dict[str, Any]:
         """All, a few at a time."""
         turns = asyncio.Semaphore(_STARTS_AT_ONCE)
@@ -77,7 +91,6 @@
         async def one(name: str) -> None:
             async with turns:
                 await self._start(name)
-                await asyncio.sleep(0.02)
         await asyncio.gather(*map(one, self._sites))
         return {"up": len(self._up)}
 
@@ -135,6 +148,7 @@
                 "taken": {name: courier.shelf.taken for name, courier in self._up.items()},
                 "shards": {name: len(courier.shards()) for name, courier in self._up.items()},
                 "failed_s": max((courier.traffic.failed_s for courier in self._up.values()), default=0.0),
+                "exceptions": shared.exceptions,
                 "notes": dict(shared.notes.most_common(12)), "cpu_s": time.process_time(), "at_s": time.monotonic()}
 
     def seen(self, names: list[str]) -> dict[str, Any]:
@@ -188,7 +202,7 @@
                 return self.set_traffic(float(rest[0]), float(rest[1]))
             case "seen" | "changed":
                 return getattr(self, what)(rest)
-            case "count" | "figures" | "mark" | "moved" | "owed":
+            case "make" | "count" | "figures" | "mark" | "moved" | "owed":
                 return getattr(self, what)()
             case "seconds":
                 return self._seconds
@@ -196,6 +210,14 @@
                 return {"delivered": self._shared.counts.tracked, "ended": self._shared.counts.ended}
         raise ValueError(f"{line!r}: no such command")
 
+    def failed(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """Something raised that nobody heard: it is counted by its text, and its traceback goes to the log."""
+        error = context.get("exception")
+        self._shared.note(f"exception: {type(error).__name__}: {str(error)[:80]}")
+        self._shared.exceptions += 1
+        if self._shared.exceptions <= _MOST_TRACES:
+            traceback.print_exception(error) if error is not None else print(context, file=sys.stderr)
+
     async def look(self) -> None:
         """Once a second, for good."""
         while True:
@@ -213,6 +235,7 @@
 
 async def _serve(plan: Plan, number: int) -> None:
     host = Host(plan, number)
+    asyncio.get_running_loop().set_exception_handler(host.failed)
     print(json.dumps({"hosts": len(host.sites())}), flush=True)
     work = asyncio.create_task(host.look())
     async for line in end_with_stdin():
