--- a/benchmarks/page/compare.py
+++ b/benchmarks/page/compare.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from dataclasses import replace
 from statistics import median
 from typing import Any
 
@@ -66,7 +67,8 @@
          after.quiet(*full, f"{calls}handshakes_per_message", spell="dense"), f"under {plain(of('aim_handshakes'))}"),
         ("calls of one courier to one destination (by division)", f"one in {written(of('couriers') / rate, 's')}",
          f"one in {written(of('regions') / rate, 's')}", "-"),
-        ("share of messages that take the hop", "none", hop_share(after, *full), "-"),
+        ("share of messages that take the hop", "none", node_share(after, "message asked", *full), "-"),
+        ("messages taken as guest, in quiet", "none", node_share(after, "message guest", *full), "-"),
         ("202 at the median, hollow couriers", was.quiet(*full, f"{calls}202_p50_us", "s", 1e-6, "dense"),
          after.quiet(*full, f"{calls}202_p50_us", "s", 1e-6, "dense"), "-"),
         ("202, 99 of 100, hollow couriers", was.quiet(*full, f"{calls}202_p99_us", "s", 1e-6, "dense"),
@@ -88,9 +90,11 @@
     return (table(("what", "before", "after", "aim"), rows), _hop(results))
 
 
-def hop_share(after: After, couriers: float, destinations: float) -> Figure:
-    """Messages asked of another courier, of all that were handed in."""
-    asked = after.quiet(couriers, destinations, "nodes.asked", "share", spell="spread")
+def node_share(after: After, counted: str, couriers: float, destinations: float) -> Figure:
+    """What nodes counted, by message that was handed in; what they count only when it is there, is 0 elsewhere."""
+    asked = after.quiet(couriers, destinations, f"nodes.{counted}", "share", spell="spread")
+    if asked.value is None and after.of_size(couriers, destinations, "spread"):
+        asked = replace(after.quiet(couriers, destinations, "seconds", "share", spell="spread"), value=0.0, how="")
     handed = after.quiet(couriers, destinations, "calls.handed_in", spell="spread")
     return Figure(None, "share") if not handed.value else asked.times(1 / handed.value)
 
--- a/benchmarks/page/failures.py
+++ b/benchmarks/page/failures.py
@@ -23,12 +23,13 @@
     for kind in KINDS:
         found = after.fault(kind)
         if found is None:
-            rows.append((kind, *[NOT_MEASURED] * len(FIELDS), NOT_MEASURED, "-"))
+            rows.append((kind, *[NOT_MEASURED] * (len(FIELDS) + 3), "-"))
             continue
         run, fault = found
         runs[run] = results.files[run]
         over = [fault.get("flood", {}).get(f"most_{name}_per_s_over_usual") for name in FLOOD]
         rows.append((kind, *(Figure(fault.get(field), unit) for field, unit in FIELDS),
+                     *_answers(fault),
                      " / ".join("-" if one is None else plain(one) for one in over), f"`{run}`"))
     lines = [_ended(name, one) for name, one in runs.items()]
     return "\n\n".join((
@@ -40,9 +41,21 @@
         "couriers together.",
         table(("failure", "couriers hit", "shards that got another home", "dead known to all after",
                "last message without a 202 after", "homes steady after", "moves over the least",
+               "messages answered 503 / not at all", "taken by guests",
                "flood: packets / bytes / of the list / calls to partners", "run"), rows), *lines))
 
 
+def _answers(fault: Mapping[str, Any]) -> tuple[str, str]:
+    """Shares of what was handed in to hollow couriers during the fault."""
+    calls = fault.get("calls", {})
+    handed = calls.get("handed_in")
+    if not handed:
+        return NOT_MEASURED, NOT_MEASURED
+    refused, silent, guests = (written(value / handed, "share") for value in (
+        calls.get("answers_503", 0), calls.get("answers_none", 0), fault.get("nodes", {}).get("message guest", 0)))
+    return f"{refused} / {silent}", guests
+
+
 def _ended(name: str, run: Mapping[str, Any]) -> str:
     """How a run ended, for its messages."""
     checks, given = run.get("checks", {}), run["parameters"]
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -77,7 +77,9 @@
         "list_bytes_sent_per_s": 50, "peer_bytes_dialled_here_per_s": 250, "membership_bytes_received_per_s": 13_000,
         "list_bytes_received_per_s": 70, "shards_busiest_over_mean": 1.25}}
     calls = {"hollow_calls_to_down_10_s_share": 0.0003, "hollow_handshakes_per_message": 0.04, "handed_in": 500}
-    fault = {"fault": "zone", "couriers": 183, "homes_steady_s": 17.0, "flood": {"most_packets_per_s_over_usual": 6.5}}
+    taken = {"handed_in": 1_000, "answers_503": 5, "answers_none": 40}
+    fault = {"fault": "zone", "couriers": 183, "calls": taken, "nodes": {"message guest": 120},
+             "homes_steady_s": 17.0, "flood": {"most_packets_per_s_over_usual": 6.5}}
     return {"what": "scale_run", "commit": "c", "machine": {"cores": 8}, "seed": 1, "load": {"start": 1, "end": 2},
             "parameters": {"hollow": hollow, "real": 0, "destinations": 140_000, "undivided": undivided, "hosts": 2,
                            "down_share": 0.01, "down_s": 40.0, "rate": 0.01},
@@ -103,6 +105,7 @@
     assert "| 4% | under 5% |" in page  # 0.03% of calls, where 0.75% would go there without knowledge
     assert "| 0.04 | under 0.1 |" in page and "| 1.25 | at most 1.3 |" in page
     assert "| zone | 183 | not measured |" in lines["zone"] and "| 17 s |" in lines["zone"]
+    assert "| 0.5% / 4% | 12% |" in lines["zone"]
     assert "| 6.5 / - / - / - | `scale-1` |" in lines["zone"]
     assert "0 were lost and 3 doubled" in page and "77 messages 0 have no end" in page
 
