--- a/benchmarks/page/results.py
+++ b/benchmarks/page/results.py
@@ -157,7 +157,7 @@
         """Of each file that gave a figure: name, commit, load, machine."""
         def words(value: Any) -> str:
             return ", ".join(f"{key} {one}" for key, one in value.items()) if isinstance(value, dict) else str(value)
-        return [(name, *(words(one.get(key, "")) for key in ("commit", "load", "machine")))
+        return [(name, words(one.get("commit", ""))[:10], *(words(one.get(key, "")) for key in ("load", "machine")))
                 for name, one in self.files.items() if name in self.used]
 
 
--- a/benchmarks/page/verdicts.py
+++ b/benchmarks/page/verdicts.py
@@ -61,9 +61,10 @@
     return "\n\n".join((
         "## 7. What is over budget", "\n".join(lines) or "Nothing that was measured.",
         "### Why destinations are divided first",
-        "Of all that is over, these three come from one cause, every courier holding, calling and learning every "
-        "destination, and no other mechanism mends more than one of them. The right column is by division of the left "
-        "one's law, not a run; what the run shows stands in section 3.",
+        "Of all that is over, what follows comes from one cause: every courier holds, calls and learns every "
+        "destination. One mechanism mends it together: each destination has one home in a region, which alone holds, "
+        "calls and learns it. The right column is what a courier has then by division (memory and the turn as run at "
+        "that many destinations); what the fleet shows stands in section 3.",
         table(("what", "all at each", "divided", "allowed"), why)))
 
 
@@ -71,7 +72,10 @@
     """8: the commands, and the files that were used."""
     return "\n\n".join((
         "## 8. To run it again",
-        "    python -m benchmarks.measure.destinations     # and held, placement, voters, membership, members, deaths\n"
-        "    python benchmarks/capacity.py                 # this page; --check compares only",
+        "    python -m benchmarks.measure.destinations   # and the others of benchmarks/measure: a file each\n"
+        "    python -m benchmarks.shard_plan --json benchmarks/results/shard_plan.json\n"
+        "    python benchmarks/forwarding_cost.py --json benchmarks/results/forwarding_cost.json\n"
+        "    python benchmarks/scale_run.py --help       # the fleet's day, and --sweep for the slopes\n"
+        "    python benchmarks/capacity.py               # this page; --check compares only",
         "Each measurement writes its file in `benchmarks/results/`. Figures of this page come from these runs:",
         table(("file", "commit", "load", "machine"), results.machine())))
