A courier that hears of nobody waits 10 s before it takes itself for the home of all

It now waits until it knows half of its peers and has heard of nobody new for 0.5 s, 3 s if it knows any, 10 s alone.

--- a/tests/test_shard_node.py
+++ b/tests/test_shard_node.py
@@ -6,7 +6,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from tests.shard_nodes import SHARDS, Fleet, message, row, until
+from tests.shard_nodes import QUICK, SHARDS, Fleet, message, row, until
 from wheelstep.courier.desk import UnansweredError
 from wheelstep.journal import NoRoomError
 from wheelstep.shards.hosting import Life
@@ -139,3 +139,20 @@
             for name, shelf in fleet.shelves.items():
                 assert ("e5" in shelf.rows) is (fleet.home(5) == name)
     run(play())
+
+
+def test_a_courier_that_hears_of_nobody_does_not_take_itself_for_the_home_of_all() -> None:
+    async def play() -> None:
+        async with Fleet(3) as fleet:
+            addresses = dict(fleet.addresses)
+            for name in list(fleet.nodes):
+                await fleet.vanish(name)
+            fleet.addresses = dict.fromkeys(addresses, "127.0.0.1:9")  # nobody is there
+            del fleet.addresses["n2"]
+            node = await fleet.add("n2", 2, boot=2)
+            loop = asyncio.get_running_loop()
+            began_s = loop.time()
+            await until(lambda: node.formed)
+            assert loop.time() - began_s >= QUICK.forms_alone_us / 1e6 - 0.1
+            assert len(node.homes.mine()) == SHARDS
+    run(play())
--- a/wheelstep/shards/node.py
+++ b/wheelstep/shards/node.py
@@ -43,7 +43,7 @@
                  classes: Collection[str] | None = None) -> None:
         self._loop = asyncio.get_running_loop()
         self.settings, self.shards, self._shelf, self._net = settings, settings.shards, shelf, net
-        self._note, self._me, self._classes = note, me.name, classes
+        self._note, self._me, self._classes, self._seeds = note, me.name, classes, len(seeds)
         now_us = self.now_us()
         self.membership = Membership(me, seeds, settings.members, rng, now_us)
         self.homes = Homes(me, settings.shards, settings.load)
@@ -53,9 +53,9 @@
                            self.now_us, self._arm, note)
         self.hosting, self.handoff = self.lives.hosting, self.lives.handoff
         self.routing = Routing(self, self.router, self.waits, settings.opens_within_us)
-        seal = Seal(keys, fleet, me.name, boot)
-        self._datagrams = Datagrams(seal, self.now_us, lambda data, to: net.send(to, data), self._packet, self._elder)
-        self._seal = seal
+        self._seal = Seal(keys, fleet, me.name, boot)
+        self._datagrams = Datagrams(self._seal, self.now_us, lambda data, to: net.send(to, data), self._packet,
+                                    self._elder)
         self.links = self.lives.links = Links(
             self.membership.address_of, lambda: ForwardServer(self.routing.asked), self.lives.heard, self.lives.lost,
             settings.dial_us / 1e6)
@@ -151,10 +151,9 @@
 
     def be_guest(self, shard: int) -> bool:
         """Serve it for a while; False without room."""
-        try:
-            return self.lives.be_guest(shard)
-        finally:
-            self._arm()
+        room = self.lives.be_guest(shard)
+        self._arm()
+        return room
 
     def took(self, message: Stored) -> None:
         """A message was taken here though another is home."""
@@ -198,20 +197,25 @@
             self._moved(self.homes.saw(now_us, changed))
 
     def _form(self, now_us: int) -> None:
-        """Once it has heard of nobody new for a while: before, it would take itself for the home of all."""
-        quiet = now_us >= self._grew_us + self.settings.forms_quiet_us and len(self.membership.members()) > 1
-        if self._was or not (quiet or now_us >= self._began_us + self.settings.forms_within_us):
+        """Once it knows the others: before, it would take itself for the home of what is theirs."""
+        if self._was or now_us < self._forms_us():
             return
         self._was = [None] * self.shards
         self._moved(range(self.shards), first=True)
         self._note(f"fleet: this courier is home of {len(self.homes.mine())} shards of {self.shards}, "
                    f"{len(self.membership.members())} couriers")
 
+    def _forms_us(self) -> int:
+        members, settings = len(self.membership.members()), self.settings
+        within_us = self._began_us + settings.forms_within_us
+        if members == 1 and self._seeds:
+            return self._began_us + settings.forms_alone_us
+        knows = 2 * members > self._seeds and members > 1
+        return min(within_us, self._grew_us + settings.forms_quiet_us) if knows else within_us
+
     def _moved(self, shards: Set[int] | range, first: bool = False) -> None:
-        """Other homes than before, by this courier's view."""
-        if not self._was:
-            return
-        for shard in shards:
+        """Other homes than before, by this courier's view; none before it has formed."""
+        for shard in shards if self._was else ():
             home, was = self.homes.home(shard), self._was[shard]
             self._was[shard] = home
             if home == was:
@@ -239,8 +243,7 @@
     def _arm(self) -> None:
         due_us = min(self.membership.next_us(), self.lives.next_us())
         if not self._was:
-            due_us = min(due_us, self._grew_us + self.settings.forms_quiet_us,
-                         self._began_us + self.settings.forms_within_us)
+            due_us = min(due_us, self._forms_us())
         if self._timer is not None:
             self._timer.cancel()
         self._timer = self._loop.call_later(max(due_us - self.now_us(), 1_000) / 1e6, self._tick)
