--- a/wheelstep/rehearsal/shard_world/broken.py
+++ b/wheelstep/rehearsal/shard_world/broken.py
@@ -1,18 +1,100 @@
-"""Variants of the code under test that are wrong on purpose: each has to be caught."""
+"""Variants of the code under test that are wrong on purpose: each has to be caught, by the invariant that it breaks."""
 
 from __future__ import annotations
 
 import contextlib
 from collections.abc import Callable, Iterator, Mapping
+from typing import Any
 
-VARIANTS: Mapping[str, Callable[[], contextlib.AbstractContextManager[None]]] = {}
+from wheelstep.forwarding.client import ForwardClient
+from wheelstep.forwarding.server import ForwardServer, Turned
+from wheelstep.journal import Stored
+from wheelstep.shards.desks import RoutedDesk
+from wheelstep.shards.handoff import Handoff
+from wheelstep.shards.hosting import Hosting, Life
+from wheelstep.shards.list_client import ListClient
+from wheelstep.shards.passed import Passed
+from wheelstep.shards.router import Answer, Router
+from wheelstep.shards.routing import Routing
+
+Patch = tuple[type, str, Any]
+
+
+def _forwards_twice() -> list[Patch]:
+    """Who is asked and is not home asks on."""
+    asked = Routing.asked
+
+    def on(self: Any, message: Stored) -> Any:
+        found = asked(self, message)
+        away = isinstance(found, Turned) and found.is_ == "away"
+        return RoutedDesk(self._places.desk_here, self._route) if away else found
+    return [(Routing, "asked", on)]
+
+
+def _both_take() -> list[Patch]:
+    """A home that does not answer counts as one that was not asked."""
+    answered, tell = Router.answered, ForwardClient.tell
+
+    def taken(self: Any, now_us: int, handed: Any, courier: str, answer: Answer, sight: Any) -> Any:
+        return answered(self, now_us, handed, courier, Answer.NOT_ASKED if answer is Answer.SILENT else answer, sight)
+
+    def told(self: Any, what: str, desk: Any) -> None:
+        if what != "withdraw":
+            tell(self, what, desk)
+    return [(Router, "answered", taken), (ForwardClient, "tell", told)]
+
+
+def _neither_owes() -> list[Patch]:
+    """A home forgets what it took from a link that has ended, though its client may have heard 202."""
+    def lost(self: Any) -> None:
+        self._ended = True
+        for task in list(self._tasks.values()):
+            task.cancel()
+        pending, self._pending = self._pending, {}
+        for desk, message in pending.values():
+            desk.withdraw(message.id)
+    return [(ForwardServer, "lost", lost)]
+
+
+def _drains_late() -> list[Patch]:
+    """A courier keeps to a control machine that has fallen silent."""
+    init = ListClient.__init__
+
+    def patient(self: Any, *given: Any, **named: Any) -> None:
+        init(self, *given, **named)
+        self._silent_us = 60_000_000
+    return [(ListClient, "__init__", patient)]
+
+
+def _forgets_guests() -> list[Patch]:
+    """A guest shard is never dropped."""
+    look = Hosting._look
+
+    def kept(self: Any, now_us: int, shard: int, state: Any) -> Any:
+        return [] if state.life is Life.GUEST else look(self, now_us, shard, state)
+    return [(Hosting, "_look", kept)]
+
+
+def _loses_keys() -> list[Patch]:
+    """Whoever becomes home knows nothing of what former homes owe, and nobody remembers where a key was passed to."""
+    return [(Handoff, "rests_us", lambda self, now_us, destination, message_class, key: 0),
+            (Passed, "holder", lambda self, now_us, message: None)]
+
+
+VARIANTS: Mapping[str, Callable[[], list[Patch]]] = {
+    "forwards-twice": _forwards_twice, "both-take": _both_take, "neither-owes": _neither_owes,
+    "drains-late": _drains_late, "guest-forgotten": _forgets_guests, "keys-lost": _loses_keys}
 
 
 @contextlib.contextmanager
 def variant(name: str) -> Iterator[None]:
     """Within it the code is wrong in that way; "" leaves it as it is."""
-    if not name:
-        yield
-        return
-    with VARIANTS[name]():
+    patches = VARIANTS[name]() if name else []
+    before = [(what, attribute, getattr(what, attribute)) for what, attribute, _ in patches]
+    try:
+        for what, attribute, value in patches:
+            setattr(what, attribute, value)
         yield
+    finally:
+        for what, attribute, value in before:
+            setattr(what, attribute, value)
--- a/wheelstep/rehearsal/shard_world/check.py
+++ b/wheelstep/rehearsal/shard_world/check.py
@@ -22,7 +22,7 @@
 ERROR = "error"
 
 TOLD_US = 6 * S
-SLACK_US = 3 * S
+SLACK_US = 3 * S // 2
 
 
 class ViolationError(Exception):
@@ -52,6 +52,7 @@
     owner: dict[str, str] = field(default_factory=dict)  # who acts on it
     ends: dict[str, str] = field(default_factory=dict)
     handing: dict[str, Counter[str]] = field(default_factory=lambda: defaultdict(Counter))  # ids at each one's door
+    found: ViolationError | None = None
     lost: set[str] = field(default_factory=set)  # couriers that never come back
     _chains: dict[tuple[str, str, int], _Chain] = field(default_factory=dict)
     _chain_of: dict[str, _Chain] = field(default_factory=dict)
@@ -59,9 +60,11 @@
     _open: dict[str, int] = field(default_factory=dict)  # calls under way
 
     def fail(self, rule: str, *about: object) -> None:
-        """This run is over."""
+        """This run is over, also where the code under test catches the error."""
         text = " ".join(str(one) for one in about)
-        raise ViolationError(rule, f"seed {self.world.seed} at {self.world.now_us / S:.6f} s: {rule}: {text}")
+        error = ViolationError(rule, f"seed {self.world.seed} at {self.world.now_us / S:.6f} s: {rule}: {text}")
+        self.found, self.world.over = self.found or error, True
+        raise self.found
 
     # --- who has it ---
 
--- a/wheelstep/rehearsal/shard_world/faults.py
+++ b/wheelstep/rehearsal/shard_world/faults.py
@@ -17,8 +17,8 @@
 from wheelstep.shards.types import region_of
 
 KINDS = {"kill": 5, "vanish": 3, "for good": 1, "stop": 5, "cut": 4, "one way": 4, "alone": 3, "zone": 2, "regions": 2,
-         "slow": 3, "lossy": 3, "leave": 3, "weight": 2, "stall": 3, "control down": 3, "control stop": 2,
-         "controls gone": 1, "discovery cut": 1, "control cut": 2, "partners": 2, "flap": 2}
+         "slow": 3, "strain": 4, "lossy": 3, "leave": 3, "weight": 2, "stall": 3, "control down": 3, "control stop": 4,
+         "controls gone": 1, "discovery cut": 1, "control cut": 3, "partners": 2, "flap": 2}
 Pairs = list[tuple[str, str]]
 Row = tuple[int, str, int, int, int]
 
@@ -32,6 +32,8 @@
         span_us = int(rng.choice((0.3, 1.0, 3.0, 8.0)) * S * (0.5 + rng.random()))
         if kind in ("stop", "stall"):
             span_us = int((2 + 18 * rng.random() ** 3) * S)
+        elif kind.startswith("control"):
+            span_us = int((2 + 16 * rng.random()) * S)
         rows.append((rng.randrange(begin_us, until_us), kind, rng.randrange(1 << 16), span_us, rng.randrange(1 << 30)))
     return sorted(rows)
 
@@ -43,7 +45,7 @@
 
 @dataclass(slots=True)
 class Faults:
-    """Plays a plan. `burst` hands hundreds of messages in, to homes on this courier."""
+    """Plays a plan. `burst` hands hundreds of messages in: at all but this courier, or at it."""
 
     world: World
     fabric: Fabric
@@ -51,7 +53,7 @@
     controls: list[Control]
     discovery: Discovery
     partners: Partners
-    burst: Callable[[Courier, random.Random], None]
+    burst: Callable[[Courier, random.Random, bool], None]
     changed: Callable[[], None]
     over: bool = False
     gone: int = field(default=0)
@@ -86,7 +88,7 @@
             case "stop" | "stall":
                 courier.stop()
                 if kind == "stall":
-                    self.burst(courier, rng)
+                    self.burst(courier, rng, False)
                 self.world.after(span_us, self._wake, courier)
             case "leave" | "weight":
                 if kind == "weight":
@@ -110,23 +112,29 @@
                 pairs = both([courier.name], everybody)
                 self.fabric.slow.update(dict.fromkeys(pairs, 50 * MS + rng.randrange(500 * MS)))
                 self.world.after(span_us, self._fast, pairs)
+            case "strain":  # slow, and then it dies with much under way
+                pairs = both([courier.name], everybody)
+                self.fabric.slow.update(dict.fromkeys(pairs, 20 * MS + rng.randrange(120 * MS)))
+                self.burst(courier, rng, True)
+                self.world.after(200 * MS + rng.randrange(S), self._flap, courier)
+                self.world.after(2 * S, self._fast, pairs)
             case "lossy":
                 self.fabric.lose, self.fabric.double, self.fabric.late = 0.2 * rng.random(), 0.05, 0.1
                 self.world.after(span_us, self._clear)
             case "control down":
-                control.kill(rng.random() < 0.5)
-                self._back(control, 2 * span_us)
+                control.kill(rng.random() < 0.6)
+                self._back(control, span_us)
             case "control stop":
                 control.stop()
                 self.world.after(span_us, self._wake, control)
             case "controls gone":
                 for one in self.controls:
                     one.kill(rng.random() < 0.5)
-                    self._back(one, 2 * span_us + rng.randrange(S))
+                    self._back(one, span_us + rng.randrange(S))
             case "discovery cut":
                 self._cut(both([control.name], [DISCOVERY]), span_us)
             case "control cut":
-                self._cut(both([control.name], [one.name for one in self.fleet if rng.random() < 0.7]), 2 * span_us)
+                self._cut(both([control.name], [one.name for one in self.fleet if rng.random() < 0.7]), span_us)
             case "partners":
                 down = [host for host in sorted(self.discovery.rows) if rng.random() < 0.3]
                 self.partners.down.update(down)
--- a/wheelstep/rehearsal/shard_world/net.py
+++ b/wheelstep/rehearsal/shard_world/net.py
@@ -150,7 +150,7 @@
         self._out: list[bytes | None] = []  # stalled, in order; None: the end
         self._out_bytes = 0
         self._last_us = 0
-        self._sent = self._dropped_from = 0
+        self._sent = self._came = self._dropped_from = 0
         self._read_on = False  # has its dialler, or its listener, gone on with it?
         self._early: list[bytes] = []  # what came before
         self._ends_early = False
@@ -243,6 +243,7 @@
             self.process.deliver(self._hung_up)
 
     def _arrive(self, number: int, data: bytes | None) -> None:
+        self._came = number
         if self._dropped_from and number >= self._dropped_from and data is not None:
             return
         peer = self.peer
@@ -284,7 +285,7 @@
             self._fabric.world.after(PROBED_US, self.peer.process.deliver, self.peer._hung_up)
             return
         if self._fabric.rng.random() < 0.5:
-            self._dropped_from = max(1, self._sent - int(self._fabric.rng.random() * 4))  # what was under way
+            self._dropped_from = self._fabric.rng.randint(self._came + 1, self._sent + 1)  # what was under way
             self._out.clear()
         self._carry(None)
 
--- a/wheelstep/rehearsal/shard_world/run.py
+++ b/wheelstep/rehearsal/shard_world/run.py
@@ -139,13 +139,13 @@
                                               "", destination, "SERVING"))
         at_us = 3 * S
         while at_us < self.setup.faults_us + 2 * S:
-            at_us += rng.randrange(1_200 * MS)
+            at_us += rng.randrange(800 * MS)
             self.world.at(at_us, self._relist, rng.randrange(1 << 30))
 
     def _relist(self, number: int) -> None:
         rng, rows = random.Random(number), self.discovery.rows
         host = rng.choice(sorted(rows))
-        match rng.choice(("drain", "drain", "back", "delete", "new")):
+        match rng.choice(("drain", "drain", "drain", "back", "back", "delete", "new")):
             case "drain" if rows[host].health == "SERVING" and self._others(host):
                 self.discovery.turn(host, "DRAINING")
             case "delete" if self._others(host):
@@ -167,9 +167,9 @@
 
     # --- messages beside the clients' ---
 
-    def _burst(self, home: Courier, rng: random.Random) -> None:
-        """Some hundreds within half a second, at all the others."""
-        others = [one for one in self.fleet if one is not home and not one.lost]
+    def _burst(self, courier: Courier, rng: random.Random, at_it: bool) -> None:
+        """Some hundreds within half a second, at this courier or at all the others."""
+        others = [courier] if at_it else [one for one in self.fleet if one is not courier and not one.lost]
         for number in range(rng.randint(50, 150)):
             deadline_ms = (self.world.wall_us() + 6 * S) // MS
             message = Stored(f"b{self.world.now_us}.{number}", rng.choice(("safe", "unsafe")),
@@ -193,7 +193,7 @@
 
     def play(self) -> Result:
         """To its end, or to the first violation or error."""
-        setup, world, text, rule = self.setup, self.world, "", ""
+        setup, world, check, text, rule = self.setup, self.world, self.check, "", ""
         errors, log = _Errors(world), logging.getLogger("wheelstep")
         before = log.propagate, log.level, gc.isenabled()
         log.addHandler(errors)
@@ -202,14 +202,16 @@
         gc.disable()
         try:
             with clock.virtual(world):
-                world.run(setup.faults_us)
-                self.faults.heal()
-                world.run(setup.faults_us + setup.quiet_us - 3 * S)
-                self._probe()
-                world.run(setup.faults_us + setup.quiet_us)
+                for until_us, then in ((setup.faults_us, self.faults.heal),
+                                       (setup.faults_us + setup.quiet_us - 3 * S, self._probe),
+                                       (setup.faults_us + setup.quiet_us, lambda: None)):
+                    world.run(until_us)
+                    if check.found is not None:
+                        raise check.found
+                    then()
                 if errors.found:
-                    self.check.fail(ERROR, errors.found)
-                final(self.check, self.fleet, self._probes, setup.shards)
+                    check.fail(ERROR, errors.found)
+                final(check, self.fleet, self._probes, setup.shards)
         except ViolationError as error:
             text, rule = str(error), error.rule
         except Exception as error:  # code under test that fails is a finding like any other
--- a/wheelstep/rehearsal/shard_world/shelf.py
+++ b/wheelstep/rehearsal/shard_world/shelf.py
@@ -225,6 +225,8 @@
         held.out, held.calls = self._number, held.calls + 1
         before = self._disk.rows[name].ran
         self._disk.ran(name, True)
+        if message.message_class == UNSAFE:
+            self._disk.sync()  # else its call could be forgotten with the machine's power
         self._partners.call(self._process, endpoint, message,
                             functools.partial(self._heard, name, self._number, endpoint, before))
         loop.call_later(WAIT_S, self._late, name, self._number, endpoint)
--- a/wheelstep/rehearsal/shard_world/world.py
+++ b/wheelstep/rehearsal/shard_world/world.py
@@ -26,6 +26,7 @@
         self.rng = random.Random(seed)
         self.now_us = 0
         self.events = 0
+        self.over = False  # nothing more is played
         self.mark = zlib.crc32(str(seed).encode())
         self.lines: list[str] | None = [] if traced else None
         self.count: Counter[str] = Counter()
@@ -46,11 +47,12 @@
     def run(self, until_us: int) -> None:
         """Play all events up to then."""
         queue = self._queue
-        while queue and queue[0][0] <= until_us:
+        while queue and queue[0][0] <= until_us and not self.over:
             self.now_us, _, what, given = heapq.heappop(queue)
             self.events += 1
             what(*given)
-        self.now_us = until_us
+        if not self.over:
+            self.now_us = until_us
 
     def run_till(self, done: Callable[[], bool]) -> None:
         """Play events until this holds. Raises `StuckError` if it never will."""
