--- a/wheelstep/rehearsal/shard_world/broken.py
+++ b/wheelstep/rehearsal/shard_world/broken.py
@@ -4,11 +4,13 @@
 
 import contextlib
 from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
 from typing import Any
 
 from wheelstep.forwarding.client import ForwardClient
 from wheelstep.forwarding.server import ForwardServer, Turned
 from wheelstep.journal import Stored
+from wheelstep.rehearsal.shard_world import check
 from wheelstep.shards.desks import RoutedDesk
 from wheelstep.shards.handoff import Handoff
 from wheelstep.shards.hosting import Hosting, Life
@@ -81,15 +83,31 @@
             (Passed, "holder", lambda self, now_us, message: None)]
 
 
-VARIANTS: Mapping[str, Callable[[], list[Patch]]] = {
-    "forwards-twice": _forwards_twice, "both-take": _both_take, "neither-owes": _neither_owes,
-    "drains-late": _drains_late, "guest-forgotten": _forgets_guests, "keys-lost": _loses_keys}
+@dataclass(frozen=True, slots=True)
+class Variant:
+    """What is wrong, the invariant that it breaks, and the faults that show it: so many of these kinds a run, within
+    so many seeds from 0 on."""
+
+    patches: Callable[[], list[Patch]]
+    rule: str
+    kinds: tuple[str, ...]
+    count: int
+    seeds: int
+
+
+VARIANTS: Mapping[str, Variant] = {
+    "forwards-twice": Variant(_forwards_twice, check.ONE_HOP, ("leave", "kill", "stop"), 8, 4),
+    "both-take": Variant(_both_take, check.TAKEN_ONCE, ("strain", "one way", "kill"), 12, 6),
+    "neither-owes": Variant(_neither_owes, check.OWED, ("strain",), 12, 6),
+    "drains-late": Variant(_drains_late, check.TOLD_IN_TIME, ("control stop",), 3, 10),
+    "guest-forgotten": Variant(_forgets_guests, check.GUESTS, ("kill", "cut"), 8, 4),
+    "keys-lost": Variant(_loses_keys, check.IN_ORDER, ("leave", "weight", "stop", "alone"), 10, 10)}
 
 
 @contextlib.contextmanager
 def variant(name: str) -> Iterator[None]:
     """Within it the code is wrong in that way; "" leaves it as it is."""
-    patches = VARIANTS[name]() if name else []
+    patches = VARIANTS[name].patches() if name else []
     before = [(what, attribute, getattr(what, attribute)) for what, attribute, _ in patches]
     try:
         for what, attribute, value in patches:
--- a/wheelstep/rehearsal/shard_world/control.py
+++ b/wheelstep/rehearsal/shard_world/control.py
@@ -11,7 +11,7 @@
 from wheelstep import interface as api
 from wheelstep.courier.config import Address
 from wheelstep.rehearsal.shard_world.discovery import Discovery
-from wheelstep.rehearsal.shard_world.machine import FLEET, KEYS, Machine
+from wheelstep.rehearsal.shard_world.machine import FLEET, KEYS, Machine, Ordered
 from wheelstep.rehearsal.shard_world.net import SimNet
 from wheelstep.rehearsal.shard_world.process import Process
 from wheelstep.shards.control import ControlMachine
@@ -30,6 +30,7 @@
                                  Address("discovery", 1), lambda: int(loop.time() * 1e6))
         seen = SimpleNamespace(seq=0, move=lambda address: None)
         machine.watch = cast(Any, seen)
+        cast(Any, machine.streams)._links = Ordered()
         await machine.start(self.address)
 
         def told(seq: int, whole: bool, rows: Sequence[ListRow]) -> None:
--- a/wheelstep/rehearsal/shard_world/courier.py
+++ b/wheelstep/rehearsal/shard_world/courier.py
@@ -11,7 +11,7 @@
 from wheelstep.forwarding.client import ForwardClient
 from wheelstep.rehearsal.shard_world.discovery import read
 from wheelstep.rehearsal.shard_world.door import Door
-from wheelstep.rehearsal.shard_world.machine import FLEET, KEYS, Machine
+from wheelstep.rehearsal.shard_world.machine import FLEET, KEYS, Machine, Ordered
 from wheelstep.rehearsal.shard_world.net import SimNet
 from wheelstep.rehearsal.shard_world.partners import Partners
 from wheelstep.rehearsal.shard_world.process import Process
@@ -44,6 +44,7 @@
                          SimNet(self.fabric, process), read,
                          random.Random(f"{self.world.seed} {self.name} {boot} node"),
                          lambda text: self.world.trace(self.name, "notes", text))
+        cast(Any, node.streams)._links, cast(Any, node.links)._tasks = Ordered(), Ordered()
         ways = node.client
         cast(Any, node).client = lambda courier: _Watched(ways(courier), self, courier)
         self.node, self.shelf, self.door = node, shelf, None
--- a/wheelstep/rehearsal/shard_world/faults.py
+++ b/wheelstep/rehearsal/shard_world/faults.py
@@ -26,16 +26,23 @@
 def draw(seed: int, begin_us: int, until_us: int, most: int) -> list[Row]:
     """When, which kind, whose number, how long, a number of its own."""
     rng = random.Random(seed ^ 0xFA17)
-    rows = []
-    for _ in range(rng.randint(1, most)):
-        kind = rng.choices(list(KINDS), list(KINDS.values()))[0]
-        span_us = int(rng.choice((0.3, 1.0, 3.0, 8.0)) * S * (0.5 + rng.random()))
-        if kind in ("stop", "stall"):
-            span_us = int((2 + 18 * rng.random() ** 3) * S)
-        elif kind.startswith("control"):
-            span_us = int((2 + 16 * rng.random()) * S)
-        rows.append((rng.randrange(begin_us, until_us), kind, rng.randrange(1 << 16), span_us, rng.randrange(1 << 30)))
-    return sorted(rows)
+    return sorted(_row(rng, rng.choices(list(KINDS), list(KINDS.values()))[0], begin_us, until_us)
+                  for _ in range(rng.randint(1, most)))
+
+
+def pressed(seed: int, kinds: Sequence[str], count: int, begin_us: int, until_us: int) -> list[Row]:
+    """So many of these kinds alone."""
+    rng = random.Random(seed ^ 0xFA18)
+    return sorted(_row(rng, rng.choice(kinds), begin_us, until_us) for _ in range(count))
+
+
+def _row(rng: random.Random, kind: str, begin_us: int, until_us: int) -> Row:
+    span_us = int(rng.choice((0.3, 1.0, 3.0, 8.0)) * S * (0.5 + rng.random()))
+    if kind in ("stop", "stall"):
+        span_us = int((2 + 18 * rng.random() ** 3) * S)
+    elif kind.startswith("control"):
+        span_us = int((2 + 16 * rng.random()) * S)
+    return rng.randrange(begin_us, until_us), kind, rng.randrange(1 << 16), span_us, rng.randrange(1 << 30)
 
 
 def both(one: Sequence[str], other: Sequence[str]) -> Pairs:
--- a/wheelstep/rehearsal/shard_world/machine.py
+++ b/wheelstep/rehearsal/shard_world/machine.py
@@ -15,6 +15,19 @@
 FLEET = "rehearsed"
 
 
+class Ordered(dict[Any, None]):
+    """A set that keeps the order in which things came. The code under test ends links and tasks in the order of sets,
+    which is that of their places in memory: no two runs would be the same."""
+
+    def add(self, one: object) -> None:
+        """As a set's."""
+        self[one] = None
+
+    def discard(self, one: object) -> None:
+        """As a set's."""
+        self.pop(one, None)
+
+
 class Machine:
     """`name` in the zone `place`."""
 
--- a/wheelstep/rehearsal/shard_world/run.py
+++ b/wheelstep/rehearsal/shard_world/run.py
@@ -7,6 +7,7 @@
 import random
 import traceback
 from collections import Counter
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from wheelstep.journal import Stored
@@ -239,3 +240,9 @@
 def play(seed: int, traced: bool = False) -> Result:
     """The run of this seed."""
     return Run(seed, drawn(seed), traced).play()
+
+
+def press(seed: int, kinds: Sequence[str], count: int, traced: bool = False) -> Result:
+    """The same fleet under so many faults of these kinds alone."""
+    setup = drawn(seed)
+    return Run(seed, setup, traced, faults.pressed(seed, kinds, count, setup.calm_us, setup.faults_us - S)).play()
