--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -21,7 +21,8 @@
 DESTINATIONS = 240
 WAIT_S = 30.0
 PLAN = Plan(seed=3, hollow=60, real=3, destinations=DESTINATIONS, regions=2, zones=6, control=2, shards=256, rate=0.002,
-            hosts=2, base=16, epoch_s=0.0, links="", probe_us=200_000, down_share=0.01, down_s=2.0, changes_per_s=2.0)
+            hosts=2, base=16, epoch_s=0.0, boot=0, links="", probe_us=200_000, down_share=0.01, down_s=2.0,
+            changes_per_s=2.0)
 
 
 class Seen:
@@ -63,6 +64,7 @@
     assert seen.gone and not seen.unreached, seen.unreached[:5]
     assert followed["taken"] >= 8 * DESTINATIONS and followed["delivered"] > 0
     assert (followed["lost"], followed["doubled"], followed["wrong"]) == (0, 0, [])
+    assert checks["hollow_exceptions"] == 0, result["notes"]
     assert checks["hollow_without_end"] == 0 and checks["hollow_held"] == 0 and checks["left_running"] == 0
     assert told == ["start", "drain", "end"]
 
