--- a/wheelstep/rehearsal/scale/fleet.py
+++ b/wheelstep/rehearsal/scale/fleet.py
@@ -25,7 +25,7 @@
 
 _PACKAGE = "wheelstep.rehearsal.scale"
 _ROOT = Path(__file__).resolve().parents[3]
-_STARTS_AT_ONCE = 4
+_STARTS_AT_ONCE = 6
 BASES = range(16, 90)
 
 
