--- a/wheelstep/rehearsal/scale/courier.py
+++ b/wheelstep/rehearsal/scale/courier.py
@@ -19,6 +19,7 @@
 from wheelstep.rehearsal.scale.settings import NAMES, settings
 from wheelstep.rehearsal.scale.shelf import HollowShelf
 from wheelstep.rehearsal.scale.traffic import Draw, Histogram, Traffic
+from wheelstep.shards.hosting import Life
 from wheelstep.shards.net import Sockets
 from wheelstep.shards.node import ShardNode
 from wheelstep.shards.settings import NodeSettings
@@ -114,6 +115,10 @@
         """Those that it is home of, by its own view."""
         return frozenset(self.node.homes.mine())
 
+    def opening(self) -> int:
+        """Shards that wait for rows or for what was learned."""
+        return len(self.node.hosting.of(Life.OPENING))
+
     def sees(self, name: str) -> bool:
         """Does it hold this courier for one that may be home?"""
         member = self.node.membership.member(name)
--- a/wheelstep/rehearsal/scale/fleet.py
+++ b/wheelstep/rehearsal/scale/fleet.py
@@ -25,7 +25,8 @@
 
 _PACKAGE = "wheelstep.rehearsal.scale"
 _ROOT = Path(__file__).resolve().parents[3]
-_STARTS_AT_ONCE = 6
+_STARTS_AT_ONCE = 3
+_CALM, _SOON_S = 5, 0.15  # answers in a row, and how soon
 BASES = range(16, 90)
 
 
@@ -111,6 +112,7 @@
         await self.ask("make")
         await self.ask("start")
         await self.formed(self.plan.hollow, within_s)
+        await self.calm(within_s)
         await asyncio.gather(*map(one, self.real))
         await self.formed(self.plan.hollow + self.plan.real, within_s)
 
@@ -128,6 +130,17 @@
                                  f"of {members} members; logs in {self.folder}")
             await asyncio.sleep(0.2)
 
+    async def calm(self, within_s: float) -> None:
+        """Until all shards are open, and every process of hollow couriers answers soon, several times in a row: what
+        starts while their loops are full takes itself for alone, and they it for dead. Not for longer than this."""
+        end_s, calm = time.monotonic() + within_s, 0
+        while calm < _CALM and time.monotonic() < end_s:
+            asked_s = time.monotonic()
+            counts = await self.ask("count")
+            soon = time.monotonic() - asked_s < _SOON_S
+            calm = calm + 1 if soon and not sum(one["opening"] for one in counts) else 0
+            await asyncio.sleep(0.2)
+
     async def ask(self, line: str) -> list[Any]:
         """All processes of hollow couriers, at the same time. Raises `EOFError` where one has ended."""
         return list(await asyncio.gather(*(host.ask(line) for host in self.hosts)))
--- a/wheelstep/rehearsal/scale/host.py
+++ b/wheelstep/rehearsal/scale/host.py
@@ -119,6 +119,7 @@
         couriers = self._up.values()
         members = [courier.members() for courier in couriers]
         return {"up": len(members), "ready": sum(courier.ready for courier in couriers),
+                "opening": sum(courier.opening() for courier in couriers),
                 "least_members": min(members, default=0), "shards": sum(len(one.shards()) for one in couriers)}
 
     def set_traffic(self, per_s: float, dense: float) -> dict[str, Any]:
--- a/wheelstep/rehearsal/scale/undivided.py
+++ b/wheelstep/rehearsal/scale/undivided.py
@@ -114,6 +114,10 @@
         """It has none."""
         return frozenset()
 
+    def opening(self) -> int:
+        """None."""
+        return 0
+
     def sees(self, name: str) -> bool:
         """Does it hold this courier for one that is here?"""
         member = self.membership.member(name)
