--- a/wheelstep/rehearsal/scale/courier.py
+++ b/wheelstep/rehearsal/scale/courier.py
@@ -100,9 +100,9 @@
         return self.net.silent
 
     def prime(self) -> None:
-        """Before its start: it hears of all hollow couriers at once, and then of nobody new, `QUIET` times. A whole fleet
-        that begins at one moment is nothing that is measured here: it would cost each ring a change for every member,
-        and keep all busy with whole tables for half a minute, so that a real one that starts is not heard."""
+        """Before its start: it hears of all hollow couriers at once, and then of nobody new, `QUIET` times. A whole
+        fleet that begins at one moment is nothing that is measured here: it would cost each ring a change for every
+        member, and keep all busy with whole tables for half a minute, so that a real one that starts is not heard."""
         others = tuple(one for one in self.shared.members if one.name != self.site.name)
         if others:
             for told in [Roll(0, others), *[Roll(0, others[:1])] * QUIET]:
