--- a/tests/test_scale_parts.py
+++ b/tests/test_scale_parts.py
@@ -104,7 +104,9 @@
 def test_what_goes_far_comes_later_in_its_order_and_what_is_near_at_once(tmp_path: Path) -> None:
     async def work() -> None:
         wire, net, _ = distant(tmp_path)
+        net.send("far:1", b"later")
         net.send("near:1", b"now")
+        await asyncio.sleep(0.01)
         assert wire.sent == [("near:1", b"now")]
         began_s = time.monotonic()
         heard: list[bytes] = []
@@ -117,7 +119,15 @@
             await asyncio.sleep(0.005)
         assert wire.written == heard == [b"%d" % number for number in range(20)]
         assert time.monotonic() - began_s >= 0.15  # a round trip to dial, one way for the bytes
-        assert net.traffic.control_writes == 20 and net.traffic.peer_writes == 0
+        assert wire.sent == [("near:1", b"now"), ("far:1", b"later")]
+        pipe.write(b"first")
+        await asyncio.sleep(0.03)
+        second_s = time.monotonic()
+        pipe.write(b"second")
+        while wire.written[-1] != b"second":
+            await asyncio.sleep(0.001)
+        assert time.monotonic() - second_s >= 0.05  # also behind one that was due before
+        assert net.traffic.control_writes == 22 and net.traffic.peer_writes == 0
     run(work)
 
 
--- a/wheelstep/rehearsal/scale/courier.py
+++ b/wheelstep/rehearsal/scale/courier.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from wheelstep.courier.rows import Row
-from wheelstep.fleet.membership import Limits
+from wheelstep.fleet.membership import QUIET, Limits, Membership
 from wheelstep.fleet.types import Member, Roll, State
 from wheelstep.rehearsal.scale.downs import Downs
 from wheelstep.rehearsal.scale.links import Links
@@ -68,6 +68,12 @@
     return Member(site.name, boot, State.ALIVE, site.address, site.serves, 1.0, site.zone)
 
 
+def settle(membership: Membership, rng: random.Random) -> None:
+    """It has looked into tables that told of nobody new, and looks again at a moment of its own."""
+    membership._quiet = QUIET
+    membership._period = rng.randrange(Limits().hello_periods)
+
+
 class HollowCourier:
     """One life of it."""
 
@@ -77,6 +83,7 @@
         boot = plan.boot + shared.lives[site.name]
         shared.lives[site.name] += 1
         rng = random.Random(f"{plan.seed}/{site.name}/{boot}")
+        self._rng = rng
         self.net = DelayedNet(Sockets(), site.zone, shared.zones, shared.links, frozenset(shared.control.values()))
         partners = Partners(shared.downs, shared.counts, shared.settings.conn_idle_us / 1e6, 1.0, rng)
         self.shelf = HollowShelf(shared.settings, rng.randrange(1 << 30), plan.shards, partners, shared.counts,
@@ -100,12 +107,14 @@
         return self.net.silent
 
     def prime(self) -> None:
-        """Before its start: it hears of all hollow couriers at once. A whole fleet that begins at one moment is nothing
-        that is measured here, and would cost each ring a change for every member."""
+        """Before its start: it hears of all hollow couriers at once, and is as one that has been up for a while: it
+        looks into another's table at a moment of its own. A whole fleet that begins at one moment is nothing that is
+        measured here: it costs each ring a change for every member, and all look into tables in the same second."""
         others = tuple(one for one in self.shared.members if one.name != self.site.name)
         if others:
             told = Roll(0, others)
             self.node._members(self.node.membership.heard(self.node.now_us(), others[0].name, others[0].address, told))
+            settle(self.node.membership, self._rng)
 
     async def start(self) -> None:
         """Listen and begin. Raises `OSError`."""
--- a/wheelstep/rehearsal/scale/day.py
+++ b/wheelstep/rehearsal/scale/day.py
@@ -18,6 +18,7 @@
 _STEADY_S = 2.0  # homes that have not moved for so long stay
 _AFTER_S = 3.0  # looked at beyond that
 _CUT_S = 30.0
+_WARM_S = 10.0  # until destinations that have their real rate have had their first calls
 
 Tell = Callable[[str], None]
 
@@ -48,8 +49,8 @@
 
     # --- quiet ---
 
-    async def _spell(self, name: str) -> None:
-        await asyncio.sleep(min(3.0, self._spell_s / 4))  # the first messages find no connection
+    async def _spell(self, name: str, warm_s: float = 3.0) -> None:
+        await asyncio.sleep(min(warm_s, self._spell_s))  # the first messages find no connection
         before = await self._fleet.figures()
         await asyncio.sleep(self._spell_s)
         after = await self._fleet.figures()
@@ -69,7 +70,7 @@
     async def dense(self) -> None:
         """The same over that fraction of the destinations: each has its real rate."""
         await self._fleet.traffic(self._per_s(), max(self._fleet.plan.rate, 1e-6))
-        await self._spell("dense")
+        await self._spell("dense", _WARM_S)
 
     # --- faults ---
 
--- a/wheelstep/rehearsal/scale/play.py
+++ b/wheelstep/rehearsal/scale/play.py
@@ -67,7 +67,7 @@
     """The result. `look` is called with the fleet once it is up, in place of the day's faults where parts are none.
     Raises `NoRunError`, `TimeoutError`, and `EOFError` where a process has ended."""
     raise_limits()
-    load, (base, lock) = os.getloadavg(), take_base()
+    load, state, (base, lock) = os.getloadavg(), commit(), take_base()
     with tempfile.TemporaryDirectory(prefix="umberchute-scale-") as temporary, lock:
         name = str((given.folder or Path(temporary)).resolve())
         Path(name).mkdir(parents=True, exist_ok=True)
@@ -93,7 +93,7 @@
             tell("end")
             left = await fleet.close()
     result = {
-        "what": "scale_run", "commit": commit(), "machine": machine(),
+        "what": "scale_run", "commit": state, "machine": machine(),
         "parameters": _parameters(given), "seed": plan.seed,
         "load": {"start": load[0], "end": os.getloadavg()[0]},
         "start": {"seconds": up_s, "host_memory_bytes_empty": figures.mean(empty["memory_bytes"]["hosts"]),
--- a/wheelstep/rehearsal/scale/undivided.py
+++ b/wheelstep/rehearsal/scale/undivided.py
@@ -16,7 +16,7 @@
 from wheelstep.fleet.membership import Limits, Membership
 from wheelstep.fleet.packets import Elder, Seal
 from wheelstep.fleet.types import Action, Packet, Roll, SendPacket, State
-from wheelstep.rehearsal.scale.courier import Shared, member
+from wheelstep.rehearsal.scale.courier import Shared, member, settle
 from wheelstep.rehearsal.scale.desk import HollowDesk
 from wheelstep.rehearsal.scale.net import DelayedNet
 from wheelstep.rehearsal.scale.partners import Partners
@@ -38,6 +38,7 @@
         boot = plan.boot + shared.lives[site.name]
         shared.lives[site.name] += 1
         rng = random.Random(f"{plan.seed}/{site.name}/{boot}")
+        self._rng = rng
         self.net = DelayedNet(Sockets(), site.zone, shared.zones, shared.links, frozenset())
         partners = Partners(shared.downs, shared.counts, shared.settings.conn_idle_us / 1e6, 1.0, rng)
         self.shelf = HollowDesk(shared.settings, rng.randrange(1 << 30), plan.shards, partners, shared.counts,
@@ -72,6 +73,7 @@
         others = tuple(one for one in self.shared.members if one.name != self.site.name)
         if others:
             self.membership.heard(self._now_us(), others[0].name, others[0].address, Roll(0, others))
+            settle(self.membership, self._rng)
 
     async def start(self) -> None:
         """Listen and begin."""
