--- a/wheelstep/rehearsal/scale/play.py
+++ b/wheelstep/rehearsal/scale/play.py
@@ -24,6 +24,7 @@
 
 _DESCRIPTORS = 65_536
 _LEAST_DESCRIPTORS = 4_096
+_CHECKS_S = DEADLINE_S + 20.0  # kept for the drain
 _ROOT = Path(__file__).resolve().parents[3]
 
 
@@ -76,6 +77,7 @@
         day = Day(fleet, given.spell_s, tell)
         began_s = time.monotonic()
         left: list[int] = []
+        checks: dict[str, Any] = {"cut_short": True}
         try:
             async with asyncio.timeout(given.minutes * 60):
                 tell("start")
@@ -85,13 +87,22 @@
                 up_s = time.monotonic() - began_s
                 if look is not None:
                     await look(fleet)
-                await day.play(given.parts)
+                last = await fleet.figures()
+                try:
+                    async with asyncio.timeout(given.minutes * 60 - (time.monotonic() - began_s) - _CHECKS_S):
+                        await day.play(given.parts)
+                except TimeoutError:
+                    tell("cut short")  # what was measured before counts; the checks still come
                 tell("drain")
                 checks = await _checks(fleet)
                 last = await fleet.figures()
+        except TimeoutError:
+            if not day.quiet:
+                raise
         finally:
             tell("end")
             left = await fleet.close()
+    checks["parts_played"] = [*day.quiet, *(fault["fault"] for fault in day.faults)]
     result = {
         "what": "scale_run", "commit": state, "machine": machine(),
         "parameters": _parameters(given), "seed": plan.seed,
