--- a/wheelstep/rehearsal/scale/host.py
+++ b/wheelstep/rehearsal/scale/host.py
@@ -82,7 +82,6 @@
     async def start(self) -> dict[str, Any]:
         """All, a few at a time."""
         turns = asyncio.Semaphore(_STARTS_AT_ONCE)
-
         async def one(name: str) -> None:
             async with turns:
                 await self._start(name)
