--- a/wheelstep/rehearsal/shard_world/clients.py
+++ b/wheelstep/rehearsal/shard_world/clients.py
@@ -9,7 +9,7 @@
 
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from wheelstep.courier.request import Request
 from wheelstep.journal import Stored
@@ -107,6 +107,7 @@
     _count: int = 0
     _at: Courier | None = None
     _same: int = 0
+    _mine: list[int] = field(default_factory=list)  # of its ordered keys: few, so that it comes back to each
 
     def start(self) -> None:
         """From some moment on."""
@@ -120,7 +121,8 @@
             self._at = rng.choice([one for one in self.fleet if not one.lost])
         self._count += 1
         kind = rng.choices(("safe", "ordered", "unsafe"), (3, 5, 2))[0]
-        destination = rng.choice(self.destinations)
+        self._mine = self._mine or rng.sample(self.destinations, 3)
+        destination = rng.choice(self._mine if kind == "ordered" else self.destinations)
         if self._same:  # right behind the one before, of the same key
             kind, destination = "ordered", self._same
         key = f"{self.name}-{destination}" if kind == "ordered" else None
--- a/wheelstep/rehearsal/shard_world/disk.py
+++ b/wheelstep/rehearsal/shard_world/disk.py
@@ -41,9 +41,11 @@
         self.put(message.id, kept)
         return kept
 
-    def ran(self, name: str, ran: bool) -> None:
-        """Whether an attempt of it may have run."""
-        self.put(name, replace(self.rows[name], ran=ran))
+    def ran(self, name: str, ran: bool) -> bool:
+        """Whether an attempt of it may have run; what stood there before."""
+        kept = self.rows[name]
+        self.put(name, replace(kept, ran=ran))
+        return kept.ran
 
     def over(self, name: str) -> None:
         """It is owed no more."""
