--- a/wheelstep/rehearsal/shard_world/run.py
+++ b/wheelstep/rehearsal/shard_world/run.py
@@ -19,7 +19,6 @@
 from wheelstep.rehearsal.shard_world.discovery import NAME as DISCOVERY
 from wheelstep.rehearsal.shard_world.discovery import Discovery
 from wheelstep.rehearsal.shard_world.final import final
-from wheelstep.rehearsal.shard_world.machine import Machine
 from wheelstep.rehearsal.shard_world.net import Fabric
 from wheelstep.rehearsal.shard_world.partners import Partners
 from wheelstep.rehearsal.shard_world.reach import Reach
@@ -226,15 +225,15 @@
             log.propagate, log.level = before[0], before[1]
             for courier in self.fleet:
                 courier.total()
-            self._bury()
+            self.bury()
             if before[2]:
                 gc.enable()
         world.trace("check", text)
         return Result(self.seed, text, rule, world.events, world.mark, world.count, world.lines or [])
 
-    def _bury(self) -> None:
-        machines: list[Machine] = [*self.fleet, *self.controls]
-        for machine in machines:
+    def bury(self) -> None:
+        """After it: nothing of it runs on."""
+        for machine in (*self.fleet, *self.controls):
             for process in machine.lives:
                 process.loop.bury()
 
