--- a/benchmarks/page/compare.py
+++ b/benchmarks/page/compare.py
@@ -54,25 +54,29 @@
     before, after, was, of = Before(results), After(results), After(results, divided=False), results.stated
     full = after.best(of("couriers"), of("destinations"))
     size = f"{plain(full[0])} couriers, {plain(full[1])} destinations"
+    old = was.best(of("couriers"), of("destinations"))
+    old_size = f"{plain(old[0])} couriers, {plain(old[1])} destinations"
     rate = of("events_a_second") / of("destinations")
     lost = after.fault("two machines")
     found = lost[1] if lost else {}
     calls = "calls.hollow_"
     rows: list[tuple[object, ...]] = [
         ("calls to destinations that have been down for 10 s or more, by message meant for such (retries are calls "
-         "too)", was.ignorant(*full), after.ignorant(*full), f"under {written(of('aim_down_share'), 'share')}"),
-        ("... of all calls", was.quiet(*full, f"{calls}calls_to_down_10_s_share", "share", spell="dense"),
+         "too)", was.ignorant(*old), after.ignorant(*full), f"under {written(of('aim_down_share'), 'share')}"),
+        ("... of all calls", was.quiet(*old, f"{calls}calls_to_down_10_s_share", "share", spell="dense"),
          after.quiet(*full, f"{calls}calls_to_down_10_s_share", "share", spell="dense"), "-"),
+        ("... calls that both rest on", was.quiet(*old, f"{calls}calls", spell="dense"),
+         after.quiet(*full, f"{calls}calls", spell="dense"), "-"),
         ("handshakes a message, each destination at its real rate",
-         was.quiet(*full, f"{calls}handshakes_per_message", spell="dense"),
+         was.quiet(*old, f"{calls}handshakes_per_message", spell="dense"),
          after.quiet(*full, f"{calls}handshakes_per_message", spell="dense"), f"under {plain(of('aim_handshakes'))}"),
         ("calls of one courier to one destination (by division)", f"one in {written(of('couriers') / rate, 's')}",
          f"one in {written(of('regions') / rate, 's')}", "-"),
         ("share of messages that take the hop", "none", node_share(after, "message asked", *full), "-"),
         ("messages taken as guest, in quiet", "none", node_share(after, "message guest", *full), "-"),
-        ("202 at the median, hollow couriers", was.quiet(*full, f"{calls}202_p50_us", "s", 1e-6, "dense"),
+        ("202 at the median, hollow couriers", was.quiet(*old, f"{calls}202_p50_us", "s", 1e-6, "dense"),
          after.quiet(*full, f"{calls}202_p50_us", "s", 1e-6, "dense"), "-"),
-        ("202, 99 of 100, hollow couriers", was.quiet(*full, f"{calls}202_p99_us", "s", 1e-6, "dense"),
+        ("202, 99 of 100, hollow couriers", was.quiet(*old, f"{calls}202_p99_us", "s", 1e-6, "dense"),
          after.quiet(*full, f"{calls}202_p99_us", "s", 1e-6, "dense"), "-"),
         (f"until a death is known to all (before: {plain(of('couriers'))} couriers)", before.death(of("couriers")),
          Figure(found.get("gone_in_all_views_s"), "s"), "-"),
@@ -88,7 +92,11 @@
          after.quiet(*full, "hollow.shards_busiest_over_mean"), f"at most {plain(of('aim_busiest'))}"),
         ("busiest courier over the mean, by messages taken", "-",
          after.quiet(*full, "hollow.taken_busiest_over_mean", spell="spread"), "-")]
-    return (table(("what", "before", f"after ({size}, where it says nothing else)", "aim"), rows), _hop(results))
+    rows.insert(0, ("memory of a courier, idle, without its empty process", was.memory(*old), after.memory(*full),
+                    written(of("budget_memory"), "bytes")))
+    heads = ("what", f"before ({old_size}, where it says nothing else)",
+             f"after ({size}, where it says nothing else)", "aim")
+    return (table(heads, rows), _hop(results))
 
 
 def node_share(after: After, counted: str, couriers: float, destinations: float) -> Figure:
