--- a/tests/test_shard_node.py
+++ b/tests/test_shard_node.py
@@ -156,3 +156,21 @@
             assert loop.time() - began_s >= QUICK.forms_alone_us / 1e6 - 0.1
             assert len(node.homes.mine()) == SHARDS
     run(play())
+
+
+def test_a_home_without_rows_says_so_before_its_asker_gives_up() -> None:
+    async def play() -> None:
+        async with Fleet(3) as fleet:
+            there = away(fleet, "n0")
+            dead, shard = fleet.home(there), shard_of(there, SHARDS)
+            await fleet.control.stop()  # nobody tells rows from now on
+            await fleet.vanish(dead)
+            await until(lambda: fleet.agreed() and fleet.home(there) != dead)
+            home = fleet.home(there)
+            asker = next(name for name in fleet.nodes if name != home)
+            assert fleet.nodes[home].hosting.life(shard) is Life.OPENING
+            for number in range(3):
+                error = await fleet.hand_in(asker, message(f"m{number}", there))
+                assert isinstance(error, NoRoomError), repr(error)  # 503, not silence: nothing was taken
+            assert not any(shelf.held for shelf in fleet.shelves.values())
+    run(play())
