--- a/wheelstep/rehearsal/scale/fleet.py
+++ b/wheelstep/rehearsal/scale/fleet.py
@@ -196,6 +196,7 @@
         found = await self.ask("owed")
         return {"held": sum(one["held"] for one in found), "kept": sum(one["kept"] for one in found),
                 "open": sum(one["open"] for one in found) + self.clients.open,
+                "settling": [name for one in found for name in one["settling"]],
                 "lost": [name for one in found for name in one["lost"]]}
 
     async def ends(self) -> tuple[dict[str, list[float]], set[str]]:
--- a/wheelstep/rehearsal/scale/host.py
+++ b/wheelstep/rehearsal/scale/host.py
@@ -106,8 +106,6 @@
                 self._kept[name] = list(courier.shelf.held.values())
         return {"ended": len(ended), "at_s": time.monotonic()}
 
-    # --- what is asked ---
-
     def count(self) -> dict[str, Any]:
         """How far they are."""
         couriers = self._up.values()
@@ -167,8 +165,9 @@
         return {"came": sum(len(now - was) for was, now in pairs), "went": sum(len(was - now) for was, now in pairs)}
 
     def owed(self) -> dict[str, Any]:
-        """What is held still, and what was lost with machines."""
-        return {"held": sum(len(one.shelf.held) for one in self._up.values()), "lost": self._lost,
+        """What is held still (of this, neither begun nor withdrawn), and what was lost with machines."""
+        settling = [name for one in self._up.values() for name in one.shelf.held if one.shelf.settles(name)]
+        return {"held": sum(len(one.shelf.held) for one in self._up.values()), "lost": self._lost, "settling": settling,
                 "kept": sum(map(len, self._kept.values())),
                 "open": sum(one.traffic.open for one in self._up.values())}
 
