--- a/wheelstep/rehearsal/scale/play.py
+++ b/wheelstep/rehearsal/scale/play.py
@@ -145,9 +145,9 @@
     ends = (counts["delivered"] - counts["repeats"] + counts["handed_back"] + counts["given_up"] + counts["unsettled"]
             + owed["held"] + owed["kept"] + len(owed["lost"]))
     return {"followed": as_dict(verdict), "hollow_taken": taken, "hollow_without_end": taken - ends,
-
             "hollow_held": owed["held"], "hollow_held_unsettled": len(owed["settling"]),
-            "hollow_held_unsettled_some": owed["settling"][:5], "hollow_kept": owed["kept"], "hollow_lost_with_machines": len(owed["lost"]),
+            "hollow_held_unsettled_some": owed["settling"][:5],
+            "hollow_kept": owed["kept"], "hollow_lost_with_machines": len(owed["lost"]),
             "hollow_exceptions": sum(host["exceptions"] for host in last["hosts"]),
             "hollow_repeats": counts["repeats"], "hollow_open": owed["open"],
             "answers": dict(figures.sums(last, "answers")), "real_answers": dict(fleet.clients.answers)}
