--- a/wheelstep/rehearsal/scale/courier.py
+++ b/wheelstep/rehearsal/scale/courier.py
@@ -163,12 +163,16 @@
     async def _end(self) -> list[str]:
         self.traffic.stop()
         self.shelf.end()
+        await self._close()
+        return list(self.shelf.held)
+
+    async def _close(self) -> None:
+        """A node's timer is set again by a dial that ends after its close; a process ends with it, this one does not."""
         with contextlib.suppress(OSError):
             await self.node.close()
-        return list(self.shelf.held)
+        self.node._tick = lambda: None  # type: ignore[method-assign]
 
     async def close(self) -> None:
         """What `silence` left."""
         self.net.silent, self.net.mute = False, True
-        with contextlib.suppress(OSError):
-            await self.node.close()
+        await self._close()
