--- a/wheelstep/rehearsal/scale/courier.py
+++ b/wheelstep/rehearsal/scale/courier.py
@@ -167,7 +167,7 @@
         return list(self.shelf.held)
 
     async def _close(self) -> None:
-        """A node's timer is set again by a dial that ends after its close; a process ends with it, this one does not."""
+        """A node's timer is set again by a dial ending after its close. Processes end with it, this one does not."""
         with contextlib.suppress(OSError):
             await self.node.close()
         self.node._tick = lambda: None  # type: ignore[method-assign]
