--- a/benchmarks/page/after.py
+++ b/benchmarks/page/after.py
@@ -110,6 +110,16 @@
         long = given["down_share"] * max(0.0, given["down_s"] - 10) / given["down_s"]
         return replace(share, value=share.value / long if long else None, how="")
 
+    def down(self, couriers: float, destinations: float) -> Figure:
+        """How many destinations the figures of `ignorant` rest on: those that are called in the spell "dense" and have
+        been down for 10 s or more, by the run's own shares."""
+        name = self.of_size(couriers, destinations, "dense")
+        if name is None:
+            return Figure(None)
+        given = self.results.files[name]["parameters"]
+        long = given["down_share"] * max(0.0, given["down_s"] - 10) / given["down_s"]
+        return Figure(given["destinations"] * given["rate"] * long, "", f"`{name}`")
+
     def fault(self, kind: str) -> tuple[str, Mapping[str, Any]] | None:
         """The fault of this name in the largest run that has it, with the run's name."""
         for name, one in reversed(self.runs().items()):
--- a/benchmarks/page/compare.py
+++ b/benchmarks/page/compare.py
@@ -65,6 +65,7 @@
          "too)", was.ignorant(*old), after.ignorant(*full), f"under {written(of('aim_down_share'), 'share')}"),
         ("... of all calls", was.quiet(*old, f"{calls}calls_to_down_10_s_share", "share", spell="dense"),
          after.quiet(*full, f"{calls}calls_to_down_10_s_share", "share", spell="dense"), "-"),
+        ("... destinations down so long that this rests on, about", was.down(*old), after.down(*full), "-"),
         ("... calls that both rest on", was.quiet(*old, f"{calls}calls", spell="dense"),
          after.quiet(*full, f"{calls}calls", spell="dense"), "-"),
         ("handshakes a message, each destination at its real rate",
@@ -91,7 +92,9 @@
         ("busiest courier over the mean, by shards", "-",
          after.quiet(*full, "hollow.shards_busiest_over_mean"), f"at most {plain(of('aim_busiest'))}"),
         ("busiest courier over the mean, by messages taken", "-",
-         after.quiet(*full, "hollow.taken_busiest_over_mean", spell="spread"), "-")]
+         after.quiet(*full, "hollow.taken_busiest_over_mean", spell="spread"), "-"),
+        ("... messages a courier that this rests on", "-",
+         after.quiet(*full, "calls.handed_in", "", 1 / full[0], "spread"), "-")]
     rows.insert(0, ("memory of a courier, idle, without its empty process", was.memory(*old), after.memory(*full),
                     written(of("budget_memory"), "bytes")))
     heads = ("what", f"before ({old_size}, where it says nothing else)",
--- a/benchmarks/page/membership.py
+++ b/benchmarks/page/membership.py
@@ -63,7 +63,7 @@
         return "Virtual time beside sockets (100, 300 and 1,100 couriers): not measured."
     return ("Virtual time beside sockets, bytes sent a second by membership. Hollow couriers have shorter names and "
             "addresses, and their spell is shorter than the 30 s between two looks into a whole table, so that it "
-            "has more or less of these:\n\n"
+            "has more or less of these, and of those of the start:\n\n"
             + table(("couriers", "destinations", "virtual time", "sockets", "ratio", "run"), rows))
 
 
--- a/benchmarks/page/verdicts.py
+++ b/benchmarks/page/verdicts.py
@@ -42,6 +42,19 @@
         say(f"After, control of a courier in the scale run: {what}", figure, most, "")
         if figure.value is None:
             lines.append(f"- After, control of a courier at full size, {what}: not measured.")
+    best = after.best(couriers, destinations)
+    rests = f"About {after.down(*best)} destinations that were down so long were called in that run."
+    for what, figure, most, then in (
+            ("Aim missed: calls to destinations that have been down for 10 s or more, by message meant for such",
+             after.ignorant(*best), of("aim_down_share"), rests),
+            ("Aim missed: handshakes a message", after.quiet(*best, "calls.hollow_handshakes_per_message",
+                                                             spell="dense"), of("aim_handshakes"), ""),
+            ("Aim missed: busiest courier over the mean, by shards", after.quiet(*best,
+                                                                             "hollow.shards_busiest_over_mean"),
+             of("aim_busiest"), "")):
+        say(what, figure, most, then)
+        if figure.value is None:
+            lines.append(f"- {what.replace('missed: ', '')}: not measured.")
     lost = results.at("before-destinations", "entries", destinations=round(destinations), part="indented")
     if lost.value == 0:
         size = results.at("before-destinations", "file_mb", "bytes", 1e6, destinations=round(destinations),
