Membership on sockets beside virtual time: windows of 12 s differ, and the spells are among them

Cause: couriers that started together look into another's whole table together, once in 30 s; a spell of 12 s has all of it or nothing.

--- a/benchmarks/page/membership.py
+++ b/benchmarks/page/membership.py
@@ -4,7 +4,7 @@
 
 from benchmarks.page.after import After
 from benchmarks.page.parts import COURIERS, DESTINATIONS, Before
-from benchmarks.page.results import Figure, Results, plain, slope, table, written
+from benchmarks.page.results import NOT_MEASURED, Figure, Results, plain, slope, table, written
 
 FILE = "before-membership"
 
@@ -56,15 +56,20 @@
             virtual = before.membership(couriers, "bytes", "bytes/s")
             sockets = after.quiet(couriers, destinations, "hollow.membership_bytes_sent_per_s", "bytes/s")
             if sockets.value is not None:
-                rows.append((plain(couriers), plain(destinations), virtual, sockets,
-                             Figure(None) if not virtual.value else Figure(sockets.value / virtual.value),
+                least, most = (results.at("membership-windows", field, "bytes/s", couriers=couriers)
+                               for field in ("least", "most"))
+                within = NOT_MEASURED
+                if least.value is not None and most.value is not None:
+                    within = "yes" if least.value <= sockets.value <= most.value else "no"
+                rows.append((plain(couriers), plain(destinations), virtual, f"{least} to {most}", sockets, within,
                              sockets.source))
     if not rows:
         return "Virtual time beside sockets (100, 300 and 1,100 couriers): not measured."
-    return ("Virtual time beside sockets, bytes sent a second by membership. Hollow couriers have shorter names and "
-            "addresses, and their spell is shorter than the 30 s between two looks into a whole table, so that it "
-            "has more or less of these, and of those of the start:\n\n"
-            + table(("couriers", "destinations", "virtual time", "sockets", "ratio", "run"), rows))
+    return ("Virtual time beside sockets, bytes sent a second by membership. A spell of a scale run is shorter than "
+            "the 30 s between two looks into a whole table, which couriers that started together take together: so windows "
+            "of 12 s differ, in virtual time too (`membership-windows`), and a spell is one of them:\n\n"
+            + table(("couriers", "destinations", "virtual time, mean", "windows of 12 s", "sockets", "among them",
+                     "run"), rows))
 
 
 WINDOWS = ((True, "start", "0 to 2"), (True, "early", "2 to 22"),
