--- a/benchmarks/page/membership.py
+++ b/benchmarks/page/membership.py
@@ -66,8 +66,8 @@
     if not rows:
         return "Virtual time beside sockets (100, 300 and 1,100 couriers): not measured."
     return ("Virtual time beside sockets, bytes sent a second by membership. A spell of a scale run is shorter than "
-            "the 30 s between two looks into a whole table, which couriers that started together take together: so windows "
-            "of 12 s differ, in virtual time too (`membership-windows`), and a spell is one of them:\n\n"
+            "the 30 s between two looks into a whole table, which couriers that started together take together: so "
+            "windows of 12 s differ, in virtual time too (`membership-windows`), and a spell is one of them:\n\n"
             + table(("couriers", "destinations", "virtual time, mean", "windows of 12 s", "sockets", "among them",
                      "run"), rows))
 
