--- a/benchmarks/page/verdicts.py
+++ b/benchmarks/page/verdicts.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 from benchmarks.page.after import After
+from benchmarks.page.failures import KINDS
 from benchmarks.page.parts import Before, per_courier
 from benchmarks.page.results import Figure, Results, plain, table, written
 
+SILENT = 0.01  # of messages without any answer, from which on a failure is named
+
 
 def over(results: Results) -> str:
     """7: in so many words."""
@@ -42,6 +45,27 @@
         say(f"After, control of a courier in the scale run: {what}", figure, most, "")
         if figure.value is None:
             lines.append(f"- After, control of a courier at full size, {what}: not measured.")
+    best = after.best(couriers, destinations)
+    rests = f"About {after.down(*best)} destinations that were down so long were called in that run."
+    for what, figure, most, then in (
+            ("Aim missed: calls to destinations that have been down for 10 s or more, by message meant for such",
+             after.ignorant(*best), of("aim_down_share"), rests),
+            ("Aim missed: handshakes a message", after.quiet(*best, "calls.hollow_handshakes_per_message",
+                                                             spell="dense"), of("aim_handshakes"), ""),
+            ("Aim missed: busiest courier over the mean, by shards", after.quiet(*best,
+                                                                             "hollow.shards_busiest_over_mean"),
+             of("aim_busiest"), "")):
+        say(what, figure, most, then)
+        if figure.value is None:
+            lines.append(f"- {what.replace('missed: ', '')}: not measured.")
+    for kind in KINDS:
+        found = after.fault(kind)
+        calls = found[1].get("calls", {}) if found else {}
+        if found and calls.get("handed_in") and calls.get("answers_none", 0) / calls["handed_in"] > SILENT:
+            share = Figure(calls["answers_none"] / calls["handed_in"], "share")
+            until = Figure(found[1].get("unserved_until_s"), "s")
+            lines.append(f"- {kind.capitalize()} (`{found[0]}`): {share} of the messages handed in during the fault "
+                         f"were not answered at all, the last {until} after it began.")
     lost = results.at("before-destinations", "entries", destinations=round(destinations), part="indented")
     if lost.value == 0:
         size = results.at("before-destinations", "file_mb", "bytes", 1e6, destinations=round(destinations),
