--- a/benchmarks/page/failures.py
+++ b/benchmarks/page/failures.py
@@ -13,6 +13,7 @@
          "control machine", "regions cut", "regions joined")
 FIELDS = (("couriers", ""), ("shards_came", ""), ("gone_in_all_views_s", "s"), ("unserved_until_s", "s"),
           ("homes_steady_s", "s"), ("moves_over_least", ""))
+EMPTY = ("gone_in_all_views_s", "moves_over_least")  # where nobody is dead, or nothing has to move
 FLOOD = ("packets", "bytes", "list_bytes", "partner_calls")
 
 
@@ -29,7 +30,7 @@
         runs[run] = results.files[run]
         over = [fault.get("flood", {}).get(f"most_{name}_per_s_over_usual") for name in FLOOD]
         figures = [Figure(fault.get(field), unit) for field, unit in FIELDS]
-        rows.append((kind, *("-" if field == "gone_in_all_views_s" and not fault.get(field) else figure
+        rows.append((kind, *("-" if field in EMPTY and field in fault and not fault[field] else figure
                              for figure, (field, _) in zip(figures, FIELDS, strict=True)),
                      *_answers(fault),
                      " / ".join("-" if one is None else plain(one) for one in over), f"`{run}`"))
