--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -100,10 +100,10 @@
         (tmp_path / f"{name}.json").write_text(json.dumps(run))
     page = capacity.page(tmp_path)
     lines = {line.split(" |")[0].strip("| "): line for line in page.splitlines() if line.startswith("| ")}
-    assert "| 29 MB |" in lines["all control together: memory"] and "within" in lines["all control together: memory"]
-    assert "| 2% |" in lines["all control together: processor time"]
-    assert "| 1.2 KB/s |" in lines["all control together: bytes sent"]
-    assert "**OVER BUDGET by 1.1 times**" in lines["all control together: bytes received"]
+    assert "| 29 MB |" in lines["all control together, idle: memory"] and "within" in lines["all control together, idle: memory"]
+    assert "| 2% |" in lines["all control together, idle: processor time"]
+    assert "| 1.2 KB/s |" in lines["all control together, idle: bytes sent"]
+    assert "**OVER BUDGET by 1.1 times**" in lines["all control together, idle: bytes received"]
     assert "| 1,100 | 140,000 | **511 MB** | 29 MB |" in page and "| 300 | 140,000 | not measured | 22 MB |" in page
     assert "1.2 KB/s / **13.1 KB/s** |" in page
     assert "| 4% | under 5% |" in page  # 0.03% of calls, where 0.75% would go there without knowledge
