--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -100,7 +100,8 @@
         (tmp_path / f"{name}.json").write_text(json.dumps(run))
     page = capacity.page(tmp_path)
     lines = {line.split(" |")[0].strip("| "): line for line in page.splitlines() if line.startswith("| ")}
-    assert "| 29 MB |" in lines["all control together, idle: memory"] and "within" in lines["all control together, idle: memory"]
+    memory = lines["all control together, idle: memory"]
+    assert "| 29 MB |" in memory and "within" in memory
     assert "| 2% |" in lines["all control together, idle: processor time"]
     assert "| 1.2 KB/s |" in lines["all control together, idle: bytes sent"]
     assert "**OVER BUDGET by 1.1 times**" in lines["all control together, idle: bytes received"]
