--- a/benchmarks/page/laws.py
+++ b/benchmarks/page/laws.py
@@ -74,4 +74,8 @@
             law = after.law(destinations, f"quiet.idle.{path}", by)
             rows.append(("couriers", f"divided, {destinations:,} destinations, idle: {what}",
                          slope(law, "couriers", unit), "`scale-*`" if law else "-"))
-    return "### Slopes\n\n" + table(("by", "what", "law", "run"), rows)
+    return "\n\n".join((
+        "### Slopes", table(("by", "what", "law", "run"), rows),
+        "Of scale runs: a courier's memory falls where more couriers share the destinations, which none of the laws is; "
+        "members' bytes are those of one window shorter than the 30 s between looks into a whole table, so that a law "
+        "over them says little (next section): the one of virtual time, over 60 s, is the one to go by."))
