A home under suspicion is not asked; who leaves says so to all that it has links with

Each asker learned of a dead home by silence alone, though membership suspected it some seconds before; and a courier that left told three members, so that others went on asking it until it had ended. Test fails without either.

--- a/tests/test_shard_node.py
+++ b/tests/test_shard_node.py
@@ -6,8 +6,11 @@
 from collections.abc import Coroutine
 from typing import Any
 
+import msgspec
+
 from tests.shard_nodes import QUICK, SHARDS, Fleet, message, row, until
 from wheelstep.courier.desk import UnansweredError
+from wheelstep.fleet.types import State
 from wheelstep.journal import NoRoomError
 from wheelstep.shards.hosting import Life
 from wheelstep.shards.types import EndpointHealth, shard_of
@@ -174,3 +177,25 @@
                 assert isinstance(error, NoRoomError), repr(error)  # 503, not silence: nothing was taken
             assert not any(shelf.held for shelf in fleet.shelves.values())
     run(play())
+
+
+def test_a_home_under_suspicion_is_not_asked_and_one_that_leaves_is_heard_of_at_once() -> None:
+    async def play() -> None:
+        async with Fleet(3) as fleet:
+            there = away(fleet, "n0")
+            home, node = fleet.home(there), fleet.nodes["n0"]
+            assert await fleet.hand_in("n0", message("m1", there)) is None and "m1" in fleet.shelves[home].held
+            known = node.membership.member(home)
+            assert known is not None
+            node.membership._view.roster._keep(msgspec.structs.replace(known, state=State.SUSPECT), 0)
+            assert await fleet.hand_in("n0", message("m2", there)) is None
+            assert "m2" in fleet.shelves["n0"].held and "m2" not in fleet.shelves[home].held
+
+            told: list[str] = []
+            leaver = fleet.nodes[home]
+            leaver._net.send = lambda address, data: told.append(address)  # type: ignore[method-assign]
+            peers = {fleet.addresses[peer] for peer in leaver.links.peers() if peer in fleet.addresses}
+            assert peers
+            await leaver.leave(0.0)
+            assert peers <= set(told)
+    run(play())
--- a/wheelstep/fleet/membership.py
+++ b/wheelstep/fleet/membership.py
@@ -9,7 +9,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from wheelstep.fleet.doubt import Probes
 from wheelstep.fleet.news import Rolls
@@ -99,9 +99,10 @@
                 due.append(self._word_us)
         return min(due)
 
-    def leave(self, now_us: int) -> list[Action]:
-        """From now on this courier gives its parts away: tells LEAVING."""
-        return self._turn(State.LEAVING, TELLS)
+    def leave(self, now_us: int, also: Iterable[str] = ()) -> list[Action]:
+        """From now on this courier gives its parts away: tells LEAVING, to these members at once as well."""
+        actions = self._turn(State.LEAVING, TELLS)
+        return [*actions, *(action for name in sorted(also) for action in self._ping(name))]
 
     def left(self, now_us: int) -> list[Action]:
         """It has nothing any more and ends: tells GONE, and nothing from then on."""
--- a/wheelstep/shards/links.py
+++ b/wheelstep/shards/links.py
@@ -80,6 +80,10 @@
         self._asking[link] = heard, lost
         return ForwardLink(link)
 
+    def peers(self) -> list[str]:
+        """Those that a link is open to."""
+        return sorted(self._by_peer)
+
     def send(self, courier: str, frame: Frame) -> None:
         """By any link that is open to it, or by a new one; what can't be sent is dropped."""
         for link in self._by_peer.get(courier, ()):
--- a/wheelstep/shards/node.py
+++ b/wheelstep/shards/node.py
@@ -29,7 +29,7 @@
 from wheelstep.shards.types import ListRow
 from wheelstep.shards.waits import Waits
 
-READY_S = 5.0  # a courier whose shards have no rows by then forwards for others all the same
+READY_US = 5_000_000  # a courier whose shards have no rows by then forwards for others all the same
 
 
 class ShardNode:
@@ -54,8 +54,8 @@
         self.hosting, self.handoff = self.lives.hosting, self.lives.handoff
         self.routing = Routing(self, self.router, self.waits, settings.opens_within_us)
         self._seal = Seal(keys, fleet, me.name, boot)
-        self._datagrams = Datagrams(self._seal, self.now_us, lambda data, to: net.send(to, data), self._packet,
-                                    self._elder)
+        self._datagrams = Datagrams(
+            self._seal, self.now_us, lambda data, to: net.send(to, data), self._packet, self._elder)
         self.links = self.lives.links = Links(
             self.membership.address_of, lambda: ForwardServer(self.routing.asked), self.lives.heard, self.lives.lost,
             settings.dial_us / 1e6)
@@ -89,8 +89,8 @@
     def ready(self) -> bool:
         """May clients come? Once its shards were open, or some seconds have passed."""
         if not self._settled and self.formed:
-            late = self.now_us() > self._began_us + self.settings.forms_within_us + int(READY_S * 1e6)
-            self._settled = late or not self.hosting.of(Life.OPENING)
+            late_us = self._began_us + self.settings.forms_within_us + READY_US
+            self._settled = self.now_us() > late_us or not self.hosting.of(Life.OPENING)
         return self._settled and self.formed and not self._leaving
 
     def desk(self, destination: int) -> Desk:
@@ -99,23 +99,25 @@
 
     def figures(self) -> dict[str, int]:
         """For operators: shards by what they are here, couriers, ways of messages, what was refused."""
-        found = {life.value: len(self.hosting.of(life)) for life in Life}
-        found["couriers"] = len(self.membership.members())
-        found |= {f"message {what}": count for what, count in self.router.counts.items()}
         refused = self.streams.refused + self.lives.list_client.refused + self.lives.counts
-        return found | {f"refused {why}": count for why, count in refused.items()}
+        return {"couriers": len(self.membership.members()),
+                **{life.value: len(self.hosting.of(life)) for life in Life},
+                **{f"message {what}": count for what, count in self.router.counts.items()},
+                **{f"refused {why}": count for why, count in refused.items()}}
 
     async def leave(self, within_s: float = 0.5) -> None:
         """Home of nothing any more: others are, and hear what was learned."""
         self._leaving = True
-        self._members(self.membership.leave(self.now_us()))
+        # Its peers hear at once: news by way of others takes seconds, and who asks one that has ended gets no answer.
+        peers = self.membership.members().keys() & set(self.links.peers())
+        self._members(self.membership.leave(self.now_us(), peers))
         self._arm()
-        until_s = self._loop.time() + within_s
-        while self.handoff.next_us() < NEVER_US and self._loop.time() < until_s:
+        until_us = self.now_us() + int(within_s * 1e6)
+        while self.handoff.next_us() < NEVER_US and self.now_us() < until_us:
             await asyncio.sleep(0.02)
 
     async def close(self) -> None:
-        """The process ends: say so, and end all of it."""
+        """The process ends."""
         self._members(self.membership.left(self.now_us()))
         if self._timer is not None:
             self._timer.cancel()
@@ -134,10 +136,9 @@
 
     def plain(self, shard: int) -> bool:
         """Is it home here, with nothing that speaks against taking any message of it?"""
-        if self.hosting.life(shard) is not Life.HOME or not self.formed or self.handoff.sizes()["rests"]:
-            return False
-        sizes = self.router.sizes()
-        return not sizes["asks"] and not sizes["passed"] and not sizes["taken"]
+        known = self.router.sizes() | self.handoff.sizes()
+        against = any(known[table] for table in ("rests", "asks", "passed", "taken"))
+        return self.formed and self.hosting.life(shard) is Life.HOME and not against
 
     def sight(self, destination: int, shard: int, message_class: str, key: str | None) -> Sight:
         """What the router decides by."""
@@ -146,8 +147,10 @@
             destination, message_class, key)
         rests_us = 0 if key is None else self.handoff.rests_us(self.now_us(), destination, message_class, key)
         home = self.homes.home(shard) if self.formed else None
-        room = self.formed and self.hosting.guest_room()
-        return Sight(life, home, owes, rests_us, room, self.hosting.has_rows(shard))
+        if home and (known := self.membership.member(home)) and known.state is State.SUSPECT:
+            home = None  # a guest serves it until that is decided: what is asked of a dead one goes unanswered
+        room, rows = self.formed and self.hosting.guest_room(), self.hosting.has_rows(shard)
+        return Sight(life, home, owes, rests_us, room, rows)
 
     def be_guest(self, shard: int) -> bool:
         """Serve it for a while; False without room."""
@@ -202,8 +205,8 @@
             return
         self._was = [None] * self.shards
         self._moved(range(self.shards), first=True)
-        self._note(f"fleet: this courier is home of {len(self.homes.mine())} shards of {self.shards}, "
-                   f"{len(self.membership.members())} couriers")
+        mine, couriers = len(self.homes.mine()), len(self.membership.members())
+        self._note(f"fleet: this courier is home of {mine} shards of {self.shards}, {couriers} couriers")
 
     def _forms_us(self) -> int:
         members, settings = len(self.membership.members()), self.settings
@@ -221,10 +224,8 @@
             if home == was:
                 continue
             if home == self._me:
-                former = self.membership.member(was) if was else None
-                alone = len(self.membership.members()) == 1
-                taught = alone if first else former is None or former.state is State.GONE
-                self.lives.came_home(shard, taught)
+                former, alone = self.membership.member(was or ""), len(self.membership.members()) == 1
+                self.lives.came_home(shard, alone if first else former is None or former.state is State.GONE)
             elif was == self._me or self.hosting.life(shard) is Life.LEAVING:
                 self.lives.left_home(shard, home)
 
