A client that goes while its courier dials withdraws what was asked after that

Its home held an earlier message of the key that nobody had begun or withdrawn: its client went while the courier that it had reached was dialling, so the withdraw found no link, the ask went out after it, and the home's answer found nobody. It now finds the withdraw.

The test drives that case; without the change it fails: the home still holds the first message.

--- a/wheelstep/shards/routing.py
+++ b/wheelstep/shards/routing.py
@@ -160,12 +160,13 @@
         if then is not None:
             desk.inner = None
             self._go(answer, desk, message, handed, then)
-        elif not answer.done():
-            if error is None:
-                answer.set_result(None)
-            else:
-                desk.inner = None
-                answer.set_exception(error)
+        elif answer.done():  # its client went before the ask was out, so that nothing was withdrawn then
+            remote.withdraw(message.id)
+        elif error is None:
+            answer.set_result(None)
+        else:
+            desk.inner = None
+            answer.set_exception(error)
 
     # --- at a courier that is asked ---
 
