--- a/tests/test_shard_departures.py
+++ b/tests/test_shard_departures.py
@@ -1,4 +1,4 @@
-"""Clients that go while their message is passed on."""
+"""Clients that go while their message is passed on, and couriers that come back while one is."""
 
 from __future__ import annotations
 
@@ -40,3 +40,37 @@
     world.run(6 * S)
     assert not other.shelf.holds("m1")
     assert run.check.ends.get("m2") == "delivered" and not run.check.ends.get("m1")
+
+
+def test_a_home_that_comes_back_without_rows_sends_nobody_away_for_good() -> None:
+    """Once, a courier that still owed a key of its former life answered 400 for it until its rows came."""
+    run = Run(2, Setup(couriers=2, clients=0, destinations=16), plan=[])
+    with virtual(run.world):
+        returns(run)
+    run.bury()
+
+
+def returns(run: Run) -> None:
+    """The home of a key that it owes dies, and is asked again before any control machine can tell it rows."""
+    world, (one, other) = run.world, run.fleet
+    world.run(3 * S)
+    assert one.node is not None
+    destination = next(number for number in run.destinations
+                       if one.node.homes.home(shard_of(number, run.setup.shards)) == other.name)
+    run.partners.down.update(run.discovery.rows)
+    heard: list[int] = []
+
+    def hand(name: str) -> None:
+        message = Stored(name, "ordered", destination, (world.wall_us() + 9 * S) // MS, "key")
+        Hand(world, run.check, message, heard.append).at(one, False)
+    hand("m1")
+    world.run(world.now_us + 100 * MS)
+    for control in run.controls:
+        control.stop()
+    other.kill()
+    world.run(world.now_us + 100 * MS)
+    other.start()
+    world.run(world.now_us + 100 * MS)
+    hand("m2")
+    world.run(world.now_us + S)
+    assert heard == [202, 503]
--- a/wheelstep/rehearsal/shard_world/check.py
+++ b/wheelstep/rehearsal/shard_world/check.py
@@ -19,6 +19,7 @@
 GUESTS = "guest forgotten"
 AGREED = "homes differ"
 REACHABLE = "destination not served"
+KNOWN = "listed destination refused"
 OWN_ROWS = "rows of others' shards kept"
 ERROR = "error"
 
@@ -94,6 +95,8 @@
         """A door has said so."""
         self.world.trace(courier, "says", status, message.id)
         self.world.count[f"says {status}"] += 1
+        if status == 400:  # all that clients name is on the list throughout
+            self.fail(KNOWN, f"{message.destination} handed in as {message.id} at {courier}")
         if status != 202:
             return
         if message.id not in self.ends and not self._kept(message.id):
--- a/wheelstep/shards/routing.py
+++ b/wheelstep/shards/routing.py
@@ -127,6 +127,8 @@
         mine = self._places.desk_here
         try:
             if not mine.serves(message.destination):
+                if not self._places.hosting.has_rows(shard_of(message.destination, self._places.shards)):
+                    raise NoRoomError("its rows are not here yet")
                 raise BadRequestError("no such destination")
             if mine.holds(message.id):  # another client's, meanwhile
                 raise UnansweredError("another client hands it in just now")
