--- a/tests/test_shard_simulation.py
+++ b/tests/test_shard_simulation.py
@@ -99,13 +99,14 @@
         self.a, self.b = (Process(self.world, name, f"r/{name}", number) for number, name in enumerate("ab"))
         self.heard: list[tuple[int, bytes]] = []
         self.lost: list[int] = []
+        self.ended: list[int] = []  # heard by `b`
         self.pipe: Pipe | None = None
         self.b.start(self._serve())
         self.a.start(self._ask())
 
     async def _serve(self) -> None:
         def accept(pipe: Pipe) -> tuple[object, object]:
-            return pipe.write, lambda: None
+            return pipe.write, lambda: self.ended.append(self.world.now_us)
         await SimNet(self.fabric, self.b).listen("b:1", accept, lambda data, address: None)  # type: ignore[arg-type]
 
     async def _ask(self) -> None:
@@ -153,7 +154,10 @@
     echo.fabric.cut([("a", "b")])
     echo.pipe.write(b"never")
     echo.play(30 * S)
-    assert len(echo.heard) == 1 and echo.lost
+    assert len(echo.heard) == 1 and echo.lost and not echo.ended
+    echo.fabric.join([("a", "b")])
+    echo.play(31 * S)
+    assert echo.ended
     echo.bury()
 
 
--- a/wheelstep/rehearsal/shard_world/pipe.py
+++ b/wheelstep/rehearsal/shard_world/pipe.py
@@ -136,6 +136,7 @@
     def _unread(self, stall: int) -> None:
         """Nothing has got through for so long."""
         if self.number in self._fabric.stalled and stall == self._stalls:
+            self._out = [None]  # the other side hears of it once the link carries again
             self.process.deliver(self._hung_up)
 
     def _arrive(self, number: int, data: bytes | None) -> None:
