--- a/wheelstep/shards/routing.py
+++ b/wheelstep/shards/routing.py
@@ -127,6 +127,8 @@
         mine = self._places.desk_here
         try:
             if not mine.serves(message.destination):
+                if not self._places.hosting.has_rows(shard_of(message.destination, self._places.shards)):
+                    raise NoRoomError("its rows are not here yet")
                 raise BadRequestError("no such destination")
             if mine.holds(message.id):  # another client's, meanwhile
                 raise UnansweredError("another client hands it in just now")
@@ -160,12 +162,13 @@
         if then is not None:
             desk.inner = None
             self._go(answer, desk, message, handed, then)
-        elif not answer.done():
-            if error is None:
-                answer.set_result(None)
-            else:
-                desk.inner = None
-                answer.set_exception(error)
+        elif answer.done():  # its client went before the ask was out, so that nothing was withdrawn then
+            remote.withdraw(message.id)
+        elif error is None:
+            answer.set_result(None)
+        else:
+            desk.inner = None
+            answer.set_exception(error)
 
     # --- at a courier that is asked ---
 
