Learned state of couriers with real boot numbers is taken

Handoff numbers begin at boot << 32; a real boot is Unix seconds, so they are 7.7e18 and were refused as out of range beyond 1 << 62 (4.6e18): no handover and no push was ever taken outside tests, and each new home opened only after 300 ms. The bound is 63 bits, which holds until 2038. The test fails with 62.

--- a/tests/test_shard_handoff.py
+++ b/tests/test_shard_handoff.py
@@ -161,3 +161,12 @@
     mine.gave(0, 0, "b", [], [], [owed()])
     mine.opening(1, 0)
     assert mine.next_us() == NEVER_US and mine.keys_over(2, 0, [(HERE, "x", "k")]) == []
+
+
+def test_what_a_courier_of_these_years_hands_over_is_taken() -> None:
+    """Boot numbers are Unix seconds: beyond a bound of 62 bits every real courier's learned state was refused."""
+    for boot in (1_796_189_169, (1 << 31) - 1):
+        mine, other = handoff("a", boot=boot), handoff("b", boot=boot)
+        [act] = mine.gave(0, 0, "b", [], [], [])
+        assert isinstance(act, SendTo)
+        assert Taught(0) in other.heard(0, "a", act.frame, HERE) and not other.refused
--- a/wheelstep/shards/learned.py
+++ b/wheelstep/shards/learned.py
@@ -25,7 +25,7 @@
     """Why nothing of it may be taken over; empty if it is sound."""
     if not 0 <= frame.shard < shards:
         return "shard out of range"
-    if not 0 < frame.number < 1 << 62:
+    if not 0 < frame.number < 1 << 63:
         return "number out of range"
     if max(len(frame.healths), len(frame.waits), len(frame.keys)) > _MOST_ROWS:
         return "too many rows"
