--- a/wheelstep/shards/node.py
+++ b/wheelstep/shards/node.py
@@ -64,7 +64,7 @@
         self._clients: dict[str, ForwardClient] = {}
         self._was: list[str | None] = []  # each shard's home when it was looked at last; empty until formed
         self._began_us = self._grew_us = now_us
-        self._settled = self._leaving = False
+        self._settled = self._leaving = self._closed = False
         self._timer: asyncio.TimerHandle | None = None
 
     def now_us(self) -> int:
@@ -117,10 +117,10 @@
             await asyncio.sleep(0.02)
 
     async def close(self) -> None:
-        """The process ends."""
+        """The process ends: nothing is done from now on."""
         self._members(self.membership.left(self.now_us()))
-        if self._timer is not None:
-            self._timer.cancel()
+        self._closed = True
+        self._arm()
         for client in self._clients.values():
             client.close()
         self.waits.close()
@@ -242,9 +242,9 @@
         self._arm()
 
     def _arm(self) -> None:
-        due_us = min(self.membership.next_us(), self.lives.next_us())
-        if not self._was:
-            due_us = min(due_us, self._forms_us())
+        forms_us = NEVER_US if self._was else self._forms_us()
+        due_us = min(self.membership.next_us(), self.lives.next_us(), forms_us)
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = self._loop.call_later(max(due_us - self.now_us(), 1_000) / 1e6, self._tick)
+        in_s = max(due_us - self.now_us(), 1_000) / 1e6
+        self._timer = None if self._closed else self._loop.call_later(in_s, self._tick)
