--- a/wheelstep/rehearsal/scale/clients.py
+++ b/wheelstep/rehearsal/scale/clients.py
@@ -82,10 +82,11 @@
             asyncio.get_running_loop().call_exception_handler({"message": "a client died", "exception": error})
 
     async def settled(self, within_s: float) -> bool:
-        """Wait until each has its answer or is given up."""
-        if self._tasks:
-            await asyncio.wait(self._tasks, timeout=within_s)
-        return not self._tasks
+        """Wait until each that was handed in before has its answer or is given up; more may come meanwhile."""
+        before = set(self._tasks)
+        if before:
+            await asyncio.wait(before, timeout=within_s)
+        return all(task.done() for task in before)
 
     def close(self) -> None:
         """Stop."""
