Re-read: one reader of key files, the cheap check of a shard first, one set of owed keys' names

Found reading the change whole: control_settings read and checked a key file as fleet/settings did, with the same words (read_key serves both, texts as before); the node built two tables of sizes at every hand-in although the shard is nearly never home there; the names of owed keys were gathered in three places, and a check that next() is not the home could not fail.

--- a/wheelstep/fleet/settings.py
+++ b/wheelstep/fleet/settings.py
@@ -119,12 +119,19 @@
         raise FleetError(f"fleet.shards.control: {both[0]!r} is a peer as well; expected different names")
 
 
-def _key(path: Path) -> bytes:
+def read_key(path: Path) -> bytes:
+    """A key from a file of hexadecimal digits. Raises `ValueError` with what was found and expected."""
     try:
-        text = path.read_text(encoding="ascii").strip()
-        key = bytes.fromhex(text)
+        key = bytes.fromhex(path.read_text(encoding="ascii").strip())
     except (OSError, ValueError) as error:
-        raise FleetError(f"fleet.key_file: {path}: {error}; expected hexadecimal digits") from error
+        raise ValueError(f"{error}; expected hexadecimal digits") from error
     if len(key) < KEY_BYTES:
-        raise FleetError(f"fleet.key_file: {path}: {len(key)} bytes; expected {KEY_BYTES} or more")
+        raise ValueError(f"{len(key)} bytes; expected {KEY_BYTES} or more")
     return key
+
+
+def _key(path: Path) -> bytes:
+    try:
+        return read_key(path)
+    except ValueError as error:
+        raise FleetError(f"fleet.key_file: {path}: {error}") from error
--- a/wheelstep/shards/control_settings.py
+++ b/wheelstep/shards/control_settings.py
@@ -10,8 +10,8 @@
 
 from wheelstep.courier.config import Address
 from wheelstep.fields import Part, explain
-from wheelstep.fleet.settings import KEY_BYTES, Name
 from wheelstep.fleet.settings import Address as AddressText
+from wheelstep.fleet.settings import Name, read_key
 
 
 class ControlError(Exception):
@@ -63,9 +63,6 @@
 
 def _key(path: Path, name: Path) -> bytes:
     try:
-        key = bytes.fromhex((path.parent / name).read_text(encoding="ascii").strip())
-    except (OSError, ValueError) as error:
-        raise ControlError(f"{path}: control.key_file: {name}: {error}; expected hexadecimal digits") from error
-    if len(key) < KEY_BYTES:
-        raise ControlError(f"{path}: control.key_file: {name}: {len(key)} bytes; expected {KEY_BYTES} or more")
-    return key
+        return read_key(path.parent / name)
+    except ValueError as error:
+        raise ControlError(f"{path}: control.key_file: {name}: {error}") from error
--- a/wheelstep/shards/node.py
+++ b/wheelstep/shards/node.py
@@ -109,8 +109,7 @@
         """Home of nothing any more: others are, and hear what was learned."""
         self._leaving = True
         # Its peers hear at once: news by way of others takes seconds, and who asks one that has ended gets no answer.
-        peers = self.membership.members().keys() & set(self.links.peers())
-        self._members(self.membership.leave(self.now_us(), peers))
+        self._members(self.membership.leave(self.now_us(), self.membership.members().keys() & set(self.links.peers())))
         self._arm()
         until_us = self.now_us() + int(within_s * 1e6)
         while self.handoff.next_us() < NEVER_US and self.now_us() < until_us:
@@ -136,9 +135,10 @@
 
     def plain(self, shard: int) -> bool:
         """Is it home here, with nothing that speaks against taking any message of it?"""
-        known = self.router.sizes() | self.handoff.sizes()
-        against = any(known[table] for table in ("rests", "asks", "passed", "taken"))
-        return self.formed and self.hosting.life(shard) is Life.HOME and not against
+        if not self.formed or self.hosting.life(shard) is not Life.HOME:
+            return False  # nearly always: the rest costs more
+        sizes = self.router.sizes() | self.handoff.sizes()
+        return not (sizes["rests"] or sizes["asks"] or sizes["passed"] or sizes["taken"])
 
     def sight(self, destination: int, shard: int, message_class: str, key: str | None) -> Sight:
         """What the router decides by."""
--- a/wheelstep/shards/teaching.py
+++ b/wheelstep/shards/teaching.py
@@ -7,6 +7,7 @@
 from wheelstep.shards.handoff import HandAct, Handoff
 from wheelstep.shards.homes import Homes
 from wheelstep.shards.ports import Shelf
+from wheelstep.shards.types import OwedKey
 
 LOOK_US = 250_000  # whether owed keys have ended is looked at so often, and a part of the shards is pushed
 
@@ -26,13 +27,13 @@
         healths, waits = self._shelf.learned(shard)
         keys = self._shelf.owed_keys(shard)
         if keys:
-            self._owed[shard] = {(key.destination, key.message_class, key.key) for key in keys}
+            self._owed[shard] = _names(keys)
         return self._handoff.gave(now_us, shard, to, healths, waits, keys)
 
     def owes_more(self, now_us: int, shard: int) -> list[HandAct]:
         """A message of an ordered key was taken here after the shard was given."""
         keys = self._shelf.owed_keys(shard)
-        self._owed[shard] = {(key.destination, key.message_class, key.key) for key in keys}
+        self._owed[shard] = _names(keys)
         return self._handoff.owes_more(now_us, shard, keys)
 
     def dropped(self, shard: int) -> None:
@@ -44,7 +45,7 @@
         self.next_us = now_us + LOOK_US
         acts: list[HandAct] = []
         for shard, owed in list(self._owed.items()):
-            left = {(key.destination, key.message_class, key.key) for key in self._shelf.owed_keys(shard)}
+            left = _names(self._shelf.owed_keys(shard))
             if over := owed - left:
                 acts += self._handoff.keys_over(now_us, shard, sorted(over))
                 self._owed[shard] = owed & left
@@ -56,8 +57,12 @@
         for _ in range(min(self._share, len(self._turn))):
             shard = self._turn.pop()
             to = self._homes.next(shard)
-            if to is not None and self._homes.home(shard) != to:
+            if to is not None:
                 healths, waits = self._shelf.learned(shard)
                 if healths or waits:
                     acts += self._handoff.push(now_us, shard, to, healths, waits, ())
         return acts
+
+
+def _names(keys: Sequence[OwedKey]) -> set[tuple[int, str, str]]:
+    return {(key.destination, key.message_class, key.key) for key in keys}
