Flight recorder: newest events in memory, reasons for every end, close and change of state

On the way: the wait for unanswered notifications is `courier/key_order.py`, spans to Unix times `courier/wall_clock.py` (moved, no change of behaviour).

--- a/wheelstep/account/lines.py
+++ b/wheelstep/account/lines.py
@@ -8,7 +8,7 @@
 | door | message, class, status | turned away at the door |
 | go | message, attempt, endpoint | before an attempt's first byte |
 | out | message, attempt, endpoint, outcome, ms spent, over, share of the limit left and limit, or nulls | its outcome |
-| end | message, outcome | the end told, where it was not delivered |
+| end | message, outcome, and since 0.2 the reason | the end told, where it was not delivered |
 | probe | endpoint, outcome | |
 | gauge | slots out, connections, handshakes, list calls, [[destination, holdup, waiting], ...] | each 250 ms |
 
--- a/wheelstep/account/writer.py
+++ b/wheelstep/account/writer.py
@@ -53,9 +53,9 @@
         told = (None, None) if limit is None else (limit.left, limit.per_s)
         self._say("out", message, attempt, endpoint, outcome, spent_us // 1000, over, *told)
 
-    def final(self, message: str, outcome: str) -> None:
-        """A message has ended undelivered."""
-        self._say("end", message, outcome)
+    def final(self, message: str, outcome: str, reason: str) -> None:
+        """A message has ended undelivered; `reason` is the value of an `EndReason`."""
+        self._say("end", message, outcome, reason)
 
     def probed(self, endpoint: str, outcome: str) -> None:
         """A probe has its outcome."""
--- a/wheelstep/actions.py
+++ b/wheelstep/actions.py
@@ -5,7 +5,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from enum import Enum
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,12 +39,25 @@
     once: bool = False  # it may not be sent again: not on a connection that the endpoint may be about to end
 
 
+class EndReason(Enum):
+    """Why a message ends undelivered."""
+
+    UNKNOWN = "unknown"
+    NO_ROOM = "no room"  # others that are worth more are held
+    TIME_UP = "time up"
+    TOO_LATE = "too late to be answered"  # less time is left than a call takes
+    RETRY_DENIED = "retry denied"  # by the ratio control of retries
+    NOT_REPEATABLE = "not repeatable"  # it may have run, has no attempt left, or no later one could be in time
+    EXHAUSTED = "exhausted"  # the destination takes no further attempt
+
+
 @dataclass(frozen=True, slots=True)
 class Refuse:
     """Final: handed back, safe to hand in again; `retry_after_us` is a hint to the client."""
 
     message: str
     retry_after_us: int = 0
+    reason: EndReason = field(default=EndReason.UNKNOWN, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +65,7 @@
     """Final: ended without a word on whether it took effect."""
 
     message: str
+    reason: EndReason = field(default=EndReason.UNKNOWN, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/wheelstep/courier/carrier.py
+++ b/wheelstep/courier/carrier.py
@@ -5,11 +5,9 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import math
 import time
-from collections import defaultdict
 from collections.abc import Callable, Sequence
 from dataclasses import astuple, replace
 from typing import TYPE_CHECKING
@@ -20,6 +18,8 @@
 from wheelstep.courier.classes import Classes
 from wheelstep.courier.config import Config
 from wheelstep.courier.endpoints import Endpoints
+from wheelstep.courier.flight_recorder import EventKind, FlightRecorder
+from wheelstep.courier.key_order import KeyOrder
 from wheelstep.courier.outlet import Outlet
 from wheelstep.courier.ports import Book, CallsOut, Notices, Told
 from wheelstep.courier.turns import Sends, Turns
@@ -48,10 +48,10 @@
         self._held: dict[str, Stored] = {}  # what the module holds
         self._numbers: dict[str, int] = {}  # each one's next attempt
         self._untried: set[str] = set()  # restored, and neither tried nor ended since
-        self._unsettled: dict[str, set[str]] = defaultdict(set)  # key -> messages whose notice is owed
-        self._settled = asyncio.Event()  # set, and replaced, whenever notices were answered
+        self.order = KeyOrder()
         self.outlet = Outlet(self, config.dial_timeout_us, config.settings.conn_idle_us, config.names.report,
                              max(16, config.sockets - config.sockets // 3 - _RESERVE))
+        self.flight = self.outlet.recorder = FlightRecorder()
         self.notices: Notices | None = None
         self.tells_deliveries = False  # are notices owed of what was delivered as well?
         self.figures: Figures | None = None
@@ -79,9 +79,7 @@
 
     async def settled(self, items: Sequence[Item]) -> None:
         """Guards the order of a key: a message that ended by a notice is over only once that is answered."""
-        keys = {key for item in items if (key := self._key(item.message)) is not None}
-        while any(self._unsettled.get(key) for key in keys):
-            await self._settled.wait()
+        await self.order.until_answered(key for item in items if (key := self._key(item.message)) is not None)
 
     def _key(self, message: str) -> str | None:
         held = self._held.get(message)
@@ -107,6 +105,7 @@
         for item in items:
             self._journal.attempt(item.message, item.attempt, now_ms, endpoint)
             self._untried.discard(item.message)
+            self._record(EventKind.ATTEMPT_STARTED, item.message, f"{item.attempt} at {endpoint}")
             if self.account is not None:
                 self.account.starting(item.message, item.attempt, endpoint)
 
@@ -127,6 +126,8 @@
                 log.info("%s attempt %d at %s: %s after %d ms%s", item.message, item.attempt, endpoint,
                          result.outcome.value, result.spent_us // 1000, ", over" if result.over else "")
             complete = result.outcome is Outcome.OK or result.over or held is None
+            self._record(EventKind.ATTEMPT_ENDED, item.message,
+                         f"{item.attempt} at {endpoint}: {result.outcome.value}{', complete' if complete else ''}")
             if self.account is not None:
                 self.account.ended(item.message, item.attempt, endpoint, result.outcome.value, result.spent_us,
                                    result.outcome is Outcome.OK or result.over, result.limit)
@@ -167,13 +168,10 @@
         """The platform has heard of the end of these."""
         for name in messages:
             if message := self._journal.messages.get(name):
-                if message.key in self._unsettled:
-                    self._unsettled[message.key].discard(name)
-                    if not self._unsettled[message.key]:
-                        del self._unsettled[message.key]
+                self.flight.note(time.monotonic(), EventKind.NOTIFIED, name, message.key)
+                self.order.notification_answered(name, message.key)
                 self._journal.over(name)
-        self._settled.set()
-        self._settled = asyncio.Event()
+        self.order.wake()
 
     def calls_out(self) -> list[CallsOut]:
         """The calls that have begun and have no outcome yet."""
@@ -191,10 +189,10 @@
         match action:
             case api.StartAttempt():
                 self._start(action, calls)
-            case api.Refuse(name, retry_after_us):
-                self._final(name, "handed_back", retry_after_us // 1000)
-            case api.Fail(name):
-                self._final(name, "given_up", 0)
+            case api.Refuse(name, retry_after_us, reason):
+                self._final(name, "handed_back", retry_after_us // 1000, reason)
+            case api.Fail(name, reason):
+                self._final(name, "given_up", 0, reason)
             case api.CancelAttempt(name, attempt):
                 self.outlet.cancel(name, attempt)
             case api.Probe(endpoint):
@@ -224,22 +222,27 @@
     def _call(self, endpoint: str, sends: Sequence[tuple[Item, int]]) -> None:
         self.outlet.call(endpoint, [item for item, _ in sends], min(timeout_us for _, timeout_us in sends))
 
-    def _final(self, name: str, outcome: str, retry_ms: int) -> None:
+    def _final(self, name: str, outcome: str, retry_ms: int, reason: api.EndReason) -> None:
+        self._record(EventKind.COMPLETED, name, f"{outcome}: {reason.value}")
         message = self._held.pop(name)
         del self._numbers[name]
         self._untried.discard(name)
-        self._end(message, outcome, retry_ms)
+        self._end(message, outcome, retry_ms, reason)
 
-    def _end(self, message: Stored, outcome: str, retry_ms: int) -> None:
+    def _record(self, kind: EventKind, message: str = "", detail: str = "") -> None:
+        self.flight.note(time.monotonic(), kind, message, self._key(message), detail)
+
+    def _end(self, message: Stored, outcome: str, retry_ms: int,
+             reason: api.EndReason = api.EndReason.UNKNOWN) -> None:
         self._journal.end(message.id, outcome, retry_ms)
         if self.figures is not None:
             self.figures.ended(message.message_class, outcome)
         if self.account is not None:
-            self.account.final(message.id, outcome)
+            self.account.final(message.id, outcome, reason.value)
         self._owe(message)
 
     def _owe(self, message: Stored) -> None:
         if message.notice is not None and self.notices is not None:
             if message.key is not None and message.notice[0] != "delivered":
-                self._unsettled[message.key].add(message.id)
+                self.order.notification_pending(message.id, message.key)
             self.notices.owe(message.id, *message.notice)
--- a/wheelstep/courier/client_connections.py
+++ b/wheelstep/courier/client_connections.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from collections import Counter
 from typing import Protocol
 
 from wheelstep.courier.client_connection import ClientConnection
@@ -47,6 +48,7 @@
         self._limit = max(ACCEPT, limit - self._most_ending - ACCEPT)
         self._phases: dict[Phase, dict[ClientConnection, None]] = {phase: {} for phase in Phase}
         self._turned_away = self._cut = 0
+        self._ended_for: Counter[str] = Counter()  # since the last report: why connections were ended
         self.paused = False
 
     def serve(self, request: Request, connection: ClientConnection) -> None:
@@ -76,18 +78,19 @@
         self._phases[Phase.SILENT][connection] = None
         if not room:
             self._turned_away += 1
-            self._end(connection)
+            self._end(connection, "no room")
 
     def _make_room(self) -> bool:
         """End one: idle for a while, or silent or slow for longest. Each phase is in order of time."""
         idle = next(iter(self._phases[Phase.IDLE]), None)
         if idle is not None and time.monotonic() - idle.since >= _SPARE_S:
-            return self._end(idle)
+            return self._end(idle, "idle, room for another")
         owing = (connection for phase in (Phase.SILENT, Phase.ASKING) for connection in self._phases[phase])
         first = next((connection for connection in owing if not connection.busy), None)
-        return first is not None and self._end(first)
+        return first is not None and self._end(first, "owes a request, room for another")
 
-    def _end(self, connection: ClientConnection) -> bool:
+    def _end(self, connection: ClientConnection, reason: str) -> bool:
+        self._ended_for[reason] += 1
         self.lingers(connection)
         connection.end()
         return True
@@ -134,11 +137,15 @@
                 elif phase is Phase.ENDING:
                     self._cut_one(connection)
                 else:
-                    self._end(connection)
+                    self._end(connection, f"{phase.value} for {most_s:g} s")
         self.report()
 
     def report(self) -> None:
-        """One line for each kind of what was ended early."""
+        """One line for each kind of what was ended early, and one for why connections were ended."""
+        if self._ended_for:
+            reasons = ", ".join(f"{count} {reason}" for reason, count in self._ended_for.items())
+            log.info("ended clients' connections: %s", reasons)
+            self._ended_for.clear()
         if self._cut:
             log.info("cut %d connections before their clients had taken their answers", self._cut)
             self._cut = 0
@@ -153,7 +160,7 @@
     def end(self, silent: bool) -> None:
         """The courier ends: those that rest, also the `silent` ones. What may take a minute is answered now."""
         for connection in [*self._phases[Phase.IDLE], *(self._phases[Phase.SILENT] if silent else ())]:
-            self._end(connection)
+            self._end(connection, "shutdown")
         for connection in list(self._phases[Phase.HELD]):
             connection.hurry()
 
--- a/wheelstep/courier/connection.py
+++ b/wheelstep/courier/connection.py
@@ -112,6 +112,11 @@
         if not self._busy and not self._closed and self.left_at is None:
             self.left_at = time.monotonic()
 
+    @property
+    def awaits_answer(self) -> bool:
+        """Is a call under way whose answer is not complete?"""
+        return self._busy and not (self._reader is not None and self._reader.done)
+
     def close(self) -> None:
         """At once. What the system still holds of a call without its answer is thrown away, and never read later."""
         if self._transport is None:
@@ -122,7 +127,7 @@
         self._transport.abort()
 
     def _take_back(self) -> None:
-        if self._transport is not None and self._busy and not (self._reader is not None and self._reader.done):
+        if self._transport is not None and self.awaits_answer:
             # Guards against an effect long after: a cut that heals would bring the last byte of a call given up.
             with contextlib.suppress(OSError):
                 self._transport.get_extra_info("socket").setsockopt(
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -14,9 +14,11 @@
 
 from wheelstep import interface as api
 from wheelstep.courier.config import Address, Config
+from wheelstep.courier.flight_recorder import EventKind
 from wheelstep.courier.operated import Operated
 from wheelstep.courier.ports import Book, CallsOut, Told
 from wheelstep.courier.rows import Row
+from wheelstep.courier.wall_clock import ago_us, left_us
 from wheelstep.interface import EndpointState
 from wheelstep.journal import Stored
 
@@ -56,8 +58,7 @@
 
     def forget(self, destinations: Iterable[int]) -> None:
         """They are served here no more: none of their endpoints is listed, and nothing of them is owed."""
-        gone = tuple(destinations)
-        self.endpoints.destinations.difference_update(gone)
+        self.endpoints.destinations.difference_update(gone := tuple(destinations))
         self.turns.post(api.DestinationsDropped(gone))
 
     def _unlist(self, endpoint: str) -> None:
@@ -112,6 +113,7 @@
         self.heard(name)
         message = self._journal.messages[name]
         self._hold(message)
+        self._record(EventKind.ACCEPTED, name)
         self.turns.post(self._accepted(message, message.resubmitted))
 
     def withdraw(self, name: str) -> None:
@@ -129,12 +131,12 @@
             self.figures.ended(message.message_class, "handed_back")
         if self.recorder is not None:
             self.recorder.note(message.message_class, message.destination, message.key, message.token is not None,
-                               message.body, _left_us(message) // 1000, status, message.resubmitted)
+                               message.body, left_us(message) // 1000, status, message.resubmitted)
 
     def _account_for(self, message: Stored, restored: bool = False) -> None:
         if self.account is not None:
             self.account.taken(message.id, message.message_class, message.destination, message.key,
-                               _left_us(message) // 1000, message.resubmitted, restored)
+                               left_us(message) // 1000, message.resubmitted, restored)
 
     # --- from one process to the next ---
 
@@ -146,13 +148,16 @@
     def freeze(self) -> None:
         """Begin nothing: calls under way go on, those that have not written a byte end as not sent."""
         self.turns.frozen = True
+        self._record(EventKind.STATE, detail="frozen")
 
     def thaw(self) -> None:
         """Go on."""
+        self._record(EventKind.STATE, detail="thawed")
         self.turns.thaw()
 
     def stop(self) -> None:
         """Begin nothing any more, and write down what the next process must know."""
+        self._record(EventKind.STATE, detail="stopping: no new attempt")
         self.turns.stopping = True
         self.note_all()
 
@@ -173,6 +178,7 @@
 
     def hand_over(self, tell: Told) -> None:
         """The messages are another process's now: outcomes are told to it, and nothing is written down here."""
+        self._record(EventKind.STATE, detail="handed over")
         self._tell = tell
         self.turns.end()
         self._held.clear()
@@ -208,6 +214,7 @@
                 self._end(message, "given_up", 0)
             else:
                 self._hold(message)
+                self._record(EventKind.RESTORED, message.id, f"{message.attempts} attempts")
                 if not message.attempts:
                     self._untried.add(message.id)
                 self._account_for(message, restored=True)
@@ -215,8 +222,8 @@
                 ran = message.may_have_run(but=number)
                 self.turns.post(api.MessageRestored(
                     self._accepted(message, resubmitted=True), message.attempts,
-                    None if ran is None else _ago_us(ran[0]), self.endpoints.zone(ran[1]) if ran else 0,
-                    None if call is None else api.CallOut(at, call.endpoint, _ago_us(call.sent_ms))))
+                    None if ran is None else ago_us(ran[0]), self.endpoints.zone(ran[1]) if ran else 0,
+                    None if call is None else api.CallOut(at, call.endpoint, ago_us(call.sent_ms))))
 
     def set_aside(self, name: str) -> None:
         """The module holds it no more, and its end is still owed; a call of it that is under way goes on."""
@@ -235,16 +242,9 @@
         place = self.classes.place(message)
         assert place is not None  # the client server takes none of an unknown class, nor does `restore`
         return api.MessageAccepted(message.id, place, message.destination,
-                                   _left_us(message), message.key, resubmitted)
+                                   left_us(message), message.key, resubmitted)
 
     def _hold(self, message: Stored) -> None:
         self._held[message.id] = message
         self._numbers[message.id] = message.attempts
 
-
-def _ago_us(at_ms: int) -> int:
-    return max(0, int(time.time() * 1e6) - at_ms * 1000)
-
-
-def _left_us(message: Stored) -> int:
-    return max(0, message.deadline_ms * 1000 - int(time.time() * 1e6))
--- a/wheelstep/courier/outlet.py
+++ b/wheelstep/courier/outlet.py
@@ -194,7 +194,7 @@
             if keep and self._hosts.get(endpoint) is host:
                 bisect.insort(host.idle, link, key=lambda other: other.idle_since)
             else:
-                link.close()
+                self._close(host, link, "a call on it ended without an answer" if link.awaits_answer else "not kept")
 
     def _told(self, endpoint: str, answer: Answer | None) -> tuple[int, api.LimitReport | None]:
         """The wait and the report that any answer may carry; a wait is told at once."""
--- a/wheelstep/courier/pool.py
+++ b/wheelstep/courier/pool.py
@@ -13,6 +13,7 @@
 from wheelstep.courier.call import Progress
 from wheelstep.courier.config import Address
 from wheelstep.courier.connection import BrokenError, Connection
+from wheelstep.courier.flight_recorder import EventKind, FlightRecorder
 
 _IDLE_MARGIN_S = 1.5  # an idle connection is given up so long before the endpoint would
 _SWEEP_S = 0.5
@@ -38,6 +39,7 @@
         self._idle_s = max(idle_s - _IDLE_MARGIN_S, idle_s / 2)
         self._hosts: dict[str, Host] = {}
         self.dials = 0  # handshakes begun
+        self.recorder: FlightRecorder | None = None
 
     def list(self, endpoint: str, address: Address) -> None:
         """Calls to the endpoint go to this address from now on."""
@@ -62,7 +64,13 @@
         for link in [link for link in host.idle if link.idle_since <= since] if host is not None else ():
             assert host is not None
             host.idle.remove(link)
-            link.close()
+            self._close(host, link, f"idle for {idle_us // 1000} ms or more, to be closed")
+
+    def _close(self, host: Host, link: Connection, reason: str) -> None:
+        if self.recorder is not None:
+            where = f"{host.address.host}:{host.address.port}"
+            self.recorder.note(time.monotonic(), EventKind.CONNECTION_CLOSED, detail=f"{where}: {reason}")
+        link.close()
 
     async def sweep(self) -> None:
         """Close connections before their endpoint does, so that no call is written to a closing one."""
@@ -81,7 +89,7 @@
         idled_s = link.left_at - link.idle_since if link.left_at is not None else 0.0
         if idled_s > link.spent_s:  # else its end belongs to its last answer
             host.safe_s, host.learned_s = min(self._safe_s(host), idled_s / 2), time.monotonic()
-        link.close()
+        self._close(host, link, "idle too long" if link.left_at is None else "ended by its endpoint")
 
     def _safe_s(self, host: Host) -> float:
         """For how long a connection may idle before one call that can't be repeated is at risk. Guards those against
@@ -107,7 +115,7 @@
         if busy + self._idle() > self._most:
             oldest = min((host for host in self._hosts.values() if host.idle),
                          key=lambda host: host.idle[0].idle_since)
-            oldest.idle.pop(0).close()
+            self._close(oldest, oldest.idle.pop(0), "room for another")
         progress.dialled = True
         self.dials += 1
         try:
--- a/wheelstep/interface.py
+++ b/wheelstep/interface.py
@@ -12,6 +12,7 @@
 from wheelstep.actions import Action as Action
 from wheelstep.actions import CancelAttempt as CancelAttempt
 from wheelstep.actions import CloseIdle as CloseIdle
+from wheelstep.actions import EndReason as EndReason
 from wheelstep.actions import Fail as Fail
 from wheelstep.actions import Health as Health
 from wheelstep.actions import NoteHealth as NoteHealth
--- a/wheelstep/policy/choice.py
+++ b/wheelstep/policy/choice.py
@@ -6,7 +6,7 @@
 import math
 
 from wheelstep import interface as api
-from wheelstep.interface import Effect
+from wheelstep.interface import Effect, EndReason
 from wheelstep.policy.common import weight
 from wheelstep.policy.endpoint import Call, Endpoint
 from wheelstep.policy.messages import Destination, Message
@@ -77,7 +77,7 @@
             # Guards against a backlog that is as old as its deadline: sent in turn, every one would come too
             # late, and the ones behind it as well. It harms one that would have been answered unusually soon.
             for message in hopeless:
-                self._end(message)
+                self._end(message, EndReason.TOO_LATE)
             return True
         ready = {endpoint: endpoint.ready_us() for endpoint in destination.endpoints}
         usable = [endpoint for endpoint, at_us in ready.items() if at_us <= self._now]
--- a/wheelstep/policy/holding.py
+++ b/wheelstep/policy/holding.py
@@ -10,7 +10,7 @@
 from dataclasses import replace
 
 from wheelstep import interface as api
-from wheelstep.interface import Effect, Settings
+from wheelstep.interface import Effect, EndReason, Settings
 from wheelstep.policy.endpoint import Call, Endpoint
 from wheelstep.policy.messages import Chain, Destination, Message
 
@@ -83,7 +83,7 @@
         while self._loose:
             message = self._loose.pop()
             if message.queued and self._may_refuse(message):
-                self._end(message)
+                self._end(message, EndReason.NO_ROOM)
                 return
         loose = [(m.worth_at(self._now + d.waiting * self._t1_us, self._s.decay), -d.waiting, m.id, m)
                  for d in self._backlog.values() for m in self._heads(d)
@@ -91,7 +91,7 @@
         if loose:
             self._loose = [row[3] for row in heapq.nsmallest(max(1, len(self._backlog) // 8), loose)][::-1]
             self._loose_until_us = self._now + self._t1_us // 4
-            self._end(self._loose.pop())
+            self._end(self._loose.pop(), EndReason.NO_ROOM)
 
     def _queue(self, message: Message) -> None:
         if message.done or message.queued:
@@ -155,15 +155,15 @@
             until_us = min(until_us, message.ran_us + message.cls.key_ttl_us)
         return until_us - 2 * self._s.tick_us
 
-    def _end(self, message: Message) -> None:
+    def _end(self, message: Message, reason: EndReason) -> None:
         """The final answer: refuse where that is true and harmless, else fail."""
         if message.done or message.call is not None:
             return
         if message.owed and self._may_resend(message, self._now):  # its timer ends it
             self._unqueue(message)
             return
-        refusal = api.Refuse(message.id, min(self._t1_us, self._s.max_retry_after_us))
-        self._actions.append(refusal if self._may_refuse(message) else api.Fail(message.id))
+        refusal = api.Refuse(message.id, min(self._t1_us, self._s.max_retry_after_us), reason)
+        self._actions.append(refusal if self._may_refuse(message) else api.Fail(message.id, reason))
         self._close(message)
 
     def _close(self, message: Message) -> None:
--- a/wheelstep/policy/outcomes.py
+++ b/wheelstep/policy/outcomes.py
@@ -5,7 +5,7 @@
 import math
 
 from wheelstep import interface as api
-from wheelstep.interface import UNRUN, Effect, Outcome
+from wheelstep.interface import UNRUN, Effect, EndReason, Outcome
 from wheelstep.policy.common import CROWD, weight
 from wheelstep.policy.endpoint import Call, Endpoint
 from wheelstep.policy.holding import Holding
@@ -33,7 +33,7 @@
         if event.complete or message.done:
             self._close(message)
         elif event.exhausted:
-            self._end(message)
+            self._end(message, EndReason.EXHAUSTED)
         else:
             self._again(message, destination, event.wait_us)
 
@@ -143,11 +143,11 @@
         if self._may_resend(message, at_us):
             self._at(at_us, lambda: self._retry_due(message, destination))
         else:
-            self._end(message)
+            self._end(message, EndReason.NOT_REPEATABLE)
 
     def _retry_due(self, message: Message, destination: Destination) -> None:
         if not message.done and not destination.loop.may_retry(self._now):
-            self._end(message)
+            self._end(message, EndReason.RETRY_DENIED)
         self._queue(message)
 
     def _watch(self, endpoint: Endpoint) -> None:
--- a/wheelstep/policy/sender.py
+++ b/wheelstep/policy/sender.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 
 from wheelstep import interface as api
-from wheelstep.interface import EndpointState
+from wheelstep.interface import EndpointState, EndReason
 from wheelstep.policy.choice import Choice
 from wheelstep.policy.endpoint import Call, Endpoint
 from wheelstep.policy.messages import Message
@@ -107,7 +107,7 @@
         message = self._messages[event.message] = Message(event, cls, self._now)
         if makes_room and len(self._messages) >= self._s.hold_limit:
             self._make_room()
-        self._at(message.due_us - 2 * self._s.tick_us, lambda: self._end(message), message)
+        self._at(message.due_us - 2 * self._s.tick_us, lambda: self._end(message, EndReason.TIME_UP), message)
         if message.key is None:
             self._queue(message)
         else:
@@ -127,7 +127,7 @@
         if event.out is not None:
             self._resume(message, event.out)
         elif not self._may_resend(message, self._now):
-            self._end(message)
+            self._end(message, EndReason.NOT_REPEATABLE)
 
     def _resume(self, message: Message, out: api.CallOut) -> None:
         """Its call is out as if it had been sent here: it holds its slot, its endpoint and its key."""
--- a/wheelstep/rehearsal/broken/twice.py
+++ b/wheelstep/rehearsal/broken/twice.py
@@ -6,7 +6,7 @@
 
 from wheelstep.courier.call import Progress
 from wheelstep.courier.carrier import Carrier
-from wheelstep.interface import Outcome
+from wheelstep.interface import EndReason, Outcome
 from wheelstep.journal import Stored
 from wheelstep.rehearsal.broken.patch import change_settings
 
@@ -39,7 +39,8 @@
     """Every end is told as a refusal that is safe to repeat."""
     end = Carrier._end
 
-    def handed_back(self: Carrier, message: Stored, outcome: str, retry_ms: int) -> None:
-        end(self, message, "handed_back", retry_ms)
+    def handed_back(self: Carrier, message: Stored, outcome: str, retry_ms: int,
+                    reason: EndReason = EndReason.UNKNOWN) -> None:
+        end(self, message, "handed_back", retry_ms, reason)
 
     Carrier._end = handed_back  # type: ignore[method-assign]
