--- /dev/null
+++ b/tests/test_order_across_processes.py
@@ -0,0 +1,230 @@
+"""A key's order holds while one process follows another: the settle period after an attempt that may still run, and
+attempts that are open at a process before, bind the next process as they bound the one that saw them."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+from loopback import LIMIT_S, SETTINGS, Courier, Platform, free_address, host, run
+
+from wheelstep.rehearsal.standins import wire
+
+SETTLE_S = 0.3
+SLACK_S = 0.05  # PROTOCOL: each time limit is 50 ms longer
+KEYS = 64
+STAGGER_S = 0.02  # from one key's broken call to the next one's: together longer than a process takes to start
+LATE_SETTLE_S = 2.0  # longer than a process takes to start
+CLASSES: list[dict[str, Any]] = [
+    {"name": "once", "promise_us": 4_000_000, "deadline_us": 20_000_000, "effect": "once", "by_arrival": True},
+    {"name": "safe", "promise_us": 4_000_000, "deadline_us": 20_000_000, "effect": "repeatable", "by_arrival": True}]
+
+
+def settings(settle_s: float = SETTLE_S) -> dict[str, Any]:
+    return {**SETTINGS, "services": CLASSES,
+            "specifics": {**SETTINGS["specifics"], "per_call": [1], "calls_out": 4 * KEYS},
+            "caps": {**SETTINGS["caps"], "open_cap": 8 * KEYS},
+            "rules": {**SETTINGS["rules"], "order_settle_us": int(settle_s * 1e6)}}
+
+
+@dataclass
+class Attempt:
+    """One call as its endpoint saw it. Times are the loop's."""
+
+    message: str
+    first_at: float
+    answered: bool = False
+    ended_at: float = float("inf")  # answered, or its connection has ended
+    reset: Callable[[], None] = lambda: None
+
+
+@dataclass
+class Endpoints:
+    """An endpoint for each destination 1 to `count`; `reply` decides on each call: True answers 200, False leaves it
+    open until somebody resets it."""
+
+    count: int
+    reply: Callable[[Attempt], Awaitable[bool]]
+    attempts: list[Attempt] = field(default_factory=list)
+
+    async def rows(self) -> list[dict[str, Any]]:
+        self.ports = [wire.Port(lambda: EndpointLink(self)) for _ in range(self.count)]
+        for port in self.ports:
+            await port.listen()
+        return [host(f"e{number}", port.address, number) for number, port in enumerate(self.ports, 1)]
+
+    def of(self, message: str) -> list[Attempt]:
+        return [attempt for attempt in self.attempts if attempt.message == message]
+
+    async def until(self, seen: Callable[[], bool]) -> None:
+        async with asyncio.timeout(LIMIT_S):
+            while not seen():
+                await asyncio.sleep(0.005)
+
+
+class EndpointLink(wire.Server):
+    """One connection to an endpoint."""
+
+    def __init__(self, endpoints: Endpoints) -> None:
+        super().__init__()
+        self._endpoints = endpoints
+        self._open: list[Attempt] = []
+
+    def requested(self, request: wire.Request) -> None:
+        if request.method != "POST":
+            self.answer(200)
+            return
+        attempt = Attempt(request.headers["x-request-id"], request.first_at, reset=self.abort)
+        self._open.append(attempt)
+        self._endpoints.attempts.append(attempt)
+        self._task = asyncio.create_task(self._reply(attempt))
+
+    async def _reply(self, attempt: Attempt) -> None:
+        if await self._endpoints.reply(attempt) and not self.gone:
+            self._open.remove(attempt)
+            attempt.answered, attempt.ended_at = True, time.monotonic()
+            self.answer(200)
+
+    def lost(self) -> None:
+        for attempt in self._open:
+            attempt.ended_at = min(attempt.ended_at, time.monotonic())
+
+
+def early(endpoints: Endpoints, pairs: dict[str, str], settle_s: float = SETTLE_S) -> list[str]:
+    """Which later messages were called for before the earlier one's attempts had ended and the key had settled."""
+    found = []
+    for later, earlier in pairs.items():
+        for call in endpoints.of(later):
+            for before in endpoints.of(earlier):
+                needs_s = 0.0 if before.answered else settle_s - SLACK_S
+                if (passed_s := call.first_at - before.ended_at) < needs_s:
+                    found.append(f"{later} called for {passed_s:.3f} s after an attempt of {earlier} had ended")
+    return found
+
+
+class World:
+    """The platform, endpoints and one courier that others follow."""
+
+    def __init__(self, folder: Path, endpoints: Endpoints, settle_s: float = SETTLE_S) -> None:
+        self.platform, self.endpoints = Platform(), endpoints
+        self.courier = Courier(folder, self.platform, settings(settle_s), console=True)
+        self.couriers = [self.courier]
+
+    async def __aenter__(self) -> World:
+        await self.platform.start()
+        self.platform.list(*await self.endpoints.rows())
+        self.courier.listen = free_address()
+        await self.courier.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for courier in self.couriers:
+            if courier.process.returncode is None:
+                await courier.kill()
+        await self.platform.stop()
+        for port in self.endpoints.ports:
+            port.close()
+
+    async def submit_pair(self) -> None:
+        """The first of a key, whose call is then open, and the second, which waits for it."""
+        assert await self.courier.hand_in("first", "once", "k", X_Consignee="dest=1") == 202
+        await self.endpoints.until(lambda: len(self.endpoints.attempts) == 1)
+        assert await self.courier.hand_in("second", "safe", "k", X_Consignee="dest=2") == 202
+
+    async def submit_pairs(self, count: int) -> dict[str, str]:
+        """Two messages of each key; returns the earlier one by the later one. Each has a destination of its own, so
+        that nothing but the key's order holds the later one back."""
+        async with aiohttp.ClientSession() as http:
+            for name, cls, place in (("first", "once", 0), ("second", "safe", count)):
+                for number in range(1, count + 1):
+                    given = {"X-Request-Id": f"{name}-{number}", "X-Class": cls, "X-Deadline-Ms": "20000",
+                             "X-Consignee": f"dest={place + number}"}
+                    async with http.post(f"http://{self.courier.address}/api/k{number}", data=b"x",
+                                         headers=given) as answer:
+                        assert answer.status == 202
+        return {f"second-{number}": f"first-{number}" for number in range(1, count + 1)}
+
+    async def upgrade(self) -> Courier:
+        """Start the successor of the newest process, and wait until it serves."""
+        after = self.courier.successor()
+        await after.begin()
+        after.address = self.courier.address
+        self.couriers.append(after)
+        await after.wait_ready()
+        self.courier = after
+        return after
+
+
+async def second_answers(attempt: Attempt) -> bool:
+    return attempt.message.startswith("second")
+
+
+def test_a_key_that_settles_does_so_at_the_successor(tmp_path: Path) -> None:
+    """Incident 45. The first of each key breaks, one key after the other, while a new version takes over."""
+    async def play() -> None:
+        endpoints = Endpoints(2 * KEYS, second_answers)
+        async with World(tmp_path, endpoints) as world:
+            pairs = await world.submit_pairs(KEYS)
+            await endpoints.until(lambda: len(endpoints.attempts) == KEYS)
+
+            async def break_in_turn() -> None:
+                for number in range(1, KEYS + 1):
+                    endpoints.of(f"first-{number}")[0].reset()
+                    await asyncio.sleep(STAGGER_S)
+            breaking = asyncio.create_task(break_in_turn())
+            await world.upgrade()
+            await breaking
+            await endpoints.until(lambda: all(endpoints.of(name) for name in pairs))
+            assert not early(endpoints, pairs)
+    run(play())
+
+
+def test_a_call_of_two_processes_before_is_waited_for(tmp_path: Path) -> None:
+    """Two new versions in a row: the first process still has the call, the third one has the key."""
+    async def play() -> None:
+        endpoints = Endpoints(2, second_answers)
+        async with World(tmp_path, endpoints) as world:
+            await world.submit_pair()
+            await world.upgrade()
+            await world.upgrade()
+            await asyncio.sleep(3 * SETTLE_S)
+            assert not endpoints.of("second")
+            endpoints.attempts[0].reset()
+            await endpoints.until(lambda: bool(endpoints.of("second")))
+            assert not early(endpoints, {"second": "first"})
+    run(play())
+
+
+def test_a_key_that_settles_does_so_after_a_restart(tmp_path: Path) -> None:
+    """Killed right after the first of a key has failed and its notice was answered."""
+    async def play() -> None:
+        endpoints = Endpoints(2, second_answers)
+        async with World(tmp_path, endpoints, LATE_SETTLE_S) as world:
+            await world.submit_pair()
+            endpoints.attempts[0].reset()
+            await world.platform.wait_notice("first")
+            await asyncio.sleep(0.05)  # its answer has been read
+            await world.courier.kill()
+            await world.courier.start()
+            await endpoints.until(lambda: bool(endpoints.of("second")))
+            assert not early(endpoints, {"second": "first"}, LATE_SETTLE_S)
+    run(play())
+
+
+def test_a_call_that_is_cut_as_its_process_ends_has_ended_when_the_key_goes_on(tmp_path: Path) -> None:
+    """The process before leaves with a call that nobody answers."""
+    async def play() -> None:
+        endpoints = Endpoints(2, second_answers)
+        async with World(tmp_path, endpoints) as world:
+            await world.submit_pair()
+            before = world.courier
+            await world.upgrade()
+            assert await before.terminate() == 0
+            await endpoints.until(lambda: bool(endpoints.of("second")))
+            assert not early(endpoints, {"second": "first"})
+    run(play())
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -247,4 +247,3 @@
     def _hold(self, message: Stored) -> None:
         self._held[message.id] = message
         self._numbers[message.id] = message.attempts
-
