--- /dev/null
+++ b/tests/test_key_order.py
@@ -0,0 +1,167 @@
+"""The order of keys as the calls see it, without sockets: turns, settle periods, and what the next process is told."""
+
+from __future__ import annotations
+
+import pytest
+from helpers import MS, Drive, S, sends
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wheelstep import interface as api
+from wheelstep.courier.call import Item
+from wheelstep.courier.flight_recorder import EventKind, FlightRecorder
+from wheelstep.courier.invariants import MOST_TOLD, Invariant, Invariants
+from wheelstep.courier.key_order import Block, KeyOrder
+from wheelstep.courier.send_guard import SendGuard
+from wheelstep.courier.succession import follow
+from wheelstep.journal import Stored
+
+SETTLE_S = 0.3
+
+
+@pytest.fixture
+def order() -> KeyOrder:
+    made = KeyOrder(SETTLE_S)
+    made.accepted("first", "k")
+    made.accepted("second", "k")
+    made.accepted("other", "o")
+    made.accepted("free", None)
+    return made
+
+
+def test_one_at_a_time_in_the_order_of_acceptance(order: KeyOrder) -> None:
+    assert [order.block(name, 0.0) for name in ("first", "second", "other", "free")] == [
+        None, Block.EARLIER, None, None]
+    order.attempt_started("first", 0)
+    order.attempt_ended("first", 0, False, 1.0)
+    order.completed("first", 1.0)
+    assert order.block("second", 1.0) is None
+
+
+def test_a_key_settles_after_an_attempt_that_may_still_run_also_once_its_message_is_complete(order: KeyOrder) -> None:
+    order.attempt_started("first", 0)
+    order.attempt_ended("first", 0, True, 1.0)
+    assert order.block("first", 1.0) is None  # it has the turn, and may be tried again
+    order.completed("first", 1.1)
+    assert order.block("second", 1.299) is Block.SETTLING
+    assert order.block("second", 1.3) is None
+
+
+def test_the_answer_to_a_notification_is_waited_for(order: KeyOrder) -> None:
+    order.notification_pending("first", "k")
+    assert order.block("second", 0.0) is Block.NOTIFICATION
+    order.completed("first", 0.0)
+    assert order.block("second", 0.0) is None
+
+
+def test_a_message_that_is_set_aside_with_its_call_out_still_holds_the_key(order: KeyOrder) -> None:
+    order.attempt_started("first", 0)
+    order.completed("first", 1.0)
+    assert order.block("second", 1.0) is Block.ATTEMPT
+    order.attempt_ended("first", 0, True, 2.0)
+    assert order.block("second", 2.2) is Block.SETTLING
+    assert order.block("second", 2.3) is None
+
+
+def test_a_successor_goes_on_with_what_settles(order: KeyOrder) -> None:
+    order.attempt_started("first", 0)
+    order.attempt_ended("first", 0, True, 1.0)
+    order.completed("first", 1.0)
+    after = KeyOrder(SETTLE_S)
+    event = follow(after, order.settling(1.1), 99.0, 1.1)
+    assert event is not None and event.all_us == 0 and [key for key, _ in event.keys] == ["k"]
+    assert 200_000 <= event.keys[0][1] <= 200_002
+    after.accepted("second", "k")
+    after.accepted("other", "o")
+    assert after.block("second", 1.29) is Block.SETTLING and after.block("other", 1.29) is None
+    assert after.block("second", 1.31) is None
+    assert follow(KeyOrder(SETTLE_S), {}, 99.0, 1.1) is None
+
+
+def test_after_a_restart_every_key_settles_but_for_a_message_that_was_tried() -> None:
+    order = KeyOrder(SETTLE_S)
+    event = follow(order, None, 5.0, 4.9)
+    assert event is not None and 100_000 <= event.all_us <= 100_002 and not event.keys
+    order.accepted("untried", "k")
+    order.accepted("tried", "o", tried=True)
+    assert order.block("untried", 4.99) is Block.SETTLING and order.block("tried", 4.99) is None
+    assert order.block("untried", 5.0) is None
+    assert follow(KeyOrder(SETTLE_S), None, 4.0, 4.9) is None
+
+
+@given(st.lists(st.tuples(st.sampled_from(["accept", "start", "end", "break", "complete"]), st.integers(0, 5),
+                          st.integers(0, 2)), max_size=60))
+def test_nothing_is_kept_once_all_is_complete_and_settled(steps: list[tuple[str, int, int]]) -> None:
+    order, now_s = KeyOrder(SETTLE_S), 0.0
+    for what, number, key in steps:
+        now_s += 0.1
+        name = f"m{number}-{key}"
+        match what:
+            case "accept":
+                order.accepted(name, f"k{key}")
+            case "start":
+                order.attempt_started(name, 0)
+            case "end" | "break":
+                order.attempt_ended(name, 0, what == "break", now_s)
+            case "complete":
+                order.completed(name, now_s)
+    for number in range(6):
+        for key in range(3):
+            order.attempt_ended(f"m{number}-{key}", 0, False, now_s)
+            order.completed(f"m{number}-{key}", now_s)
+    order.accepted("last", "last")
+    order.completed("last", now_s + 9.0)
+    assert len(order) == 0 and not order.settling(now_s + 9.0)
+
+
+def test_the_guard_stops_and_counts_what_the_module_should_not_have_asked_for(
+        order: KeyOrder, caplog: pytest.LogCaptureFixture) -> None:
+    recorder = FlightRecorder()
+    recorder.note(0.5, EventKind.ACCEPTED, "first", "k")
+    invariants = Invariants(recorder)
+    guard = SendGuard(order, invariants)
+    second = Stored("second", "c", 7, 0, key="k")
+    assert not guard.may_send(second, Item("second", 0, None, b""), 1.0)
+    assert "KEY_ORDER" in caplog.text and "0.500 accepted first" in caplog.text
+    fee = Stored("fee", "c", 7, 0, attempts=1, ran_ms=5, ran_at="e0")
+    assert not guard.may_send(fee, Item("fee", 1, None, b"", once=True), 1.0)
+    assert guard.may_send(fee, Item("fee", 1, None, b""), 1.0)
+    fee.ran_ms, fee.out = None, {1: (5, "e0")}
+    assert guard.may_send(fee, Item("fee", 1, None, b"", once=True), 1.0)  # the second look at the same attempt
+    assert invariants.summary() == "1 KEY_ORDER, 1 SENT_ONCE"
+
+
+def test_violations_beyond_a_number_are_only_counted(caplog: pytest.LogCaptureFixture) -> None:
+    invariants = Invariants(FlightRecorder())
+    for _ in range(MOST_TOLD + 5):
+        invariants.violated(Invariant.ANSWERED, "x")
+    assert invariants.violations[Invariant.ANSWERED] == MOST_TOLD + 5
+    assert caplog.text.count("invariant violated") == MOST_TOLD
+
+
+def test_the_module_waits_for_the_settle_periods_of_a_process_before() -> None:
+    drive = Drive(order_settle_us=300 * MS)
+    drive.at(0, api.KeysSettling((("k", 200 * MS),)))
+    assert not sends(drive.submit("a", 3, key="k")) and sends(drive.submit("b", 3, key="o")) == ["b"]
+    assert not sends(drive.tick(199 * MS, MS))
+    assert sends(drive.tick(201 * MS, MS)) == ["a"]
+
+
+def test_the_module_lets_all_keys_settle_after_a_restart_but_for_what_was_tried() -> None:
+    drive = Drive(order_settle_us=300 * MS)
+    tried = api.MessageAccepted("tried", 3, 7, 20 * S, "o")
+    untried = api.MessageAccepted("untried", 3, 7, 20 * S, "k")
+    free = api.MessageAccepted("free", 0, 7, 20 * S)
+    started = drive.at(0, api.KeysSettling(all_us=100 * MS), api.MessageRestored(tried, 1, 50 * MS),
+                       api.MessageRestored(untried), api.MessageRestored(free))
+    assert set(sends(started)) == {"tried", "free"}
+    assert not sends(drive.submit("new", 3, key="n"))
+    assert not sends(drive.tick(99 * MS, MS))
+    assert set(sends(drive.tick(102 * MS, MS))) == {"untried", "new"}
+
+
+def test_a_key_that_only_settles_is_forgotten_by_the_module() -> None:
+    drive = Drive(order_settle_us=300 * MS)
+    drive.at(0, api.KeysSettling((("k", 200 * MS),)))
+    drive.tick(300 * MS)
+    assert not drive.sender._chains
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -93,7 +93,8 @@
             if fleet is not None:
                 fleet.restore()
             else:
-                core.restore(journal.marks, journal.messages.values(), taker.taken.calls if taker is not None else ())
+                core.restore(journal.marks, journal.messages.values(), taker.taken.calls if taker is not None else (),
+                             taker.taken.settling if taker is not None else None)
             gc.freeze()  # what was restored lives long: a collection that walked it all would stop the loop
             port = await server.start(config.listen, taker.taken.listener if taker is not None else None)
             if taker is not None:
@@ -105,7 +106,8 @@
                     for task in tasks:
                         task.cancel()
                     journal.close()
-                giver = Giver(config.state, core, server, lambda: watch.seq, close)
+                giver = Giver(config.state, core, server, lambda: watch.seq, close,
+                              taker.still_out if taker is not None else list)
                 giver.start()
             if fleet is not None:
                 await fleet.start()
@@ -118,7 +120,8 @@
             if giver is not None:
                 giver.leave()
             if giver is not None and giver.given:
-                await core.outlet.finish(LEAVE_S)
+                await giver.finish(LEAVE_S)
+                log.info("stopped after a hand-over; invariants violated: %s", core.invariants.summary())
             else:
                 await leave(core, server, fleet.leave() if fleet is not None else None)
             if fleet is not None:
--- a/wheelstep/courier/carrier.py
+++ b/wheelstep/courier/carrier.py
@@ -19,11 +19,15 @@
 from wheelstep.courier.config import Config
 from wheelstep.courier.endpoints import Endpoints
 from wheelstep.courier.flight_recorder import EventKind, FlightRecorder
+from wheelstep.courier.invariants import Invariant, Invariants
 from wheelstep.courier.key_order import KeyOrder
 from wheelstep.courier.outlet import Outlet
 from wheelstep.courier.ports import Book, CallsOut, Notices, Told
+from wheelstep.courier.send_guard import SendGuard
+from wheelstep.courier.succession import begun
 from wheelstep.courier.turns import Sends, Turns
-from wheelstep.interface import UNRUN, Outcome
+from wheelstep.courier.wall_clock import time_is_up
+from wheelstep.interface import MAY_STILL_RUN, UNRUN, Outcome
 from wheelstep.journal import NoRoomError, Stored
 
 if TYPE_CHECKING:  # what is off is not imported
@@ -48,10 +52,12 @@
         self._held: dict[str, Stored] = {}  # what the module holds
         self._numbers: dict[str, int] = {}  # each one's next attempt
         self._untried: set[str] = set()  # restored, and neither tried nor ended since
-        self.order = KeyOrder()
+        self.order = KeyOrder(config.settings.order_settle_us / 1e6)
         self.outlet = Outlet(self, config.dial_timeout_us, config.settings.conn_idle_us, config.names.report,
                              max(16, config.sockets - config.sockets // 3 - _RESERVE))
         self.flight = self.outlet.recorder = FlightRecorder()
+        self.invariants = Invariants(self.flight)
+        self._guard = SendGuard(self.order, self.invariants)
         self.notices: Notices | None = None
         self.tells_deliveries = False  # are notices owed of what was delivered as well?
         self.figures: Figures | None = None
@@ -79,7 +85,7 @@
 
     async def settled(self, items: Sequence[Item]) -> None:
         """Guards the order of a key: a message that ended by a notice is over only once that is answered."""
-        await self.order.until_answered(key for item in items if (key := self._key(item.message)) is not None)
+        await self.order.until_answered((item.message for item in items), time.monotonic())
 
     def _key(self, message: str) -> str | None:
         held = self._held.get(message)
@@ -87,8 +93,10 @@
 
     def may_start(self, endpoint: str, item: Item) -> bool:
         """May the attempt's first byte still be written?"""
-        return (item.message in self._held and self.may_probe(endpoint)
-                and (self.fence is None or self.fence(item.message)))
+        message = self._held.get(item.message)
+        return (message is not None and self.may_probe(endpoint)
+                and (self.fence is None or self.fence(item.message))
+                and self._guard.may_send(message, item, time.monotonic()))
 
     def may_probe(self, endpoint: str) -> bool:
         """May anything new be written there?"""
@@ -102,7 +110,10 @@
     def starting(self, endpoint: str, items: Sequence[Item]) -> None:
         """Write the attempts down before their first byte."""
         now_ms = int(time.time() * 1000)
+        if self._tell is not None:
+            self.invariants.violated(Invariant.OWNER, f"a call at {endpoint} began after the hand-over")
         for item in items:
+            self.order.attempt_started(item.message, item.attempt)
             self._journal.attempt(item.message, item.attempt, now_ms, endpoint)
             self._untried.discard(item.message)
             self._record(EventKind.ATTEMPT_STARTED, item.message, f"{item.attempt} at {endpoint}")
@@ -118,16 +129,18 @@
         if self._tell is not None:
             self._tell(endpoint, results)
             return
+        now_s = time.monotonic()
         for item, result in results:
+            self.order.attempt_ended(item.message, item.attempt, result.outcome in MAY_STILL_RUN, now_s)
             held = self._held.get(item.message)
-            if held is not None and result.outcome is Outcome.OK and self._time_is_up(held):
+            if held is not None and result.outcome is Outcome.OK and not self.tells_deliveries and (
+                    time_is_up(held, max(self._s.answer_slack_us, 2 * self._s.tick_us))):
                 result = replace(result, outcome=Outcome.TIMEOUT)
             if result.outcome is not Outcome.OK:
                 log.info("%s attempt %d at %s: %s after %d ms%s", item.message, item.attempt, endpoint,
                          result.outcome.value, result.spent_us // 1000, ", over" if result.over else "")
             complete = result.outcome is Outcome.OK or result.over or held is None
-            self._record(EventKind.ATTEMPT_ENDED, item.message,
-                         f"{item.attempt} at {endpoint}: {result.outcome.value}{', complete' if complete else ''}")
+            self._record(EventKind.ATTEMPT_ENDED, item.message, f"{item.attempt} at {endpoint}: {result.outcome.value}")
             if self.account is not None:
                 self.account.ended(item.message, item.attempt, endpoint, result.outcome.value, result.spent_us,
                                    result.outcome is Outcome.OK or result.over, result.limit)
@@ -135,6 +148,7 @@
                 if self.figures is not None and not result.over:
                     self.figures.passed[held.message_class] += 1
                 del self._held[item.message], self._numbers[item.message]
+                self.order.completed(item.message, now_s)
                 if self.tells_deliveries:
                     self._journal.end(item.message, "delivered", 0)
                     self._owe(held)
@@ -148,14 +162,6 @@
             if held is None and self.stray is not None:
                 self.stray(item, result)
 
-    def _time_is_up(self, message: Stored) -> bool:
-        """Is it too late for a delivery? Guards against a message with no end, and the order of its key: a 200 that is
-        written once the time is up delivers nothing to the platform, and when it was written can't be told from here.
-        The client's clock is ahead of ours by the way of its request and the loop's turns. Harms one that came just in
-        time: its end is told as well, which the platform passes over (PROTOCOL, 'Notices')."""
-        ahead_us = max(self._s.answer_slack_us, 2 * self._s.tick_us)
-        return not self.tells_deliveries and time.time() * 1e6 >= message.deadline_ms * 1000 - ahead_us
-
     def probed(self, endpoint: str, result: Result) -> None:
         """The outcome of a probe."""
         if self._tell is not None:
@@ -169,19 +175,13 @@
         for name in messages:
             if message := self._journal.messages.get(name):
                 self.flight.note(time.monotonic(), EventKind.NOTIFIED, name, message.key)
-                self.order.notification_answered(name, message.key)
+                self.order.completed(name, time.monotonic())
                 self._journal.over(name)
         self.order.wake()
 
     def calls_out(self) -> list[CallsOut]:
         """The calls that have begun and have no outcome yet."""
-        found = []
-        for attempts in self.outlet.calls():
-            rows = [(name, number, held.out[number]) for name, number in attempts
-                    if (held := self._journal.messages.get(name)) is not None and number in held.out]
-            if rows:
-                found.append(CallsOut(rows[0][2][1], rows[0][2][0], [(name, number) for name, number, _ in rows]))
-        return found
+        return begun(self.outlet.calls(), self._journal.messages)
 
     # --- what the module wants ---
 
@@ -242,7 +242,9 @@
         self._owe(message)
 
     def _owe(self, message: Stored) -> None:
-        if message.notice is not None and self.notices is not None:
-            if message.key is not None and message.notice[0] != "delivered":
-                self.order.notification_pending(message.id, message.key)
-            self.notices.owe(message.id, *message.notice)
+        if message.notice is None or self.notices is None:
+            self.order.completed(message.id, time.monotonic())
+            return
+        if message.notice[0] != "delivered":
+            self.order.notification_pending(message.id, message.key)
+        self.notices.owe(message.id, *message.notice)
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -18,6 +18,7 @@
 from wheelstep.courier.operated import Operated
 from wheelstep.courier.ports import Book, CallsOut, Told
 from wheelstep.courier.rows import Row
+from wheelstep.courier.succession import follow
 from wheelstep.courier.wall_clock import ago_us, left_us
 from wheelstep.interface import EndpointState
 from wheelstep.journal import Stored
@@ -36,6 +37,7 @@
     def __init__(self, config: Config, journal: Book) -> None:
         super().__init__(config, journal)
         self._settles: set[str] = set()  # written down, and neither begun nor withdrawn
+        self._created_s = time.monotonic()  # the folder is ours, so any process before has ended
         self.recorder: Recorder | None = None
         self.ready = False
 
@@ -65,15 +67,6 @@
         self.endpoints.remove(endpoint)
         self.outlet.unlist(endpoint)
 
-    @property
-    def knows_list(self) -> bool:
-        """Has any list been read, also one with nothing in it for this courier?"""
-        return self.endpoints.knows_list
-
-    @knows_list.setter
-    def knows_list(self, known: bool) -> None:
-        self.endpoints.knows_list = known
-
     # --- clients (desk.Desk) ---
 
     def full(self) -> bool:
@@ -185,22 +178,18 @@
         for endpoint in self.endpoints.listed:
             self.outlet.close_idle(endpoint)
 
-    def restore(self, marks: Mapping[str, Any], messages: Iterable[Stored],
-                calls: Sequence[CallsOut] = ()) -> None:
+    def restore(self, marks: Mapping[str, Any], messages: Iterable[Stored], calls: Sequence[CallsOut] = (),
+                settling: Mapping[str, int] | None = None) -> None:
         """Take up what a journal holds: the health of endpoints, and the messages in their order. `calls` are still
-        out at the process before, which will tell their outcomes."""
+        out at the process before, which will tell their outcomes. `settling`: the keys that settle there, and for how
+        many microseconds; None where there is no process to tell, so that any key may."""
+        settle_us = 0 if not marks else self._s.order_settle_us  # no marks: the first process on this folder
+        if (event := follow(self.order, settling, self._created_s + settle_us / 1e6, time.monotonic())) is not None:
+            self.turns.post(event)
         out = {name: (at, number, call) for at, call in enumerate(calls) for name, number in call.attempts}
-        now_ms, messages = int(time.time() * 1000), list(messages)
+        messages = list(messages)
         self.classes.restore(marks, messages)
         self.endpoints.restore(marks)
-        for endpoint, value in list(marks.items()):
-            if endpoint.startswith(":"):
-                continue
-            at_ms, *health = value
-            if endpoint in self.endpoints.listed:
-                self.turns.post(api.HealthRestored(endpoint, api.Health(*health), max(0, now_ms - at_ms) * 1000))
-            else:
-                self._journal.mark(endpoint, None)
         self.resume(messages, out)
 
     def resume(self, messages: Iterable[Stored], out: Mapping[str, tuple[int, int, CallsOut]] | None = None) -> None:
@@ -213,13 +202,15 @@
                 log.error("class %r is not known any more: %s fails", message.message_class, message.id)
                 self._end(message, "given_up", 0)
             else:
-                self._hold(message)
+                at, number, call = (out or {}).get(message.id, (0, None, None))
+                ran = message.may_have_run(but=number)
+                self._hold(message, time.monotonic() + self._s.order_settle_us / 1e6 if ran else 0.0)
+                if number is not None:
+                    self.order.attempt_started(message.id, number)
                 self._record(EventKind.RESTORED, message.id, f"{message.attempts} attempts")
                 if not message.attempts:
                     self._untried.add(message.id)
                 self._account_for(message, restored=True)
-                at, number, call = (out or {}).get(message.id, (0, None, None))
-                ran = message.may_have_run(but=number)
                 self.turns.post(api.MessageRestored(
                     self._accepted(message, resubmitted=True), message.attempts,
                     None if ran is None else ago_us(ran[0]), self.endpoints.zone(ran[1]) if ran else 0,
@@ -227,6 +218,10 @@
 
     def set_aside(self, name: str) -> None:
         """The module holds it no more, and its end is still owed; a call of it that is under way goes on."""
+        self._drop(name)
+        self.order.completed(name, time.monotonic())
+
+    def _drop(self, name: str) -> None:
         if self._held.pop(name, None) is not None:
             del self._numbers[name]
             self._untried.discard(name)
@@ -234,7 +229,7 @@
 
     def finish(self, name: str, outcome: str, retry_ms: int = 0) -> None:
         """End one by a notice, whether the module holds it or not."""
-        self.set_aside(name)
+        self._drop(name)
         if (message := self._journal.messages.get(name)) is not None and message.notice is None:
             self._end(message, outcome, retry_ms)
 
@@ -244,6 +239,7 @@
         return api.MessageAccepted(message.id, place, message.destination,
                                    left_us(message), message.key, resubmitted)
 
-    def _hold(self, message: Stored) -> None:
+    def _hold(self, message: Stored, may_run_until: float = 0.0) -> None:
         self._held[message.id] = message
         self._numbers[message.id] = message.attempts
+        self.order.accepted(message.id, message.key, message.attempts > 0, may_run_until)
--- a/wheelstep/courier/endpoints.py
+++ b/wheelstep/courier/endpoints.py
@@ -5,11 +5,13 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
+from typing import Any
 
 from wheelstep import interface as api
 from wheelstep.courier.ports import Book
+from wheelstep.courier.wall_clock import ago_us
 from wheelstep.interface import EndpointState, Settings
 
 _OUT = ":out "  # before an endpoint's id: the mark that it is out by hand
@@ -77,11 +79,20 @@
         log.info("%s is back by hand", endpoint)
         return True
 
-    def restore(self, marks: Iterable[str]) -> None:
-        """Those that were out by hand before a restart still are."""
+    def restore(self, marks: Mapping[str, Any]) -> None:
+        """Those that were out by hand before a restart still are, and what was noted of the health of those that are
+        listed is handed to the module."""
         self.out.update(name.removeprefix(_OUT) for name in marks if name.startswith(_OUT))
         for endpoint in self.out & self.listed.keys():
             self.tell(api.ListKind.CHANGES, [self.listed[endpoint]])
+        for endpoint, value in list(marks.items()):
+            if endpoint.startswith(":"):
+                continue
+            at_ms, *health = value
+            if endpoint in self.listed:
+                self._post(api.HealthRestored(endpoint, api.Health(*health), ago_us(at_ms)))
+            else:
+                self._journal.mark(endpoint, None)
 
     def serves(self, destination: int) -> bool:
         """Has any list named it? Its endpoints may all be gone just now. Guards against messages that
--- a/wheelstep/courier/leaving.py
+++ b/wheelstep/courier/leaving.py
@@ -41,7 +41,8 @@
     log.info("ending clients' connections")
     await server.stop()
     await core.outlet.finish(max(0.0, began + LEAVE_S - asyncio.get_running_loop().time()))
-    log.info("stopped")
+    await core.outlet.abandon()  # before the folder is given back: a process that waits for it takes them for ended
+    log.info("stopped; invariants violated: %s", core.invariants.summary())
 
 
 def deafen() -> None:
--- a/wheelstep/courier/outlet.py
+++ b/wheelstep/courier/outlet.py
@@ -24,6 +24,8 @@
 
 __all__ = ["Gate", "Item", "Outlet", "Result"]
 
+_ABANDON_S = 0.2  # for calls that are given up to close their connections: they wait for nothing else
+
 log = logging.getLogger(__name__)
 
 
@@ -74,6 +76,14 @@
         if self._tasks:
             await asyncio.wait(set(self._tasks), timeout=timeout_s)
 
+    async def abandon(self) -> None:
+        """Give up all calls under way and close their connections: nobody is there any more to hear their outcomes."""
+        calls = set(self._calls.values())
+        for task in calls:
+            task.cancel()
+        if calls:
+            await asyncio.wait(calls, timeout=_ABANDON_S)
+
     def _spawn(self, work: Coroutine[object, object, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
--- /dev/null
+++ b/wheelstep/courier/send_guard.py
@@ -0,0 +1,27 @@
+"""The one place that every attempt passes right before its first byte, first tries and repeats alike. No I/O."""
+
+from __future__ import annotations
+
+from wheelstep.courier.call import Item
+from wheelstep.courier.invariants import Invariant, Invariants
+from wheelstep.courier.key_order import KeyOrder
+from wheelstep.journal import Stored
+
+
+class SendGuard:
+    """Checks what the module decided against what the calls have seen."""
+
+    def __init__(self, order: KeyOrder, invariants: Invariants) -> None:
+        self._order, self._invariants = order, invariants
+
+    def may_send(self, message: Stored, item: Item, now_s: float) -> bool:
+        """Return whether the attempt keeps the invariants; one that does not is counted and must not be sent."""
+        if item.once and message.may_have_run(but=item.attempt) is not None:
+            self._invariants.violated(Invariant.SENT_ONCE, f"attempt {item.attempt} of {message.id}", message.id,
+                                      message.key)
+            return False
+        if (block := self._order.block(message.id, now_s)) is not None:
+            self._invariants.violated(Invariant.KEY_ORDER, f"attempt {item.attempt} of {message.id}: {block.value}",
+                                      message.id, message.key)
+            return False
+        return True
--- a/wheelstep/interface.py
+++ b/wheelstep/interface.py
@@ -46,6 +46,9 @@
 UNRUN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT})
 """The outcomes which prove that the attempt never ran."""
 
+MAY_STILL_RUN = frozenset({Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED})
+"""The outcomes after which the attempt may go on running at its endpoint: the key of its message settles."""
+
 
 class EndpointState(Enum):
     """What the list says of an endpoint; never its health."""
@@ -134,6 +137,15 @@
     out: CallOut | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class KeysSettling:
+    """Of these keys an attempt may still be running that a process before had out, for so many microseconds each; of
+    any key for `all_us`. Comes ahead of the messages that are restored."""
+
+    keys: tuple[tuple[str, int], ...] = ()
+    all_us: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class LimitReport:
     """What a destination told of its limit: the share left, and calls a second (0 where there is none)."""
@@ -207,4 +219,4 @@
 
 
 Event = (MembershipReceived | MessageAccepted | MessageRestored | AttemptEnded | ProbeEnded | TimerFired
-         | MessageWithdrawn | HealthRestored | ClassesChanged | DestinationsDropped)
+         | MessageWithdrawn | HealthRestored | ClassesChanged | DestinationsDropped | KeysSettling)
--- a/wheelstep/policy/holding.py
+++ b/wheelstep/policy/holding.py
@@ -39,6 +39,7 @@
         self._endpoints: dict[str, Endpoint] = {}
         self._resumed: dict[int, Call] = {}  # an earlier process's calls, `slots` at most
         self._chains: dict[str, Chain] = defaultdict(Chain)
+        self._all_settled_us = 0  # until then any key may have a call of a process before that still runs
         self._heap: list[tuple[int, int, Callable[[], None], Message | None]] = []
         self._dead = 0  # of these, so many are of messages that are over
         self._loose: list[Message] = []  # what may be handed back to make room, the least worth last
@@ -131,13 +132,23 @@
             return
         while chain.messages and chain.messages[0].done and chain.messages[0].call is None:
             chain.rest_us = max(chain.rest_us, chain.messages.popleft().rest_us)
-        if self._now < chain.rest_us:
-            self._at(chain.rest_us, lambda: self._advance(key))
+        tried = bool(chain.messages and chain.messages[0].attempts)
+        rest_us = chain.rest_us if tried else max(chain.rest_us, self._all_settled_us)
+        if self._now < rest_us:
+            self._at(rest_us, lambda: self._advance(key))
         elif not chain.messages:
             del self._chains[key]
         elif not chain.messages[0].attempts or chain.messages[0].resumes:
             self._queue(chain.messages[0])
 
+    def _settle(self, event: api.KeysSettling) -> None:
+        """A process before had calls of these keys out, which may still run."""
+        self._all_settled_us = max(self._all_settled_us, self._now + event.all_us)
+        for key, left_us in event.keys:
+            chain = self._chains[key]
+            chain.rest_us = max(chain.rest_us, self._now + left_us)
+            self._advance(key)
+
     def _may_refuse(self, message: Message) -> bool:
         known = message.cls.effect is Effect.KEYED and not message.cls.zone_keys
         return message.ran_us is None or message.cls.effect is Effect.SAFE or known
--- a/wheelstep/policy/outcomes.py
+++ b/wheelstep/policy/outcomes.py
@@ -5,7 +5,7 @@
 import math
 
 from wheelstep import interface as api
-from wheelstep.interface import UNRUN, Effect, EndReason, Outcome
+from wheelstep.interface import MAY_STILL_RUN, UNRUN, Effect, EndReason, Outcome
 from wheelstep.policy.common import CROWD, weight
 from wheelstep.policy.endpoint import Call, Endpoint
 from wheelstep.policy.holding import Holding
@@ -28,7 +28,7 @@
         self._touch(destination)
         if event.outcome not in UNRUN and event.outcome is not Outcome.OK and message.ran_us is None:
             message.ran_us, message.ran_zone = call.sent_us, call.endpoint.info.zone
-        if event.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
+        if event.outcome in MAY_STILL_RUN:
             message.rest_us = self._now + self._s.order_settle_us
         if event.complete or message.done:
             self._close(message)
--- a/wheelstep/policy/sender.py
+++ b/wheelstep/policy/sender.py
@@ -63,6 +63,8 @@
                 self._recall(self._endpoints[event.endpoint], event)
             case api.ClassesChanged():
                 self._classes(event.classes)
+            case api.KeysSettling():
+                self._settle(event)
             case api.DestinationsDropped():
                 for number in event.destinations:
                     self._forget(number)
@@ -128,6 +130,8 @@
             self._resume(message, event.out)
         elif not self._may_resend(message, self._now):
             self._end(message, EndReason.NOT_REPEATABLE)
+        if message.key is not None:
+            self._advance(message.key)  # what was tried has its turn, though all keys may settle
 
     def _resume(self, message: Message, out: api.CallOut) -> None:
         """Its call is out as if it had been sent here: it holds its slot, its endpoint and its key."""
--- a/wheelstep/shards/daemon.py
+++ b/wheelstep/shards/daemon.py
@@ -60,7 +60,7 @@
 
     def join(self, core: Core) -> tuple[Desk, Front | None, Callable[[int], Desk] | None]:
         """What the client server asks: who tells whether all is ready, and the desk of each destination."""
-        core.knows_list = True  # a destination that no row names is unknown, whether or not rows have come
+        core.endpoints.knows_list = True  # a destination that no row names is unknown, whether or not rows have come
         self._shelf = CoreShelf(core, self.kept, self._part.shards.count)
         return core, None, lambda destination: self.node.desk(destination)
 
--- a/wheelstep/standalone/serve.py
+++ b/wheelstep/standalone/serve.py
@@ -117,7 +117,7 @@
             self._rows = first.rows
             core.listed(api.ListKind.WHOLE, first.rows)
             front.use(first.policy)
-            core.knows_list = True
+            core.endpoints.knows_list = True
             core.restore(journal.marks, journal.messages.values())
             gc.freeze()  # what was restored lives long: a collection that walked it all would stop the loop
             tasks = [group.create_task(work) for work in (
--- a/wheelstep/upgrade/channel.py
+++ b/wheelstep/upgrade/channel.py
@@ -86,8 +86,8 @@
                 loop.remove_writer(self._link.fileno())
 
     async def send_list(self, head: dict[str, Any], rows: list[Any]) -> None:
-        """A list of any length under the key `rows`."""
-        for start in range(0, len(rows), ROWS):
+        """A list of any length under the key `rows`; an empty one too is heard of."""
+        for start in range(0, max(1, len(rows)), ROWS):
             await self.send({**head, "rows": rows[start:start + ROWS]})
 
     def close(self) -> None:
--- a/wheelstep/upgrade/giver.py
+++ b/wheelstep/upgrade/giver.py
@@ -8,6 +8,7 @@
 import os
 import socket
 import sys
+import time
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
@@ -15,12 +16,14 @@
 from wheelstep.courier.call import Item, Result
 from wheelstep.courier.client_server import ClientServer
 from wheelstep.courier.core import Core
+from wheelstep.courier.ports import CallsOut
 from wheelstep.courier.rows import write_rows
 from wheelstep.upgrade import channel as channels
 from wheelstep.upgrade.channel import Channel, LostError
 from wheelstep.upgrade.steps import Do, Handover, Step
 
 _TAKES_S = 4.0  # for a successor to go through all steps
+_TELL_S = 0.2  # for it to take the last outcomes
 
 log = logging.getLogger(__name__)
 
@@ -29,7 +32,9 @@
     """Waits for a successor, for good. `close` ends all that writes to the journal, and closes it."""
 
     def __init__(self, folder: Path, core: Core, server: ClientServer, seq: Callable[[], int],
-                 close: Callable[[], None]) -> None:
+                 close: Callable[[], None], elsewhere: Callable[[], list[CallsOut]] = list) -> None:
+        """`elsewhere` gives the calls that the process before this one still has out."""
+        self._elsewhere = elsewhere
         self._folder, self._core, self._server, self._seq, self._close = folder, core, server, seq, close
         self._handover = Handover()
         self._listener: socket.socket | None = None
@@ -74,6 +79,9 @@
                 self._act(self._handover.mine(channel), channel)
 
     def _lost(self, channel: Channel) -> None:
+        if channel is self._channel and self._handover.step is Step.DONE:
+            log.warning("the successor has ended: calls that are still out are given up")
+            self._spawn(self._core.outlet.abandon())
         self._act(self._handover.lost(channel), channel)
 
     def _act(self, what: Do, channel: Channel) -> None:
@@ -135,12 +143,16 @@
 
     async def _give(self, channel: Channel) -> None:
         self._core.note_all()
-        calls = [[call.endpoint, call.sent_ms, call.attempts] for call in self._core.calls_out()]
+        calls = [[call.endpoint, call.sent_ms, call.attempts]
+                 for call in [*self._core.calls_out(), *self._elsewhere()]]
+        settling = list(self._core.order.settling(time.monotonic()).items())
         waits = list(self._core.waits().items())
         self._core.hand_over(self._tell)
         self._close()  # from here on nothing is written by this process
         await channel.send_list({"is": "calls"}, calls)
         await channel.send_list({"is": "waits"}, waits)
+        await channel.send_list({"is": "settling"}, settling)
+        log.info("told: %d calls out, %d waits, %d keys settling", len(calls), len(waits), len(settling))
         await channel.send({"is": "yours"})
 
     def _let_go(self) -> None:
@@ -164,6 +176,14 @@
         nothing back. Guards against a process that is ready again, or begins anew, after it was told to end."""
         self._leaving = True
 
+    async def finish(self, timeout_s: float) -> None:
+        """After the hand-over: wait for the calls under way, so long at most. Those that are still out then are closed
+        before the successor hears that they have ended."""
+        await self._core.outlet.finish(timeout_s)
+        await self._core.outlet.abandon()
+        if self._tasks:
+            await asyncio.wait(set(self._tasks), timeout=_TELL_S)
+
     def stop(self) -> None:
         """Close everything; what a successor has stays its."""
         self._end_limit()
--- a/wheelstep/upgrade/taker.py
+++ b/wheelstep/upgrade/taker.py
@@ -8,7 +8,7 @@
 import os
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -38,6 +38,7 @@
     seq: int = 0
     calls: list[CallsOut] = field(default_factory=list)
     waits: dict[str, int] = field(default_factory=dict)
+    settling: dict[str, int] | None = None  # keys, and for how many microseconds; None: it did not tell
 
     def close(self) -> None:
         """Give all descriptors back."""
@@ -73,6 +74,9 @@
                                 for endpoint, sent_ms, attempts in head["rows"]]
             case "waits":
                 taken.waits.update((str(endpoint), int(left_us)) for endpoint, left_us in head["rows"])
+            case "settling":
+                taken.settling = taken.settling or {}
+                taken.settling.update((str(key), int(left_us)) for key, left_us in head["rows"])
             case "ended" if self._core is None:
                 self._early.append(head)
             case "ended":
@@ -127,6 +131,12 @@
         else:
             self._lost()
 
+    def still_out(self) -> list[CallsOut]:
+        """Return the calls of the process before that have no outcome yet."""
+        calls = [replace(call, attempts=[attempt for attempt in call.attempts if attempt in self._out])
+                 for call in self.taken.calls]
+        return [call for call in calls if call.attempts]
+
     def _ended(self, head: dict[str, Any]) -> None:
         assert self._core is not None
         endpoint, results = str(head["endpoint"]), []
--- a/wheelstep/workers/worker.py
+++ b/wheelstep/workers/worker.py
@@ -101,7 +101,7 @@
                 self._list(api.ListKind(head["kind"]), read_rows(head["rows"]))
             case "view":
                 self._owners = {int(share): worker for share, worker in head["owners"].items()}
-                self._core.knows_list = self._core.knows_list or head["knows"]
+                self._core.endpoints.knows_list = self._core.endpoints.knows_list or head["knows"]
                 self.ready = head["ready"] and not self._leaving.is_set()
             case "discovery":
                 self._notices.move(Address(head["host"], head["port"]))
