Same mistake elsewhere: waits told to probes after a hand-over, settle periods of shares that workers reopen

Now waits are told on, also by a process that has itself handed over; failing without the change, the test waits 20 s for a wait that never comes. A worker that opens a share that another had lets all keys settle from the moment at which it got the share's folder, not from its own start.

Invariant ANSWERED: a client's connection that is closed by the courier while a request that was read whole has no answer is counted, at the one place where such connections are closed (`ClientConnection.close`), and where an answer is deliberately not given.

--- a/tests/test_crossings_handover.py
+++ b/tests/test_crossings_handover.py
@@ -164,3 +164,34 @@
     """Does a connection wait at the socket? The kernel lists one that was not accepted yet with its path."""
     lines = [line.split() for line in Path("/proc/net/unix").read_text().splitlines()]
     return sum(line[-1].endswith(f"/{link.name}") and line[5] != "01" for line in lines if len(line) == 8) > 0
+
+
+def test_a_wait_that_an_answer_to_a_probe_tells_after_the_handover_binds_the_successor(tmp_path: Path) -> None:
+    """The probe was out at the process before; nobody but its connection hears of the wait."""
+    async def play() -> None:
+        scene, answer = Scene(tmp_path, console=True), asyncio.Event()
+        scene.courier.console = own_address()
+        async with scene as s:
+            async def reply(call: Call) -> Reply | None:
+                if call.target == "/healthz":
+                    await answer.wait()
+                    return 429, {"Retry-After": "7"}, b""
+                raise OSError
+
+            s.endpoint.reply = reply
+            assert await s.courier.hand_in("m") == 202
+            await s.endpoint.wait(1)
+            assert await s.courier.hand_in("n") == 202  # waits for the endpoint, which is probed first
+            async with asyncio.timeout(LIMIT_S):
+                while not any(call.target == "/healthz" for call in s.endpoint.calls):
+                    await asyncio.sleep(0.01)
+            successor = Successor(tmp_path / "state")
+            await successor.reach("given")
+            assert not successor.rows("waits")
+            answer.set()
+            async with asyncio.timeout(LIMIT_S):
+                while not successor.rows("waits"):
+                    await asyncio.sleep(0.01)
+            assert successor.rows("waits") == [["e0", 7_000_000]]
+            successor.channel.close()
+    run(play())
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import gc
 import logging
 import os
@@ -17,6 +18,7 @@
 from wheelstep.courier.client_server import ClientServer
 from wheelstep.courier.config import Address, Config, ConfigError, load
 from wheelstep.courier.core import Core
+from wheelstep.courier.invariants import Invariant
 from wheelstep.courier.leaving import LEAVE_S, deafen, leave
 from wheelstep.courier.listing import entries
 from wheelstep.courier.notices import Notices
@@ -61,6 +63,7 @@
         core.recorder, core.account = recorder(operator, config), account(operator, config)
     desk, front, find = (core, None, None) if fleet is None else fleet.join(core)
     server = ClientServer(desk, core.ordered, config.sockets // 3, find, keep=console is not None, front=front)
+    server.unanswered = functools.partial(core.invariants.violated, Invariant.ANSWERED)
     giver: Giver | None = None
     if console is not None:
         from wheelstep.console.figures import Figures
--- a/wheelstep/courier/carrier.py
+++ b/wheelstep/courier/carrier.py
@@ -65,6 +65,7 @@
         self.fence: Callable[[str], bool] | None = None  # asked as well whether a message's first byte may be written
         self.stray: Callable[[Item, Result], None] | None = None  # hears outcomes of what the module holds no more
         self._tell: Told | None = None  # who owns the messages now, once another process does
+        self._tell_wait: Callable[[str, int], None] | None = None
 
     # --- what calls ask and tell (call.Gate) ---
 
@@ -123,6 +124,8 @@
     def told_to_wait(self, endpoint: str, wait_us: int) -> None:
         """Nothing more goes there for so long, also of what is being dialled."""
         self.endpoints.told_to_wait(endpoint, time.monotonic(), wait_us / 1e6)
+        if self._tell_wait is not None:
+            self._tell_wait(endpoint, wait_us)
 
     def ended(self, endpoint: str, results: Sequence[tuple[Item, Result]]) -> None:
         """The outcomes of one call."""
@@ -184,7 +187,6 @@
         return begun(self.outlet.calls(), self._journal.messages)
 
     # --- what the module wants ---
-
     def _carry_out(self, action: api.Action, calls: Sends) -> None:
         match action:
             case api.StartAttempt():
@@ -214,9 +216,7 @@
         sends = calls.setdefault(endpoint, [])
         until_s = (self.turns.now_us + action.latest_us) / 1e6 if action.latest_us else math.inf
         sends.append((Item(name, number, message.token, message.body, until_s, action.once), action.timeout_us))
-        info = self.endpoints.listed.get(endpoint)
-        kind = self.endpoints.kind(info) if info else api.Kind()
-        if len(sends) >= kind.per_call:
+        if len(sends) >= self.endpoints.per_call(endpoint):
             self._call(endpoint, calls.pop(endpoint))
 
     def _call(self, endpoint: str, sends: Sequence[tuple[Item, int]]) -> None:
--- a/wheelstep/courier/client_connection.py
+++ b/wheelstep/courier/client_connection.py
@@ -220,6 +220,8 @@
 
     def close(self) -> None:
         """At once. A client may be reset over what it has sent, and not hear what it was told."""
+        if self.busy and not self.gone:
+            self._connections.unanswered(self)
         self._ended = True
         if self.transport is not None:
             self.transport.abort()
--- a/wheelstep/courier/client_connections.py
+++ b/wheelstep/courier/client_connections.py
@@ -5,6 +5,7 @@
 import logging
 import time
 from collections import Counter
+from collections.abc import Callable
 from typing import Protocol
 
 from wheelstep.courier.client_connection import ClientConnection
@@ -28,6 +29,7 @@
 
     closing: bool
     bad: int
+    unanswered: Callable[[str], None]  # told why, where a request that was read is closed without its answer
 
     def serve(self, request: Request, connection: ClientConnection) -> None:
         """Answer one, or let its connection wait."""
@@ -59,6 +61,10 @@
         """What came can't be used."""
         self._server.bad += 1
 
+    def unanswered(self, connection: ClientConnection) -> None:
+        """It is closed though a request that was read whole has no answer."""
+        self._server.unanswered(f"its connection was closed in phase {connection.phase.value}")
+
     def keeps(self) -> bool:
         """May a connection go on after an answer?"""
         return not self._server.closing and not self.crowded()
--- a/wheelstep/courier/client_server.py
+++ b/wheelstep/courier/client_server.py
@@ -46,6 +46,7 @@
         self.closing = False  # answers end their connections from now on
         self.refusing = False  # and messages are turned away
         self.bad = self._no_room = 0
+        self.unanswered: Callable[[str], None] = functools.partial(log.warning, "no answer to a client: %s")
         self._connections: ClientConnections | None = None
         self._listener: ClientListener | None = None
 
@@ -137,8 +138,7 @@
         self.closing = self.refusing = True
         if self._connections is None or self._listener is None:
             return
-        loop = asyncio.get_running_loop()
-        began = loop.time()
+        began = (loop := asyncio.get_running_loop()).time()
         self._listener.pause()
         queued = True
         while (left_s := began + STOP_S - loop.time()) > 0:
@@ -188,7 +188,7 @@
         desk = self._desk if self._find is None else self._find(message.destination)
         if desk.holds(message.id):  # handed in once more after a connection that crossed
             if desk.settles(message.id):  # guards against 202 for what its first client still may withdraw
-                log.warning("no answer to a client: another one hands in %s just now", message.id)
+                self.unanswered(f"another client hands in {message.id} just now")
                 connection.close()
             else:
                 connection.say(request, 202)
@@ -223,7 +223,7 @@
         elif isinstance(error, BadRequestError):
             self._bad(request, error, connection)
         elif isinstance(error, UnansweredError):
-            log.warning("no answer to a client: %s", error)
+            self.unanswered(str(error))
             connection.close()
         elif error is not None:
             raise error
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -9,7 +9,7 @@
 import asyncio
 import logging
 import time
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import TYPE_CHECKING, Any
 
 from wheelstep import interface as api
@@ -169,22 +169,25 @@
         return [(info, address) for name, info in self.endpoints.listed.items()
                 if (address := self.outlet.address(name)) is not None]
 
-    def hand_over(self, tell: Told) -> None:
-        """The messages are another process's now: outcomes are told to it, and nothing is written down here."""
+    def hand_over(self, tell: Told, tell_wait: Callable[[str, int], None]) -> None:
+        """The messages are another process's now: outcomes and waits are told to it, and nothing is written down
+        here."""
         self._record(EventKind.STATE, detail="handed over")
-        self._tell = tell
+        self._tell, self._tell_wait = tell, tell_wait
         self.turns.end()
         self._held.clear()
         for endpoint in self.endpoints.listed:
             self.outlet.close_idle(endpoint)
 
     def restore(self, marks: Mapping[str, Any], messages: Iterable[Stored], calls: Sequence[CallsOut] = (),
-                settling: Mapping[str, int] | None = None) -> None:
+                settling: Mapping[str, int] | None = None, owned_since_s: float | None = None) -> None:
         """Take up what a journal holds: the health of endpoints, and the messages in their order. `calls` are still
         out at the process before, which will tell their outcomes. `settling`: the keys that settle there, and for how
-        many microseconds; None where there is no process to tell, so that any key may."""
+        many microseconds; None where there is no process to tell, so that any key may until it has settled from
+        `owned_since_s` on, when the folder was got (default: when this core was made)."""
         settle_us = 0 if not marks else self._s.order_settle_us  # no marks: the first process on this folder
-        if (event := follow(self.order, settling, self._created_s + settle_us / 1e6, time.monotonic())) is not None:
+        settled_s = (owned_since_s or self._created_s) + settle_us / 1e6
+        if (event := follow(self.order, settling, settled_s, time.monotonic())) is not None:
             self.turns.post(event)
         out = {name: (at, number, call) for at, call in enumerate(calls) for name, number in call.attempts}
         messages = list(messages)
--- a/wheelstep/courier/endpoints.py
+++ b/wheelstep/courier/endpoints.py
@@ -122,6 +122,11 @@
         """What the settings say of its kind; the last serves for the rest."""
         return self._s.kinds[min(info.kind, len(self._s.kinds) - 1)]
 
+    def per_call(self, endpoint: str) -> int:
+        """How many messages a call to it holds at most; 1 where it is not listed."""
+        info = self.listed.get(endpoint)
+        return self.kind(info).per_call if info is not None else 1
+
     def route(self, info: api.EndpointInfo) -> str | int:
         """What a wait binds: the endpoint where routes are apart, else the destination."""
         return info.endpoint if self.kind(info).routes_apart else info.destination
--- a/wheelstep/rehearsal/broken/order.py
+++ b/wheelstep/rehearsal/broken/order.py
@@ -26,9 +26,10 @@
     restore = Core.restore
 
     def note(self: Core, marks: Mapping[str, Any], messages: Iterable[Stored],
-             calls: Sequence[CallsOut] = (), settling: Mapping[str, int] | None = None) -> None:
+             calls: Sequence[CallsOut] = (), settling: Mapping[str, int] | None = None,
+             owned_since_s: float | None = None) -> None:
         restoring.append(self)
-        restore(self, marks, messages, calls, settling)
+        restore(self, marks, messages, calls, settling, owned_since_s)
         restoring.clear()
 
     def unguarded(self: SendGuard, message: Stored, item: Item, now_s: float) -> bool:
--- a/wheelstep/upgrade/giver.py
+++ b/wheelstep/upgrade/giver.py
@@ -147,7 +147,7 @@
                  for call in [*self._core.calls_out(), *self._elsewhere()]]
         settling = list(self._core.order.settling(time.monotonic()).items())
         waits = list(self._core.waits().items())
-        self._core.hand_over(self._tell)
+        self._core.hand_over(self._tell, self._tell_wait)
         self._close()  # from here on nothing is written by this process
         await channel.send_list({"is": "calls"}, calls)
         await channel.send_list({"is": "waits"}, waits)
@@ -171,6 +171,11 @@
         if self._channel is not None:
             self._spawn(self._channel.send({"is": "ended", "endpoint": endpoint, "rows": rows}))
 
+    def _tell_wait(self, endpoint: str, wait_us: int) -> None:
+        """An answer to a call or probe that was out told a wait: it binds the successor too."""
+        if self._channel is not None:
+            self._spawn(self._channel.send({"is": "waits", "rows": [[endpoint, wait_us]]}))
+
     def leave(self) -> None:
         """This process is to end (SIGTERM): a handover under way goes on, none begins, and one that fails brings
         nothing back. Guards against a process that is ready again, or begins anew, after it was told to end."""
--- a/wheelstep/upgrade/taker.py
+++ b/wheelstep/upgrade/taker.py
@@ -73,7 +73,7 @@
                 taken.calls += [CallsOut(str(endpoint), int(sent_ms), [(str(name), int(n)) for name, n in attempts])
                                 for endpoint, sent_ms, attempts in head["rows"]]
             case "waits":
-                taken.waits.update((str(endpoint), int(left_us)) for endpoint, left_us in head["rows"])
+                self._waits({str(endpoint): int(left_us) for endpoint, left_us in head["rows"]})
             case "settling":
                 taken.settling = taken.settling or {}
                 taken.settling.update((str(key), int(left_us)) for key, left_us in head["rows"])
@@ -86,6 +86,14 @@
         for descriptor in descriptors:
             os.close(descriptor)
 
+    def _waits(self, waits: dict[str, int]) -> None:
+        if self._core is None:
+            for endpoint, left_us in waits.items():
+                self.taken.waits[endpoint] = max(self.taken.waits.get(endpoint, 0), left_us)
+            return
+        for endpoint, left_us in waits.items():
+            self._core.told_to_wait(endpoint, left_us)
+
     def _lost(self) -> None:
         """Guards messages whose outcome nobody will tell any more: they may have run."""
         self._steps.put_nowait("lost")
--- a/wheelstep/workers/worker.py
+++ b/wheelstep/workers/worker.py
@@ -132,7 +132,7 @@
             disk_bytes=self._config.disk_bytes // self._layout.shares))
         self._journals.add(number, journal)
         self._opening.discard(number)
-        self._core.restore(journal.marks, journal.messages.values())
+        self._core.restore(journal.marks, journal.messages.values(), owned_since_s=time.monotonic())
         self._tasks.append(self._group.create_task(journal.compact_for_good(), name=f"compaction of share {number}"))
         log.info("share %d is open after %d ms, %d messages restored", number, (time.monotonic() - began) * 1e3,
                  len(journal.messages))
