--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -18,8 +18,9 @@
 from wheelstep.rehearsal.plan import Limit, Partner
 from wheelstep.rehearsal.rig import module_command
 from wheelstep.rehearsal.standins import process, wire
+from wheelstep.rehearsal.standins.machine import CourierPort
 from wheelstep.rehearsal.standins.model import Desk, Gauge
-from wheelstep.rehearsal.standins.process import Courier, CourierPort, NoStartError
+from wheelstep.rehearsal.standins.process import Courier, NoStartError
 
 MS, S = 1_000, 1_000_000
 FIGURES = Figures({}, fall_multiple=1.5, overload_for_us=1 * S, cold_from=0.25, cold_us=8 * S)
--- a/wheelstep/rehearsal/faults.py
+++ b/wheelstep/rehearsal/faults.py
@@ -37,6 +37,9 @@
                         self._task(courier.terminate(for_s))
                     else:
                         self._task(courier.pause(for_s))
+            case "upgrade" | "reload" | "clock" | "sockets" | "short" | "disk":
+                for index in fault.couriers:
+                    self._task(self._couriers[index].meet(fault))
             case "worker-kill" | "worker-hang":
                 number = signal.SIGKILL if fault.kind == "worker-kill" else signal.SIGSTOP
                 for index in fault.couriers:
--- a/wheelstep/rehearsal/fleet/courier.py
+++ b/wheelstep/rehearsal/fleet/courier.py
@@ -13,7 +13,8 @@
 
 from wheelstep.rehearsal.history import History, Turn
 from wheelstep.rehearsal.rig import module_command
-from wheelstep.rehearsal.standins.process import Courier, CourierPort
+from wheelstep.rehearsal.standins.machine import CourierPort
+from wheelstep.rehearsal.standins.process import Courier
 
 OURS = module_command("wheelstep.rehearsal.fleet.runner", "serve")
 
--- a/wheelstep/rehearsal/rig.py
+++ b/wheelstep/rehearsal/rig.py
@@ -53,14 +53,16 @@
     log_bytes: dict[str, int] = field(default_factory=dict)
     effects: dict[int, int] = field(default_factory=dict)  # how often each planned message took effect
     wall_s: float = 0.0
+    suspect: list[str] = field(default_factory=list)  # lines of logs that tell of a fault of the program, in a soak
 
 
 async def play(plan: Plan, command: str = OURS, limits: dict[str, Any] | None = None,
-               tell: Callable[[Progress], None] | None = None, orderly: bool = False) -> Played:
-    """Play a plan against a courier command; with `orderly` the couriers may leave by SIGTERM in the end. Raises
-    `NoStartError` where the command can't be started."""
+               tell: Callable[[Progress], None] | None = None, orderly: bool = False,
+               made: type[Courier] = Courier) -> Played:
+    """Play a plan against a courier command; with `orderly` the couriers may leave by SIGTERM in the end. `made` is
+    what each courier is made as. Raises `NoStartError` where the command can't be started."""
     with tempfile.TemporaryDirectory(prefix="umberchute-") as folder, _few_collections():
-        rig = _Rig(plan, command, Path(folder), limits or {}, tell)
+        rig = _Rig(plan, command, Path(folder), limits or {}, tell, made)
         try:
             played = await rig.run()
             if orderly:
@@ -86,7 +88,7 @@
 
 class _Rig:
     def __init__(self, plan: Plan, command: str, folder: Path, limits: dict[str, Any],
-                 tell: Callable[[Progress], None] | None) -> None:
+                 tell: Callable[[Progress], None] | None, made: type[Courier]) -> None:
         self._plan, self._tell, self._limits = plan, tell, limits
         self._history = History(plan.figures)
         self._loop = asyncio.get_running_loop()
@@ -98,7 +100,7 @@
         self._clients = [Clients(plan, index, self._stage.ledger, self._history, self._now_us)
                          for index in range(plan.couriers)]
         self._couriers = [
-            Courier(name, command, folder / name, self._history, self._now_us,
+            made(name, command, folder / name, self._history, self._now_us,
                     lambda listen, index=index: self._config(index, listen),  # type: ignore[misc]
                     plan.ready_within_us / 1e6)
             for index, name in enumerate(names)]
@@ -158,7 +160,8 @@
         return Played(
             self._history, {courier.name: courier.log_text() for courier in self._couriers},
             {courier.name: courier.log_total for courier in self._couriers},
-            dict(self._stage.ledger.effects), self._loop.time() - began)
+            dict(self._stage.ledger.effects), self._loop.time() - began,
+            [line for courier in self._couriers for line in courier.suspect])
 
     def _rebase(self) -> None:
         """Time counts from when all are ready; what was seen before lies before it."""
--- a/wheelstep/rehearsal/scenario.py
+++ b/wheelstep/rehearsal/scenario.py
@@ -157,7 +157,7 @@
     title: str
     rule: Literal["lost", "twice", "drains", "returns", "order", "waits", "all"]
     length: Time  # clients hand in for so long
-    couriers: Annotated[int, Field(ge=1, le=8)] = 1
+    couriers: Annotated[int, Field(ge=1, le=64)] = 1
     slots: Count = 16
     hold: Count = 500
     max_attempts: Count = 12
--- /dev/null
+++ b/wheelstep/rehearsal/soak/courier.py
@@ -0,0 +1,143 @@
+"""One courier over restarts, new versions that take over from the one that serves, and faults inside its process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+from typing import Any
+
+from wheelstep.rehearsal.history import Turn
+from wheelstep.rehearsal.planned import Fault
+from wheelstep.rehearsal.soak.control import PAGE, FaultPage
+from wheelstep.rehearsal.standins.machine import CourierPort
+from wheelstep.rehearsal.standins.process import Courier
+
+UPGRADE_READY_S = 6.0  # the new version serves within this
+TERM_S = 3.7  # from SIGTERM until SIGKILL
+RESTART_S = 0.6  # from an end until the next start
+_POLL_S = 0.02
+SUSPECT = ("invariant violated", "Traceback", "unexpectedly", "a turn failed", "could not carry out", "never retrieved")
+"""Words that a courier's log may not hold, whatever is done to it."""
+
+
+class SoakCourier(Courier):
+    """Ends and new versions follow one another: each begins once the one before is done, maybe at once."""
+
+    def __init__(self, *given: Any) -> None:
+        super().__init__(*given)
+        self.page = FaultPage(self._folder / "faults")
+        self._before: set[asyncio.subprocess.Process] = set()  # that have handed over, and still run
+        self._console = CourierPort()
+        self._turns = asyncio.Lock()
+
+    # --- starting ---
+
+    async def _spawn(self) -> asyncio.subprocess.Process:
+        self._console.renew()
+        configure = self._configure
+        console = f"127.0.0.1:{self._console.port}"
+        self._configure = lambda listen: {**configure(listen), "console": console}
+        os.environ[PAGE] = str(self._folder / "faults")  # the process inherits it; nothing else reads it
+        try:
+            return await super()._spawn()
+        finally:
+            self._configure = configure
+
+    async def _read_log(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stdout is not None
+        while line := await process.stdout.readline():
+            self.log_total += len(line)
+            self.log.append(line)
+            if len(self.log) > 5_000:
+                self.log.popleft()
+            text = line.decode("utf-8", "replace").rstrip()
+            if len(self.suspect) < 40 and (any(word in text for word in SUSPECT) or "  before it: " in text):
+                self.suspect.append(f"{self.name}: {text}")
+
+    async def _ready_console(self, process: asyncio.subprocess.Process) -> bool:
+        end = asyncio.get_running_loop().time() + UPGRADE_READY_S
+        while asyncio.get_running_loop().time() < end and process.returncode is None:
+            with contextlib.suppress(OSError, TimeoutError):
+                async with asyncio.timeout(1.0):
+                    reader, writer = await asyncio.open_connection("127.0.0.1", self._console.port)
+                    writer.write(b"readyz\n")
+                    answer = await reader.readline()
+                    writer.close()
+                if answer.startswith(b"+OK"):
+                    return True
+            await asyncio.sleep(_POLL_S)
+        return False
+
+    # --- faults ---
+
+    async def meet(self, fault: Fault) -> None:
+        """Play one fault of this courier's, from its begin to its end."""
+        for_s = (fault.until_us - fault.at_us) / 1e6
+        match fault.kind:
+            case "upgrade":
+                await self._upgrade()
+            case "reload":
+                if self.ready.is_set() and self.process is not None and self.process.returncode is None:
+                    self.process.send_signal(signal.SIGHUP)
+            case "clock":
+                self.page.clock_s += fault.share
+            case "sockets":
+                self.page.sockets = fault.share
+                await asyncio.sleep(for_s)
+                self.page.sockets = 0.0
+            case "short":
+                self.page.most_bytes = int(fault.share)
+                await asyncio.sleep(for_s)
+                self.page.most_bytes = 0
+            case "disk":
+                self.page.disk = fault.share
+                await asyncio.sleep(for_s)
+                self.page.disk = 0.0
+
+    async def _upgrade(self) -> None:
+        async with self._turns:
+            before = self.process
+            if before is None or before.returncode is not None or not self.ready.is_set():
+                return
+            process = await self._spawn()
+            ready = await self._ready_console(process)
+            if before.returncode is not None:
+                self._turn(Turn.CRASHED, before.returncode)
+            if not ready:
+                self._turn(Turn.CRASHED if process.returncode is not None else Turn.NEVER_READY,
+                           process.returncode or 0)
+                return
+            self._keep(self._watch(process))
+            self._before.add(before)
+            self._keep(self._dismiss(before))
+
+    async def _dismiss(self, process: asyncio.subprocess.Process) -> None:
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(signal.SIGTERM)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(process.wait(), TERM_S)
+        if process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.killpg(process.pid, signal.SIGKILL)
+            await process.wait()
+        if process.returncode not in (0, -signal.SIGKILL):
+            self._turn(Turn.CRASHED, process.returncode or 0)
+        self._before.discard(process)
+
+    async def _end(self, number: int, turn: Turn, back_s: float) -> None:
+        async with self._turns:
+            if number == signal.SIGKILL:
+                for process in self._before:
+                    with contextlib.suppress(ProcessLookupError):
+                        os.killpg(process.pid, signal.SIGKILL)
+            await super()._end(number, turn, back_s)
+
+    async def stop(self) -> None:
+        for process in self._before:
+            with contextlib.suppress(ProcessLookupError):
+                os.killpg(process.pid, signal.SIGKILL)
+        await super().stop()
+        self._console.close()
+        self.page.close()
--- a/wheelstep/rehearsal/standins/machine.py
+++ b/wheelstep/rehearsal/standins/machine.py
@@ -2,8 +2,16 @@
 
 from __future__ import annotations
 
+import contextlib
+import fcntl
+import os
+import random
 import socket
+import tempfile
 from pathlib import Path
+from typing import IO
+
+_PORTS = range(10_240, 32_000)  # below those that the system gives to connections
 
 
 def children(pid: int) -> list[int]:
@@ -37,3 +45,39 @@
         except OSError:
             return False
     return True
+
+
+class NoStartError(Exception):
+    """The command could not be started at all."""
+
+
+class CourierPort:
+    """A port that two rehearsals on one machine never both use. It is free until the courier takes it."""
+
+    def __init__(self) -> None:
+        self._lock: IO[str] | None = None
+        self.port = 0
+        self.renew()
+
+    def renew(self) -> None:
+        """Another one: somebody else has taken it."""
+        self.close()
+        for port in random.SystemRandom().sample(_PORTS, 200):
+            lock = open(Path(tempfile.gettempdir()) / f"umberchute-port-{port}.lock", "a")  # noqa: SIM115
+            try:
+                fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                if free(port):
+                    self._lock, self.port = lock, port
+                    return
+            except OSError:
+                pass
+            lock.close()
+        raise NoStartError("no free port found on 127.0.0.1")
+
+    def close(self) -> None:
+        """Give it back."""
+        if self._lock is not None:
+            with contextlib.suppress(OSError):
+                os.unlink(self._lock.name)
+            self._lock.close()
+            self._lock = None
--- a/wheelstep/rehearsal/standins/process.py
+++ b/wheelstep/rehearsal/standins/process.py
@@ -4,65 +4,28 @@
 
 import asyncio
 import contextlib
-import fcntl
 import json
 import os
-import random
 import shlex
 import signal
-import tempfile
 from collections import deque
 from collections.abc import Callable
 from pathlib import Path
-from typing import IO, Any
+from typing import Any
 
 from wheelstep.rehearsal.history import History, Life, Turn
-from wheelstep.rehearsal.standins.machine import children, free, waited_us
+from wheelstep.rehearsal.planned import PROCESS_FAULTS, Fault
+from wheelstep.rehearsal.standins.machine import CourierPort, NoStartError, children, free, waited_us
 from wheelstep.rehearsal.standins.wire import Client
 
-_PORTS = range(10_240, 32_000)  # below those that the system gives to connections
+__all__ = ["Courier", "NoStartError"]
+
 _LOG_BYTES = 64 * 1024  # of the end of a log
 _TERM_S = 3.7  # from SIGTERM until SIGKILL
 _BACK_S = 0.6  # from an end until the next start
 _POLL_S = 0.02
 
 
-class NoStartError(Exception):
-    """The command could not be started at all."""
-
-
-class CourierPort:
-    """A port that two rehearsals on one machine never both use. It is free until the courier takes it."""
-
-    def __init__(self) -> None:
-        self._lock: IO[str] | None = None
-        self.port = 0
-        self.renew()
-
-    def renew(self) -> None:
-        """Another one: somebody else has taken it."""
-        self.close()
-        for port in random.SystemRandom().sample(_PORTS, 200):
-            lock = open(Path(tempfile.gettempdir()) / f"umberchute-port-{port}.lock", "a")  # noqa: SIM115
-            try:
-                fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-                if free(port):
-                    self._lock, self.port = lock, port
-                    return
-            except OSError:
-                pass
-            lock.close()
-        raise NoStartError("no free port found on 127.0.0.1")
-
-    def close(self) -> None:
-        """Give it back."""
-        if self._lock is not None:
-            with contextlib.suppress(OSError):
-                os.unlink(self._lock.name)
-            self._lock.close()
-            self._lock = None
-
-
 class Courier:
     """One courier, over all its restarts. `command` keeps to the RELAY_* environment."""
 
@@ -76,6 +39,7 @@
         self.log_total = 0
         self.process: asyncio.subprocess.Process | None = None
         self.ready = asyncio.Event()
+        self.suspect: list[str] = []
         self._going = False  # an end that was asked for is under way
         self._tasks: set[asyncio.Task[None]] = set()
         (folder / "state").mkdir(parents=True, exist_ok=True)
@@ -208,6 +172,10 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.process.wait(), _TERM_S)
 
+    async def meet(self, fault: Fault) -> None:
+        """Play a fault that only a courier of the soak can meet."""
+        raise NotImplementedError(f"{fault.kind}: expected a fault of {', '.join(PROCESS_FAULTS)}")
+
     async def pause(self, for_s: float) -> None:
         """SIGSTOP for a while."""
         self._turn(Turn.PAUSED)
