Deadlines are spans of real time: a wall clock set by an hour moves none, also over a restart

Deadlines were kept and compared as the wall clock's (`carrier.py`, `core.py`, `reading.py`): set by +3600 s, every 200 was read as come too late and its key did not go on; set and started again, what had 14 s left was given up untried, and what had 2.5 s left lived an hour on.

Not with `[fleet]`, whose messages go to other machines, nor in workers and standalone: there it is the wall clock as before.

--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -24,6 +24,7 @@
 from wheelstep.courier.notices import Notices
 from wheelstep.courier.opening import account, obtain, open_console, open_journal, recorder
 from wheelstep.courier.spread import callers, longest_s
+from wheelstep.courier.wall_clock import clock
 from wheelstep.courier.watch import Watch
 from wheelstep.journal import Journal
 
@@ -58,6 +59,8 @@
     fleet: FleetDaemon | ShardDaemon | None = None
     if operator is not None and operator.fleet is not None:
         fleet = join(config, operator.fleet, journal)
+    else:  # messages of a fleet go to other machines, by the wall clocks of all
+        clock.follow(journal.marks, journal.mark)
     core = Core(config if fleet is None else fleet.config, journal if fleet is None else fleet.kept)
     if operator is not None:
         core.recorder, core.account = recorder(operator, config), account(operator, config)
--- a/wheelstep/courier/carrier.py
+++ b/wheelstep/courier/carrier.py
@@ -26,7 +26,7 @@
 from wheelstep.courier.send_guard import SendGuard
 from wheelstep.courier.succession import begun
 from wheelstep.courier.turns import Sends, Turns
-from wheelstep.courier.wall_clock import time_is_up
+from wheelstep.courier.wall_clock import clock, time_is_up
 from wheelstep.interface import MAY_STILL_RUN, UNRUN, Outcome
 from wheelstep.journal import NoRoomError, Stored
 
@@ -110,7 +110,7 @@
 
     def starting(self, endpoint: str, items: Sequence[Item]) -> None:
         """Write the attempts down before their first byte."""
-        now_ms = int(time.time() * 1000)
+        now_ms = clock.now_ms()
         if self._tell is not None:
             self.invariants.violated(Invariant.OWNER, f"a call at {endpoint} began after the hand-over")
         for item in items:
@@ -206,7 +206,7 @@
             case api.WriteLog(text):
                 log.info("%s", text)
             case api.NoteHealth(endpoint, health) if endpoint in self.endpoints.listed:
-                self._journal.mark(endpoint, [int(time.time() * 1000), *astuple(health)])
+                self._journal.mark(endpoint, [clock.now_ms(), *astuple(health)])
 
     def _start(self, action: api.StartAttempt, calls: Sends) -> None:
         name, endpoint = action.message, action.endpoint
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -19,7 +19,7 @@
 from wheelstep.courier.ports import Book, CallsOut, Told
 from wheelstep.courier.rows import Row
 from wheelstep.courier.succession import follow
-from wheelstep.courier.wall_clock import ago_us, left_us
+from wheelstep.courier.wall_clock import MARK, ago_us, left_us
 from wheelstep.interface import EndpointState
 from wheelstep.journal import Stored
 
@@ -185,7 +185,8 @@
         out at the process before, which will tell their outcomes. `settling`: the keys that settle there, and for how
         many microseconds; None where there is no process to tell, so that any key may until it has settled from
         `owned_since_s` on, when the folder was got (default: when this core was made)."""
-        settle_us = 0 if not marks else self._s.order_settle_us  # no marks: the first process on this folder
+        first = marks.keys() <= {MARK}  # no process has been on this folder
+        settle_us = 0 if first else self._s.order_settle_us
         settled_s = (owned_since_s or self._created_s) + settle_us / 1e6
         if (event := follow(self.order, settling, settled_s, time.monotonic())) is not None:
             self.turns.post(event)
--- a/wheelstep/courier/reading.py
+++ b/wheelstep/courier/reading.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Mapping
 
 from wheelstep.courier.desk import BadRequestError
 from wheelstep.courier.request import Request
+from wheelstep.courier.wall_clock import clock
 from wheelstep.journal import Stored
 
 _MOST_DEADLINE_MS = 24 * 3600 * 1000
@@ -28,7 +28,7 @@
     token = token_of(given)
     return Stored(
         id=name, message_class=message_class, destination=_destination(given.get("x-consignee", "")),
-        deadline_ms=int(time.time() * 1000) + left_ms,
+        deadline_ms=clock.now_ms() + left_ms,
         key=key_of(request.target) if classes[message_class] else None,
         token=token, resubmitted="x-retry" in given, body=request.body)
 
--- a/wheelstep/rehearsal/soak/courier.py
+++ b/wheelstep/rehearsal/soak/courier.py
@@ -29,6 +29,7 @@
         super().__init__(*given)
         self.page = FaultPage(self._folder / "faults")
         self._before: set[asyncio.subprocess.Process] = set()  # that have handed over, and still run
+        self._serving: asyncio.subprocess.Process | None = None  # the newest that was ready
         self._console = CourierPort()
         self._turns = asyncio.Lock()
 
@@ -45,6 +46,11 @@
         finally:
             self._configure = configure
 
+    async def start(self) -> bool:
+        ready = await super().start()
+        self._serving = self.process if ready else None
+        return ready
+
     async def _read_log(self, process: asyncio.subprocess.Process) -> None:
         assert process.stdout is not None
         while line := await process.stdout.readline():
@@ -79,8 +85,8 @@
             case "upgrade":
                 await self._upgrade()
             case "reload":
-                if self.ready.is_set() and self.process is not None and self.process.returncode is None:
-                    self.process.send_signal(signal.SIGHUP)
+                if self.ready.is_set() and self._serving is not None and self._serving.returncode is None:
+                    self._serving.send_signal(signal.SIGHUP)
             case "clock":
                 self.page.clock_s += fault.share
             case "sockets":
@@ -110,6 +116,7 @@
                            process.returncode or 0)
                 return
             self._keep(self._watch(process))
+            self._serving = process
             self._before.add(before)
             self._keep(self._dismiss(before))
 
