What this machine refuses for a moment is no failure of an endpoint: sockets, ports, its disk

Three in a row put the endpoint out, and what was accepted went only after its next trials.

The listener looks again after 0.1 s in place of 1 s where it got no descriptor: a client waits 400 ms.

--- a/wheelstep/courier/call.py
+++ b/wheelstep/courier/call.py
@@ -56,7 +56,7 @@
         """The same for a probe."""
 
     def starting(self, endpoint: str, items: Sequence[Item]) -> None:
-        """The first byte follows."""
+        """The first byte follows; none does where this raises `OSError`."""
 
     def written(self, messages: int) -> None:
         """A call with so many was written whole."""
--- a/wheelstep/courier/client_listener.py
+++ b/wheelstep/courier/client_listener.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 ACCEPT = 16  # connections taken on in one turn of the loop; their count may pass its limit by so many
-_RETRY_S = 1.0  # without descriptors (asyncio.constants.ACCEPT_RETRY_DELAY): the kernel goes on saying that one waits
+_RETRY_S = 0.1  # without descriptors the kernel goes on saying that one waits; its client waits 400 ms (PROTOCOL)
 
 log = logging.getLogger(__name__)
 
--- a/wheelstep/courier/connection.py
+++ b/wheelstep/courier/connection.py
@@ -16,20 +16,12 @@
 import time
 
 from wheelstep.courier.answer import MOST_BODY, MOST_HEAD, Answer, AnswerReader, SpoiltError, delivered, first
-from wheelstep.courier.config import Address
+from wheelstep.courier.call_errors import BrokenError, LateError
 
 _AT_ONCE = 8 * 1024  # bytes that the system takes at once where nothing waits: under half of Linux's first buffer
 _TAIL_S = 0.5  # an answer has come whole so long after its first byte, or it is spoilt
 
 
-class BrokenError(Exception):
-    """The connection could not be made or ended, and nothing of an answer had come."""
-
-
-class LateError(Exception):
-    """A call could not be written whole in its time: its last byte did not go out."""
-
-
 class Connection(asyncio.Protocol):
     """It carries one call at a time."""
 
@@ -50,15 +42,6 @@
         self._lapse: asyncio.TimerHandle | None = None
         self.written = False  # the last byte of the call under way went out: from then on it may run
 
-    @classmethod
-    async def dial(cls, address: Address) -> Connection:
-        """Connect, or raise `BrokenError`."""
-        try:
-            _, made = await asyncio.get_running_loop().create_connection(cls, address.host, address.port)
-        except OSError as error:
-            raise BrokenError(f"no connection: {error}") from error
-        return made
-
     # --- what asyncio tells ---
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/wheelstep/courier/outlet.py
+++ b/wheelstep/courier/outlet.py
@@ -18,7 +18,7 @@
 from wheelstep.courier import form
 from wheelstep.courier.answer import Answer
 from wheelstep.courier.call import Gate, Item, Progress, Result
-from wheelstep.courier.connection import BrokenError, LateError
+from wheelstep.courier.call_errors import BrokenError, LateError, LocalError
 from wheelstep.courier.pool import Pool
 from wheelstep.interface import UNRUN, Outcome
 
@@ -113,7 +113,10 @@
             live[:] = [item for item in items if self._may_start(endpoint, item)]
             if not live:
                 return None
-            self._gate.starting(endpoint, live)
+            try:
+                self._gate.starting(endpoint, live)
+            except OSError as error:
+                raise LocalError(f"the journal does not take its attempts: {error}") from error
             further = self.sign(endpoint, live[0]) if self.sign is not None and len(live) == 1 else ()
             return form.request(live, self._name(endpoint), max(1, math.ceil((end - time.monotonic()) * 1e3)), further)
 
@@ -165,6 +168,9 @@
             return progress.ended_by(Outcome.TIMEOUT), None
         except asyncio.CancelledError:
             return progress.ended_by(Outcome.CANCELLED), None
+        except LocalError as error:
+            log.warning("a call is not sent: %s", error)
+            return Outcome.NOT_SENT, None
         except LateError:
             return Outcome.NOT_SENT, None
         except BrokenError:
--- a/wheelstep/courier/pool.py
+++ b/wheelstep/courier/pool.py
@@ -11,8 +11,10 @@
 from dataclasses import dataclass, field
 
 from wheelstep.courier.call import Progress
+from wheelstep.courier.call_errors import BrokenError
 from wheelstep.courier.config import Address
-from wheelstep.courier.connection import BrokenError, Connection
+from wheelstep.courier.connection import Connection
+from wheelstep.courier.dialling import dial
 from wheelstep.courier.flight_recorder import EventKind, FlightRecorder
 
 _IDLE_MARGIN_S = 1.5  # an idle connection is given up so long before the endpoint would
@@ -119,13 +121,10 @@
         progress.dialled = True
         self.dials += 1
         try:
-            async with asyncio.timeout(self._dial_s):
-                return await Connection.dial(host.address)
+            return await dial(host.address, self._dial_s)
         except BrokenError:
             host.safe_s = math.inf  # nobody is there: what was seen was an outage's doing
             raise
-        except TimeoutError as error:
-            raise BrokenError("no connection in time") from error
 
     def _name(self, endpoint: str) -> str:
         host = self._hosts.get(endpoint)
