--- a/tests/test_order_across_processes.py
+++ b/tests/test_order_across_processes.py
@@ -41,6 +41,7 @@
     answered: bool = False
     ended_at: float = float("inf")  # answered, or its connection has ended
     reset: Callable[[], None] = lambda: None
+    write: Callable[[bytes], None] = lambda _: None
 
 
 @dataclass
@@ -79,7 +80,7 @@
         if request.method != "POST":
             self.answer(200)
             return
-        attempt = Attempt(request.headers["x-request-id"], request.first_at, reset=self.abort)
+        attempt = Attempt(request.headers["x-request-id"], request.first_at, reset=self.abort, write=self.write)
         self._open.append(attempt)
         self._endpoints.attempts.append(attempt)
         self._task = asyncio.create_task(self._reply(attempt))
@@ -228,3 +229,24 @@
             await endpoints.until(lambda: bool(endpoints.of("second")))
             assert not early(endpoints, {"second": "first"})
     run(play())
+
+
+def test_a_key_settles_after_an_answer_that_is_not_whole(tmp_path: Path) -> None:
+    """In one process: the endpoint stops in the middle of its answer, and the courier closes the connection."""
+    parts = {"line": b"HTTP/1.1 20", "noise": b"\x16\x03\x01\r\n\r\n",
+             "body": b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+             "error": b"HTTP/1.1 500 Error\r\nContent-Length: 9\r\n\r\n"}
+
+    async def play() -> None:
+        async def reply(attempt: Attempt) -> bool:
+            attempt.write(parts.get(attempt.message.removeprefix("first-"), b""))
+            return attempt.message.startswith("second")
+        endpoints = Endpoints(2 * len(parts), reply)
+        async with World(tmp_path, endpoints) as world:
+            for place, name in enumerate(parts, 1):
+                for which, cls, at in ((f"first-{name}", "once", 2 * place - 1), (f"second-{name}", "safe", 2 * place)):
+                    assert await world.courier.hand_in(which, cls, name, X_Consignee=f"dest={at}") == 202
+            pairs = {f"second-{name}": f"first-{name}" for name in parts}
+            await endpoints.until(lambda: all(endpoints.of(name) for name in pairs))
+            assert not early(endpoints, pairs)
+    run(play())
