--- a/benchmarks/fault_soak.py
+++ b/benchmarks/fault_soak.py
@@ -30,7 +30,7 @@
     """Write what was seen."""
     at = folder / f"seed-{result.seed}"
     at.mkdir(parents=True, exist_ok=True)
-    (at / "history.jsonl").write_text("".join(dump(played.history)))
+    (at / "history.jsonl").write_text("\n".join(dump(played.history)))
     for name, text in played.logs.items():
         (at / f"{name}.log").write_text(text)
 
--- a/tests/crossings_judge.py
+++ b/tests/crossings_judge.py
@@ -12,6 +12,8 @@
 
 MOST_CROSSED = 3  # requests in a play may cross the end of their connection, which nobody can rule out
 SURE_S = 1.0  # whoever has stood ready for so long has read what was written to it
+SETTLE_S = 0.3  # a key settles so long after a call that may still run (the settings' `order_settle_us`)
+SLACK_S = 0.05  # PROTOCOL: each time limit is so much longer on sockets; what ends is seen later than it was done
 
 
 @dataclass
@@ -190,3 +192,17 @@
                 if first is not None and other.over_at is not None and first < other.over_at:
                     yield (f"{message.handed.message}: of key {key}, called for {other.over_at - first:.3f} s before "
                            f"{other.handed.message} was over")
+                if first is not None:
+                    yield from _settled(message.handed.message, key, first, other)
+
+
+def _settled(message: str, key: str, first: float, other: _Message) -> Iterator[str]:
+    """Every call for a message before has had its outcome by then, and the key has settled."""
+    for call in other.calls:
+        if call.last_at > first or call.status:
+            continue
+        if not call.closed_at or call.closed_at > first:
+            yield f"{message}: of key {key}, called for while a call for {other.handed.message} was open"
+        elif first < call.closed_at + SETTLE_S - SLACK_S:
+            yield (f"{message}: of key {key}, called for {first - call.closed_at:.3f} s after a call for "
+                   f"{other.handed.message} had broken")
--- a/tests/crossings_plan.py
+++ b/tests/crossings_plan.py
@@ -33,7 +33,8 @@
     """The order of one seed: traffic and news throughout, and one or two ends of the process among them."""
     rng = random.Random(f"crossings {seed}")
     steps = [_one(rng, f"m{number}") for number in range(150)]
-    ends = rng.choice([["TERM"], ["TERM", "again"], ["KILL"], ["KILL", "TERM"], ["TERM", "KILL"]])
+    ends = rng.choice([["TERM"], ["TERM", "again"], ["KILL"], ["KILL", "TERM"], ["TERM", "KILL"], ["UPGRADE"],
+                       ["UPGRADE", "UPGRADE"], ["UPGRADE", "KILL"], ["UPGRADE", "TERM"], ["KILL", "UPGRADE"]])
     for place, end in zip(sorted(rng.sample(range(10, 80), len(ends))), ends, strict=True):
         steps.insert(place, Step(0.0, end))
     return steps
--- a/tests/crossings_world.py
+++ b/tests/crossings_world.py
@@ -120,7 +120,8 @@
         self._ends_s = ends_s
         self.seed, self.seen, self.tries = seed, Seen(), Counter[str]()
         self._platform = _Desk(self.seen)
-        self._courier = Courier(folder, self._platform, GIVEN)
+        self._courier = Courier(folder, self._platform, GIVEN, console=True)
+        self._before: list[Courier] = []  # processes that have handed over
         self._courier.program = program or Courier.program
         self._ports = {name: wire.Port(lambda name=name: _Link(self, name)) for name in ENDPOINTS}  # type: ignore[misc]
         self._tasks: set[asyncio.Task[None]] = set()
@@ -160,10 +161,11 @@
                 await self._life
             await self._ended()
         finally:
-            self.seen.log = self._courier.log
+            self.seen.log = [line for courier in (*self._before, self._courier) for line in courier.log]
             self._clients.close()
-            if self._courier.process.returncode is None:
-                await self._courier.kill()
+            for courier in (*self._before, self._courier):
+                if courier.process.returncode is None:
+                    await courier.kill()
             for task in self._tasks:
                 task.cancel()
             await self._platform.stop()
@@ -193,6 +195,8 @@
                 self.spawn(self._pause())
             case "again" if self._life is not None:
                 self._signal(signal.SIGTERM)
+            case "UPGRADE":
+                self._life = self.spawn(self._upgrade(self._life))
             case "TERM" | "KILL":
                 self._life = self.spawn(self._restart(step.what, self._life))
 
@@ -225,6 +229,24 @@
             if line is not None:
                 line.reset()
 
+    async def _upgrade(self, before: asyncio.Task[None] | None) -> None:
+        """A new version takes over; the one before is told to end, and ends its calls meanwhile."""
+        if before is not None:
+            await before
+        old, new = self._courier, self._courier.successor()
+        await new.begin()
+        new.address = old.address
+        await new.wait_ready()
+        self._before.append(old)
+        self._courier = new
+        self.spawn(self._dismiss(old))
+
+    async def _dismiss(self, old: Courier) -> None:
+        if old.process.returncode is None:
+            code = await old.terminate()
+            if not self.seen.killed:  # else it was killed with the one that followed it
+                self.seen.exits.append(code)
+
     async def _restart(self, what: str, before: asyncio.Task[None] | None) -> None:
         if before is not None:
             await before
@@ -232,6 +254,9 @@
         self.seen.away.append((began, began + 1e9))
         if what == "KILL":
             self.seen.killed.append(began)
+            for courier in (*self._before, self._courier):
+                if courier.process.returncode is None:
+                    courier.process.kill()
             await self._courier.kill()
         else:
             self.seen.exits.append(await self._courier.terminate())
--- a/wheelstep/console/front.py
+++ b/wheelstep/console/front.py
@@ -6,8 +6,9 @@
 import logging
 
 from wheelstep.console.commands import MOST_LINE, Desk, reply
+from wheelstep.courier.client_listener import ClientListener
 from wheelstep.courier.config import Address
-from wheelstep.courier.listen import bind
+from wheelstep.courier.listen import QUEUE, bind
 
 MOST = 20  # connections at once; one more ends the one that has owed its call for longest
 _WAIT_S = 5.0  # from connecting until all is over
@@ -71,12 +72,14 @@
     def __init__(self, desk: Desk) -> None:
         self.desk = desk
         self._callers: dict[_Caller, None] = {}
-        self._server: asyncio.Server | None = None
+        self._listener: ClientListener | None = None
 
     async def start(self, listen: Address) -> int:
         """Listen, and return the port. Raises `OSError`."""
         listener = bind(listen)
-        self._server = await asyncio.get_running_loop().create_server(lambda: _Caller(self), sock=listener)
+        listener.listen(QUEUE)
+        self._listener = ClientListener(listener, lambda: _Caller(self))
+        self._listener.resume()
         return int(listener.getsockname()[1])
 
     def opened(self, caller: _Caller) -> None:
@@ -90,7 +93,7 @@
 
     def stop(self) -> None:
         """Close everything."""
-        if self._server is not None:
-            self._server.close()
+        if self._listener is not None:
+            self._listener.close()
         for caller in list(self._callers):
             caller.abort()
--- a/wheelstep/courier/call.py
+++ b/wheelstep/courier/call.py
@@ -12,7 +12,7 @@
 
 from wheelstep import interface as api
 from wheelstep.courier.connection import Connection
-from wheelstep.interface import Outcome
+from wheelstep.interface import MAY_STILL_RUN, Outcome
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +37,12 @@
     limit: api.LimitReport | None = None
     over: bool = False  # the message is over, and nothing more is owed
     exhausted: bool = False  # the message has had all its attempts
+    unfinished: bool = False  # no whole answer came, and the courier has closed the connection
+
+    @property
+    def may_still_run(self) -> bool:
+        """May the endpoint still be at it?"""
+        return self.unfinished or self.outcome in MAY_STILL_RUN
 
 
 class Gate(Protocol):
--- a/wheelstep/courier/carrier.py
+++ b/wheelstep/courier/carrier.py
@@ -27,7 +27,7 @@
 from wheelstep.courier.succession import begun
 from wheelstep.courier.turns import Sends, Turns
 from wheelstep.courier.wall_clock import clock, time_is_up
-from wheelstep.interface import MAY_STILL_RUN, UNRUN, Outcome
+from wheelstep.interface import UNRUN, Outcome
 from wheelstep.journal import NoRoomError, Stored
 
 if TYPE_CHECKING:  # what is off is not imported
@@ -134,7 +134,7 @@
             return
         now_s = time.monotonic()
         for item, result in results:
-            self.order.attempt_ended(item.message, item.attempt, result.outcome in MAY_STILL_RUN, now_s)
+            self.order.attempt_ended(item.message, item.attempt, result.may_still_run, now_s)
             held = self._held.get(item.message)
             if held is not None and result.outcome is Outcome.OK and not self.tells_deliveries and (
                     time_is_up(held, max(self._s.answer_slack_us, 2 * self._s.tick_us))):
@@ -161,7 +161,7 @@
                 self._journal.outcome(item.message, item.attempt, result.outcome not in UNRUN)
             self.turns.post(api.AttemptEnded(
                 item.message, item.attempt, endpoint, result.outcome, result.spent_us, complete,
-                result.wait_us, result.limit, result.exhausted))
+                result.wait_us, result.limit, result.exhausted, result.may_still_run))
             if held is None and self.stray is not None:
                 self.stray(item, result)
 
--- a/wheelstep/courier/outlet.py
+++ b/wheelstep/courier/outlet.py
@@ -136,8 +136,10 @@
         fared = dict(zip((item.message for item in live), form.fared(outcome, answer, live), strict=True))
         unrun = Result(outcome if outcome in UNRUN else Outcome.NOT_SENT)
         spent_us = int((time.monotonic() - end) * 1e6) + timeout_us
+        spoilt = answer is not None and answer.spoilt
         self._gate.ended(endpoint, [
-            (item, replace(fared.get(item.message, unrun), spent_us=spent_us, wait_us=wait_us, limit=limit))
+            (item, replace(fared.get(item.message, unrun), spent_us=spent_us, wait_us=wait_us, limit=limit,
+                           unfinished=spoilt and item.message in fared))
             for item in items])
 
     def _may_start(self, endpoint: str, item: Item) -> bool:
--- a/wheelstep/interface.py
+++ b/wheelstep/interface.py
@@ -167,6 +167,7 @@
     wait_us: int = 0
     limit: LimitReport | None = None
     exhausted: bool = False  # the destination takes no further attempt of this message
+    may_still_run: bool = False  # whatever the outcome says: no whole answer came before its connection was closed
 
 
 @dataclass(frozen=True, slots=True)
--- a/wheelstep/rehearsal/soak/courier.py
+++ b/wheelstep/rehearsal/soak/courier.py
@@ -19,7 +19,6 @@
 RESTART_S = 0.6  # from an end until the next start
 MOST_SUSPECT = 40  # lines of a courier's logs
 _POLL_S = 0.02
-_NO_DESCRIPTORS = "socket.accept() out of system resource"  # asyncio logs it with a traceback, and goes on
 SUSPECT = ("invariant violated", "Traceback", "unexpectedly", "a turn failed", "could not carry out", "never retrieved")
 """Words that a courier's log may not hold, whatever is done to it."""
 
@@ -55,7 +54,6 @@
 
     async def _read_log(self, process: asyncio.subprocess.Process) -> None:
         assert process.stdout is not None
-        before = ""
         while line := await process.stdout.readline():
             self.log_total += len(line)
             self.log.append(line)
@@ -63,9 +61,8 @@
                 self.log.popleft()
             text = line.decode("utf-8", "replace").rstrip()
             told = any(word in text for word in SUSPECT) or "  before it: " in text
-            if told and _NO_DESCRIPTORS not in before and len(self.suspect) < MOST_SUSPECT:
+            if told and len(self.suspect) < MOST_SUSPECT:
                 self.suspect.append(f"{self.name}: {text}")
-            before = text
 
     async def _ready_console(self, process: asyncio.subprocess.Process) -> bool:
         end = asyncio.get_running_loop().time() + UPGRADE_READY_S
--- a/wheelstep/rehearsal/standins/answering.py
+++ b/wheelstep/rehearsal/standins/answering.py
@@ -57,12 +57,13 @@
         return "reset" in mode.faults and mode.reset_before and self._desk.chance(mode.faults["reset"])
 
     def mute(self) -> None:
-        """From now on nothing is read or written."""
+        """From now on nothing that comes counts, and nothing is written. That the courier closes is still seen when
+        it does: a call ends then, not when the machine is back."""
         self._muted = True
-        if self.transport is not None and not self.gone:
-            self.transport.pause_reading()
 
     def data_received(self, data: bytes) -> None:
+        if self._muted:
+            return
         if self._idle is not None:
             self._idle.cancel()
             self._idle = None
--- a/wheelstep/upgrade/giver.py
+++ b/wheelstep/upgrade/giver.py
@@ -168,8 +168,10 @@
         rows = [[item.message, item.attempt, result.outcome.value, result.spent_us, result.wait_us,
                  [result.limit.left, result.limit.per_s] if result.limit is not None else None,
                  result.over, result.exhausted] for item, result in results]
+        unfinished = [[item.message, item.attempt] for item, result in results if result.unfinished]
         if self._channel is not None:
-            self._spawn(self._channel.send({"is": "ended", "endpoint": endpoint, "rows": rows}))
+            head = {"is": "ended", "endpoint": endpoint, "rows": rows, "unfinished": unfinished}
+            self._spawn(self._channel.send(head))
 
     def _tell_wait(self, endpoint: str, wait_us: int) -> None:
         """An answer to a call or probe that was out told a wait: it binds the successor too."""
@@ -199,3 +201,4 @@
             task.cancel()
         if self._channel is not None:
             self._channel.close()
+            self._channel = None
--- a/wheelstep/upgrade/taker.py
+++ b/wheelstep/upgrade/taker.py
@@ -154,7 +154,8 @@
             if wait_us:
                 self._core.told_to_wait(endpoint, wait_us)
             results.append((Item(name, number, None, b""), Result(
-                Outcome(outcome), spent_us, wait_us, api.LimitReport(*limit) if limit else None, over, exhausted)))
+                Outcome(outcome), spent_us, wait_us, api.LimitReport(*limit) if limit else None, over, exhausted,
+                unfinished=[name, number] in head.get("unfinished", ()))))
         if results:
             self._core.ended(endpoint, results)
 
