--- /dev/null
+++ b/tests/crossings_endpoints.py
@@ -0,0 +1,94 @@
+"""The endpoints and the platform of a play of crossings: how each call ends, drawn from the seed, and what was seen."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import TYPE_CHECKING, Any
+
+from crossings_judge import Call, Seen
+from loopback import Platform
+
+from wheelstep.rehearsal.standins import wire
+
+if TYPE_CHECKING:  # it makes them
+    from crossings_world import Play
+
+ENDS = ("whole",) * 40 + ("close after", "halves", "half", "line", "hang", "reset", "end", "503", "429", "500", "late",
+                          "resets idle")
+
+
+class Link(wire.Server):
+    """One connection to an endpoint."""
+
+    def __init__(self, play: Play, endpoint: str) -> None:
+        super().__init__()
+        self._play, self._endpoint = play, endpoint
+        self._calls: list[Call] = []
+
+    def requested(self, request: wire.Request) -> None:
+        if request.method != "POST":
+            self.answer(200)
+            return
+        name = request.headers["x-request-id"]
+        call = Call(name, self._endpoint, request.first_at, request.last_at)
+        self._calls.append(call)
+        self._play.seen.calls.append(call)
+        self._play.tries[name] += 1
+        # By the message and its try, not by what came before it here: the same order plays alike.
+        rng = random.Random(f"{self._play.seed} {name} {self._play.tries[name]}")
+        self._play.spawn(self._reply(call, rng.choice(ENDS), rng))
+
+    async def _reply(self, call: Call, how: str, rng: random.Random) -> None:
+        await asyncio.sleep(rng.choice([0.0, 0.0, 0.001, 0.02, 0.1]))
+        match how:
+            case "whole" | "close after" | "resets idle" | "late":
+                await asyncio.sleep(0.7 if how == "late" else 0.0)
+                self._tell(call, 200, b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+                if how != "whole":
+                    await asyncio.sleep(rng.choice([0.0, 0.002, 0.1, 0.2]))
+                    self._end(call, how != "close after")
+            case "halves" | "half":
+                self._tell(call, 200, b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no")
+                await asyncio.sleep(rng.choice([0.0, 0.02, 0.3]))
+                if how == "halves":
+                    self.write(b"k")
+                else:
+                    self._end(call, rng.random() < 0.5)
+            case "line":
+                self.write(b"HTTP/1.1 20")
+                await asyncio.sleep(rng.choice([0.0, 0.1]))
+                self._end(call, rng.random() < 0.5)
+            case "reset" | "end":
+                self._end(call, how == "reset")
+            case "503" | "429" | "500":
+                self._tell(call, int(how), wire.render(int(how), {"Retry-After": "0.1"} if how == "429" else {}, b""))
+
+    def _tell(self, call: Call, status: int, data: bytes) -> None:
+        if not self.gone:
+            call.status, call.told_at = status, time.monotonic()
+            self.write(data)
+
+    def _end(self, call: Call, reset: bool) -> None:
+        call.broken = True
+        if reset:
+            self.abort()
+        elif self.transport is not None:
+            self.transport.close()
+
+    def lost(self) -> None:
+        for call in self._calls:
+            call.closed_at = call.closed_at or time.monotonic()
+
+
+class Desk(Platform):
+    """Keeps every notice."""
+
+    def __init__(self, seen: Seen) -> None:
+        super().__init__()
+        self._seen = seen
+
+    def _hear(self, courier: str, notice: dict[str, Any]) -> None:
+        self._seen.notices.append((time.monotonic(), notice["message"], notice["outcome"]))
+        super()._hear(courier, notice)
--- a/tests/crossings_world.py
+++ b/tests/crossings_world.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import os
-import random
 import signal
 import time
 from collections import Counter
@@ -13,9 +12,10 @@
 from typing import Any
 
 from crossings_clients import Clients, Line
-from crossings_judge import Call, HandIn, Seen
+from crossings_endpoints import Desk, Link
+from crossings_judge import HandIn, Seen
 from crossings_plan import ENDPOINTS, Step, plan
-from loopback import SETTINGS, Courier, Platform, host
+from loopback import SETTINGS, Courier, host
 
 from wheelstep.rehearsal.standins import wire
 
@@ -34,83 +34,6 @@
          "caps": {**SETTINGS["caps"], "open_cap": 40, "conn_idle_us": 400_000, "dial_timeout_us": 300_000},
          # A destination is let off soon, so that there are calls all along.
          "rules": {**SETTINGS["rules"], "cold_us": 500_000, "cold_from": 0.9}}
-ENDS = ("whole",) * 40 + ("close after", "halves", "half", "line", "hang", "reset", "end", "503", "429", "500", "late",
-                          "resets idle")
-
-
-class _Link(wire.Server):
-    """One connection to an endpoint."""
-
-    def __init__(self, play: Play, endpoint: str) -> None:
-        super().__init__()
-        self._play, self._endpoint = play, endpoint
-        self._calls: list[Call] = []
-
-    def requested(self, request: wire.Request) -> None:
-        if request.method != "POST":
-            self.answer(200)
-            return
-        name = request.headers["x-request-id"]
-        call = Call(name, self._endpoint, request.first_at, request.last_at)
-        self._calls.append(call)
-        self._play.seen.calls.append(call)
-        self._play.tries[name] += 1
-        # By the message and its try, not by what came before it here: the same order plays alike.
-        rng = random.Random(f"{self._play.seed} {name} {self._play.tries[name]}")
-        self._play.spawn(self._reply(call, rng.choice(ENDS), rng))
-
-    async def _reply(self, call: Call, how: str, rng: random.Random) -> None:
-        await asyncio.sleep(rng.choice([0.0, 0.0, 0.001, 0.02, 0.1]))
-        match how:
-            case "whole" | "close after" | "resets idle" | "late":
-                await asyncio.sleep(0.7 if how == "late" else 0.0)
-                self._tell(call, 200, b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-                if how != "whole":
-                    await asyncio.sleep(rng.choice([0.0, 0.002, 0.1, 0.2]))
-                    self._end(call, how != "close after")
-            case "halves" | "half":
-                self._tell(call, 200, b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no")
-                await asyncio.sleep(rng.choice([0.0, 0.02, 0.3]))
-                if how == "halves":
-                    self.write(b"k")
-                else:
-                    self._end(call, rng.random() < 0.5)
-            case "line":
-                self.write(b"HTTP/1.1 20")
-                await asyncio.sleep(rng.choice([0.0, 0.1]))
-                self._end(call, rng.random() < 0.5)
-            case "reset" | "end":
-                self._end(call, how == "reset")
-            case "503" | "429" | "500":
-                self._tell(call, int(how), wire.render(int(how), {"Retry-After": "0.1"} if how == "429" else {}, b""))
-
-    def _tell(self, call: Call, status: int, data: bytes) -> None:
-        if not self.gone:
-            call.status, call.told_at = status, time.monotonic()
-            self.write(data)
-
-    def _end(self, call: Call, reset: bool) -> None:
-        call.broken = True
-        if reset:
-            self.abort()
-        elif self.transport is not None:
-            self.transport.close()
-
-    def lost(self) -> None:
-        for call in self._calls:
-            call.closed_at = call.closed_at or time.monotonic()
-
-
-class _Desk(Platform):
-    """Keeps every notice."""
-
-    def __init__(self, seen: Seen) -> None:
-        super().__init__()
-        self._seen = seen
-
-    def _hear(self, courier: str, notice: dict[str, Any]) -> None:
-        self._seen.notices.append((time.monotonic(), notice["message"], notice["outcome"]))
-        super()._hear(courier, notice)
 
 
 class Play:
@@ -119,11 +42,12 @@
     def __init__(self, seed: int, folder: Path, *program: str, ends_s: float = ENDS_S) -> None:
         self._ends_s = ends_s
         self.seed, self.seen, self.tries = seed, Seen(), Counter[str]()
-        self._platform = _Desk(self.seen)
+        self._platform = Desk(self.seen)
         self._courier = Courier(folder, self._platform, GIVEN, console=True)
         self._before: list[Courier] = []  # processes that have handed over
+        self._dismissals: list[asyncio.Task[None]] = []
         self._courier.program = program or Courier.program
-        self._ports = {name: wire.Port(lambda name=name: _Link(self, name)) for name in ENDPOINTS}  # type: ignore[misc]
+        self._ports = {name: wire.Port(lambda name=name: Link(self, name)) for name in ENDPOINTS}  # type: ignore[misc]
         self._tasks: set[asyncio.Task[None]] = set()
         self._life: asyncio.Task[None] | None = None
         self._up = True  # its handlers of signals are set
@@ -160,6 +84,7 @@
             if self._life is not None:
                 await self._life
             await self._ended()
+            await asyncio.gather(*self._dismissals)  # else one that still ends its calls would be killed below
         finally:
             self.seen.log = [line for courier in (*self._before, self._courier) for line in courier.log]
             self._clients.close()
@@ -239,7 +164,7 @@
         await new.wait_ready()
         self._before.append(old)
         self._courier = new
-        self.spawn(self._dismiss(old))
+        self._dismissals.append(self.spawn(self._dismiss(old)))
 
     async def _dismiss(self, old: Courier) -> None:
         if old.process.returncode is None:
