--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -54,7 +54,7 @@
 def test_system_calls_fail_as_linux_documents(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     for name in ("connect", "accept", "send", "recv"):
         monkeypatch.setattr(socket.socket, name, getattr(socket.socket, name))
-    for name in ("write", "fsync"):
+    for name in ("write", "fsync", "ftruncate", "open"):
         monkeypatch.setattr(os, name, getattr(os, name))
     page, rng = FaultPage(tmp_path / "page"), random.Random(1)
     faulty.patch_sockets(page, rng)
@@ -80,6 +80,11 @@
             except OSError as error:
                 wrote.append(error.errno)
         assert set(wrote) == {2, *faulty.DISK_ERRORS}
+        for failing in (lambda: os.fsync(file.fileno()), lambda: os.ftruncate(file.fileno(), 0),
+                        lambda: os.open(tmp_path / "new", os.O_CREAT | os.O_RDWR)):
+            with pytest.raises(OSError) as disk:
+                failing()
+            assert disk.value.errno in faulty.DISK_ERRORS
 
 
 def test_a_play_of_real_couriers_is_clean() -> None:
--- a/tests/test_local_failures.py
+++ b/tests/test_local_failures.py
@@ -78,3 +78,33 @@
             await s.endpoint.wait(2)
             assert not s.platform.notices_heard
     run(play())
+
+
+@pytest.mark.parametrize("console", [False, True], ids=["alone", "with a second address"])
+def test_a_start_waits_for_a_disk_that_fails_for_a_while(tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+                                                         console: bool) -> None:
+    """A kill has left half a record, which has to be cut off first; the disk refuses that for a second."""
+    async def play() -> None:
+        async with failing(tmp_path, monkeypatch) as (s, page):
+            never = asyncio.Event()
+
+            async def hang(call: Call) -> Reply | None:
+                await never.wait()
+                return None
+            s.endpoint.reply = hang
+            assert await s.courier.hand_in("owed") == 202
+            await s.endpoint.wait(1)
+            await s.courier.kill()
+            segment = max((tmp_path / "state").glob("*.journal"))
+            segment.write_bytes(segment.read_bytes() + segment.read_bytes()[:20])
+            if not console:
+                s.courier.console = ""
+            page.disk = 1.0
+            await s.courier.begin()
+            await asyncio.sleep(FAILS_S)
+            assert s.courier.process.returncode is None
+            page.disk = 0.0
+            s.courier.address = await asyncio.wait_for(s.courier._serving, LIMIT_S)
+            assert (await s.platform.wait_notice("owed"))["outcome"] == "given_up"  # it may have run
+            assert await s.courier.hand_in("fresh") == 202
+    run(play())
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -22,7 +22,7 @@
 from wheelstep.courier.leaving import LEAVE_S, deafen, leave
 from wheelstep.courier.listing import entries
 from wheelstep.courier.notices import Notices
-from wheelstep.courier.opening import account, obtain, open_console, open_journal, recorder
+from wheelstep.courier.opening import account, obtain, open_console, open_patiently, recorder
 from wheelstep.courier.spread import callers, longest_s
 from wheelstep.courier.wall_clock import clock
 from wheelstep.courier.watch import Watch
@@ -49,7 +49,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, terminated.set)
     if config.console is None:
-        journal, taker, console = open_journal(config, operator), None, None
+        journal, taker, console = await open_patiently(config, operator), None, None
     else:
         console = await open_console(config.console)
         if (got := await obtain(config, operator, terminated)) is None:
--- a/wheelstep/courier/opening.py
+++ b/wheelstep/courier/opening.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import logging
 import time
 from typing import TYPE_CHECKING
 
@@ -18,6 +20,14 @@
     from wheelstep.recording.writer import Recorder
     from wheelstep.upgrade.taker import Taker
 
+# What a disk, or the system, says where it can't for a while; anything else is for the operator to mend.
+_PASSING = frozenset({errno.EAGAIN, errno.EDQUOT, errno.EINTR, errno.EIO, errno.EMFILE, errno.ENFILE, errno.ENOMEM,
+                      errno.ENOSPC})
+_DISK_S = 20.0  # a courier that takes over 30 s to be ready has failed (standing test)
+_DISK_AGAIN_S = 0.1
+
+log = logging.getLogger(__name__)
+
 
 class _Starting:
     """What operators hear before the courier is there."""
@@ -46,11 +56,30 @@
     return front
 
 
+def _passes(error: ConfigError) -> bool:
+    """May opening the folder succeed by and by?"""
+    return isinstance(error.__cause__, OSError) and error.__cause__.errno in _PASSING
+
+
+async def open_patiently(config: Config, operator: Operator | None) -> Journal:
+    """The journal, also where the disk fails for a while. Raises `ConfigError` where it goes on failing, or can't be
+    used for any other reason."""
+    until_s = asyncio.get_running_loop().time() + _DISK_S
+    while True:
+        try:
+            return open_journal(config, operator)
+        except ConfigError as error:
+            if not _passes(error) or asyncio.get_running_loop().time() >= until_s:
+                raise
+            log.warning("the folder can't be opened yet: %s", error)
+        await asyncio.sleep(_DISK_AGAIN_S)
+
+
 async def obtain(config: Config, operator: Operator | None,
                  terminated: asyncio.Event) -> tuple[Journal, Taker | None] | None:
     """The journal, from the process that has it if there is one; None if this one is to end meanwhile."""
     try:
-        return open_journal(config, operator), None
+        return await open_patiently(config, operator), None
     except ConfigError as error:
         if not isinstance(error.__cause__, FolderInUseError):
             raise
@@ -61,7 +90,7 @@
         try:
             found.append(open_journal(config, operator))
         except ConfigError as error:
-            if not isinstance(error.__cause__, FolderInUseError):
+            if not isinstance(error.__cause__, FolderInUseError) and not _passes(error):
                 raise
         return bool(found)
     taking = asyncio.create_task(take_over(config.state, free))
@@ -72,7 +101,7 @@
         taking.cancel()
         return None
     taker = taking.result()
-    return (found[0] if found else open_journal(config, operator)), taker
+    return (found[0] if found else await open_patiently(config, operator)), taker
 
 
 def open_journal(config: Config, operator: Operator | None) -> Journal:
--- a/wheelstep/rehearsal/soak/faulty.py
+++ b/wheelstep/rehearsal/soak/faulty.py
@@ -63,8 +63,8 @@
 
 
 def patch_disk(page: FaultPage, rng: random.Random) -> None:
-    """Writes and syncs fail now and then; half of the writes that fail have written a part before."""
-    write, fsync = os.write, os.fsync
+    """Writes, syncs, cuts and new files fail now and then; half of the writes that fail have written a part before."""
+    write, fsync, ftruncate, create = os.write, os.fsync, os.ftruncate, os.open
 
     def failing_write(handle: int, data: Any) -> int:
         if handle > 2 and rng.random() < page.disk:
@@ -78,7 +78,18 @@
             raise _failure(DISK_ERRORS, rng)
         fsync(handle)
 
-    os.write, os.fsync = failing_write, failing_fsync  # type: ignore[assignment]
+    def failing_ftruncate(handle: int, size: int) -> None:
+        if rng.random() < page.disk:
+            raise _failure(DISK_ERRORS, rng)
+        ftruncate(handle, size)
+
+    def failing_open(path: Any, flags: int, *given: Any, **named: Any) -> int:
+        if flags & os.O_CREAT and rng.random() < page.disk:
+            raise _failure(DISK_ERRORS, rng)
+        return create(path, flags, *given, **named)
+
+    os.write, os.fsync, os.ftruncate = failing_write, failing_fsync, failing_ftruncate  # type: ignore[assignment]
+    os.open = failing_open
 
 
 def main() -> int:
