--- a/wheelstep/rehearsal/soak/plan.py
+++ b/wheelstep/rehearsal/soak/plan.py
@@ -64,7 +64,7 @@
         "kind": [{"name": "single"}, {"name": "batch", "batch": 5}], "partner": partners,
         "class": [cls("safe", Effect.SAFE), cls("unsafe", Effect.UNSAFE), cls("keyed", Effect.KEYED),
                   cls("ordered-safe", Effect.SAFE, True), cls("ordered-unsafe", Effect.UNSAFE, True)],
-        "traffic": {"rate_per_s": RATE_PER_S * soak.couriers, "keys": 2 * soak.couriers, "fresh": 0.2}})
+        "traffic": {"rate_per_s": RATE_PER_S * soak.couriers, "keys": max(1, soak.couriers // 3), "fresh": 0.2}})
 
 
 def _span(rng: random.Random, soak: Soak, least_s: float, most_s: float) -> tuple[int, int]:
