Soak: a play that is stopped leaves no courier behind

Seen: after SIGTERM 28 processes stayed, then one: the runner did not end its play, and a process that was just handing over was in no list.

--- a/benchmarks/fault_soak.py
+++ b/benchmarks/fault_soak.py
@@ -13,6 +13,7 @@
 
 import argparse
 import asyncio
+import signal
 import sys
 import time
 from pathlib import Path
@@ -62,6 +63,7 @@
     parser.add_argument("--command", default=COMMAND, help="what is played")
     parser.add_argument("--keep", type=Path, help="write history and logs of plays that are not clean there")
     given = parser.parse_args()
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # ends a play as Ctrl-C does: no courier stays
     first, _, last = given.seeds.partition("-")
     without = set(filter(None, given.without.split(",")))
     soak = Soak(given.couriers, given.length, *(tuple(kind for kind in kinds if kind not in without)
--- a/wheelstep/rehearsal/soak/courier.py
+++ b/wheelstep/rehearsal/soak/courier.py
@@ -29,7 +29,7 @@
     def __init__(self, *given: Any) -> None:
         super().__init__(*given)
         self.page = FaultPage(self._folder / "faults")
-        self._before: set[asyncio.subprocess.Process] = set()  # that have handed over, and still run
+        self._before: set[asyncio.subprocess.Process] = set()  # that hand over or have done so, and still run
         self._serving: asyncio.subprocess.Process | None = None  # the newest that was ready
         self._console = CourierPort()
         self._turns = asyncio.Lock()
@@ -109,6 +109,7 @@
             before = self.process
             if before is None or before.returncode is not None or not self.ready.is_set():
                 return
+            self._before.add(before)  # from here on, so that `stop` ends it whatever comes
             process = await self._spawn()
             ready = await self._ready_console(process)
             if before.returncode is not None:
@@ -119,7 +120,6 @@
                 return
             self._keep(self._watch(process))
             self._serving = process
-            self._before.add(before)
             self._keep(self._dismiss(before))
 
     async def _dismiss(self, process: asyncio.subprocess.Process) -> None:
