Upgrade in standard terms: handover source and target, states and actions; key queues that settle

No change of behaviour: `Giver`, `Taker`, `Taken`, `Step`, `Do` are `HandoverSource`, `HandoverTarget`, `TransferredState`, `State`, `Action` (files `source`, `target`, `states`); the module's `Chain` and `rest_us` are `KeyQueue` and `settled_us`. Words on the wire between two versions and the text of log lines are as they were; the logger is now `wheelstep.upgrade.source`.

--- a/tests/test_key_order.py
+++ b/tests/test_key_order.py
@@ -164,4 +164,4 @@
     drive = Drive(order_settle_us=300 * MS)
     drive.at(0, api.KeysSettling((("k", 200 * MS),)))
     drive.tick(300 * MS)
-    assert not drive.sender._chains
+    assert not drive.sender._key_queues
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -16,7 +16,7 @@
 from loopback import LIMIT_S, Call, Courier, Reply, Scene, free_address, run
 
 from wheelstep.upgrade.channel import Channel, connect
-from wheelstep.upgrade.steps import Do, Handover
+from wheelstep.upgrade.states import Action, Handover
 
 
 @contextlib.asynccontextmanager
@@ -217,18 +217,18 @@
     and nothing is resumed after that."""
     handover, takers = Handover(), [object() for _ in range(3)]
     paused: object = None
-    done: list[Do] = []
+    done: list[Action] = []
     for name, number in events:
         what = getattr(handover, name)(takers[number])
-        if what is Do.PAUSE:
+        if what is Action.PAUSE:
             assert paused is None
             paused = takers[number]
-        if what is Do.RESUME:
+        if what is Action.RESUME:
             paused = None
-        if what in (Do.CLOSE, Do.LET_GO, Do.RESUME, Do.BEGIN_ANEW) and what is not Do.RESUME:
+        if what in (Action.CLOSE, Action.LET_GO, Action.RESUME, Action.BEGIN_ANEW) and what is not Action.RESUME:
             assert paused is takers[number]
         done.append(what)
-        if what is Do.BEGIN_ANEW:
+        if what is Action.BEGIN_ANEW:
             break
-    if Do.CLOSE in done:
-        assert Do.RESUME not in done[done.index(Do.CLOSE):] and done.count(Do.CLOSE) == 1
+    if Action.CLOSE in done:
+        assert Action.RESUME not in done[done.index(Action.CLOSE):] and done.count(Action.CLOSE) == 1
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -33,7 +33,7 @@
     from wheelstep.fleet.settings import Fleet
     from wheelstep.operator import Operator
     from wheelstep.shards.daemon import ShardDaemon
-    from wheelstep.upgrade.giver import Giver
+    from wheelstep.upgrade.source import HandoverSource
 
 _FIRST_LIST_S = 0.2  # the agent beside the courier answers at once (PROTOCOL, 'Discovery') unless discovery is down
 
@@ -49,13 +49,13 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, terminated.set)
     if config.console is None:
-        journal, taker, console = await open_patiently(config, operator), None, None
+        journal, target, console = await open_patiently(config, operator), None, None
     else:
         console = await open_console(config.console)
         if (got := await obtain(config, operator, terminated)) is None:
             console.stop()
             return
-        journal, taker = got
+        journal, target = got
     fleet: FleetDaemon | ShardDaemon | None = None
     if operator is not None and operator.fleet is not None:
         fleet = join(config, operator.fleet, journal)
@@ -67,7 +67,7 @@
     desk, front, find = (core, None, None) if fleet is None else fleet.join(core)
     server = ClientServer(desk, core.ordered, config.sockets // 3, find, keep=console is not None, front=front)
     server.unanswered = functools.partial(core.invariants.violated, Invariant.ANSWERED)
-    giver: Giver | None = None
+    source: HandoverSource | None = None
     if console is not None:
         from wheelstep.console.figures import Figures
         core.figures, console.desk = Figures(), core
@@ -79,8 +79,8 @@
     async with aiohttp.ClientSession(auto_decompress=False, trust_env=False) as http:
         core.notices = Notices(http, config.discovery, core.answered)
         seq, rows = config.known.get("seq", 0), entries(config.known, config.names)
-        if taker is not None and taker.taken.rows:
-            seq, rows = taker.taken.seq, taker.taken.rows
+        if target is not None and target.transferred.rows:
+            seq, rows = target.transferred.seq, target.transferred.rows
         watch = Watch(config.discovery, config.names, seq if isinstance(seq, int) else 0, core.listed,
                       callers(config.settings), config.seed, longest_s(config.settings))
         watches = fleet is None or not fleet.lists  # else the fleet tells which endpoints there are
@@ -94,27 +94,27 @@
             if core.account is not None:
                 tasks.append(group.create_task(core.account.run(core.gauge)))
                 watch.account = core.account
-            if taker is None and watches:  # what is restored may not go to an endpoint that the list has lost meanwhile
+            if target is None and watches:  # what is restored may not go to an endpoint that has left the list since
                 await watch.told(_FIRST_LIST_S)
             if fleet is not None:
                 fleet.restore()
             else:
-                core.restore(journal.marks, journal.messages.values(), taker.taken.calls if taker is not None else (),
-                             taker.taken.settling if taker is not None else None)
+                calls, settling = (target.transferred.calls, target.transferred.settling) if target else ((), None)
+                core.restore(journal.marks, journal.messages.values(), calls, settling)
             gc.freeze()  # what was restored lives long: a collection that walked it all would stop the loop
-            port = await server.start(config.listen, taker.taken.listener if taker is not None else None)
-            if taker is not None:
-                await taker.go_on(core, server)
+            port = await server.start(config.listen, target.transferred.listener if target is not None else None)
+            if target is not None:
+                await target.go_on(core, server)
             if console is not None:
-                from wheelstep.upgrade.giver import Giver  # noqa: F811
+                from wheelstep.upgrade.source import HandoverSource  # noqa: F811
 
                 def close() -> None:
                     for task in tasks:
                         task.cancel()
                     journal.close()
-                giver = Giver(config.state, core, server, lambda: watch.seq, close,
-                              taker.still_out if taker is not None else list)
-                giver.start()
+                source = HandoverSource(config.state, core, server, lambda: watch.seq, close,
+                                        target.still_out if target is not None else list)
+                source.start()
             if fleet is not None:
                 await fleet.start()
                 tasks.append(group.create_task(fleet.run()))
@@ -123,10 +123,10 @@
                      config.name, config.listen.host, port, len(journal.messages), config.settings.slots,
                      config.settings.hold_limit, config.sockets)
             await terminated.wait()
-            if giver is not None:
-                giver.leave()
-            if giver is not None and giver.given:
-                await giver.finish(LEAVE_S)
+            if source is not None:
+                source.leave()
+            if source is not None and source.given:
+                await source.finish(LEAVE_S)
                 log.info("stopped after a hand-over; invariants violated: %s", core.invariants.summary())
             else:
                 await leave(core, server, fleet.leave() if fleet is not None else None)
@@ -136,11 +136,11 @@
                 task.cancel()
             if console is not None:
                 console.stop()
-            if giver is not None:
-                giver.stop()
+            if source is not None:
+                source.stop()
     if core.recorder is not None:
         core.recorder.close()
-    if giver is None or not giver.given:
+    if source is None or not source.given:
         journal.close()
     deafen()
 
--- a/wheelstep/courier/opening.py
+++ b/wheelstep/courier/opening.py
@@ -18,7 +18,7 @@
     from wheelstep.console.front import Front
     from wheelstep.operator import Operator
     from wheelstep.recording.writer import Recorder
-    from wheelstep.upgrade.taker import Taker
+    from wheelstep.upgrade.target import HandoverTarget
 
 # What a disk, or the system, says where it can't for a while; anything else is for the operator to mend.
 _PASSING = frozenset({errno.EAGAIN, errno.EDQUOT, errno.EINTR, errno.EIO, errno.EMFILE, errno.ENFILE, errno.ENOMEM,
@@ -76,14 +76,14 @@
 
 
 async def obtain(config: Config, operator: Operator | None,
-                 terminated: asyncio.Event) -> tuple[Journal, Taker | None] | None:
+                 terminated: asyncio.Event) -> tuple[Journal, HandoverTarget | None] | None:
     """The journal, from the process that has it if there is one; None if this one is to end meanwhile."""
     try:
         return await open_patiently(config, operator), None
     except ConfigError as error:
         if not isinstance(error.__cause__, FolderInUseError):
             raise
-    from wheelstep.upgrade.taker import take_over
+    from wheelstep.upgrade.target import take_over
     found: list[Journal] = []
 
     def free() -> bool:
@@ -100,8 +100,8 @@
     if not taking.done():
         taking.cancel()
         return None
-    taker = taking.result()
-    return (found[0] if found else await open_patiently(config, operator)), taker
+    target = taking.result()
+    return (found[0] if found else await open_patiently(config, operator)), target
 
 
 def open_journal(config: Config, operator: Operator | None) -> Journal:
--- a/wheelstep/policy/holding.py
+++ b/wheelstep/policy/holding.py
@@ -12,7 +12,7 @@
 from wheelstep import interface as api
 from wheelstep.interface import Effect, EndReason, Settings
 from wheelstep.policy.endpoint import Call, Endpoint
-from wheelstep.policy.messages import Chain, Destination, Message
+from wheelstep.policy.messages import Destination, KeyQueue, Message
 
 T1_OF_PROMISE = 1 / 3  # T1 as a share of the tightest promise: lower retries sooner, gates more often
 FEW = 64  # so many destinations are all ranked in every batch
@@ -38,7 +38,7 @@
         self._stamp, self._bounding = 0, False
         self._endpoints: dict[str, Endpoint] = {}
         self._resumed: dict[int, Call] = {}  # an earlier process's calls, `slots` at most
-        self._chains: dict[str, Chain] = defaultdict(Chain)
+        self._key_queues: dict[str, KeyQueue] = defaultdict(KeyQueue)
         self._all_settled_us = 0  # until then any key may have a call of a process before that still runs
         self._heap: list[tuple[int, int, Callable[[], None], Message | None]] = []
         self._dead = 0  # of these, so many are of messages that are over
@@ -127,26 +127,26 @@
 
     def _advance(self, key: str) -> None:
         """Let the next message of a key go once those before it have ended and the key has rested."""
-        chain = self._chains.get(key)
-        if chain is None:
+        queue = self._key_queues.get(key)
+        if queue is None:
             return
-        while chain.messages and chain.messages[0].done and chain.messages[0].call is None:
-            chain.rest_us = max(chain.rest_us, chain.messages.popleft().rest_us)
-        tried = bool(chain.messages and chain.messages[0].attempts)
-        rest_us = chain.rest_us if tried else max(chain.rest_us, self._all_settled_us)
-        if self._now < rest_us:
-            self._at(rest_us, lambda: self._advance(key))
-        elif not chain.messages:
-            del self._chains[key]
-        elif not chain.messages[0].attempts or chain.messages[0].resumes:
-            self._queue(chain.messages[0])
+        while queue.messages and queue.messages[0].done and queue.messages[0].call is None:
+            queue.settled_us = max(queue.settled_us, queue.messages.popleft().settled_us)
+        tried = bool(queue.messages and queue.messages[0].attempts)
+        settled_us = queue.settled_us if tried else max(queue.settled_us, self._all_settled_us)
+        if self._now < settled_us:
+            self._at(settled_us, lambda: self._advance(key))
+        elif not queue.messages:
+            del self._key_queues[key]
+        elif not queue.messages[0].attempts or queue.messages[0].resumes:
+            self._queue(queue.messages[0])
 
     def _settle(self, event: api.KeysSettling) -> None:
         """A process before had calls of these keys out, which may still run."""
         self._all_settled_us = max(self._all_settled_us, self._now + event.all_us)
         for key, left_us in event.keys:
-            chain = self._chains[key]
-            chain.rest_us = max(chain.rest_us, self._now + left_us)
+            queue = self._key_queues[key]
+            queue.settled_us = max(queue.settled_us, self._now + left_us)
             self._advance(key)
 
     def _may_refuse(self, message: Message) -> bool:
--- a/wheelstep/policy/messages.py
+++ b/wheelstep/policy/messages.py
@@ -25,7 +25,7 @@
         self.due_us = now_us + event.left_us
         handed_us = self.due_us - cls.deadline_us if event.resubmitted else now_us  # a client may leave early
         self.promised_us = handed_us + cls.promise_us
-        self.attempts = self.ran_zone = self.rest_us = 0  # its key rests until `rest_us`
+        self.attempts = self.ran_zone = self.settled_us = 0  # its key rests until `settled_us`
         self.call: Call | None = None
         self.ran_us: int | None = None  # when the first attempt that may have run was sent
         self.done = self.queued = self.resumes = False
@@ -101,8 +101,8 @@
 
 
 @dataclass(slots=True)
-class Chain:
+class KeyQueue:
     """The messages of one key, in the order in which they were taken."""
 
     messages: deque[Message] = field(default_factory=deque)
-    rest_us: int = 0
+    settled_us: int = 0
--- a/wheelstep/policy/outcomes.py
+++ b/wheelstep/policy/outcomes.py
@@ -29,7 +29,7 @@
         if event.outcome not in UNRUN and event.outcome is not Outcome.OK and message.ran_us is None:
             message.ran_us, message.ran_zone = call.sent_us, call.endpoint.info.zone
         if event.may_still_run or event.outcome in MAY_STILL_RUN:
-            message.rest_us = self._now + self._s.order_settle_us
+            message.settled_us = self._now + self._s.order_settle_us
         if event.complete or message.done:
             self._close(message)
         elif event.exhausted:
--- a/wheelstep/policy/sender.py
+++ b/wheelstep/policy/sender.py
@@ -113,7 +113,7 @@
         if message.key is None:
             self._queue(message)
         else:
-            self._chains[message.key].messages.append(message)
+            self._key_queues[message.key].messages.append(message)
             self._advance(message.key)
 
     def _restore(self, event: api.MessageRestored) -> None:
@@ -125,7 +125,7 @@
         message.owed = not event.attempts
         if event.ran_ago_us is not None:
             message.ran_us, message.ran_zone = self._now - event.ran_ago_us, event.ran_zone
-            message.rest_us = self._now + self._s.order_settle_us
+            message.settled_us = self._now + self._s.order_settle_us
         if event.out is not None:
             self._resume(message, event.out)
         elif not self._may_resend(message, self._now):
--- a/wheelstep/upgrade/giver.py
+++ b/wheelstep/upgrade/source.py
@@ -20,7 +20,7 @@
 from wheelstep.courier.rows import write_rows
 from wheelstep.upgrade import channel as channels
 from wheelstep.upgrade.channel import Channel, LostError
-from wheelstep.upgrade.steps import Do, Handover, Step
+from wheelstep.upgrade.states import Action, Handover, State
 
 _TAKES_S = 4.0  # for a successor to go through all steps
 _TELL_S = 0.2  # for it to take the last outcomes
@@ -28,7 +28,7 @@
 log = logging.getLogger(__name__)
 
 
-class Giver:
+class HandoverSource:
     """Waits for a successor, for good. `close` ends all that writes to the journal, and closes it."""
 
     def __init__(self, folder: Path, core: Core, server: ClientServer, seq: Callable[[], int],
@@ -46,7 +46,7 @@
     @property
     def given(self) -> bool:
         """Are the messages another process's?"""
-        return self._handover.step in (Step.GIVEN, Step.DONE)
+        return self._handover.state in (State.GIVEN, State.DONE)
 
     def start(self) -> None:
         """Listen. Without the socket, an upgrade waits until this process has ended."""
@@ -79,35 +79,35 @@
                 self._act(self._handover.mine(channel), channel)
 
     def _lost(self, channel: Channel) -> None:
-        if channel is self._channel and self._handover.step is Step.DONE:
+        if channel is self._channel and self._handover.state is State.DONE:
             log.warning("the successor has ended: calls that are still out are given up")
             self._spawn(self._core.outlet.abandon())
         self._act(self._handover.lost(channel), channel)
 
-    def _act(self, what: Do, channel: Channel) -> None:
+    def _act(self, what: Action, channel: Channel) -> None:
         match what:
-            case Do.PAUSE:
+            case Action.PAUSE:
                 self._channel = channel
                 self._limit = asyncio.get_running_loop().call_later(_TAKES_S, channel.close)
                 self._spawn(self._pause(channel))
-            case Do.CLOSE:
+            case Action.CLOSE:
                 self._spawn(self._give(channel))
-            case Do.LET_GO:
+            case Action.LET_GO:
                 self._let_go()
-            case Do.RESUME:
+            case Action.RESUME:
                 log.warning("the successor was lost: this process goes on")
                 self._end_limit()
                 self._core.thaw()
                 self._core.ready = not self._leaving
                 self._spawn(self._server.resume())
-            case Do.BEGIN_ANEW if self._leaving:
+            case Action.BEGIN_ANEW if self._leaving:
                 log.error("the successor was lost while it took over: what is owed is left to the next process")
-            case Do.BEGIN_ANEW:
+            case Action.BEGIN_ANEW:
                 log.error("the successor was lost while it took over: beginning anew from the folder")
                 os.execv(sys.executable, [sys.executable, *sys.orig_argv[1:]])
-            case Do.REFUSE:
+            case Action.REFUSE:
                 channel.close()
-            case Do.NOTHING:
+            case Action.NOTHING:
                 pass
 
     def _spawn(self, work: Any) -> None:
@@ -116,7 +116,7 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _guarded(self, work: Any) -> None:
-        """Guards against a step that fails unheard: the taker's connection ends, and with it the handover."""
+        """Guards against a step that fails unheard: the target's connection ends, and with it the handover."""
         try:
             await work
         except LostError as error:
@@ -194,7 +194,7 @@
     def stop(self) -> None:
         """Close everything; what a successor has stays its."""
         self._end_limit()
-        if self._listener is not None and self._handover.step is not Step.DONE:
+        if self._listener is not None and self._handover.state is not State.DONE:
             asyncio.get_running_loop().remove_reader(self._listener.fileno())
             self._listener.close()
         for task in self._tasks:
--- a/wheelstep/upgrade/taker.py
+++ b/wheelstep/upgrade/target.py
@@ -29,7 +29,7 @@
 
 
 @dataclass(slots=True)
-class Taken:
+class TransferredState:
     """What the earlier process handed over."""
 
     listener: socket.socket | None = None
@@ -48,11 +48,11 @@
             connection.close()
 
 
-class Taker:
+class HandoverTarget:
     """One attempt to take over."""
 
     def __init__(self, link: socket.socket) -> None:
-        self.taken = Taken()
+        self.transferred = TransferredState()
         self._core: Core | None = None
         self._early: list[dict[str, Any]] = []  # outcomes that came before the core was there, one a call at most
         self._out: dict[tuple[str, int], str] = {}  # attempts that are out there, and where
@@ -60,23 +60,24 @@
         self._channel = Channel(link, self._heard, self._lost)
 
     def _heard(self, head: dict[str, Any], body: bytes, descriptors: list[int]) -> None:
-        taken = self.taken
+        transferred = self.transferred
         match head["is"]:
             case "client":
-                taken.clients.append((socket.socket(fileno=descriptors.pop()), bool(head["idle"]), body))
+                transferred.clients.append((socket.socket(fileno=descriptors.pop()), bool(head["idle"]), body))
             case "listener":
-                taken.listener = socket.socket(fileno=descriptors.pop())
+                transferred.listener = socket.socket(fileno=descriptors.pop())
             case "list":
-                taken.rows += read_rows(head["rows"])
-                taken.seq = int(head["seq"])
+                transferred.rows += read_rows(head["rows"])
+                transferred.seq = int(head["seq"])
             case "calls":
-                taken.calls += [CallsOut(str(endpoint), int(sent_ms), [(str(name), int(n)) for name, n in attempts])
-                                for endpoint, sent_ms, attempts in head["rows"]]
+                transferred.calls += [
+                    CallsOut(str(endpoint), int(sent_ms), [(str(name), int(n)) for name, n in attempts])
+                    for endpoint, sent_ms, attempts in head["rows"]]
             case "waits":
                 self._waits({str(endpoint): int(left_us) for endpoint, left_us in head["rows"]})
             case "settling":
-                taken.settling = taken.settling or {}
-                taken.settling.update((str(key), int(left_us)) for key, left_us in head["rows"])
+                transferred.settling = transferred.settling or {}
+                transferred.settling.update((str(key), int(left_us)) for key, left_us in head["rows"])
             case "ended" if self._core is None:
                 self._early.append(head)
             case "ended":
@@ -89,7 +90,7 @@
     def _waits(self, waits: dict[str, int]) -> None:
         if self._core is None:
             for endpoint, left_us in waits.items():
-                self.taken.waits[endpoint] = max(self.taken.waits.get(endpoint, 0), left_us)
+                self.transferred.waits[endpoint] = max(self.transferred.waits.get(endpoint, 0), left_us)
             return
         for endpoint, left_us in waits.items():
             self._core.told_to_wait(endpoint, left_us)
@@ -117,16 +118,16 @@
             await self._channel.send({"do": "received"})
             await self._step("yours")
         except (LostError, TimeoutError) as error:
-            self.taken.close()
+            self.transferred.close()
             self._channel.close()
             raise LostError(str(error)) from error
 
     async def go_on(self, core: Core, server: ClientServer) -> None:
         """The core has what the journal held and `server` listens: serve the connections, then hear outcomes."""
-        self._out = {attempt: call.endpoint for call in self.taken.calls for attempt in call.attempts}
-        for endpoint, left_us in self.taken.waits.items():
+        self._out = {attempt: call.endpoint for call in self.transferred.calls for attempt in call.attempts}
+        for endpoint, left_us in self.transferred.waits.items():
             core.told_to_wait(endpoint, left_us)
-        for connection, idle, raw in self.taken.clients:
+        for connection, idle, raw in self.transferred.clients:
             with contextlib.suppress(OSError):  # its client has gone meanwhile
                 await server.adopt(connection, idle, raw)
         self._core = core
@@ -142,7 +143,7 @@
     def still_out(self) -> list[CallsOut]:
         """Return the calls of the process before that have no outcome yet."""
         calls = [replace(call, attempts=[attempt for attempt in call.attempts if attempt in self._out])
-                 for call in self.taken.calls]
+                 for call in self.transferred.calls]
         return [call for call in calls if call.attempts]
 
     def _ended(self, head: dict[str, Any]) -> None:
@@ -160,15 +161,15 @@
             self._core.ended(endpoint, results)
 
 
-async def take_over(folder: Path, free: Callable[[], bool]) -> Taker | None:
+async def take_over(folder: Path, free: Callable[[], bool]) -> HandoverTarget | None:
     """Take over from the process that has the folder; None once `free` says that none has it any more."""
     while True:
         if free():
             return None
         try:
-            taker = Taker(channels.connect(folder))
-            await taker.take()
-            return taker
+            target = HandoverTarget(channels.connect(folder))
+            await target.take()
+            return target
         except (OSError, LostError) as error:
             log.info("not taken over yet: %s", error)
         await asyncio.sleep(_AGAIN_S)
