--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from wheelstep.rehearsal import worth
+from wheelstep.rehearsal.evidence import _away
 from wheelstep.rehearsal.history import (
     Answer,
     Call,
@@ -423,3 +424,11 @@
     assert {finding.rule for finding in verdict.findings} == {PLANTS[plant]}  # type: ignore[index]
     named = {name for finding in verdict.findings for name in finding.messages}
     assert PLANTS[plant] is Rule.RETURNS or "bad" in named  # type: ignore[index]
+
+
+def test_a_pause_within_a_restart_does_not_end_it() -> None:
+    """Seed 28 of the soak: no notice is overdue until the courier is ready again, paused meanwhile or not."""
+    lives = [Life(at, "c0", turn) for at, turn in (
+        (1 * S, Turn.TERMINATED), (2 * S, Turn.PAUSED), (2 * S + 100 * MS, Turn.RESUMED), (4 * S, Turn.EXITED),
+        (5 * S, Turn.READY), (7 * S, Turn.PAUSED), (8 * S, Turn.RESUMED), (9 * S, Turn.KILLED))]
+    assert _away(lives, 10 * S) == [(1 * S, 5 * S), (7 * S, 8 * S), (9 * S, 10 * S)]
--- a/wheelstep/rehearsal/evidence.py
+++ b/wheelstep/rehearsal/evidence.py
@@ -28,6 +28,8 @@
 )
 
 _NEAR_US = 1_000_000  # lateness counts for what happens so near to it
+_WHOLE_AGAIN = {Turn.KILLED: Turn.READY, Turn.TERMINATED: Turn.READY, Turn.CRASHED: Turn.READY,
+                Turn.PAUSED: Turn.RESUMED, Turn.PART_DOWN: Turn.PART_UP}
 
 
 @dataclass(slots=True)
@@ -135,12 +137,16 @@
     """When a courier was being restarted or stood still: from the signal until it was ready or went on."""
     spans: list[tuple[int, int]] = []
     since_us: int | None = None
+    missing: set[Turn] = set()  # what has to come before it is whole again: a pause may lie within a restart
     for life in lives:
-        if life.turn in (Turn.KILLED, Turn.TERMINATED, Turn.PAUSED, Turn.CRASHED, Turn.PART_DOWN) and since_us is None:
-            since_us = life.at_us
-        elif life.turn in (Turn.READY, Turn.RESUMED, Turn.PART_UP) and since_us is not None:
-            spans.append((since_us, life.at_us))
-            since_us = None
+        if life.turn in _WHOLE_AGAIN:
+            since_us = life.at_us if since_us is None else since_us
+            missing.add(_WHOLE_AGAIN[life.turn])
+        elif life.turn in missing:
+            missing = set() if life.turn is Turn.READY else missing - {life.turn}
+            if not missing and since_us is not None:
+                spans.append((since_us, life.at_us))
+                since_us = None
     if since_us is not None:
         spans.append((since_us, end_us))
     return spans
