--- a/tests/test_written.py
+++ b/tests/test_written.py
@@ -16,6 +16,7 @@
 from loopback import run
 from test_outlet import Owner, item
 
+from wheelstep.courier import pool
 from wheelstep.courier.call import Result
 from wheelstep.courier.config import Address
 from wheelstep.courier.connection import Connection
@@ -82,9 +83,9 @@
         self.link = Connection()
         self.wire = Wire(self.link)
 
-        async def dial(address: Address) -> Connection:
+        async def dial(address: Address, within_s: float) -> Connection:
             return self.link
-        monkeypatch.setattr(Connection, "dial", dial)
+        monkeypatch.setattr(pool, "dial", dial)
 
     async def begin(self) -> None:
         self.outlet.call("e0", [item("m", b"x" * 5000)], 30 * S)
