--- a/tests/test_order_across_processes.py
+++ b/tests/test_order_across_processes.py
@@ -1,5 +1,4 @@
-"""A key's order holds while one process follows another: the settle period after an attempt that may still run, and
-attempts that are open at a process before, bind the next process as they bound the one that saw them."""
+"""A key's order over processes: settle periods and open attempts that one process saw bind the next one too."""
 
 from __future__ import annotations
 
@@ -18,8 +17,8 @@
 SETTLE_S = 0.3
 SLACK_S = 0.05  # PROTOCOL: each time limit is 50 ms longer
 KEYS = 64
-STAGGER_S = 0.02  # from one key's broken call to the next one's: together longer than a process takes to start
-LATE_SETTLE_S = 2.0  # longer than a process takes to start
+STAGGER_S = 0.02  # from one key's broken call to the next one's; all of them, and the next, outlast a process's start
+LATE_SETTLE_S = 2.0
 CLASSES: list[dict[str, Any]] = [
     {"name": "once", "promise_us": 4_000_000, "deadline_us": 20_000_000, "effect": "once", "by_arrival": True},
     {"name": "safe", "promise_us": 4_000_000, "deadline_us": 20_000_000, "effect": "repeatable", "by_arrival": True}]
@@ -46,8 +45,7 @@
 
 @dataclass
 class Endpoints:
-    """An endpoint for each destination 1 to `count`; `reply` decides on each call: True answers 200, False leaves it
-    open until somebody resets it."""
+    """One for each destination from 1 to `count`. `reply` tells whether a call is answered 200, or stays open."""
 
     count: int
     reply: Callable[[Attempt], Awaitable[bool]]
@@ -143,10 +141,10 @@
         async with aiohttp.ClientSession() as http:
             for name, cls, place in (("first", "once", 0), ("second", "safe", count)):
                 for number in range(1, count + 1):
-                    given = {"X-Request-Id": f"{name}-{number}", "X-Class": cls, "X-Deadline-Ms": "20000",
-                             "X-Consignee": f"dest={place + number}"}
-                    async with http.post(f"http://{self.courier.address}/api/k{number}", data=b"x",
-                                         headers=given) as answer:
+                    url, given = f"http://{self.courier.address}/api/k{number}", {
+                        "X-Request-Id": f"{name}-{number}", "X-Class": cls, "X-Deadline-Ms": "20000",
+                        "X-Consignee": f"dest={place + number}"}
+                    async with http.post(url, data=b"x", headers=given) as answer:
                         assert answer.status == 202
         return {f"second-{number}": f"first-{number}" for number in range(1, count + 1)}
 
