--- a/wheelstep/rehearsal/soak/control.py
+++ b/wheelstep/rehearsal/soak/control.py
@@ -10,67 +10,38 @@
 PAGE = "UMBERCHUTE_FAULT_PAGE"
 """The environment variable that names the file."""
 
-_FORM = struct.Struct("<dddq")  # seconds of clock offset, share of connects and accepts, of disk writes, bytes of I/O
 _SIZE = 4096
 
 
+class _Number:
+    """One number of the page, read and written where it stands."""
+
+    def __init__(self, form: str, at: int) -> None:
+        self._form, self._at = struct.Struct(form), at
+
+    def __get__(self, page: FaultPage, owner: type[FaultPage]) -> float:
+        return float(self._form.unpack_from(page.memory, self._at)[0])
+
+    def __set__(self, page: FaultPage, value: float) -> None:
+        self._form.pack_into(page.memory, self._at, value)
+
+
 class FaultPage:
     """What fails just now. Numbers are read and written one by one; a reader may see some old and some new ones."""
 
+    clock_s = _Number("<d", 0)  # seconds that the wall clock is off
+    sockets = _Number("<d", 8)  # share of connects and accepts that fail
+    disk = _Number("<d", 16)  # share of writes and syncs that fail, half of them in the middle
+    most_bytes = _Number("<d", 24)  # so many are read or written at once on a socket at most; 0: any number
+
     def __init__(self, path: Path) -> None:
         handle = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         try:
             os.ftruncate(handle, _SIZE)
-            self._page = mmap.mmap(handle, _SIZE)
+            self.memory = mmap.mmap(handle, _SIZE)
         finally:
             os.close(handle)
 
-    def _get(self) -> tuple[float, float, float, int]:
-        return _FORM.unpack_from(self._page)
-
-    def _put(self, clock_s: float, sockets: float, disk: float, most_bytes: int) -> None:
-        _FORM.pack_into(self._page, 0, clock_s, sockets, disk, most_bytes)
-
-    @property
-    def clock_s(self) -> float:
-        """Seconds that the wall clock is off."""
-        return self._get()[0]
-
-    @clock_s.setter
-    def clock_s(self, value: float) -> None:
-        _, sockets, disk, most = self._get()
-        self._put(value, sockets, disk, most)
-
-    @property
-    def sockets(self) -> float:
-        """Share of connects and accepts that fail."""
-        return self._get()[1]
-
-    @sockets.setter
-    def sockets(self, value: float) -> None:
-        clock, _, disk, most = self._get()
-        self._put(clock, value, disk, most)
-
-    @property
-    def disk(self) -> float:
-        """Share of writes and syncs that fail, half of them in the middle."""
-        return self._get()[2]
-
-    @disk.setter
-    def disk(self, value: float) -> None:
-        clock, sockets, _, most = self._get()
-        self._put(clock, sockets, value, most)
-
-    @property
-    def most_bytes(self) -> int:
-        """So many are read or written at once on a socket at most; 0: any number."""
-        return self._get()[3]
-
-    @most_bytes.setter
-    def most_bytes(self, value: int) -> None:
-        clock, sockets, disk, _ = self._get()
-        self._put(clock, sockets, disk, value)
-
     def close(self) -> None:
         """Unmap it."""
-        self._page.close()
+        self.memory.close()
--- a/wheelstep/rehearsal/soak/courier.py
+++ b/wheelstep/rehearsal/soak/courier.py
@@ -96,7 +96,7 @@
                 await asyncio.sleep(for_s)
                 self.page.sockets = 0.0
             case "short":
-                self.page.most_bytes = int(fault.share)
+                self.page.most_bytes = fault.share
                 await asyncio.sleep(for_s)
                 self.page.most_bytes = 0
             case "disk":
--- a/wheelstep/rehearsal/soak/faulty.py
+++ b/wheelstep/rehearsal/soak/faulty.py
@@ -50,12 +50,12 @@
         return accept(self)
 
     def short_send(self: socket.socket, data: Any, *flags: int) -> int:
-        most = page.most_bytes
+        most = int(page.most_bytes)
         whole = not most or self.family != socket.AF_INET
         return int(send(self, data if whole else memoryview(data)[:most], *flags))
 
     def short_recv(self: socket.socket, size: int, *flags: int) -> bytes:
-        most = page.most_bytes
+        most = int(page.most_bytes)
         whole = not most or self.family != socket.AF_INET
         return bytes(recv(self, size if whole else min(size, most), *flags))
 
