Logs: which connection carries an attempt, and bytes that endpoints send outside of calls

Change: connections have numbers; the flight recorder notes for each attempt its connection, the call's place on it and the time since the last answer; unrequested bytes are logged with connection, calls, idle time and their beginning, and counted (ConnectionPool.unrequested).

--- a/wheelstep/courier/answer.py
+++ b/wheelstep/courier/answer.py
@@ -39,6 +39,7 @@
         self.complete = False
         self.keep_alive = False
         self.ends_with_connection = False  # the body has no length: it ends with the connection
+        self.has_surplus = False  # bytes came behind the complete answer
         self.awaits_next = False  # an interim answer is complete, and nothing of the next has come
         self._interim_count = self._head_bytes = self._total_bytes = 0
         self._in_head = True
@@ -59,7 +60,7 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self.complete:
                 raise MalformedError(str(error)) from error
-            self.keep_alive = False
+            self.has_surplus = True
         if self._in_head and self._head_bytes > MAX_HEAD:
             raise MalformedError("the head is too long")
 
@@ -69,7 +70,7 @@
         """Note the start of an interim or final answer."""
         self.awaits_next = False
         if self.complete:
-            self.keep_alive = False
+            self.has_surplus = True
         else:
             self.headers, self._in_head = {}, True
 
--- a/wheelstep/courier/connection.py
+++ b/wheelstep/courier/connection.py
@@ -8,16 +8,14 @@
 
 import asyncio
 import contextlib
-import fcntl
 import math
-import select
-import socket
-import struct
-import termios
 import time
+from asyncio.trsock import TransportSocket
+from collections.abc import Callable
 
 from wheelstep.courier.answer import MAX_BODY, MAX_HEAD, Answer, AnswerReader, MalformedError, final_start, says_200
 from wheelstep.courier.call_errors import ConnectionBrokenError, WriteTimeoutError
+from wheelstep.courier.socket_state import Unread, discard_unsent_at_close, has_unsent_bytes, unread
 
 _IMMEDIATE_BYTES = 8 * 1024  # bytes the kernel takes at once if none are queued: under half of Linux's first buffer
 _ANSWER_TIME_S = 0.5  # seconds from an answer's first byte until it must be complete, else it is malformed
@@ -30,8 +28,7 @@
         self._reader: AnswerReader | None = None  # parser of the last answer, until the next call
         self._transport: asyncio.Transport | None = None
         self._changed = asyncio.Event()
-        self._busy = self._ended = self._closed = False
-        self._paused = False
+        self._busy = self._ended = self._closed = self._paused = False
         self._received = b""  # received bytes that are not parsed yet
         self._answer_at: float | None = None
         self.idle_since = time.monotonic()
@@ -41,6 +38,9 @@
         self._cancelled = False
         self._last_byte_held = False  # the call's last byte is not yet passed to the transport
         self._write_timer: asyncio.TimerHandle | None = None
+        self.number = 0  # of this connection at its pool, for logs
+        self.calls = 0  # calls and probes that were begun on it
+        self.on_unrequested: Callable[[bytes], None] = lambda data: None  # told of bytes outside of a call; b"": unread
         self.written = False  # the call's last byte was written, so from then on it may run
 
     # --- asyncio.Protocol ---
@@ -54,7 +54,8 @@
     def data_received(self, data: bytes) -> None:
         """Buffer bytes of an answer; close the connection if none is expected."""
         if not self._busy:
-            self.close()  # unrequested bytes, which would be read as the next call's answer
+            self.on_unrequested(data)
+            self.close()  # they would be read as the next call's answer
             return
         if self._answer_at is None:
             self._answer_at = time.monotonic()
@@ -90,12 +91,18 @@
         if self._ended or self._transport is None or self._transport.is_closing():
             self._note_peer_close()
             return False
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
-        found = poll.poll(0)
-        if found and found[0][1] & (select.POLLRDHUP | select.POLLHUP | select.POLLERR):
+        waiting = unread(self._socket)
+        if waiting is Unread.END:
             self._note_peer_close()
-        return not found
+        elif waiting is Unread.BYTES:
+            self.on_unrequested(b"")
+        return waiting is Unread.NOTHING
+
+    @property
+    def _socket(self) -> TransportSocket:
+        assert self._transport is not None
+        connected: TransportSocket = self._transport.get_extra_info("socket")
+        return connected
 
     def _note_peer_close(self) -> None:
         if not self._busy and not self._closed and self.peer_closed_at is None:
@@ -117,16 +124,14 @@
 
     def _discard_unsent(self) -> None:
         if self._transport is not None and self.awaits_answer:
-            # Without this, a network that recovers would deliver a cancelled call's last byte long after, and run it.
-            with contextlib.suppress(OSError):
-                self._transport.get_extra_info("socket").setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            discard_unsent_at_close(self._socket)  # a cancelled call's last byte, sent long after, would run it
 
     async def send(self, request: bytes, write_until_s: float = math.inf) -> None:
         """Write one request whole. Raise `ConnectionBrokenError` if the connection ends, `WriteTimeoutError` if
         writing would last past `write_until_s`. `written` says whether its last byte was sent."""
         assert self._transport is not None
         self._busy, self._received, self._answer_at, self.written = True, b"", None, False
+        self.calls += 1
         self._sent_at = time.monotonic()
         self._cancelled = False  # may be left over from a last call whose answer had arrived
         # Keeps the transport from writing the last byte late, right after the event loop was blocked. If the
@@ -166,11 +171,10 @@
 
     def _write_time_up(self) -> None:
         """Close if the kernel still holds the last byte, which a network that recovers would deliver too late."""
-        if self._answer_at is None and self._busy and self._transport is not None and not self._transport.is_closing():
-            with contextlib.suppress(OSError):
-                left = fcntl.ioctl(self._transport.get_extra_info("socket").fileno(), termios.TIOCOUTQ, bytes(4))
-                if any(left):
-                    self.close()
+        unanswered = self._answer_at is None and self._busy
+        if unanswered and self._transport is not None and not self._transport.is_closing() and has_unsent_bytes(
+                self._socket):
+            self.close()
 
     async def read_answer(self, single: bool = True) -> Answer:
         """Read the answer. Raise `ConnectionBrokenError` if the connection ends before any byte of it.
@@ -233,7 +237,10 @@
         """Make the connection idle and return True, or return False if it cannot carry another call, as when bytes
         are left over from the last one."""
         reader = self._reader
-        kept = reader is not None and reader.complete and reader.keep_alive and not self._received and self.usable()
+        if reader is not None and reader.complete and (reader.has_surplus or self._received):
+            self.on_unrequested(self._received)
+            return False
+        kept = reader is not None and reader.complete and reader.keep_alive and self.usable()
         if kept:
             self._cancel_write_timer()
             self._reader = None
--- a/wheelstep/courier/endpoint_client.py
+++ b/wheelstep/courier/endpoint_client.py
@@ -201,6 +201,8 @@
                 keep = True  # the endpoint has received nothing, so the connection's idle time continues
                 return None
             progress.connection = connection
+            for item in items:
+                self._record_call(connection, item)
             try:
                 await connection.send(payload, min((item.write_until_s for item in items), default=math.inf))
             finally:  # also if the call is cancelled in the turn that writes its last byte
--- a/wheelstep/courier/flight_recorder.py
+++ b/wheelstep/courier/flight_recorder.py
@@ -20,6 +20,7 @@
     ACCEPTED = "accepted"
     RESTORED = "restored"
     ATTEMPT_STARTED = "attempt started"
+    CALL_WRITTEN = "call written"
     ATTEMPT_ENDED = "attempt ended"
     COMPLETED = "completed"
     NOTIFIED = "notified"
--- a/wheelstep/courier/pool.py
+++ b/wheelstep/courier/pool.py
@@ -6,11 +6,13 @@
 from __future__ import annotations
 
 import asyncio
+import functools
+import logging
 import math
 import time
 from dataclasses import dataclass, field
 
-from wheelstep.courier.call import Progress
+from wheelstep.courier.call import Item, Progress
 from wheelstep.courier.call_errors import ConnectionBrokenError
 from wheelstep.courier.config import Address
 from wheelstep.courier.connection import Connection
@@ -19,6 +21,9 @@
 
 _IDLE_MARGIN_S = 1.5  # an idle connection is closed this long before the endpoint would close it
 _SWEEP_INTERVAL_S = 0.5
+_LOGGED_BYTES = 40  # of what an endpoint sent outside of a call
+
+log = logging.getLogger(__name__)
 
 
 @dataclass(slots=True)
@@ -41,6 +46,7 @@
         self._max_idle_s = max(idle_s - _IDLE_MARGIN_S, idle_s / 2)
         self._hosts: dict[str, Host] = {}
         self.dials = 0  # connections attempted since the start
+        self.unrequested = 0  # times that an endpoint sent bytes outside of a call
         self.recorder: FlightRecorder | None = None
 
     def set_address(self, endpoint: str, address: Address) -> None:
@@ -69,9 +75,7 @@
             self._close(host, connection, f"idle for {idle_us // 1000} ms or more, closed on request")
 
     def _close(self, host: Host, connection: Connection, reason: str) -> None:
-        if self.recorder is not None:
-            where = f"{host.address.host}:{host.address.port}"
-            self.recorder.note(time.monotonic(), EventKind.CONNECTION_CLOSED, detail=f"{where}: {reason}")
+        self._record_close(host, reason)
         connection.close()
 
     async def sweep(self) -> None:
@@ -124,10 +128,35 @@
         progress.dialled = True
         self.dials += 1
         try:
-            return await dial(host.address, self._dial_timeout_s)
+            connection = await dial(host.address, self._dial_timeout_s)
         except ConnectionBrokenError:
             host.safe_idle_s = math.inf  # nothing listens there, so the earlier closures came from an outage
             raise
+        connection.number = self.dials
+        connection.on_unrequested = functools.partial(self._note_unrequested, host, connection)
+        return connection
+
+    def _note_unrequested(self, host: Host, connection: Connection, data: bytes) -> None:
+        """Record bytes that an endpoint sent outside of a call, such as a second copy of an answer."""
+        self.unrequested += 1
+        what = (f"unrequested bytes on connection {connection.number} after {connection.calls} calls, "
+                f"{time.monotonic() - connection.idle_since:.3f} s idle: {data[:_LOGGED_BYTES]!r}")
+        log.warning("%s:%d: %s", host.address.host, host.address.port, what)
+        self._record_close(host, what)
+
+    def _record_call(self, connection: Connection, item: Item) -> None:
+        """Record which connection carries an attempt: answers are paired with calls by their place on it."""
+        if self.recorder is not None:
+            now_s = time.monotonic()
+            detail = f"{item.attempt} on connection {connection.number}, call {connection.calls}"
+            if connection.calls:
+                detail += f", {now_s - connection.idle_since:.3f} s after the last answer"
+            self.recorder.note(now_s, EventKind.CALL_WRITTEN, item.message, detail=detail)
+
+    def _record_close(self, host: Host, reason: str) -> None:
+        if self.recorder is not None:
+            where = f"{host.address.host}:{host.address.port}"
+            self.recorder.note(time.monotonic(), EventKind.CONNECTION_CLOSED, detail=f"{where}: {reason}")
 
     def _netloc(self, endpoint: str) -> str:
         host = self._hosts.get(endpoint)
--- /dev/null
+++ b/wheelstep/courier/socket_state.py
@@ -0,0 +1,45 @@
+"""Queries and options of a connected TCP socket that asyncio does not offer."""
+
+from __future__ import annotations
+
+import contextlib
+import fcntl
+import select
+import socket
+import struct
+import termios
+from asyncio.trsock import TransportSocket
+from enum import Enum
+
+
+class Unread(Enum):
+    """What the kernel has received on a socket and nobody has read yet."""
+
+    NOTHING = "nothing"
+    BYTES = "bytes"
+    END = "the end of the connection"  # perhaps behind further bytes
+
+
+def unread(connected: TransportSocket) -> Unread:
+    """Return what waits to be read; the event loop may not have been told yet."""
+    poll = select.poll()
+    poll.register(connected.fileno(), select.POLLIN | select.POLLRDHUP)
+    found = poll.poll(0)
+    if not found:
+        return Unread.NOTHING
+    ended = found[0][1] & (select.POLLRDHUP | select.POLLHUP | select.POLLERR)
+    return Unread.END if ended else Unread.BYTES
+
+
+def discard_unsent_at_close(connected: TransportSocket) -> None:
+    """Make a close discard the bytes that the kernel has not sent. Without this, a network that recovers would deliver
+    them long after. Does nothing on a socket that is closed already."""
+    with contextlib.suppress(OSError):
+        connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
+def has_unsent_bytes(connected: TransportSocket) -> bool:
+    """Return whether written bytes are not acknowledged by the peer's kernel; False on a socket that is closed."""
+    with contextlib.suppress(OSError):
+        return any(fcntl.ioctl(connected.fileno(), termios.TIOCOUTQ, bytes(4)))
+    return False
