Answers that come twice: connections rest after an answer, and copies end their reuse

Cause: an answer belongs to a call by its place on the connection alone, and a connection carried its next call at once. A second copy, 0 to 10 ms late in the evidence, was read as the next call's answer, and each later answer as one to the call after its own. Change: courier/reuse.py decides which connection carries a call. A connection rests for 250 ms after an answer, 25 times the latest copy seen; bytes that come meanwhile close it. An endpoint that has sent such bytes, also behind an answer, gets one call on each connection for 300 s.

--- a/tests/test_crossings_calls.py
+++ b/tests/test_crossings_calls.py
@@ -16,6 +16,7 @@
 
 from wheelstep.courier.config import Address
 from wheelstep.courier.endpoint_client import EndpointClient
+from wheelstep.courier.reuse import REST_S
 from wheelstep.interface import Outcome
 
 S = 1_000_000
@@ -82,6 +83,7 @@
         await loop_turns(turns)
         peer.client.cancel("a", 0)
         assert (await peer.owner.wait("a")).outcome is Outcome.OK
+        peer.client._hosts["e0"].idle[-1].idle_since -= REST_S
         peer.client.call("e0", [item("b")], 10 * S)
         await peer.read_until()
         await loop_turns(3)
--- a/tests/test_endpoint_client.py
+++ b/tests/test_endpoint_client.py
@@ -12,6 +12,7 @@
 from wheelstep.courier.call import Item, Result
 from wheelstep.courier.config import Address
 from wheelstep.courier.endpoint_client import EndpointClient
+from wheelstep.courier.reuse import REST_S
 from wheelstep.interface import Outcome
 
 S = 1_000_000
@@ -287,6 +288,7 @@
                 client.call("e0", [item(name)], 10 * S)
                 result = await owner.wait(name)
                 assert result.outcome is outcome and result.limit is None
+                await asyncio.sleep(REST_S)
             assert endpoint.connections == 1
     run(work())
 
@@ -378,6 +380,7 @@
         for name in "abc":
             client.call("e0", [item(name)], 10 * S)
             await owner.wait(name)
+            await asyncio.sleep(REST_S)
         assert endpoint.connections == 1
         gate = asyncio.Event()
         async def slow(call: Call) -> Reply:
@@ -421,6 +424,7 @@
         client.call("e0", [item("a"), item("b")], 10 * S)
         assert (await owner.wait("a")).outcome is Outcome.NOT_SENT
         assert (await owner.wait("b")).outcome is Outcome.OK
+        await asyncio.sleep(REST_S)
         client.call("e0", [item("c")], 10 * S)
         assert (await owner.wait("c")).outcome is Outcome.NOT_SENT
         assert [call.headers["x-request-id"] for call in endpoint.calls] == ["b"]
--- a/wheelstep/courier/endpoint_client.py
+++ b/wheelstep/courier/endpoint_client.py
@@ -212,7 +212,7 @@
             keep = not answer.malformed and connection.make_idle()
             return answer
         finally:
-            if keep and self._hosts.get(endpoint) is host:
+            if keep and self._hosts.get(endpoint) is host and not host.reuse.single_use(time.monotonic()):
                 bisect.insort(host.idle, connection, key=lambda other: other.idle_since)
             else:
                 self._close(host, connection, "call unanswered" if connection.awaits_answer else "not reusable")
--- a/wheelstep/courier/pool.py
+++ b/wheelstep/courier/pool.py
@@ -8,7 +8,6 @@
 import asyncio
 import functools
 import logging
-import math
 import time
 from dataclasses import dataclass, field
 
@@ -18,6 +17,7 @@
 from wheelstep.courier.connection import Connection
 from wheelstep.courier.dialling import dial
 from wheelstep.courier.flight_recorder import EventKind, FlightRecorder
+from wheelstep.courier.reuse import SINGLE_USE_S, ReuseRules
 
 _IDLE_MARGIN_S = 1.5  # an idle connection is closed this long before the endpoint would close it
 _SWEEP_INTERVAL_S = 0.5
@@ -31,9 +31,8 @@
     """An endpoint's address and its idle connections, the most recently used one last."""
 
     address: Address
+    reuse: ReuseRules
     idle: list[Connection] = field(default_factory=list)
-    safe_idle_s: float = math.inf  # idle time considered safe when it was last learned; inf: nothing observed
-    learned_at_s: float = 0.0
 
 
 class ConnectionPool:
@@ -54,7 +53,7 @@
         host = self._hosts.get(endpoint)
         if host is None or host.address != address:
             self.close_idle(endpoint)
-            self._hosts[endpoint] = Host(address)
+            self._hosts[endpoint] = Host(address, ReuseRules(self._max_idle_s))
 
     def address(self, endpoint: str) -> Address | None:
         """Return the endpoint's address; None if it is not listed."""
@@ -84,40 +83,32 @@
             await asyncio.sleep(_SWEEP_INTERVAL_S)
             for host in self._hosts.values():
                 for connection in list(host.idle):
-                    if not self._reusable(connection):
+                    if not self._reusable(host, connection):
                         self._drop_idle(host, connection)
 
-    def _reusable(self, connection: Connection) -> bool:
-        return connection.usable() and time.monotonic() - connection.idle_since < self._max_idle_s
+    def _reusable(self, host: Host, connection: Connection) -> bool:
+        return connection.usable() and not host.reuse.expired(connection, time.monotonic())
 
     def _drop_idle(self, host: Host, connection: Connection) -> None:
         host.idle.remove(connection)
         idled_s = connection.peer_closed_at - connection.idle_since if connection.peer_closed_at is not None else 0.0
         if idled_s > connection.last_call_s:  # otherwise it was closed because of its last answer
-            host.safe_idle_s, host.learned_at_s = min(self._safe_idle_s(host), idled_s / 2), time.monotonic()
-        self._close(host, connection, "idle too long" if connection.peer_closed_at is None else "ended by its endpoint")
-
-    def _safe_idle_s(self, host: Host) -> float:
-        """Return how long a connection may idle before a call that cannot be repeated is at risk on it.
-
-        Protects such calls from an endpoint that closes idle connections early, where that was observed: as
-        `Outcomes._max_idle_us` does for closures that are not observed. While remembered it costs connection
-        handshakes, also where an endpoint closed all connections for another reason.
-        """
-        return min(self._max_idle_s, host.safe_idle_s + (time.monotonic() - host.learned_at_s) / 10)
+            host.reuse.ended_early(idled_s, time.monotonic())
+        self._close(host, connection, "not reusable" if connection.peer_closed_at is None else "ended by its endpoint")
 
     async def _acquire(self, host: Host, progress: Progress, busy: int, once: bool = False) -> Connection:
         """Return an idle connection, or open one; raise `ConnectionBrokenError` if that fails. `busy` counts the
         calls and probes under way. `once`: what will be sent must not be sent again."""
-        for connection in [one for one in host.idle if one.peer_closed_at is not None]:
+        now_s = time.monotonic()
+        for connection in [one for one in host.idle
+                           if one.peer_closed_at is not None or host.reuse.expired(one, now_s)]:
             self._drop_idle(host, connection)
-        while host.idle and not (once and time.monotonic() - host.idle[-1].idle_since >= self._safe_idle_s(host)):
-            connection = host.idle[-1]
-            if self._reusable(connection):
-                host.idle.pop()
+        while (idle := host.reuse.choose(host.idle, once, time.monotonic())) is not None:
+            if self._reusable(host, idle):
+                host.idle.remove(idle)
                 progress.dialled = True
-                return connection
-            self._drop_idle(host, connection)
+                return idle
+            self._drop_idle(host, idle)
         # Bounds the file descriptors: every task of the client holds one connection at most.
         if busy > self._max_connections:
             raise ConnectionBrokenError("all connections of this courier are in use")
@@ -130,17 +121,18 @@
         try:
             connection = await dial(host.address, self._dial_timeout_s)
         except ConnectionBrokenError:
-            host.safe_idle_s = math.inf  # nothing listens there, so the earlier closures came from an outage
+            host.reuse.refused()
             raise
         connection.number = self.dials
         connection.on_unrequested = functools.partial(self._note_unrequested, host, connection)
         return connection
 
     def _note_unrequested(self, host: Host, connection: Connection, data: bytes) -> None:
-        """Record bytes that an endpoint sent outside of a call, such as a second copy of an answer."""
+        """Note bytes that an endpoint sent outside of a call, such as a second copy of an answer."""
         self.unrequested += 1
-        what = (f"unrequested bytes on connection {connection.number} after {connection.calls} calls, "
-                f"{time.monotonic() - connection.idle_since:.3f} s idle: {data[:_LOGGED_BYTES]!r}")
+        host.reuse.unrequested_bytes(time.monotonic())
+        what = (f"unrequested bytes on connection {connection.number} after {connection.calls} calls: "
+                f"{data[:_LOGGED_BYTES]!r}; its connections carry one call each for {SINGLE_USE_S:.0f} s")
         log.warning("%s:%d: %s", host.address.host, host.address.port, what)
         self._record_close(host, what)
 
