Notices: one request on each connection, so that a copied 204 acknowledges nothing

What callers would see: a message that ended undelivered and whose notice the platform never had. Change: notification_session() opens a connection for each request, at one place for courier, workers and standalone.

--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -12,15 +12,13 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Protocol
 
-import aiohttp
-
 from wheelstep import interface as api
 from wheelstep.courier.client_server import ClientServer
 from wheelstep.courier.config import Address, Config, ConfigError, load
 from wheelstep.courier.core import Core
 from wheelstep.courier.invariants import Invariant
 from wheelstep.courier.listing import entries
-from wheelstep.courier.notifier import Notifier
+from wheelstep.courier.notifier import Notifier, notification_session
 from wheelstep.courier.opening import account, obtain_journal, open_console, open_journal_with_retry, recorder
 from wheelstep.courier.shutdown import SHUTDOWN_S, ignore_signals, leave
 from wheelstep.courier.spread import calling_couriers, max_retry_s
@@ -78,7 +76,7 @@
         if fleet is not None and operator_file is not None:
             reload_operator_file(operator_file, fleet)
 
-    async with aiohttp.ClientSession(auto_decompress=False, trust_env=False) as http:
+    async with notification_session() as http:
         core.notices = Notifier(http, config.discovery, core.answered)
         seq, rows = config.known.get("seq", 0), entries(config.known, config.names)
         if target is not None and target.transferred.rows:
--- a/wheelstep/courier/notifier.py
+++ b/wheelstep/courier/notifier.py
@@ -25,6 +25,13 @@
 log = logging.getLogger("wheelstep.courier.notices")
 
 
+def notification_session() -> aiohttp.ClientSession:
+    """Return a session with one request on each connection: on a kept one, a second copy of a 204 would be read as the
+    answer to the next notices. The platform's agent is on the same host, so that a new connection costs little."""
+    connector = aiohttp.TCPConnector(force_close=True)
+    return aiohttp.ClientSession(connector=connector, auto_decompress=False, trust_env=False)
+
+
 class _Target:
     """The URL at the address of the platform's agent, and the exchange in progress with it."""
 
@@ -88,7 +95,7 @@
             else:
                 self._failures += 1
                 if self._failures == 1:
-                    continue  # the kept connection may have been closed: try again at once, on a new one
+                    continue  # a connection that broke or fell silent: try again at once, on a new one
                 self._pending[batch[0]] = self._pending.pop(batch[0])  # to the end of the queue
                 await asyncio.sleep(_RETRY_S)
             if not self._pending:
--- a/wheelstep/standalone/serve.py
+++ b/wheelstep/standalone/serve.py
@@ -19,7 +19,7 @@
 from wheelstep.courier.client_server import ClientServer
 from wheelstep.courier.config import Address, Config, ConfigError, from_data
 from wheelstep.courier.core import Core
-from wheelstep.courier.notifier import Notifier
+from wheelstep.courier.notifier import Notifier, notification_session
 from wheelstep.courier.opening import open_journal
 from wheelstep.courier.rows import Row
 from wheelstep.courier.shutdown import ignore_signals, leave
@@ -107,8 +107,7 @@
         server = ClientServer(core, core.ordered, config.max_descriptors // 3, client_api=client_api)
         async with contextlib.AsyncExitStack() as stack, asyncio.TaskGroup() as group:
             if self._file_config.notify is not None:
-                import aiohttp
-                http = await stack.enter_async_context(aiohttp.ClientSession(auto_decompress=False, trust_env=False))
+                http = await stack.enter_async_context(notification_session())
                 reporter.notices = Notifier(http, Address.parse(self._file_config.notify), reporter.confirm)
             if self._file_config.endpoints_from is not None:
                 self._folder = EndpointFolder(self._file_config.endpoints_from)
--- a/wheelstep/workers/worker.py
+++ b/wheelstep/workers/worker.py
@@ -16,14 +16,12 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-import aiohttp
-
 from wheelstep import interface as api
 from wheelstep.courier.admission import Admission
 from wheelstep.courier.client_server import ClientServer
 from wheelstep.courier.config import Address, Config, ConfigError, load
 from wheelstep.courier.core import Core
-from wheelstep.courier.notifier import Notifier
+from wheelstep.courier.notifier import Notifier, notification_session
 from wheelstep.courier.opening import account, open_journal, recorder
 from wheelstep.courier.rows import Row, read_rows
 from wheelstep.courier.shutdown import leave
@@ -169,8 +167,7 @@
                       self._config.max_descriptors // 3, self.find)
         with contextlib.suppress(FileNotFoundError):
             os.unlink(self._path)
-        async with aiohttp.ClientSession(auto_decompress=False, trust_env=False) as http, \
-                asyncio.TaskGroup() as self._group:
+        async with notification_session() as http, asyncio.TaskGroup() as self._group:
             self._notices = self._core.notices = Notifier(http, self._config.discovery, self._core.answered)
             peer_server = await loop.create_unix_server(lambda: OwnerSide(self._own_core).connection, self._path)
             self._tasks = [self._group.create_task(work) for work in (
