Watch: a list older than the newest one on the same watch is passed over

What callers would see: calls to an endpoint that drains. Change: on one watch versions only rise; a whole list on another watch may be older, since discovery may have lost its state.

--- a/wheelstep/courier/watch.py
+++ b/wheelstep/courier/watch.py
@@ -114,11 +114,12 @@
                 if answer.status != 200:
                     raise ValueError(f"expected status 200, found {answer.status}")
                 listing = ListParser(self._reading.max_bytes, self._reading.loads)
+                newest = None  # version of the newest list on this watch
                 async for data in answer.content.iter_any():
                     for found in listing.feed(data):
                         self._cancel(hedge.received(number, loop.time()))
                         if found is not None:
-                            self._apply_list(found)
+                            newest = self._apply_list(found, newest)
                         self._first_answer.set()
                         if number not in hedge:  # the list itself has moved discovery
                             return
@@ -129,12 +130,19 @@
         hedge.ended(number, loop.time())
         self._rescheduled.set()
 
-    def _apply_list(self, data: Mapping[str, Any]) -> None:
-        if not isinstance(data.get("seq"), int):
+    def _apply_list(self, data: Mapping[str, Any], newest: int | None) -> int:
+        """Apply a list unless it is known already. Return the version of the newest list on its watch, which was
+        `newest` before. On one watch versions only rise: an older list is a second copy, and would undo what followed
+        it. A whole list on another watch may be older, as discovery may have lost its state."""
+        seq = data.get("seq")
+        if not isinstance(seq, int):
             raise ValueError(f"a list without an integer seq: {str(data)[:80]!r}")
         whole = bool(data.get("whole"))
-        if not whole and data["seq"] <= self._seq:
-            return  # known already
-        rows = self._reading.entries(data, self._names)
-        self._seq = data["seq"]
-        self._on_list(api.ListKind.WHOLE if whole else api.ListKind.CHANGES, rows)
+        if newest is not None and seq <= newest:
+            log.info("discovery: passed over list %d after %d on the same watch", seq, newest)
+            return newest
+        if whole or seq > self._seq:
+            rows = self._reading.entries(data, self._names)
+            self._seq = seq
+            self._on_list(api.ListKind.WHOLE if whole else api.ListKind.CHANGES, rows)
+        return seq
