Notices: tried again within 20 ms where this machine refuses the connection

What callers would see: a notice after its time. Cause: after a second failure in a row the notifier waited 0.25 s whatever had failed, so that a machine that refuses connects for a while (ENOBUFS, ENETUNREACH) used up the 0.3 s after a deadline. Change: PostResult tells a refusal by this machine from a failed exchange; the errors and the interval are those of dialling.py.

--- a/tests/test_crossings_notices.py
+++ b/tests/test_crossings_notices.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import os
+import socket
 from typing import Any
 
 import aiohttp
@@ -11,8 +14,9 @@
 from silent_agent import SilentAgent
 
 from wheelstep.courier.config import Address
-from wheelstep.courier.notifier import Notifier
+from wheelstep.courier.notifier import Notifier, notification_session
 
+ANSWERED_WITHIN_S = 0.3  # after a message's deadline
 CROWDED_S = 1.0  # the platform's limit is 0.3 s, and 0.11 s are usual; a busy machine needs more
 
 
@@ -88,3 +92,27 @@
         agent.close()
         slow.close()
     run(scene())
+
+
+def test_notice_goes_out_in_time_while_the_machine_refuses_connections(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a late notice: the next try came 0.25 s after a connection that the machine itself refused, so
+    that a few refusals used up the 0.3 s after a deadline. Soak, seed 101."""
+    refusals = iter([errno.ENOBUFS, errno.ENETUNREACH, errno.EADDRNOTAVAIL, errno.ENOMEM])
+    connect = socket.socket.connect
+
+    def failing_connect(self: socket.socket, address: Any) -> None:
+        if (code := next(refusals, None)) is not None:
+            raise OSError(code, os.strerror(code))
+        connect(self, address)
+
+    async def scene() -> None:
+        agent = SilentAgent()
+        agent.noticed = lambda link, body: link.answer(204)
+        async with notification_session() as http:
+            sender = _Sender(http, await agent.start())
+            monkeypatch.setattr(socket.socket, "connect", failing_connect)
+            assert await sender.send("m") < ANSWERED_WITHIN_S
+            sender.stop()
+        agent.close()
+    run(scene())
+    assert next(refusals, None) is None
--- a/wheelstep/courier/dialling.py
+++ b/wheelstep/courier/dialling.py
@@ -13,7 +13,10 @@
 _SHORTAGE = frozenset({errno.EADDRNOTAVAIL, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 # A brief local shortage, or the endpoint's network is unreachable.
 _NO_ROUTE = frozenset({errno.ENETDOWN, errno.ENETUNREACH})
-_RETRY_S = 0.02
+LOCAL_ERRORS = _SHORTAGE | _NO_ROUTE
+"""Errors of this machine, which may pass at any moment and tell nothing of the peer."""
+LOCAL_RETRY_S = 0.02
+"""Between two attempts to connect while this machine refuses."""
 
 
 async def dial(address: Address, timeout_s: float) -> Connection:
@@ -27,10 +30,10 @@
                     _, made = await asyncio.get_running_loop().create_connection(Connection, address.host, address.port)
                     return made
                 except OSError as error:
-                    if error.errno not in _SHORTAGE | _NO_ROUTE:
+                    if error.errno not in LOCAL_ERRORS:
                         raise ConnectionBrokenError(f"connect to {address.host}:{address.port}: {error}") from error
                     refused = error
-                await asyncio.sleep(_RETRY_S)
+                await asyncio.sleep(LOCAL_RETRY_S)
     except TimeoutError as error:
         if refused is not None and refused.errno in _SHORTAGE:
             raise LocalResourceError(f"connect to {address.host}:{address.port}: {refused}") from error
--- a/wheelstep/courier/notifier.py
+++ b/wheelstep/courier/notifier.py
@@ -7,12 +7,14 @@
 import logging
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from enum import Enum
 from itertools import islice
 from typing import Any
 
 import aiohttp
 
 from wheelstep.courier.config import Address
+from wheelstep.courier.dialling import LOCAL_ERRORS, LOCAL_RETRY_S
 
 # After a message's deadline its notice must have been answered within this time (PROTOCOL, 'The rules on sockets').
 _ANSWERED_WITHIN_S = 0.3
@@ -57,6 +59,14 @@
                 self._exchange = None
 
 
+class PostResult(Enum):
+    """How a request with notices ended."""
+
+    ACCEPTED = "accepted"
+    FAILED = "failed"  # or it may have been accepted
+    NOT_SENT = "not sent"  # this machine refused the connection
+
+
 class Notifier:
     """Notifies the platform of every message that ended undelivered, and repeats each notice until it is accepted
     with status 204."""
@@ -87,11 +97,14 @@
             await self._has_pending.wait()
             # After a second failure notices go one by one, so that one that is never accepted can't block all.
             batch = list(islice(self._pending, _MAX_BATCH if self._failures < 2 else 1))
-            if await self._post(b"".join(self._pending[message] for message in batch)):
+            result = await self._post(b"".join(self._pending[message] for message in batch))
+            if result is PostResult.ACCEPTED:
                 self._failures = 0
                 for message in batch:
                     del self._pending[message]
                 self._on_accepted(batch)
+            elif result is PostResult.NOT_SENT:
+                await asyncio.sleep(LOCAL_RETRY_S)
             else:
                 self._failures += 1
                 if self._failures == 1:
@@ -101,14 +114,17 @@
             if not self._pending:
                 self._has_pending.clear()
 
-    async def _post(self, body: bytes) -> bool:
+    async def _post(self, body: bytes) -> PostResult:
         try:
             limit = aiohttp.ClientTimeout(total=min(_FIRST_TIMEOUT_S * 2 ** min(self._failures, 8), _MAX_TIMEOUT_S))
             async with self._target.exchange() as url, self._http.post(
                     url, data=body, timeout=limit) as answer:
                 if answer.status != 204:
                     log.warning("notices: status %d", answer.status)
-                return answer.status == 204
+                return PostResult.ACCEPTED if answer.status == 204 else PostResult.FAILED
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            if isinstance(error, OSError) and error.errno in LOCAL_ERRORS:  # also a `ClientConnectorError`
+                log.info("notices are not sent for lack of a local resource: %s", error)
+                return PostResult.NOT_SENT
             log.warning("notices: %r", error)
-            return False
+            return PostResult.FAILED
--- a/wheelstep/rehearsal/broken/lost.py
+++ b/wheelstep/rehearsal/broken/lost.py
@@ -5,7 +5,7 @@
 import json
 
 from wheelstep.courier.core import Core
-from wheelstep.courier.notifier import Notifier
+from wheelstep.courier.notifier import Notifier, PostResult
 from wheelstep.journal import Journal
 from wheelstep.journal.segments import Log, Segment
 
@@ -42,7 +42,7 @@
     """Send each notification twice, the second time with the other outcome."""
     post = Notifier._post
 
-    async def twice(self: Notifier, body: bytes) -> bool:
+    async def twice(self: Notifier, body: bytes) -> PostResult:
         lines = [json.loads(line) for line in body.splitlines()]
         for line in lines:
             line["outcome"] = "given_up" if line["outcome"] == "handed_back" else "handed_back"
