Soak: copied answers, signals in series, traffic up to the kill, crowds; stricter judge

Change: endpoints and agents that send answers, lines and acknowledgements twice (copy, agent-copy); SIGHUPs and SIGTERMs in series; after SIGTERM 25 messages a second on the open connections in turn until the kill at 3.7 s, while new connections end after 0.3 s; a quarter of the runs with 100 idle connections to each courier at 256 descriptors.

--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from wheelstep.rehearsal import worth
-from wheelstep.rehearsal.evidence import _unavailable_spans
+from wheelstep.rehearsal.evidence import Evidence
 from wheelstep.rehearsal.history import (
     Answer,
     Call,
@@ -116,6 +116,11 @@
     assert Scene().add(*facts).broken() == {Rule.LOST}
     died = Scene().add(*facts, Life(0, "c0", Turn.READY), Life(S, "c0", Turn.KILLED), Life(2 * S, "c0", Turn.READY))
     assert died.broken() == set()
+    told_to_end = Life(0, "c0", Turn.READY), Life(S - MS, "c0", Turn.TERMINATED)
+    ended_later = *told_to_end, Life(4 * S, "c0", Turn.EXITED), Life(5 * S, "c0", Turn.READY)
+    assert Scene().add(*facts, *ended_later).broken() == {Rule.LOST}
+    ended_then = *told_to_end, Life(S + MS, "c0", Turn.EXITED), Life(5 * S, "c0", Turn.READY)
+    assert Scene().add(*facts, *ended_then).broken() == set()
 
 
 # --- twice ---
@@ -431,4 +436,7 @@
     lives = [Life(at, "c0", turn) for at, turn in (
         (1 * S, Turn.TERMINATED), (2 * S, Turn.PAUSED), (2 * S + 100 * MS, Turn.RESUMED), (4 * S, Turn.EXITED),
         (5 * S, Turn.READY), (7 * S, Turn.PAUSED), (8 * S, Turn.RESUMED), (9 * S, Turn.KILLED))]
-    assert _unavailable_spans(lives, 10 * S) == [(1 * S, 5 * S), (7 * S, 8 * S), (9 * S, 10 * S)]
+    evidence = Evidence(History(Figures({}), list(lives), 10 * S))
+    assert evidence.unavailable["c0"] == [(1 * S, 5 * S), (7 * S, 8 * S), (9 * S, 10 * S)]
+    # A courier that was told to end still runs, and answers what it reads, until it has exited.
+    assert evidence.not_running["c0"] == [(2 * S, 2 * S + 100 * MS), (4 * S, 5 * S), (7 * S, 8 * S), (9 * S, 10 * S)]
--- a/wheelstep/rehearsal/evidence.py
+++ b/wheelstep/rehearsal/evidence.py
@@ -7,7 +7,7 @@
 
 import bisect
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from wheelstep.rehearsal.history import (
@@ -30,6 +30,9 @@
 _LATENESS_WINDOW_US = 1_000_000  # lateness applies to events within this distance
 _RECOVERED_BY = {Turn.KILLED: Turn.READY, Turn.TERMINATED: Turn.READY, Turn.CRASHED: Turn.READY,
                  Turn.PAUSED: Turn.RESUMED, Turn.WORKER_DOWN: Turn.WORKER_REPLACED}
+# As above, but a courier that was told to end still runs, and has to answer what it reads, until it has exited.
+_RUNNING_BY = {Turn.KILLED: Turn.READY, Turn.EXITED: Turn.READY, Turn.CRASHED: Turn.READY,
+               Turn.PAUSED: Turn.RESUMED, Turn.WORKER_DOWN: Turn.WORKER_REPLACED}
 
 
 @dataclass(slots=True)
@@ -83,7 +86,8 @@
 class Evidence:
     """All facts of one history by kind, in order of time.
 
-    `unavailable` has the spans in which a courier was restarting, stopped, or without a worker.
+    `unavailable` has the spans in which a courier was restarting, stopped, or without a worker; `not_running` those of
+    them in which its process could not answer: an orderly shutdown is left out.
     """
 
     def __init__(self, history: History) -> None:
@@ -97,7 +101,10 @@
         self.outages: list[Outage] = []
         self.violations: list[Strange] = []
         self._index_facts()
-        self.unavailable = {courier: _unavailable_spans(lives, history.end_us) for courier, lives in self.lives.items()}
+        self.unavailable = {courier: _spans(lives, history.end_us, _RECOVERED_BY)
+                            for courier, lives in self.lives.items()}
+        self.not_running = {courier: _spans(lives, history.end_us, _RUNNING_BY)
+                            for courier, lives in self.lives.items()}
 
     def _index_facts(self) -> None:
         notices: list[Notice] = []
@@ -139,15 +146,15 @@
                 message.notices.append(notice)
 
 
-def _unavailable_spans(lives: list[Life], end_us: int) -> list[tuple[int, int]]:
-    """Return the spans from an interruption of a courier until it was ready or continued."""
+def _spans(lives: list[Life], end_us: int, ended_by: Mapping[Turn, Turn]) -> list[tuple[int, int]]:
+    """Return the spans of a courier from a turn in `ended_by` until the turn that it names, of all that are open."""
     spans: list[tuple[int, int]] = []
     since_us: int | None = None
     missing: set[Turn] = set()  # events needed to end the span: a pause may lie within a restart
     for life in lives:
-        if life.turn in _RECOVERED_BY:
+        if life.turn in ended_by:
             since_us = life.at_us if since_us is None else since_us
-            missing.add(_RECOVERED_BY[life.turn])
+            missing.add(ended_by[life.turn])
         elif life.turn in missing:
             missing = set() if life.turn is Turn.READY else missing - {life.turn}
             if not missing and since_us is not None:
--- a/wheelstep/rehearsal/faults.py
+++ b/wheelstep/rehearsal/faults.py
@@ -41,7 +41,7 @@
                         self._start_task(courier.terminate(for_s))
                     else:
                         self._start_task(courier.pause(for_s))
-            case "upgrade" | "reload" | "clock" | "sockets" | "short" | "disk":
+            case "upgrade" | "reload" | "signals" | "clock" | "sockets" | "short" | "disk":
                 for index in fault.couriers:
                     self._start_task(self._couriers[index].apply_fault(fault))
             case "worker-kill" | "worker-hang":
@@ -57,6 +57,12 @@
                 await self._sleep_until(fault.until_us)
                 for index in fault.couriers:
                     self._agents[index].restore()
+            case "agent-copy":
+                for index in fault.couriers:
+                    self._agents[index].copy_delay_s = fault.wait_us / 1e6
+                await self._sleep_until(fault.until_us)
+                for index in fault.couriers:
+                    self._agents[index].copy_delay_s = None
             case "stall":
                 for begin_us, end_us in fault.stops_us:
                     await self._sleep_until(begin_us)
--- a/wheelstep/rehearsal/fleet/rig.py
+++ b/wheelstep/rehearsal/fleet/rig.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from typing import Any
 
+from wheelstep.rehearsal.collector import reduced_gc
 from wheelstep.rehearsal.fleet import partner
 from wheelstep.rehearsal.fleet.clients import Clients
 from wheelstep.rehearsal.fleet.courier import COURIER_COMMAND, FleetCourier, operator_file
@@ -22,7 +23,6 @@
 from wheelstep.rehearsal.fleet.plan import MESSAGE_CLASS, Scene
 from wheelstep.rehearsal.fleet.relays import Relays
 from wheelstep.rehearsal.history import Call, Fact, Fate, HandIn, History, Notice, Outage
-from wheelstep.rehearsal.rig import _reduced_gc
 from wheelstep.rehearsal.standins.partner import PartnerPool
 from wheelstep.rehearsal.standins.platform import Agent, row
 
@@ -50,7 +50,7 @@
 
 async def run_scene(scene: Scene, broken: str = "", program: str = COURIER_COMMAND) -> RunResult:
     """Run a scene with our couriers, a broken variant or another program. Raises `NeverServedError`, `NoStartError`."""
-    with tempfile.TemporaryDirectory(prefix="umberchute-") as folder, _reduced_gc():
+    with tempfile.TemporaryDirectory(prefix="umberchute-") as folder, reduced_gc():
         rig = _Rig(scene, Path(folder), broken, program)
         try:
             return await rig.run()
--- a/wheelstep/rehearsal/rig.py
+++ b/wheelstep/rehearsal/rig.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import dataclasses
 import gc
 import shlex
 import sys
 import tempfile
-from collections.abc import Callable, Coroutine, Iterator
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 from wheelstep.rehearsal import lateness
+from wheelstep.rehearsal.collector import reduced_gc
 from wheelstep.rehearsal.faults import Faults
 from wheelstep.rehearsal.history import (
     Fact,
@@ -61,14 +61,15 @@
 
 async def play(plan: Plan, command: str = OURS, limits: dict[str, Any] | None = None,
                on_progress: Callable[[Progress], None] | None = None, orderly: bool = False,
-               courier_type: type[Courier] = Courier) -> Played:
+               courier_type: type[Courier] = Courier, rotate: bool = False) -> Played:
     """Play a plan against a courier's command and return the result.
 
-    With `orderly` the couriers get SIGTERM at the end and time to exit, else SIGKILL. `limits` overrides the couriers'
-    default limits; `courier_type` is the class of each courier. Raises `NoStartError` if the command can't be started.
+    With `rotate`, clients use all open connections in turn. With `orderly` the couriers get SIGTERM at the end and
+    time to exit, else SIGKILL. `limits` overrides the couriers' default limits; `courier_type` is the class of each
+    courier. Raises `NoStartError` if the command can't be started.
     """
-    with tempfile.TemporaryDirectory(prefix="umberchute-") as folder, _reduced_gc():
-        rig = _Rig(plan, command, Path(folder), limits or {}, on_progress, courier_type)
+    with tempfile.TemporaryDirectory(prefix="umberchute-") as folder, reduced_gc():
+        rig = _Rig(plan, command, Path(folder), limits or {}, on_progress, courier_type, rotate)
         try:
             played = await rig.run()
             if orderly:
@@ -78,26 +79,9 @@
             await rig.close()
 
 
-@contextlib.contextmanager
-def _reduced_gc() -> Iterator[None]:
-    """Collect garbage of the oldest generation hardly ever; short-lived cycles are still collected.
-
-    A history only grows. Full collections of it stopped the event loop for 240 ms at 1,000 messages a second, which
-    made rehearsals inconclusive.
-    """
-    before = gc.get_threshold()
-    gc.freeze()
-    gc.set_threshold(10_000, 20, 1_000_000)
-    try:
-        yield
-    finally:
-        gc.set_threshold(*before)
-        gc.unfreeze()
-
-
 class _Rig:
     def __init__(self, plan: Plan, command: str, folder: Path, limits: dict[str, Any],
-                 on_progress: Callable[[Progress], None] | None, courier_type: type[Courier]) -> None:
+                 on_progress: Callable[[Progress], None] | None, courier_type: type[Courier], rotate: bool) -> None:
         self._plan, self._on_progress, self._limits = plan, on_progress, limits
         self._history = History(plan.figures)
         self._loop = asyncio.get_running_loop()
@@ -106,7 +90,7 @@
         self._pool.epoch = self._epoch
         names = [f"c{index}" for index in range(plan.couriers)]
         self._agents = [Agent(name, self._history, self._now_us, self._on_notice) for name in names]
-        self._clients = [Clients(plan, index, self._pool.ledger, self._history, self._now_us)
+        self._clients = [Clients(plan, index, self._pool.ledger, self._history, self._now_us, rotate)
                          for index in range(plan.couriers)]
         self._couriers = [
             courier_type(name, command, folder / name, self._history, self._now_us,
@@ -154,6 +138,7 @@
             self._reset_clock()
             for index, clients in enumerate(self._clients):
                 clients.address = self._couriers[index].address
+                clients.may_connect = self._couriers[index].takes_new_connections
                 if self._plan.crowd:
                     await clients.open_idle_connections(self._plan.crowd)
             self._start_task(lateness.record_lateness(self._couriers, self._history, self._now_us))
--- a/wheelstep/rehearsal/rules/lost.py
+++ b/wheelstep/rehearsal/rules/lost.py
@@ -11,11 +11,11 @@
 
 def findings(evidence: Evidence) -> Iterable[Finding]:
     """Yield accepted messages with no terminal outcome, a late one or two different notifications, and submissions
-    whose connection was closed without an answer while the courier was available."""
+    whose connection was closed without an answer while the courier's process ran, also after SIGTERM."""
     for name, message in evidence.messages.items():
         courier = message.submission.courier
         answer = message.answer
-        if answer is not None and answer.end is End.ENDED and not _unavailable_around(evidence, courier, message):
+        if answer is not None and answer.end is End.ENDED and not _not_running_around(evidence, courier, message):
             yield Finding(Rule.LOST, answer.at_us, courier,
                           "the client's connection was closed without an answer", (name,))
         if not message.accepted:
@@ -39,7 +39,7 @@
                           f"two different terminal outcomes: {', '.join(sorted(outcomes))}", (name,))
 
 
-def _unavailable_around(evidence: Evidence, courier: str, message: Message) -> bool:
+def _not_running_around(evidence: Evidence, courier: str, message: Message) -> bool:
     assert message.answer is not None
     return any(begin - 100_000 <= message.answer.at_us <= end + 100_000
-               for begin, end in evidence.unavailable.get(courier, ()))
+               for begin, end in evidence.not_running.get(courier, ()))
--- a/wheelstep/rehearsal/soak/courier.py
+++ b/wheelstep/rehearsal/soak/courier.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import os
+import random
 import signal
 from typing import Any
 
@@ -12,11 +13,9 @@
 from wheelstep.rehearsal.planned import Fault
 from wheelstep.rehearsal.soak.control import FAULT_PAGE_VARIABLE, FaultPage
 from wheelstep.rehearsal.standins.machine import CourierPort
-from wheelstep.rehearsal.standins.process import Courier
+from wheelstep.rehearsal.standins.process import TERM_TIMEOUT_S, Courier
 
 UPGRADE_READY_TIMEOUT_S = 6.0  # until an upgraded process must report ready on its console
-TERM_TIMEOUT_S = 3.7  # from SIGTERM until SIGKILL
-RESTART_DELAY_S = 0.6  # from an end until the next start
 MAX_SUSPECT_LINES = 40  # that are kept of a courier's logs
 _POLL_INTERVAL_S = 0.02
 SUSPECT_PHRASES = ("invariant violated", "Traceback", "unexpectedly", "a turn failed", "could not carry out",
@@ -24,6 +23,13 @@
 """Texts that must not appear in a courier's log under any fault."""
 
 
+def _send_signal(process: asyncio.subprocess.Process, number: signal.Signals) -> None:
+    """Send a signal, unless the process has ended."""
+    if process.returncode is None:
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(number)
+
+
 class SoakCourier(Courier):
     """Serialises a courier's restarts and upgrades: each begins once the previous one has finished."""
 
@@ -89,10 +95,11 @@
         match fault.kind:
             case "upgrade":
                 await self._upgrade()
+            case "signals":
+                await self._send_signal_series(random.Random(f"{self.name} {fault.at_us}"))
             case "reload":
-                if (self.ready.is_set() and self._serving_process is not None
-                        and self._serving_process.returncode is None):
-                    self._serving_process.send_signal(signal.SIGHUP)
+                if self.ready.is_set() and self._serving_process is not None:
+                    _send_signal(self._serving_process, signal.SIGHUP)
             case "clock":
                 self.page.clock_offset_s += fault.share
             case "sockets":
@@ -108,6 +115,20 @@
                 await asyncio.sleep(duration_s)
                 self.page.disk_failure_share = 0.0
 
+    async def _send_signal_series(self, rng: random.Random) -> None:
+        """Send SIGHUPs, then SIGTERM, then more of both until the process has ended; it is started again after that."""
+        process = self._serving_process
+        if process is None or process is not self.process or not self.ready.is_set():
+            return
+        for _ in range(rng.randint(0, 3)):
+            _send_signal(process, signal.SIGHUP)
+            await asyncio.sleep(rng.uniform(0.0, 0.2))
+        restart = asyncio.create_task(self.terminate())
+        while process.returncode is None:
+            await asyncio.sleep(rng.uniform(0.0, 0.6))
+            _send_signal(process, rng.choice((signal.SIGHUP, signal.SIGTERM)))
+        await restart
+
     async def _upgrade(self) -> None:
         async with self._transition_lock:
             predecessor = self.process
@@ -127,8 +148,7 @@
             self._create_task(self._retire(predecessor))
 
     async def _retire(self, process: asyncio.subprocess.Process) -> None:
-        with contextlib.suppress(ProcessLookupError):
-            process.send_signal(signal.SIGTERM)
+        _send_signal(process, signal.SIGTERM)
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(process.wait(), TERM_TIMEOUT_S)
         if process.returncode is None:
--- a/wheelstep/rehearsal/soak/plan.py
+++ b/wheelstep/rehearsal/soak/plan.py
@@ -9,15 +9,21 @@
 
 from wheelstep.rehearsal.history import Effect
 from wheelstep.rehearsal.plan import draw
-from wheelstep.rehearsal.planned import Fault, Plan
+from wheelstep.rehearsal.planned import Arrival, Fault, Plan
 from wheelstep.rehearsal.scenario import Scenario
+from wheelstep.rehearsal.standins.process import TERM_TIMEOUT_S
 
 RATE_PER_S = 5.0  # messages submitted to each courier
+SHUTDOWN_RATE_PER_S = 25.0  # submitted to a courier from its SIGTERM until the kill, on connections that are open
+CROWD_SHARE = 0.25  # of the runs
+CROWD_CONNECTIONS = 100  # idle ones to each courier; its descriptors are then limited to CROWD_SOCKETS
+CROWD_SOCKETS = 256
 CLOCK_STEPS_S = (-3600.0, -5.0, -0.4, 0.4, 5.0, 3600.0)
-COURIER_FAULTS = ("kill", "term", "upgrade", "upgrades", "upgrade-kill", "pause", "reload", "discovery")
+COURIER_FAULTS = ("kill", "term", "signals", "upgrade", "upgrades", "upgrade-kill", "pause", "reload", "discovery",
+                  "agent-copy")
 IN_PROCESS_FAULTS = ("clock", "sockets", "short", "disk")
 """Faults inside a courier's process; they need it to run under `faulty`."""
-ENDPOINT_FAULTS = ("stall", "silent", "hang", "refuse", "shut", "fail", "reset", "spoil", "leave", "replace")
+ENDPOINT_FAULTS = ("stall", "silent", "hang", "refuse", "shut", "fail", "reset", "spoil", "copy", "leave", "replace")
 _MS, _S = 1_000, 1_000_000
 
 
@@ -39,7 +45,32 @@
     faults = sorted([*_draw_courier_faults(rng, config), *_draw_in_process_faults(rng, config),
                      *_draw_endpoint_faults(rng, config, base_plan)], key=lambda fault: fault.at_us)
     last_us = max([base_plan.length_us, *(fault.until_us for fault in faults)])
-    return dataclasses.replace(base_plan, faults=tuple(faults), end_us=base_plan.end_us + last_us - base_plan.length_us)
+    return dataclasses.replace(
+        base_plan, faults=tuple(faults), end_us=base_plan.end_us + last_us - base_plan.length_us,
+        arrivals=_with_shutdown_traffic(rng, base_plan.arrivals, faults),
+        crowd=CROWD_CONNECTIONS if rng.random() < CROWD_SHARE else 0)
+
+
+def courier_limits(plan: Plan) -> dict[str, Any]:
+    """Return the limits of the couriers of a plan, as far as they are not the rig's."""
+    return {"sockets": CROWD_SOCKETS} if plan.crowd else {}
+
+
+def _with_shutdown_traffic(rng: random.Random, arrivals: tuple[Arrival, ...],
+                           faults: list[Fault]) -> tuple[Arrival, ...]:
+    """Return the arrivals with further ones, like those that the couriers get anyway, from each SIGTERM on."""
+    added: list[Arrival] = []
+    for fault in faults:
+        if fault.kind not in ("term", "signals"):
+            continue
+        like = [arrival for arrival in arrivals if arrival.courier in fault.couriers]
+        for index in range(int(SHUTDOWN_RATE_PER_S * TERM_TIMEOUT_S) if like else 0):
+            number = len(arrivals) + len(added)
+            template = rng.choice(like)
+            added.append(dataclasses.replace(
+                template, number=number, at_us=fault.at_us + int(index / SHUTDOWN_RATE_PER_S * 1e6), fresh=False,
+                token=None if template.token is None else f"{template.token[:16]}{number:016x}"))
+    return tuple(sorted([*arrivals, *added], key=lambda arrival: arrival.at_us))
 
 
 def _scenario(rng: random.Random, config: SoakConfig) -> Scenario:
@@ -82,8 +113,10 @@
             kind, targets = rng.choice(config.courier_faults), (courier,)
             at_us, until_us = _draw_interval(rng, config, 0.3, 1.5)
             match kind:
-                case "kill" | "term":
+                case "kill" | "term" | "signals":
                     yield Fault(kind, at_us, at_us + 600 * _MS, couriers=targets)
+                case "agent-copy":
+                    yield Fault(kind, at_us, until_us, couriers=targets, wait_us=rng.choice([0, 5, 30, 200]) * _MS)
                 case "upgrades":  # two upgrades in a row
                     yield Fault("upgrade", at_us, at_us, couriers=targets)
                     yield Fault("upgrade", at_us + 1, at_us + 1, couriers=targets)
--- a/wheelstep/rehearsal/soak/run.py
+++ b/wheelstep/rehearsal/soak/run.py
@@ -10,6 +10,7 @@
 from wheelstep.rehearsal.planned import Plan
 from wheelstep.rehearsal.rig import Played, module_command, play
 from wheelstep.rehearsal.soak.courier import SoakCourier
+from wheelstep.rehearsal.soak.plan import courier_limits
 
 COMMAND = module_command("wheelstep.rehearsal.soak.faulty")
 
@@ -35,7 +36,7 @@
 async def run(plan: Plan, command: str = COMMAND) -> tuple[SoakResult, Played]:
     """Run a plan against couriers that `command` starts, and judge what was seen. Raises `NoStartError` where the
     command can't be started."""
-    played = await play(plan, command, courier_type=SoakCourier)
+    played = await play(plan, command, courier_limits(plan), courier_type=SoakCourier, rotate=True)
     verdict = judge(played.history)
     counts: Counter[str] = Counter(f"fault {fault.kind}" for fault in plan.faults)
     for fact in played.history.facts:
--- a/wheelstep/rehearsal/standins/answering.py
+++ b/wheelstep/rehearsal/standins/answering.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from wheelstep.rehearsal.history import Call, Fate, How, Probe, Strange
+from wheelstep.rehearsal.standins.bulk import parse_bulk
 from wheelstep.rehearsal.standins.ledger import Submission
 from wheelstep.rehearsal.standins.model import QueuedCall
 from wheelstep.rehearsal.standins.wire import Request, Server
@@ -16,6 +17,7 @@
 
 _MALFORMED_RESPONSES = (b"HTTP/1.1 200", b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
                         b"\x16\x03\x01garbage\r\n\r\n", b"HTTP/1.1 500 Error\r\nContent-Length: nine\r\n\r\n")
+_COPY_DELAYS_S = (0.0, 0.002, 0.005, 0.01, 0.05, 0.15)  # from an answer to its second copy
 
 
 @dataclass(slots=True)
@@ -135,7 +137,7 @@
         if {"hang", "silent"} & set(faults.shares):
             return  # a probe is never answered then
         load_report = self._model.load_report()
-        self.answer(200 if fine else 503, {"X-Load": load_report} if load_report else None)
+        self._answer(200 if fine else 503, {"X-Load": load_report} if load_report else {})
         self._start_idle_timer()
 
     def _parse_messages(self, request: Request) -> tuple[str, ...] | None:
@@ -144,7 +146,7 @@
             rows = [(request.headers.get("x-request-id", ""), request.headers.get("idempotency-key"), request.body)]
         elif request.target == "/inbox/bulk":
             try:
-                rows = _parse_bulk(request.body)
+                rows = parse_bulk(request.body)
             except ValueError as error:
                 self._report_violation(f"a malformed bulk call: {error}")
                 return None
@@ -213,9 +215,17 @@
         if load_report := self._model.load_report():
             headers["X-Load"] = load_report
         self._record_call(How.ANSWERED, fate, wait_us)
-        self.answer(status, headers, body)
+        self._answer(status, headers, body)
         self._start_idle_timer()
 
+    def _answer(self, status: int, headers: dict[str, str], body: bytes = b"") -> None:
+        """Send an answer, and under a fault `copy` a second copy of it, also into a call that is open by then."""
+        self.answer(status, headers, body)
+        faults = self._model.active_faults
+        if "copy" in faults.shares and self._model.occurs(faults.shares["copy"]):
+            delay_s = _COPY_DELAYS_S[len(self._pool.history.facts) % len(_COPY_DELAYS_S)]
+            asyncio.get_running_loop().call_later(delay_s, self.answer, status, headers, body)
+
     def _record_call(self, how: How, fate: Fate = Fate.UNTOLD, wait_us: int = 0) -> None:
         active, self._active_call = self._active_call, None
         if active is None:
@@ -229,19 +239,3 @@
     def record_open_call(self) -> None:
         """Record the call in progress, if any, as open at the rehearsal's end."""
         self._record_call(How.OPEN)
-
-
-def _parse_bulk(body: bytes) -> list[tuple[str, str | None, bytes]]:
-    """Return id, token and body of each message of a bulk call. Raises `ValueError` for a malformed body."""
-    rows = []
-    while body:
-        line, separator, body = body.partition(b"\r\n")
-        parts = line.decode("latin-1").split(" ")
-        if not separator or len(parts) != 3 or not parts[2].isdigit():
-            raise ValueError(f"no line with id, key and length: {line[:60]!r}")
-        size = int(parts[2])
-        if body[size:size + 2] != b"\r\n":
-            raise ValueError(f"message {parts[0]} does not end where its length says")
-        rows.append((parts[0], None if parts[1] == "-" else parts[1], body[:size]))
-        body = body[size + 2:]
-    return rows
--- a/wheelstep/rehearsal/standins/clients.py
+++ b/wheelstep/rehearsal/standins/clients.py
@@ -19,11 +19,15 @@
 
 
 class Clients:
-    """All clients of one courier. `submitted` counts their requests."""
+    """All clients of one courier. `submitted` counts their requests. With `rotate` the open connections are used in
+    turn, else the one that was used last. `may_connect` returns whether the platform makes new connections now."""
 
-    def __init__(self, plan: Plan, courier: int, ledger: Ledger, history: History, now_us: Callable[[], int]) -> None:
+    def __init__(self, plan: Plan, courier: int, ledger: Ledger, history: History, now_us: Callable[[], int],
+                 rotate: bool = False) -> None:
         self._plan, self.name, self._ledger, self._history, self._now_us = plan, f"c{courier}", ledger, history, now_us
         self.address = ("127.0.0.1", 0)
+        self.may_connect: Callable[[], bool] = lambda: True
+        self._rotate = rotate
         self._idle: list[Client] = []
         self._submissions: dict[int, int] = defaultdict(int)
         self._by_id: dict[str, Arrival] = {}
@@ -117,6 +121,8 @@
         """
         for repeat in range(2):
             used = None if fresh or repeat else self._take_idle_connection()
+            if used is None and not self.may_connect():
+                return End.UNREACHED, 0, 0
             try:
                 async with asyncio.timeout(CLIENT_TIMEOUT_S):
                     link = used or await Client.dial(*self.address)
@@ -135,7 +141,7 @@
 
     def _take_idle_connection(self) -> Client | None:
         while self._idle:
-            link = self._idle.pop()
+            link = self._idle.pop(0 if self._rotate else -1)
             if not link.closed:
                 return link
         return None
--- a/wheelstep/rehearsal/standins/platform.py
+++ b/wheelstep/rehearsal/standins/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import json
 import urllib.parse
 from collections.abc import Callable
@@ -27,7 +28,8 @@
     """Discovery's agent of one courier. `on_notice` is called with each accepted notification.
 
     `down` stops lists and changes on watches, but a list request without a watch is still answered. With
-    `accepts_notices` off, notifications are answered 503.
+    `accepts_notices` off, notifications are answered 503. With `copy_delay_s`, answers to notifications and lines of
+    watches are sent a second time after that delay.
     """
 
     def __init__(self, courier: str, history: History, now_us: Callable[[], int],
@@ -37,6 +39,7 @@
         self.seq = 1
         self.down = False
         self.accepts_notices = True
+        self.copy_delay_s: float | None = None
         self.watch_versions: list[int] = []  # the version that each watch asked to start after
         self._unsent: list[Row] = []  # changes made while discovery was down
         self._watches: set[_Connection] = set()
@@ -162,7 +165,7 @@
         """Accept notifications, open a watch, or answer with the full list."""
         path, _, query = request.target.partition("?")
         if request.method == "POST" and path == "/v1/outcomes":
-            self.answer(self._agent.accept_notices(request.body))
+            self._send_twice(functools.partial(self.answer, self._agent.accept_notices(request.body)))
         elif request.method == "GET" and path == "/v1/servers" and "watch=1" in query:
             self.after = int(urllib.parse.parse_qs(query).get("after", ["0"])[0] or 0)
             self._agent.add_watch(self)
@@ -181,7 +184,13 @@
     def send_line(self, data: bytes) -> None:
         """Send one line on the watch if it has started."""
         if self._started:
-            self.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+            self._send_twice(functools.partial(self.write, f"{len(data):x}\r\n".encode() + data + b"\r\n"))
+
+    def _send_twice(self, send: Callable[[], None]) -> None:
+        """Send, and send again later while the agent copies what it sends."""
+        send()
+        if self._agent.copy_delay_s is not None:
+            asyncio.get_running_loop().call_later(self._agent.copy_delay_s, send)
 
     def on_disconnect(self) -> None:
         """Remove the watch."""
--- a/wheelstep/rehearsal/standins/process.py
+++ b/wheelstep/rehearsal/standins/process.py
@@ -21,8 +21,9 @@
 __all__ = ["Courier", "NoStartError"]
 
 _LOG_BYTES = 64 * 1024  # kept from the end of the log
-_TERM_TIMEOUT_S = 3.7  # from SIGTERM until SIGKILL
+TERM_TIMEOUT_S = 3.7  # from SIGTERM until SIGKILL, which the platform sends no sooner
 _RESTART_DELAY_S = 0.6  # from the exit until the next start
+_NEW_CONNECTIONS_S = 0.3  # from SIGTERM until the platform makes no new connections to the courier
 _POLL_S = 0.02
 
 
@@ -44,6 +45,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.ready = asyncio.Event()
         self.suspect: list[str] = []
+        self._connects_until_s: float | None = None  # time of the event loop; None: no end of new connections
         self._stopping = False  # the process was told to exit, so an exit is no crash
         self._tasks: set[asyncio.Task[None]] = set()
         (folder / "state").mkdir(parents=True, exist_ok=True)
@@ -53,6 +55,11 @@
         """The address for clients."""
         return "127.0.0.1", self.port.port
 
+    def takes_new_connections(self) -> bool:
+        """Return whether the platform makes new connections to the courier: for a while after SIGTERM, and again once
+        it is ready."""
+        return self._connects_until_s is None or asyncio.get_running_loop().time() < self._connects_until_s
+
     def _record_turn(self, turn: Turn, code: int = 0) -> None:
         self._history.add(Life(self._now_us(), self.name, turn, code))
 
@@ -70,6 +77,7 @@
             self.port.change()  # it exited because another process has the port
         if ready:
             self._record_turn(Turn.READY)
+            self._connects_until_s = None
             self.ready.set()
             self._create_task(self._watch(process))
             return True
@@ -163,6 +171,7 @@
         self.ready.clear()
         self._record_turn(turn)
         if number == signal.SIGTERM:
+            self._connects_until_s = asyncio.get_running_loop().time() + _NEW_CONNECTIONS_S
             await self.request_exit()
         self._signal(signal.SIGKILL)
         code = await process.wait()
@@ -172,13 +181,13 @@
         await self.start()
 
     async def request_exit(self) -> None:
-        """Send SIGTERM to the program, not to its children, and wait up to `_TERM_TIMEOUT_S` for its exit."""
+        """Send SIGTERM to the program, not to its children, and wait up to `TERM_TIMEOUT_S` for its exit."""
         self._stopping = True
         if self.process is not None and self.process.returncode is None:
             with contextlib.suppress(ProcessLookupError):
                 self.process.send_signal(signal.SIGTERM)
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.process.wait(), _TERM_TIMEOUT_S)
+                await asyncio.wait_for(self.process.wait(), TERM_TIMEOUT_S)
 
     async def apply_fault(self, fault: Fault) -> None:
         """Play a fault that only the soak's couriers support. Raises `NotImplementedError` for any other courier."""
