Requests that come twice: a message that has just ended is not accepted again

What callers would see: a message of a once class run twice. Not over a restart or a hand-over. The limits of connections, worked out in four places, became properties of Config. Evidence: the test failed before (m, m, other called) and passes.

--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -64,7 +64,7 @@
     if operator is not None:
         core.recorder, core.account = recorder(operator, config), account(operator, config)
     admission, client_api, find_admission = (core, None, None) if fleet is None else fleet.join(core)
-    server = ClientServer(admission, core.ordered, config.max_descriptors // 3, find_admission,
+    server = ClientServer(admission, core.ordered, config.max_client_connections, find_admission,
                           transferable=console is not None, client_api=client_api)
     server.on_unanswered = functools.partial(core.invariants.report_violation, Invariant.ANSWERED)
     source: HandoverSource | None = None
--- a/wheelstep/courier/admission.py
+++ b/wheelstep/courier/admission.py
@@ -31,7 +31,7 @@
         """Write a message to the journal. Raises `NoRoomError`."""
 
     def holds(self, message: str) -> bool:
-        """Return whether a message was accepted before and has not ended."""
+        """Return whether a message was accepted before, and has not ended or only a short while ago."""
 
     def is_unconfirmed(self, message: str) -> bool:
         """Return whether a message is written for a client that has no answer yet, so that it may be withdrawn."""
--- a/wheelstep/courier/config.py
+++ b/wheelstep/courier/config.py
@@ -60,6 +60,11 @@
     return names.index(name) if name in names else 0
 
 
+# Descriptors for the journal, discovery, notifications, and what asyncio and Python keep open.
+_RESERVED_FDS = 32
+_MIN_ENDPOINT_CONNECTIONS = 16
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """The configuration of a courier."""
@@ -79,6 +84,16 @@
     console: Address | None = None  # where the console listens; None: there is none
     raw: Mapping[str, Any] = field(default_factory=dict, repr=False)  # the whole file
 
+    @property
+    def max_client_connections(self) -> int:
+        """The limit on connections of clients: a third of the descriptors."""
+        return self.max_descriptors // 3
+
+    @property
+    def max_endpoint_connections(self) -> int:
+        """The limit on connections to endpoints: what clients and reserved descriptors leave."""
+        return max(_MIN_ENDPOINT_CONNECTIONS, self.max_descriptors - self.max_client_connections - _RESERVED_FDS)
+
 
 def load(environ: Mapping[str, str], again: bool = False) -> Config:
     """Read the configuration file named by `RELAY_CONFIG`, with the state folder named by `RELAY_STATE`. A file that is
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -91,8 +91,8 @@
         return asyncio.ensure_future(self._journal.durable())
 
     def holds(self, message: str) -> bool:
-        """Return whether the message was accepted before and its end is still owed."""
-        return message in self._journal.messages
+        """Return whether the message was accepted before, also if it ended a short while ago."""
+        return message in self._journal.messages or self.ended_messages.holds(message, time.monotonic())
 
     def is_unconfirmed(self, message: str) -> bool:
         """Return whether the message is journalled for a client without its answer yet, and may be withdrawn."""
--- a/wheelstep/courier/dispatcher.py
+++ b/wheelstep/courier/dispatcher.py
@@ -15,6 +15,7 @@
 from wheelstep.courier.classes import ClassIndex
 from wheelstep.courier.config import Config
 from wheelstep.courier.decision_loop import AttemptBatches, DecisionLoop
+from wheelstep.courier.ended_messages import EndedMessages
 from wheelstep.courier.endpoint_client import EndpointClient
 from wheelstep.courier.endpoints import Endpoints
 from wheelstep.courier.flight_recorder import EventKind, FlightRecorder
@@ -32,7 +33,6 @@
     from wheelstep.console.metrics import Counters
 
 _PROBE_TIMEOUT_US = 1_500_000
-_RESERVED_FDS = 32  # file descriptors for the journal, discovery, notifications, and what asyncio and Python keep open
 
 log = logging.getLogger("wheelstep.courier.carrier")
 
@@ -50,10 +50,10 @@
         self._held: dict[str, StoredMessage] = {}  # messages that the decision module holds
         self._next_attempt: dict[str, int] = {}  # number of each message's next attempt
         self._untried: set[str] = set()  # restored messages, neither tried nor ended since
+        self.ended_messages = EndedMessages()
         self.order = KeyOrder(config.settings.order_settle_us / 1e6)
-        self.endpoint_client = EndpointClient(
-            self, config.dial_timeout_us, config.settings.conn_idle_us, config.names.report,
-            max(16, config.max_descriptors - config.max_descriptors // 3 - _RESERVED_FDS))
+        self.endpoint_client = EndpointClient(self, config.dial_timeout_us, config.settings.conn_idle_us,
+                                              config.names.report, config.max_endpoint_connections)
         self.flight_recorder = self.endpoint_client.recorder = FlightRecorder()
         self.invariants = Invariants(self.flight_recorder)
         self._send_guard = SendGuard(self.order, self.invariants)
@@ -87,10 +87,6 @@
         """Keep the order of keys: a message that ended with a notification is complete only once that is answered."""
         await self.order.until_answered((item.message for item in items), time.monotonic())
 
-    def _key_of(self, message: str) -> str | None:
-        held = self._held.get(message)
-        return held.key if held is not None else None  # only messages of ordered classes have a key
-
     def may_start(self, endpoint: str, item: Item) -> bool:
         """Return whether the attempt's first byte may still be written."""
         message = self._held.get(item.message)
@@ -135,8 +131,8 @@
         for item, result in results:
             self.order.attempt_ended(item.message, item.attempt, result.may_still_run, now_s)
             held = self._held.get(item.message)
-            if held is not None and result.outcome is Outcome.OK and not self.notifies_deliveries and (
-                    time_is_up(held, max(self._settings.answer_slack_us, 2 * self._settings.tick_us))):
+            slack_us = max(self._settings.answer_slack_us, 2 * self._settings.tick_us)
+            if held and result.outcome is Outcome.OK and not self.notifies_deliveries and time_is_up(held, slack_us):
                 result = replace(result, outcome=Outcome.TIMEOUT)
             if result.outcome is not Outcome.OK:
                 log.info("%s attempt %d at %s: %s after %d ms%s", item.message, item.attempt, endpoint,
@@ -155,7 +151,7 @@
                     self._journal.end(item.message, "delivered", 0)
                     self._notify_end(held)
                 else:
-                    self._journal.over(item.message)
+                    self._forget(item.message, now_s)
             elif held is not None and item.attempt in held.out:
                 self._journal.outcome(item.message, item.attempt, result.outcome not in NEVER_EXECUTED)
             self.decision_loop.post(api.AttemptEnded(
@@ -174,13 +170,18 @@
 
     def answered(self, messages: list[str]) -> None:
         """Forget messages whose notification the platform has answered."""
+        now_s = time.monotonic()
         for name in messages:
             if message := self._journal.messages.get(name):
-                self.flight_recorder.note(time.monotonic(), EventKind.NOTIFIED, name, message.key)
-                self.order.completed(name, time.monotonic())
-                self._journal.over(name)
+                self.flight_recorder.note(now_s, EventKind.NOTIFIED, name, message.key)
+                self.order.completed(name, now_s)
+                self._forget(name, now_s)
         self.order.notifications_answered()
 
+    def _forget(self, name: str, now_s: float) -> None:
+        self._journal.over(name)
+        self.ended_messages.add(name, now_s)
+
     def calls_out(self) -> list[OpenCall]:
         """Return the calls that have begun and have no outcome yet."""
         return calls_in_progress(self.endpoint_client.calls(), self._journal.messages)
@@ -200,8 +201,7 @@
                 self.endpoint_client.probe(endpoint, _PROBE_TIMEOUT_US)
             case api.CloseIdle(endpoint, idle_us):
                 self.endpoint_client.close_idle(endpoint, idle_us)
-            case api.Subscribe():
-                pass  # the watch always runs
+            # `api.Subscribe` needs nothing: the watch always runs.
             case api.WriteLog(text):
                 log.info("%s", text)
             case api.NoteHealth(endpoint, health) if endpoint in self.endpoints.listed:
@@ -212,8 +212,8 @@
         message = self._held[name]
         number = self._next_attempt[name]
         self._next_attempt[name] = number + 1
-        batch = batches.setdefault(endpoint, [])
         write_until_s = (self.decision_loop.now_us + action.latest_us) / 1e6 if action.latest_us else math.inf
+        batch = batches.setdefault(endpoint, [])
         batch.append((Item(name, number, message.token, message.body, write_until_s, action.once), action.timeout_us))
         if len(batch) >= self.endpoints.per_call(endpoint):
             self._call(endpoint, batches.pop(endpoint))
@@ -229,7 +229,8 @@
         self._end(message, outcome, retry_ms, reason)
 
     def _record(self, kind: EventKind, message: str = "", detail: str = "") -> None:
-        self.flight_recorder.note(time.monotonic(), kind, message, self._key_of(message), detail)
+        key = held.key if (held := self._held.get(message)) is not None else None  # only ordered classes have keys
+        self.flight_recorder.note(time.monotonic(), kind, message, key, detail)
 
     def _end(self, message: StoredMessage, outcome: str, retry_ms: int,
              reason: api.EndReason = api.EndReason.UNKNOWN) -> None:
--- a/wheelstep/standalone/serve.py
+++ b/wheelstep/standalone/serve.py
@@ -104,7 +104,7 @@
         for name in journal.messages:
             if not is_mirror_copy(name):
                 client_api.tenants.hold(tenant_of(name))
-        server = ClientServer(core, core.ordered, config.max_descriptors // 3, client_api=client_api)
+        server = ClientServer(core, core.ordered, config.max_client_connections, client_api=client_api)
         async with contextlib.AsyncExitStack() as stack, asyncio.TaskGroup() as group:
             if self._file_config.notify is not None:
                 http = await stack.enter_async_context(notification_session())
--- a/wheelstep/workers/worker.py
+++ b/wheelstep/workers/worker.py
@@ -164,7 +164,7 @@
         loop.add_signal_handler(signal.SIGTERM, self._leaving.set)
         ordered = [cls.ordered for cls in self._config.settings.classes]
         server = ClientServer(self, dict(zip(self._config.names.classes, ordered, strict=True)),
-                      self._config.max_descriptors // 3, self.find)
+                      self._config.max_client_connections, self.find)
         with contextlib.suppress(FileNotFoundError):
             os.unlink(self._path)
         async with notification_session() as http, asyncio.TaskGroup() as self._group:
