Requests that come twice: also across a hand-over; the soak sends 5% of them twice

Cause: a new version knew nothing of what had ended at the process before. Change: the hand-over sends the ids of messages that have ended, with their age; a successor of an older version passes over them. In the soak 5% of the accepted requests come again on a connection of their own up to 0.3 s later (ClientHabits).

--- a/tests/test_request_copies.py
+++ b/tests/test_request_copies.py
@@ -25,6 +25,26 @@
     run(play())
 
 
+def test_copied_request_does_not_run_an_ended_message_again_at_the_successor(tmp_path: Path) -> None:
+    """The same with a new version between the two copies."""
+    async def play() -> None:
+        async with Scene(tmp_path, console=True) as scene:
+            assert await scene.courier.hand_in("m", "once") == 202
+            await scene.endpoint.wait(1)
+            await asyncio.sleep(0.1)  # until the courier has read the answer
+            successor = scene.courier.successor()
+            await successor.begin()
+            await successor.wait_ready()
+            successor.address = scene.courier.address
+            assert await successor.hand_in("m", "once") == 202
+            assert await successor.hand_in("other", "once") == 202
+            await scene.endpoint.wait(2)
+            await asyncio.sleep(0.1)
+            assert [call.headers["x-request-id"] for call in scene.endpoint.calls] == ["m", "other"]
+            await successor.kill()
+    run(play())
+
+
 def test_ended_messages_are_known_for_a_while_and_up_to_a_number() -> None:
     """Guards the memory, and ids that a client uses again much later."""
     ended = EndedMessages()
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import sys
+import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Protocol
 
@@ -101,6 +102,7 @@
             else:
                 calls, settling = (target.transferred.calls, target.transferred.settling) if target else ((), None)
                 core.restore(journal.marks, journal.messages.values(), calls, settling)
+                core.ended_messages.restore(target.transferred.ended if target else (), time.monotonic())
             gc.freeze()  # restored objects live long: a full collection that visits them would block the event loop
             port = await server.start(config.listen, target.transferred.listener if target is not None else None)
             if target is not None:
--- a/wheelstep/rehearsal/rig.py
+++ b/wheelstep/rehearsal/rig.py
@@ -27,7 +27,7 @@
 )
 from wheelstep.rehearsal.plan import Plan
 from wheelstep.rehearsal.progress import OutcomeTracker, Progress
-from wheelstep.rehearsal.standins.clients import Clients
+from wheelstep.rehearsal.standins.clients import DEFAULT_HABITS, ClientHabits, Clients
 from wheelstep.rehearsal.standins.partner import PartnerPool
 from wheelstep.rehearsal.standins.platform import Agent, row
 from wheelstep.rehearsal.standins.process import Courier
@@ -61,15 +61,15 @@
 
 async def play(plan: Plan, command: str = OURS, limits: dict[str, Any] | None = None,
                on_progress: Callable[[Progress], None] | None = None, orderly: bool = False,
-               courier_type: type[Courier] = Courier, rotate: bool = False) -> Played:
+               courier_type: type[Courier] = Courier, habits: ClientHabits = DEFAULT_HABITS) -> Played:
     """Play a plan against a courier's command and return the result.
 
-    With `rotate`, clients use all open connections in turn. With `orderly` the couriers get SIGTERM at the end and
-    time to exit, else SIGKILL. `limits` overrides the couriers' default limits; `courier_type` is the class of each
-    courier. Raises `NoStartError` if the command can't be started.
+    With `orderly` the couriers get SIGTERM at the end and time to exit, else SIGKILL. `limits` overrides the couriers'
+    default limits; `courier_type` is the class of each courier, `habits` are those of all clients. Raises
+    `NoStartError` if the command can't be started.
     """
     with tempfile.TemporaryDirectory(prefix="umberchute-") as folder, reduced_gc():
-        rig = _Rig(plan, command, Path(folder), limits or {}, on_progress, courier_type, rotate)
+        rig = _Rig(plan, command, Path(folder), limits or {}, on_progress, courier_type, habits)
         try:
             played = await rig.run()
             if orderly:
@@ -81,7 +81,8 @@
 
 class _Rig:
     def __init__(self, plan: Plan, command: str, folder: Path, limits: dict[str, Any],
-                 on_progress: Callable[[Progress], None] | None, courier_type: type[Courier], rotate: bool) -> None:
+                 on_progress: Callable[[Progress], None] | None, courier_type: type[Courier],
+                 habits: ClientHabits) -> None:
         self._plan, self._on_progress, self._limits = plan, on_progress, limits
         self._history = History(plan.figures)
         self._loop = asyncio.get_running_loop()
@@ -90,7 +91,7 @@
         self._pool.epoch = self._epoch
         names = [f"c{index}" for index in range(plan.couriers)]
         self._agents = [Agent(name, self._history, self._now_us, self._on_notice) for name in names]
-        self._clients = [Clients(plan, index, self._pool.ledger, self._history, self._now_us, rotate)
+        self._clients = [Clients(plan, index, self._pool.ledger, self._history, self._now_us, habits)
                          for index in range(plan.couriers)]
         self._couriers = [
             courier_type(name, command, folder / name, self._history, self._now_us,
--- a/wheelstep/rehearsal/soak/run.py
+++ b/wheelstep/rehearsal/soak/run.py
@@ -11,8 +11,10 @@
 from wheelstep.rehearsal.rig import Played, module_command, play
 from wheelstep.rehearsal.soak.courier import SoakCourier
 from wheelstep.rehearsal.soak.plan import courier_limits
+from wheelstep.rehearsal.standins.clients import ClientHabits
 
 COMMAND = module_command("wheelstep.rehearsal.soak.faulty")
+HABITS = ClientHabits(rotate=True, copy_share=0.05)
 
 
 @dataclass(slots=True)
@@ -36,7 +38,7 @@
 async def run(plan: Plan, command: str = COMMAND) -> tuple[SoakResult, Played]:
     """Run a plan against couriers that `command` starts, and judge what was seen. Raises `NoStartError` where the
     command can't be started."""
-    played = await play(plan, command, courier_limits(plan), courier_type=SoakCourier, rotate=True)
+    played = await play(plan, command, courier_limits(plan), courier_type=SoakCourier, habits=HABITS)
     verdict = judge(played.history)
     counts: Counter[str] = Counter(f"fault {fault.kind}" for fault in plan.faults)
     for fact in played.history.facts:
--- a/wheelstep/rehearsal/standins/clients.py
+++ b/wheelstep/rehearsal/standins/clients.py
@@ -6,7 +6,8 @@
 import contextlib
 import random
 from collections import defaultdict, deque
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
 
 from wheelstep.rehearsal.history import Answer, End, HandIn, History
 from wheelstep.rehearsal.plan import Arrival, Plan
@@ -16,18 +17,30 @@
 CLIENT_TIMEOUT_S = 0.4  # for the connection and the answer
 _RESUBMIT_DELAY_US = (330_000, 1_700_000)  # range of the delay after a missing answer
 _MAX_IDLE_CONNECTIONS = 64  # connections kept open to the courier
+_MAX_COPY_DELAY_S = 0.3  # from the answer to a request until its second copy
+
+
+@dataclass(frozen=True, slots=True)
+class ClientHabits:
+    """How clients use their connections."""
+
+    rotate: bool = False  # use the open connections in turn, not the one that was used last
+    copy_share: float = 0.0  # of the accepted requests, which come a second time on a connection of their own
+
+
+DEFAULT_HABITS = ClientHabits()
 
 
 class Clients:
-    """All clients of one courier. `submitted` counts their requests. With `rotate` the open connections are used in
-    turn, else the one that was used last. `may_connect` returns whether the platform makes new connections now."""
+    """All clients of one courier. `submitted` counts their requests; `may_connect` returns whether the platform makes
+    new connections now."""
 
     def __init__(self, plan: Plan, courier: int, ledger: Ledger, history: History, now_us: Callable[[], int],
-                 rotate: bool = False) -> None:
+                 habits: ClientHabits = DEFAULT_HABITS) -> None:
         self._plan, self.name, self._ledger, self._history, self._now_us = plan, f"c{courier}", ledger, history, now_us
         self.address = ("127.0.0.1", 0)
         self.may_connect: Callable[[], bool] = lambda: True
-        self._rotate = rotate
+        self._habits = habits
         self._idle: list[Client] = []
         self._submissions: dict[int, int] = defaultdict(int)
         self._by_id: dict[str, Arrival] = {}
@@ -70,7 +83,10 @@
             self._resubmit_later(arrival, retry_us, "1")
 
     def _start(self, arrival: Arrival, retry_header: str) -> None:
-        task = asyncio.create_task(self._submit_in_order(arrival, retry_header))
+        self._start_task(self._submit_in_order(arrival, retry_header))
+
+    def _start_task(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._report_failure)
 
@@ -109,11 +125,24 @@
                                  arrival.key, now_us + left_us))
         end, status, retry_us = await self._exchange(request, arrival.fresh)
         self._history.add(Answer(self._now_us(), self.name, message, end, status))
+        if status == 202 and arrival.luck < self._habits.copy_share:
+            self._start_task(self._send_copy(request, arrival.luck / self._habits.copy_share * _MAX_COPY_DELAY_S))
         if status in (429, 503):
             self._resubmit_later(arrival, retry_us, "1")
         elif end is not End.ANSWERED:
             self._resubmit_later(arrival, 0, "again")
 
+    async def _send_copy(self, request: bytes, delay_s: float) -> None:
+        """Send a request a second time, and ignore what becomes of it."""
+        await asyncio.sleep(delay_s)
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(CLIENT_TIMEOUT_S):
+                link = await Client.dial(*self.address)
+                try:
+                    await link.exchange(request)
+                finally:
+                    link.close()
+
     async def _exchange(self, request: bytes, fresh: bool) -> tuple[End, int, int]:
         """Send a request; return how it ended, the status and the wait of Retry-After in microseconds.
 
@@ -141,7 +170,7 @@
 
     def _take_idle_connection(self) -> Client | None:
         while self._idle:
-            link = self._idle.pop(0 if self._rotate else -1)
+            link = self._idle.pop(0 if self._habits.rotate else -1)
             if not link.closed:
                 return link
         return None
--- a/wheelstep/upgrade/source.py
+++ b/wheelstep/upgrade/source.py
@@ -152,7 +152,7 @@
         await channel.send({"is": "connections"})
 
     async def _hand_over(self, channel: Channel) -> None:
-        """Close the journal, then send the calls in flight, waits and settling keys."""
+        """Close the journal, then send the calls in flight, waits, settling keys and the messages that have ended."""
         self._core.journal_endpoint_health()
         calls = [[call.endpoint, call.sent_ms, call.attempts]
                  for call in [*self._core.calls_out(), *self._inherited_calls()]]
@@ -163,6 +163,7 @@
         await channel.send_list({"is": "calls"}, calls)
         await channel.send_list({"is": "waits"}, waits)
         await channel.send_list({"is": "settling"}, settling)
+        await channel.send_list({"is": "ended messages"}, self._core.ended_messages.ages_us(time.monotonic()))
         log.info("sent to the successor: %d calls in flight, %d waits, %d keys settling",
                  len(calls), len(waits), len(settling))
         await channel.send({"is": "yours"})
--- a/wheelstep/upgrade/target.py
+++ b/wheelstep/upgrade/target.py
@@ -39,6 +39,7 @@
     calls: list[OpenCall] = field(default_factory=list)
     waits: dict[str, int] = field(default_factory=dict)
     settling: dict[str, int] | None = None  # keys, and for how many microseconds each settles; None if not sent
+    ended: list[tuple[str, int]] = field(default_factory=list)  # messages, and for how many microseconds they have
 
     def close(self) -> None:
         """Close all received sockets."""
@@ -80,6 +81,8 @@
             case "settling":
                 transferred.settling = transferred.settling or {}
                 transferred.settling.update((str(key), int(left_us)) for key, left_us in head["rows"])
+            case "ended messages":
+                transferred.ended += [(str(message), int(age_us)) for message, age_us in head["rows"]]
             case "ended" if self._core is None:
                 self._early_outcomes.append(head)
             case "ended":
