Fleet: one request on each connection between couriers, a bulk answer with two ends doubted

In bulk answers the last of two different ends of a message counted, so that 'delivered' behind 'refused' could be sent again or ended. Change: peers' sessions close each connection; two different ends count as may have run. Evidence: both tests failed before (the second request got no answer; h: delivered).

--- a/tests/test_endpoint_client.py
+++ b/tests/test_endpoint_client.py
@@ -126,11 +126,13 @@
 def test_bulk_answer_gives_each_message_its_own_outcome() -> None:
     """Guards against one outcome for all messages of a bulk call, or an unknown end taken as not run."""
     async def work() -> None:
-        items = [item(name) for name in "abcdefg"]
-        body = b"a delivered\r\nb failed\r\nc refused\r\nd over\r\ne spent\r\nf whatever\r\n"
+        items = [item(name) for name in "abcdefghi"]
+        body = (b"a delivered\r\nb failed\r\nc refused\r\nd over\r\ne spent\r\nf whatever\r\n"
+                b"h refused\r\ni refused\r\nh delivered\r\ni refused\r\nh refused\r\n")
         results = await outcome_of((200, {}, body), *items)
-        assert [r.outcome for r in results] == [Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.NOT_SENT,
-                                                Outcome.NOT_SENT, Outcome.ERROR, Outcome.ERROR]
+        assert [r.outcome for r in results] == [
+            Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.NOT_SENT, Outcome.NOT_SENT, Outcome.ERROR, Outcome.ERROR,
+            Outcome.ERROR, Outcome.FULL]  # h: two different ends, so that it may have run; i: the same one twice
         assert results[3].over and results[4].exhausted
         assert {r.outcome for r in await outcome_of((503, {}, b""), *items)} == {Outcome.FULL}
     run(work())
--- a/tests/test_fleet_peers.py
+++ b/tests/test_fleet_peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import subprocess
 import sys
 from pathlib import Path
@@ -17,6 +18,7 @@
 
 KEY, OTHER = b"k" * 32, b"o" * 32
 LIMIT_S = 20
+COPY_DELAY_S = 0.05  # from an answer to its second copy
 
 
 def test_without_a_fleet_its_modules_are_not_imported() -> None:
@@ -127,3 +129,38 @@
             for side in sides:
                 await side.peers.close()
     asyncio.run(scene())
+
+
+def test_answer_that_comes_twice_is_not_read_as_the_next_one() -> None:
+    """Incident 54's class: on a kept connection each later request would get the answer of the one before it."""
+    async def relay(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        upstream_reader, upstream = await asyncio.open_connection(*upstream_address)
+
+        async def forward_requests() -> None:
+            while data := await reader.read(1 << 16):
+                upstream.write(data)
+            upstream.close()
+        forwarding = asyncio.create_task(forward_requests())
+        with contextlib.suppress(OSError):
+            while data := await upstream_reader.read(1 << 16):
+                writer.write(data)
+                await asyncio.sleep(COPY_DELAY_S)
+                writer.write(data)
+        await forwarding
+        writer.close()
+
+    async def scene() -> None:
+        a, b = Side("a"), Side("b")
+        async with asyncio.timeout(LIMIT_S):
+            await a.start()
+            upstream_address[:] = (await b.start()).split(":")
+            server = await asyncio.start_server(relay, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            for _ in range(3):
+                assert await a.peers.ask(f"{host}:{port}", "b", Stand(), 5) == Stood(False, (), 7)
+            assert a.peers.stream_seal.refused == {} and b.request_count == 3
+            server.close()
+            for side in (a, b):
+                await side.peers.close()
+    upstream_address: list[str] = []
+    asyncio.run(scene())
--- a/wheelstep/courier/form.py
+++ b/wheelstep/courier/form.py
@@ -40,8 +40,8 @@
     for line in answer.body.decode("latin-1").splitlines(keepends=True):
         message, _, end = line.strip().partition(" ")
         if line.endswith("\n"):
-            ends[message] = end.strip()
-    # A message that is missing in the answer, or has an unknown end there, may have run.
+            ends[message] = end.strip() if ends.get(message, end.strip()) == end.strip() else ""
+    # A message that is missing in the answer, or has an unknown end or two different ones there, may have run.
     return [Result(_BULK_OUTCOMES.get(ends.get(item.message, ""), Outcome.ERROR),
                    over=ends.get(item.message) == "over", exhausted=ends.get(item.message) == "spent")
             for item in items]
--- a/wheelstep/fleet/peers.py
+++ b/wheelstep/fleet/peers.py
@@ -59,8 +59,9 @@
         await web.SockSite(self._runner, listener).start()
         self._transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: self, local_addr=(listen.host, port))
+        # One request on each connection: on a kept one, an answer that comes twice would be read as the next one.
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit_per_host=4, limit=512, keepalive_timeout=30),
+            connector=aiohttp.TCPConnector(limit_per_host=4, limit=512, force_close=True),
             auto_decompress=False, trust_env=False)
 
     async def close(self) -> None:
