Answers that come twice: after the first sign, connections to all endpoints rest 2 s

Need: a copy may come later than the 250 ms that connections rest; the endpoint that sent one gets one call on each connection, but others may share its proxy. Change: RestPeriod, shared by a courier's endpoints: 2 s for 300 s after unrequested bytes from any of them. Without such bytes nothing changes.

--- a/tests/test_reuse.py
+++ b/tests/test_reuse.py
@@ -11,7 +11,7 @@
 from test_crossings_connections import IdlePeer
 
 from wheelstep.courier.connection import Connection
-from wheelstep.courier.reuse import REST_S, SINGLE_USE_S, ReuseRules
+from wheelstep.courier.reuse import LONG_REST_S, REST_S, SINGLE_USE_S, RestPeriod, ReuseRules
 
 MAX_IDLE_S = 8.0
 NOW_S = 1_000.0
@@ -23,7 +23,7 @@
         idle = [Connection() for _ in idled_s]
         for connection, for_s in zip(idle, idled_s, strict=True):
             connection.calls, connection.idle_since = calls, NOW_S - for_s
-        found = (rules or ReuseRules(MAX_IDLE_S)).choose(idle, once, NOW_S)
+        found = (rules or ReuseRules(MAX_IDLE_S, RestPeriod())).choose(idle, once, NOW_S)
         return None if found is None else idle.index(found)
     return asyncio.run(choose())
 
@@ -42,7 +42,7 @@
 
 def test_early_ends_bind_messages_that_must_not_be_sent_again() -> None:
     """Guards against such a message on a connection that its endpoint is about to close."""
-    rules = ReuseRules(MAX_IDLE_S)
+    rules = ReuseRules(MAX_IDLE_S, RestPeriod())
     rules.ended_early(1.0, NOW_S)
     assert chosen([0.6], once=True, rules=rules) is None
     assert chosen([0.4], once=True, rules=rules) == chosen([0.6], rules=rules) == 0
@@ -52,12 +52,24 @@
 
 def test_connections_carry_one_call_each_for_a_while_after_unrequested_bytes() -> None:
     """Guards against copies that come later than the rest lasts, at an endpoint that has sent one."""
-    rules = ReuseRules(MAX_IDLE_S)
+    rules = ReuseRules(MAX_IDLE_S, RestPeriod())
     assert not rules.single_use(NOW_S)
     rules.unrequested_bytes(NOW_S)
     assert rules.single_use(NOW_S + SINGLE_USE_S - 1) and not rules.single_use(NOW_S + SINGLE_USE_S)
 
 
+def test_connections_to_all_endpoints_rest_longer_after_unrequested_bytes_from_one() -> None:
+    """Guards against late copies at the other endpoints behind the same proxy."""
+    rest = RestPeriod()
+    other = ReuseRules(MAX_IDLE_S, rest)
+    ReuseRules(MAX_IDLE_S, rest).unrequested_bytes(NOW_S - 1)
+    assert not other.single_use(NOW_S)
+    assert chosen([LONG_REST_S, LONG_REST_S - 0.001], rules=other) == 0
+    assert chosen([LONG_REST_S - 0.001], rules=other) is None
+    ReuseRules(MAX_IDLE_S, rest).unrequested_bytes(NOW_S - SINGLE_USE_S)
+    assert chosen([REST_S], rules=other) == 0
+
+
 @pytest.mark.parametrize("when", ["with the answer", "behind it", "after a while"])
 def test_copy_of_an_answer_ends_the_reuse_of_connections(when: str) -> None:
     """Guards against reuse at an endpoint that has sent an answer twice, however the copy arrived."""
--- a/wheelstep/courier/pool.py
+++ b/wheelstep/courier/pool.py
@@ -17,7 +17,7 @@
 from wheelstep.courier.connection import Connection
 from wheelstep.courier.dialling import dial
 from wheelstep.courier.flight_recorder import EventKind, FlightRecorder
-from wheelstep.courier.reuse import SINGLE_USE_S, ReuseRules
+from wheelstep.courier.reuse import SINGLE_USE_S, RestPeriod, ReuseRules
 
 _IDLE_MARGIN_S = 1.5  # an idle connection is closed this long before the endpoint would close it
 _SWEEP_INTERVAL_S = 0.5
@@ -44,6 +44,7 @@
         idle_s = conn_idle_us / 1e6 if conn_idle_us else 5.0
         self._max_idle_s = max(idle_s - _IDLE_MARGIN_S, idle_s / 2)
         self._hosts: dict[str, Host] = {}
+        self._rest = RestPeriod()
         self.dials = 0  # connections attempted since the start
         self.unrequested = 0  # times that an endpoint sent bytes outside of a call
         self.recorder: FlightRecorder | None = None
@@ -53,7 +54,7 @@
         host = self._hosts.get(endpoint)
         if host is None or host.address != address:
             self.close_idle(endpoint)
-            self._hosts[endpoint] = Host(address, ReuseRules(self._max_idle_s))
+            self._hosts[endpoint] = Host(address, ReuseRules(self._max_idle_s, self._rest))
 
     def address(self, endpoint: str) -> Address | None:
         """Return the endpoint's address; None if it is not listed."""
--- a/wheelstep/courier/reuse.py
+++ b/wheelstep/courier/reuse.py
@@ -17,17 +17,34 @@
 
 REST_S = 0.25
 """From an answer until the next call on its connection, while the connection is watched for further bytes."""
+LONG_REST_S = 2.0
+"""The same at all endpoints after one of them has sent unrequested bytes: they may share the proxy that sent them."""
 SINGLE_USE_S = 300.0
-"""For so long after unrequested bytes, the endpoint's connections carry one call each."""
+"""For so long after unrequested bytes, the endpoint's connections carry one call each, and all others rest longer."""
 _IDLE_GROWTH = 0.1  # seconds that the safe idle time grows in each second, after an early end was observed
 
 
+class RestPeriod:
+    """The rest of connections after an answer, at all endpoints of a courier."""
+
+    def __init__(self) -> None:
+        self._long_until = -math.inf
+
+    def unrequested_bytes(self, now_s: float) -> None:
+        """Note that bytes came outside of a call, from any endpoint."""
+        self._long_until = now_s + SINGLE_USE_S
+
+    def seconds(self, now_s: float) -> float:
+        """Return how long a connection rests."""
+        return LONG_REST_S if now_s < self._long_until else REST_S
+
+
 class ReuseRules:
     """The rules for the connections to one endpoint. `max_idle_s`: a connection that idled for longer may be closed by
-    its endpoint at any moment."""
+    its endpoint at any moment. `rest` is shared by all endpoints."""
 
-    def __init__(self, max_idle_s: float) -> None:
-        self._max_idle_s = max_idle_s
+    def __init__(self, max_idle_s: float, rest: RestPeriod) -> None:
+        self._max_idle_s, self._rest = max_idle_s, rest
         self._safe_idle_s = math.inf  # idle time considered safe when it was last learned; inf: nothing observed
         self._learned_at = 0.0
         self._single_use_until = -math.inf
@@ -37,6 +54,7 @@
     def unrequested_bytes(self, now_s: float) -> None:
         """Note that bytes came outside of a call."""
         self._single_use_until = now_s + SINGLE_USE_S
+        self._rest.unrequested_bytes(now_s)
 
     def ended_early(self, idled_s: float, now_s: float) -> None:
         """Note that the endpoint ended a connection that had idled for `idled_s`."""
@@ -68,7 +86,8 @@
     def choose(self, idle: Sequence[Connection], once: bool, now_s: float) -> Connection | None:
         """Return the connection for the next call, None if a new one is needed: the one that was used last among those
         that have rested. `idle` is in the order of use; `once`: what will be sent must not be sent again."""
-        rested = next((one for one in reversed(idle) if not one.calls or now_s - one.idle_since >= REST_S), None)
+        rest_s = self._rest.seconds(now_s)
+        rested = next((one for one in reversed(idle) if not one.calls or now_s - one.idle_since >= rest_s), None)
         if rested is None or once and now_s - rested.idle_since >= self.safe_idle_s(now_s):
             return None
         return rested
