Late copies of answers: an answer that contradicts the last one corrects its outcome

What callers would see, where a copy comes later than a connection rests: a refused message without any end, or one that ran sent again. Cause: the copy is read as the next answer; that call's own answer then comes on the idle connection and was thrown away. Change: an unrequested answer with another status than the last one, on a connection with earlier calls, shows that the last one was the copy. A 408 on an idle connection is its end and no copy. Not covered: the order of a key under such a copy; answers for several messages; a connection closed before its own answer came.

--- a/tests/test_answer_copies.py
+++ b/tests/test_answer_copies.py
@@ -10,6 +10,9 @@
 from loopback import ALONE, Courier, Platform, host, run
 
 OWN_ANSWER_S = 0.1  # time until the call that the copy meets gets its own answer
+LATE_COPY_S = 0.45  # the copy comes after the connection has rested, during a call that was written then
+LATE_CALL_S = 0.3
+LATE_ANSWER_S = 0.4  # time until that call gets its own answer
 RETRY_WINDOW_S = 3.0  # a message that was refused is called again within this
 EARLIER_ANSWER_S = 0.03  # time until the answer that is copied, while the next message waits for the slot
 COPY_DELAY_S = 0.05  # the next call is open by then, if it is written on the same connection
@@ -94,3 +97,41 @@
             done_at = min(call.answered_at for call in scene.endpoint.calls_of("first") if call.status == 200)
             assert scene.endpoint.calls_of("second")[0].received_at >= done_at
     run(play())
+
+
+def test_refused_message_gets_an_end_when_a_copied_200_comes_later_than_connections_rest(tmp_path: Path) -> None:
+    """Incident 54's class, lost: the copy is read as the next answer, whose own one, 503, comes unrequested."""
+    def plan(message: str, calls_before: int) -> PlannedAnswer:
+        if message == "before":
+            return PlannedAnswer(200, 0.0, LATE_COPY_S)
+        return PlannedAnswer(503, LATE_ANSWER_S) if message == "refused" and not calls_before else PlannedAnswer()
+
+    async def play() -> None:
+        async with CopyScene(tmp_path, plan) as scene:
+            await scene.submit("before")
+            await scene.wait_answered("before")
+            await asyncio.sleep(LATE_CALL_S)
+            await scene.submit("refused")
+            await scene.platform.wait_notice("refused")
+    run(play())
+
+
+def test_message_that_ran_is_not_sent_again_when_a_copied_503_comes_later_than_connections_rest(
+        tmp_path: Path) -> None:
+    """Incident 54's class, duplicates: the copy is read as the next answer, whose own one, 200, comes unrequested."""
+    def plan(message: str, calls_before: int) -> PlannedAnswer:
+        if message == "before":
+            return PlannedAnswer(503, 0.0, LATE_COPY_S) if not calls_before else PlannedAnswer(delay_s=1.0)
+        return PlannedAnswer(200, LATE_ANSWER_S if message == "ran" else 0.0)
+
+    async def play() -> None:
+        async with CopyScene(tmp_path, plan) as scene:
+            await scene.submit("before")
+            await scene.wait_answered("before")
+            await asyncio.sleep(LATE_CALL_S)
+            await scene.submit("ran")
+            await scene.endpoint.wait_until(lambda: scene.endpoint.delivered("ran"))
+            await scene.platform.wait_notice("ran")
+            await asyncio.sleep(RETRY_WINDOW_S)
+            assert len(scene.endpoint.calls_of("ran")) == 1
+    run(play())
--- a/tests/test_reuse.py
+++ b/tests/test_reuse.py
@@ -88,3 +88,16 @@
         await peer.complete_call("d")
         assert peer.client.dials == 3 and not peer.host.idle
     run(work())
+
+
+def test_408_on_an_idle_connection_is_its_end_and_no_copy() -> None:
+    """Guards against one call for each connection at endpoints that tell the end of idle connections with 408."""
+    async def work() -> None:
+        peer = IdlePeer()
+        await peer.idle_after_call("a", 1.0)
+        peer.send_bytes(b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+        await asyncio.sleep(0.05)  # until the client has read it
+        await peer.idle_after_call("b", 1.0)
+        await peer.complete_call("c")
+        assert peer.client.dials == 2 and peer.client.unrequested == 0
+    run(work())
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from wheelstep import interface as api
+from wheelstep.courier.answer_corrections import AnswerCorrections
 from wheelstep.courier.client_server import ClientServer
 from wheelstep.courier.config import Address, Config, ConfigError, load
 from wheelstep.courier.core import Core
@@ -79,6 +80,7 @@
 
     async with notification_session() as http:
         core.notices = Notifier(http, config.discovery, core.answered)
+        core.endpoint_client.on_contradiction = AnswerCorrections(core).apply
         seq, rows = config.known.get("seq", 0), entries(config.known, config.names)
         if target is not None and target.transferred.rows:
             seq, rows = target.transferred.seq, target.transferred.rows
--- a/wheelstep/courier/answer.py
+++ b/wheelstep/courier/answer.py
@@ -11,6 +11,7 @@
 MAX_HEAD = 64 * 1024  # and for its head
 _MAX_INTERIM = 32  # limit for the number of interim (1xx) answers before it
 _INTERIM = re.compile(rb"HTTP/1\.[01] 1\d\d[^\n]*\n(?:[^\r\n][^\n]*\n)*\r?\n")
+_STATUS = re.compile(rb"HTTP/1\.[01] (\d{3})")
 _DELIVERED = re.compile(rb"HTTP/1\.[01] 200[ \r\n]")
 
 
@@ -120,3 +121,9 @@
 def says_200(start: bytes) -> bool:
     """Return whether the final answer's first line says 200, whatever became of the rest."""
     return _DELIVERED.match(final_start(start)) is not None
+
+
+def status_of(start: bytes) -> int | None:
+    """Return the status of the answer that begins with these bytes, None if they hold none."""
+    found = _STATUS.match(final_start(start))
+    return int(found[1]) if found is not None else None
--- a/wheelstep/courier/call.py
+++ b/wheelstep/courier/call.py
@@ -46,6 +46,16 @@
         return self.unfinished or self.outcome in MAY_STILL_RUN
 
 
+@dataclass(frozen=True, slots=True)
+class Contradiction:
+    """An unrequested answer with the status `found`, after a call with one message was answered `believed` on a
+    connection with earlier calls."""
+
+    item: Item
+    believed: int
+    found: int
+
+
 class CallOwner(Protocol):
     """What the endpoint client requires of its owner."""
 
--- a/wheelstep/courier/endpoint_client.py
+++ b/wheelstep/courier/endpoint_client.py
@@ -13,13 +13,15 @@
 import time
 from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from dataclasses import replace
+from weakref import WeakKeyDictionary
 
 from wheelstep import interface as api
 from wheelstep.courier import form
-from wheelstep.courier.answer import Answer
-from wheelstep.courier.call import CallOwner, Item, Progress, Result
+from wheelstep.courier.answer import Answer, status_of
+from wheelstep.courier.call import CallOwner, Contradiction, Item, Progress, Result
 from wheelstep.courier.call_errors import ConnectionBrokenError, LocalResourceError, WriteTimeoutError
-from wheelstep.courier.pool import ConnectionPool
+from wheelstep.courier.connection import Connection
+from wheelstep.courier.pool import REQUEST_TIMEOUT, ConnectionPool, Host
 from wheelstep.interface import NEVER_EXECUTED, Outcome
 
 __all__ = ["CallOwner", "EndpointClient", "Item", "Result"]
@@ -38,6 +40,8 @@
         self._owner, self._load_fields = owner, load_fields
         self._tasks: set[asyncio.Task[None]] = set()
         self._tasks_by_attempt: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self._single_answers: WeakKeyDictionary[Connection, tuple[Item, int]] = WeakKeyDictionary()  # last call's
+        self.on_contradiction: Callable[[Contradiction], None] | None = None
         self.sign: Callable[[str, Item], Sequence[tuple[str, str]]] | None = None  # extra headers of single calls
 
     def call(self, endpoint: str, items: Sequence[Item], timeout_us: int) -> None:
@@ -201,6 +205,7 @@
                 keep = True  # the endpoint has received nothing, so the connection's idle time continues
                 return None
             progress.connection = connection
+            self._single_answers.pop(connection, None)
             for item in items:
                 self._record_call(connection, item)
             try:
@@ -210,6 +215,8 @@
                     self._owner.messages_written(len(items))
             answer = await connection.read_answer(single=len(items) < 2)
             keep = not answer.malformed and connection.make_idle()
+            if len(items) == 1:
+                self._single_answers[connection] = items[0], answer.status
             return answer
         finally:
             if keep and self._hosts.get(endpoint) is host and not host.reuse.single_use(time.monotonic()):
@@ -217,6 +224,16 @@
             else:
                 self._close(host, connection, "call unanswered" if connection.awaits_answer else "not reusable")
 
+    def _note_unrequested(self, host: Host, connection: Connection, data: bytes) -> None:
+        """Note unrequested bytes; report them if they contradict the answer to the last call."""
+        super()._note_unrequested(host, connection, data)
+        last, found = self._single_answers.get(connection), status_of(data)
+        if self.on_contradiction is None or last is None or found in (None, REQUEST_TIMEOUT) or connection.calls < 2:
+            return  # the answer to a connection's first call is its own
+        item, believed = last
+        if found != believed:
+            self.on_contradiction(Contradiction(item, believed, found))
+
     def _apply_answer_headers(self, endpoint: str, answer: Answer | None) -> tuple[int, api.LimitReport | None]:
         """Return the wait and the load report, which any answer may carry, and report a wait to the owner at once."""
         wait_us, limit = form.wait_and_limit(answer, self._load_fields)
--- a/wheelstep/courier/pool.py
+++ b/wheelstep/courier/pool.py
@@ -11,6 +11,7 @@
 import time
 from dataclasses import dataclass, field
 
+from wheelstep.courier.answer import status_of
 from wheelstep.courier.call import Item, Progress
 from wheelstep.courier.call_errors import ConnectionBrokenError
 from wheelstep.courier.config import Address
@@ -21,6 +22,8 @@
 
 _IDLE_MARGIN_S = 1.5  # an idle connection is closed this long before the endpoint would close it
 _SWEEP_INTERVAL_S = 0.5
+REQUEST_TIMEOUT = 408
+"""Status of an answer without a request: the endpoint closes a connection that idled."""
 _LOGGED_BYTES = 40  # of what an endpoint sent outside of a call
 
 log = logging.getLogger(__name__)
@@ -129,7 +132,11 @@
         return connection
 
     def _note_unrequested(self, host: Host, connection: Connection, data: bytes) -> None:
-        """Note bytes that an endpoint sent outside of a call, such as a second copy of an answer."""
+        """Note bytes that an endpoint sent outside of a call, such as a second copy of an answer. A 408 only tells that
+        it closes an idle connection (RFC 9110, 15.5.9)."""
+        if status_of(data) == REQUEST_TIMEOUT:
+            self._record_close(host, "idle too long for its endpoint, which sent 408")
+            return
         self.unrequested += 1
         host.reuse.unrequested_bytes(time.monotonic())
         what = (f"unrequested bytes on connection {connection.number} after {connection.calls} calls: "
--- a/wheelstep/workers/worker.py
+++ b/wheelstep/workers/worker.py
@@ -18,6 +18,7 @@
 
 from wheelstep import interface as api
 from wheelstep.courier.admission import Admission
+from wheelstep.courier.answer_corrections import AnswerCorrections
 from wheelstep.courier.client_server import ClientServer
 from wheelstep.courier.config import Address, Config, ConfigError, load
 from wheelstep.courier.core import Core
@@ -169,6 +170,7 @@
             os.unlink(self._path)
         async with notification_session() as http, asyncio.TaskGroup() as self._group:
             self._notices = self._core.notices = Notifier(http, self._config.discovery, self._core.answered)
+            self._core.endpoint_client.on_contradiction = AnswerCorrections(self._core).apply
             peer_server = await loop.create_unix_server(lambda: OwnerSide(self._own_core).connection, self._path)
             self._tasks = [self._group.create_task(work) for work in (
                 self._send_heartbeats(), server.sweep(), self._notices.run(), self._core.endpoint_client.sweep())]
