--- a/tests/test_answer_copies.py
+++ b/tests/test_answer_copies.py
@@ -135,3 +135,21 @@
             await asyncio.sleep(RETRY_WINDOW_S)
             assert len(scene.endpoint.calls_of("ran")) == 1
     run(play())
+
+
+def test_key_order_is_kept_when_a_copied_200_comes_later_than_connections_rest(tmp_path: Path) -> None:
+    """Incident 54's class, order: the copy ends the first message of a key before its own answer, 503, comes."""
+    def plan(message: str, calls_before: int) -> PlannedAnswer:
+        if message == "before":
+            return PlannedAnswer(200, 0.0, LATE_COPY_S)
+        return PlannedAnswer(503, LATE_ANSWER_S) if message == "first" and not calls_before else PlannedAnswer()
+
+    async def play() -> None:
+        async with CopyScene(tmp_path, plan) as scene:
+            await scene.submit("before")
+            await scene.wait_answered("before")
+            await asyncio.sleep(LATE_CALL_S)
+            await scene.submit("first", "second", message_class="ordered", key="k")
+            await scene.wait_answered("first")
+            assert not scene.endpoint.calls_of("second")
+    run(play())
