Kit: a pause ends for the process that was paused, also where a newer one was started

The older one stood still for good. Change: pause keeps the process. Evidence: the test failed before (T, S) and passes.

--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -11,12 +11,14 @@
 
 import pytest
 
+from wheelstep.rehearsal.history import Figures, History
 from wheelstep.rehearsal.judge import Rule, Ruling
 from wheelstep.rehearsal.rig import module_command
 from wheelstep.rehearsal.soak import faulty
 from wheelstep.rehearsal.soak.control import FaultPage
 from wheelstep.rehearsal.soak.plan import COURIER_FAULTS, ENDPOINT_FAULTS, IN_PROCESS_FAULTS, SoakConfig, draw_plan
 from wheelstep.rehearsal.soak.run import run
+from wheelstep.rehearsal.standins.process import Courier
 
 SMALL = SoakConfig(couriers=3, length_s=4.0)
 
@@ -95,6 +97,30 @@
     assert result.clean, "\n".join([*findings, *result.suspect_lines, *played.logs.values()])
 
 
+def test_a_pause_ends_for_the_process_that_was_paused_although_a_newer_one_runs_by_then(tmp_path: Path) -> None:
+    """Guards against a process that stands still for good: the newer one was continued in its place (seed 326)."""
+    async def scene() -> None:
+        courier = Courier("c0", "true", tmp_path, History(Figures({})), lambda: 0, lambda listen: {}, 1.0)
+        older, newer = [await asyncio.create_subprocess_exec("sleep", "60", start_new_session=True) for _ in range(2)]
+        courier.process = older
+        pausing = asyncio.create_task(courier.pause(0.1))
+        await asyncio.sleep(0.05)
+        courier.process = newer
+        await pausing
+        await asyncio.sleep(0.05)
+        assert [state(older.pid), state(newer.pid)] == ["S", "S"]
+        for process in (older, newer):
+            process.kill()
+            await process.wait()
+        courier.port.close()
+    asyncio.run(scene())
+
+
+def state(pid: int) -> str:
+    """Return the letter of a process's state, "T" for one that is stopped."""
+    return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0]
+
+
 def test_a_courier_that_ignores_the_order_of_keys_is_found() -> None:
     broken = module_command("wheelstep.rehearsal.broken", "ignores-keys")
     for seed in range(1, 4):
--- a/wheelstep/rehearsal/standins/process.py
+++ b/wheelstep/rehearsal/standins/process.py
@@ -150,10 +150,12 @@
 
     # --- faults ---
 
-    def _signal(self, number: int) -> None:
-        if self.process is not None and self.process.returncode is None:
+    def _signal(self, number: int, process: asyncio.subprocess.Process | None = None) -> None:
+        """Send a signal to the group of a process, the newest one by default."""
+        process = process or self.process
+        if process is not None and process.returncode is None:
             with contextlib.suppress(ProcessLookupError):
-                os.killpg(self.process.pid, number)
+                os.killpg(process.pid, number)
 
     async def kill(self, restart_delay_s: float = _RESTART_DELAY_S) -> None:
         """Send SIGKILL and start the courier again after `restart_delay_s`."""
@@ -194,11 +196,13 @@
         raise NotImplementedError(f"{fault.kind}: expected a fault of {', '.join(PROCESS_FAULTS)}")
 
     async def pause(self, for_s: float) -> None:
-        """Stop the process group with SIGSTOP for `for_s` seconds."""
+        """Stop the process group with SIGSTOP for `for_s` seconds. The same process goes on after that, also if another
+        one was started beside it meanwhile."""
+        paused = self.process
         self._record_turn(Turn.PAUSED)
-        self._signal(signal.SIGSTOP)
+        self._signal(signal.SIGSTOP, paused)
         await asyncio.sleep(for_s)
-        self._signal(signal.SIGCONT)
+        self._signal(signal.SIGCONT, paused)
         self._record_turn(Turn.RESUMED)
 
     def signal_worker(self, worker: int, number: int) -> None:
