--- a/wheelstep/courier/dispatcher.py
+++ b/wheelstep/courier/dispatcher.py
@@ -22,9 +22,11 @@
 from wheelstep.courier.handover_state import calls_in_progress
 from wheelstep.courier.invariants import Invariant, Invariants
 from wheelstep.courier.key_order import KeyOrder
+from wheelstep.courier.outcome_reports import report_outcome
 from wheelstep.courier.ports import JournalPort, NotificationSender, OpenCall, OutcomeListener
 from wheelstep.courier.send_guard import SendGuard
-from wheelstep.courier.wall_clock import clock, time_is_up
+from wheelstep.courier.timeliness import Timeliness, timeliness
+from wheelstep.courier.wall_clock import clock
 from wheelstep.interface import NEVER_EXECUTED, Outcome
 from wheelstep.journal import NoRoomError, StoredMessage
 
@@ -66,8 +68,6 @@
         self._report: OutcomeListener | None = None  # set once another process owns the messages
         self._report_wait: Callable[[str, int], None] | None = None
 
-    # --- call.CallOwner ---
-
     @property
     def syncs(self) -> bool:
         """Whether the journal may have to be synced between an attempt's record and its first byte."""
@@ -131,27 +131,20 @@
         for item, result in results:
             self.order.attempt_ended(item.message, item.attempt, result.may_still_run, now_s)
             held = self._held.get(item.message)
-            slack_us = max(self._settings.answer_slack_us, 2 * self._settings.tick_us)
-            if held and result.outcome is Outcome.OK and not self.notifies_deliveries and time_is_up(held, slack_us):
+            timely = timeliness(None if self.notifies_deliveries else held, self._settings)
+            if result.outcome is Outcome.OK and timely is Timeliness.LATE:
                 result = replace(result, outcome=Outcome.TIMEOUT)
-            if result.outcome is not Outcome.OK:
-                log.info("%s attempt %d at %s: %s after %d ms%s", item.message, item.attempt, endpoint,
-                         result.outcome.value, result.spent_us // 1000, ", over" if result.over else "")
             complete = result.outcome is Outcome.OK or result.over or held is None
-            self._record(EventKind.ATTEMPT_ENDED, item.message, f"{item.attempt} at {endpoint}: {result.outcome.value}")
-            if self.account is not None:
-                self.account.ended(item.message, item.attempt, endpoint, result.outcome.value, result.spent_us,
-                                   result.outcome is Outcome.OK or result.over, result.limit)
+            report_outcome(self.flight_recorder, self.account, endpoint, item, held.key if held else None, result)
             if held is not None and complete:
                 if self.counters is not None and not result.over:
                     self.counters.passed[held.message_class] += 1
                 del self._held[item.message], self._next_attempt[item.message]
-                self.order.completed(item.message, now_s)
-                if self.notifies_deliveries:
-                    self._journal.end(item.message, "delivered", 0)
+                if result.outcome is Outcome.OK and timely is Timeliness.DOUBTFUL:
+                    self._journal.end(item.message, "given_up", 0)
                     self._notify_end(held)
                 else:
-                    self._forget(item.message, now_s)
+                    self._complete(held, now_s)
             elif held is not None and item.attempt in held.out:
                 self._journal.outcome(item.message, item.attempt, result.outcome not in NEVER_EXECUTED)
             self.decision_loop.post(api.AttemptEnded(
@@ -160,6 +153,14 @@
             if held is None and self.late_outcome is not None:
                 self.late_outcome(item, result)
 
+    def _complete(self, message: StoredMessage, now_s: float) -> None:
+        self.order.completed(message.id, now_s)
+        if self.notifies_deliveries:
+            self._journal.end(message.id, "delivered", 0)
+            self._notify_end(message)
+        else:
+            self._forget(message.id, now_s)
+
     def probed(self, endpoint: str, result: Result) -> None:
         """Process the outcome of a probe."""
         if self._report is not None:
@@ -186,8 +187,8 @@
         """Return the calls that have begun and have no outcome yet."""
         return calls_in_progress(self.endpoint_client.calls(), self._journal.messages)
 
-    # --- actions of the decision module ---
     def _carry_out(self, action: api.Action, batches: AttemptBatches) -> None:
+        """Carry out an action; `api.Subscribe` needs nothing, as the watch always runs."""
         match action:
             case api.StartAttempt():
                 self._start_attempt(action, batches)
@@ -201,7 +202,6 @@
                 self.endpoint_client.probe(endpoint, _PROBE_TIMEOUT_US)
             case api.CloseIdle(endpoint, idle_us):
                 self.endpoint_client.close_idle(endpoint, idle_us)
-            # `api.Subscribe` needs nothing: the watch always runs.
             case api.WriteLog(text):
                 log.info("%s", text)
             case api.NoteHealth(endpoint, health) if endpoint in self.endpoints.listed:
