--- a/wheelstep/rehearsal/soak/courier.py
+++ b/wheelstep/rehearsal/soak/courier.py
@@ -124,9 +124,10 @@
             _send_signal(process, signal.SIGHUP)
             await asyncio.sleep(rng.uniform(0.0, 0.2))
         restart = asyncio.create_task(self.terminate())
-        while process.returncode is None:
+        while process.returncode is None and not restart.done():
             await asyncio.sleep(rng.uniform(0.0, 0.6))
-            _send_signal(process, rng.choice((signal.SIGHUP, signal.SIGTERM)))
+            if self._stopping and process is self.process:  # an upgrade that is under way comes first
+                _send_signal(process, rng.choice((signal.SIGHUP, signal.SIGTERM)))
         await restart
 
     async def _upgrade(self) -> None:
