Watch: the newest version on a watch is unknown unless it is given

Cause: a test that applies a list by itself failed in the first run of the whole suite (1 failed, 1,864 passed, 1 known red, beside a soak): TypeError, '_apply_list() missing 1 required positional argument'. Change: the argument has a default. Measured: the tests of shard control and agent copies pass.

--- a/wheelstep/courier/watch.py
+++ b/wheelstep/courier/watch.py
@@ -130,7 +130,7 @@
         hedge.ended(number, loop.time())
         self._rescheduled.set()
 
-    def _apply_list(self, data: Mapping[str, Any], newest: int | None) -> int:
+    def _apply_list(self, data: Mapping[str, Any], newest: int | None = None) -> int:
         """Apply a list unless it is known already. Return the version of the newest list on its watch, which was
         `newest` before. On one watch versions only rise: an older list is a second copy, and would undo what followed
         it. A whole list on another watch may be older, as discovery may have lost its state."""
