--- a/tests/test_crossings_answers.py
+++ b/tests/test_crossings_answers.py
@@ -5,8 +5,8 @@
 import asyncio
 
 import pytest
+from endpoint_clients import RawServer, item
 from loopback import run
-from test_endpoint_client import RawServer, item
 
 from wheelstep.courier.answer import MAX_BODY, MAX_HEAD, AnswerReader, MalformedError
 from wheelstep.interface import Outcome
--- a/tests/test_crossings_calls.py
+++ b/tests/test_crossings_calls.py
@@ -11,8 +11,8 @@
 import time
 
 import pytest
+from endpoint_clients import FakeOwner, item
 from loopback import LIMIT_S, run
-from test_endpoint_client import FakeOwner, item
 
 from wheelstep.courier.config import Address
 from wheelstep.courier.endpoint_client import EndpointClient
--- a/tests/test_crossings_connections.py
+++ b/tests/test_crossings_connections.py
@@ -13,9 +13,9 @@
 from dataclasses import replace
 
 import pytest
+from endpoint_clients import item
 from loopback import LIMIT_S, run
 from test_crossings_calls import REPLY, ManualPeer, loop_turns
-from test_endpoint_client import item
 
 from wheelstep.courier.connection import Connection
 from wheelstep.courier.pool import Host
--- a/tests/test_crossings_window.py
+++ b/tests/test_crossings_window.py
@@ -15,11 +15,11 @@
 from pathlib import Path
 
 import pytest
+from endpoint_clients import item
 from helpers import KEYED, MS, SAFE, UNSAFE, S, SenderDriver, final_answers, sent_messages
 from loopback import LIMIT_S, host, run
 from test_core import FakeDecisionModule, configured
 from test_crossings_calls import ManualPeer, loop_turns
-from test_endpoint_client import item
 
 from wheelstep import interface as api
 from wheelstep.courier.call import Item
--- a/tests/test_written.py
+++ b/tests/test_written.py
@@ -13,8 +13,8 @@
 from typing import Any
 
 import pytest
+from endpoint_clients import FakeOwner, item
 from loopback import run
-from test_endpoint_client import FakeOwner, item
 
 from wheelstep.courier import pool
 from wheelstep.courier.call import Result
