--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import faulthandler
 import functools
 import gc
 import logging
@@ -219,6 +220,7 @@
     logging.basicConfig(stream=sys.stderr, level=logging.INFO,
                         format="%(asctime)s %(levelname)s %(name)s %(message)s")
     logging.getLogger("aiohttp").setLevel(logging.ERROR)
+    faulthandler.enable()  # a process that a signal ends writes where it was
     reload_requested = asyncio.Event()
     # SIGHUP would end the process by default, so it is handled before anything that takes long.
     signal.signal(signal.SIGHUP, lambda *_: reload_requested.set())
--- a/wheelstep/journal/journal.py
+++ b/wheelstep/journal/journal.py
@@ -38,16 +38,13 @@
     def __init__(self, folder: Path | Disk, limit_bytes: int, sync: SyncPolicy = SyncPolicy.NONE,
                  wait_s: float = 1.0, segment_bytes: int = 0,
                  clock: Callable[[], float] = time.perf_counter) -> None:
-        """Open the folder, or a `Disk`, and recover its content.
-
-        `limit_bytes` bounds its size on disk. `wait_s` is the longest wait of `durable`. `segment_bytes` is the segment
-        size, 0 for one derived from the limit.
-        """
+        """Open the folder, or a `Disk`, and recover its content. `limit_bytes` bounds its size on disk. `wait_s` is the
+        longest wait of `durable`. `segment_bytes` is the segment size, 0 for one derived from the limit."""
         super().__init__(Folder(folder) if isinstance(folder, Path) else folder, limit_bytes, sync, wait_s, clock)
         self._reserve_bytes = min(_MAX_RESERVE_BYTES, limit_bytes // 24)
         self._target_bytes = segment_bytes or min(max(_MIN_SEGMENT_BYTES, min(_MAX_SEGMENT_BYTES, limit_bytes // 48)),
                                             limit_bytes // 8)
-        # With less free space than this, appends check it exactly: the longest record, and copying any segment.
+        # With less free space than this, appends check it exactly: the longest record, and a copied segment.
         self._exact_check_margin = 2 * (self._target_bytes + codec.OVERHEAD) + 3 * 64 * 1024
         self._closed = False
         if not self._disk.lock():
@@ -108,7 +105,7 @@
 
     @property
     def live(self) -> int:
-        """Estimated bytes that would be left after a full compaction."""
+        """Estimated bytes left after a full compaction."""
         return self._state.live
 
     @property
@@ -211,12 +208,15 @@
         """
         if self._deferred:
             self._deferred[name] = None
+            self.deferrals += 1
             self._write_deferred()
             return
         try:
             self._append_reserved(record)
-        except OSError:
+        except OSError as error:
             self._deferred[name] = None
+            self.deferrals += 1
+            log.warning("journal: deferred the state of %s: %s", name, error)
 
     def _write_deferred(self) -> bool:
         """Write what was deferred. True once nothing is left."""
--- a/wheelstep/journal/writing.py
+++ b/wheelstep/journal/writing.py
@@ -30,6 +30,9 @@
         self._segments_by_number: dict[int, Segment] = {}
         self._deferred: dict[str, None] = {}  # messages whose latest state could not be written yet
         self._write_error = ""  # the first error since writing last worked; empty while it works
+        self._failing_since_s = 0.0  # of the journal's clock, when that error came
+        self.failed_writes = 0  # since the start
+        self.deferrals = 0  # events since the start that had happened and could not be written at once
         self._sync_failed = False  # a sync has failed: no new message is accepted until the next start
         self._synced = 0  # offset up to which the log is synced
         # (offset, segment): the segment is removed once the log is synced up to the offset
@@ -53,15 +56,19 @@
             with contextlib.suppress(OSError):  # it is written: only new messages are refused
                 self.sync_now()
         if self._write_error and not self._deferred:
-            log.warning("journal: writes again; the error was: %s", self._write_error)
+            log.warning("journal: writes again after %.3f s, %d failed writes and %d deferred events since the start; the "
+                        "error was: %s", self._clock() - self._failing_since_s, self.failed_writes, self.deferrals,
+                        self._write_error)
             self._write_error = ""
         return segment
 
     def _report_write_error(self, error: OSError) -> None:
         """Log a write error once, when it first occurs."""
+        self.failed_writes += 1
         if not self._write_error:
             log.error("journal: can't write: %s; new messages are refused", error)
             self._write_error = str(error)
+            self._failing_since_s = self._clock()
 
     def _remove_oldest(self) -> None:
         """Record that the oldest segment is no longer in use, and remove it.
