--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import builtins
+import io
 import os
 import random
+import select
+import selectors
 import socket
 import time
 from pathlib import Path
@@ -14,7 +18,7 @@
 from wheelstep.rehearsal.history import Figures, History
 from wheelstep.rehearsal.judge import Rule, Ruling
 from wheelstep.rehearsal.rig import module_command
-from wheelstep.rehearsal.soak import faulty
+from wheelstep.rehearsal.soak import faulty, faulty_calls
 from wheelstep.rehearsal.soak.control import FaultPage
 from wheelstep.rehearsal.soak.plan import COURIER_FAULTS, ENDPOINT_FAULTS, IN_PROCESS_FAULTS, SoakConfig, draw_plan
 from wheelstep.rehearsal.soak.run import run
@@ -37,8 +41,10 @@
 def test_values_written_to_a_page_are_read_through_every_mapping_of_it(tmp_path: Path) -> None:
     here, there = FaultPage(tmp_path / "page"), FaultPage(tmp_path / "page")
     here.clock_offset_s, here.socket_failure_share, here.disk_failure_share, here.max_socket_bytes = -5.0, 0.5, 1.0, 7
+    here.transfer_failure_share, here.poll_failure_share = 0.25, 0.75
     assert (there.clock_offset_s, there.socket_failure_share, there.disk_failure_share,
             there.max_socket_bytes) == (-5.0, 0.5, 1.0, 7)
+    assert (there.transfer_failure_share, there.poll_failure_share) == (0.25, 0.75)
     there.socket_failure_share = 0.0
     assert here.socket_failure_share == 0.0 and here.disk_failure_share == 1.0
 
@@ -55,14 +61,24 @@
     assert abs(time.time_ns() / 1e9 - time.time()) < 1.0
 
 
+PATCHED = [(socket.socket, ("connect", "accept", "send", "recv", "setsockopt", "getsockopt", "shutdown", "__init__")),
+           (os, ("write", "fsync", "ftruncate", "open", "close", "unlink", "scandir")), (io, ("open",)),
+           (builtins, ("open",)), (select, ("poll",)), (selectors.EpollSelector, ("_selector_cls",))]
+
+
+def keep_patched_names(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have what the faulty courier patches restored after the test."""
+    for holder, names in PATCHED:
+        for name in names:
+            monkeypatch.setattr(holder, name, getattr(holder, name))
+
+
 def test_patched_system_calls_fail_with_documented_errors(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    for name in ("connect", "accept", "send", "recv"):
-        monkeypatch.setattr(socket.socket, name, getattr(socket.socket, name))
-    for name in ("write", "fsync", "ftruncate", "open"):
-        monkeypatch.setattr(os, name, getattr(os, name))
+    keep_patched_names(monkeypatch)
     page, rng = FaultPage(tmp_path / "page"), random.Random(1)
-    faulty.patch_sockets(page, rng)
-    faulty.patch_disk(page, rng)
+    failures = faulty_calls.Failures(page, rng)
+    faulty.patch_sockets(failures)
+    faulty_calls.patch_files(failures)
     with socket.create_server(("127.0.0.1", 0)) as listener, socket.socket() as client:
         page.socket_failure_share = 1.0
         with pytest.raises(OSError) as connect:
@@ -83,12 +99,40 @@
                 wrote.append(os.write(file.fileno(), b"1234"))
             except OSError as error:
                 wrote.append(error.errno)
-        assert set(wrote) == {2, *faulty.DISK_ERRORS}
+        assert set(wrote) == {2, *faulty_calls.DISK_ERRORS}
         for failing in (lambda: os.fsync(file.fileno()), lambda: os.ftruncate(file.fileno(), 0),
                         lambda: os.open(tmp_path / "new", os.O_CREAT | os.O_RDWR)):
             with pytest.raises(OSError) as disk:
                 failing()
-            assert disk.value.errno in faulty.DISK_ERRORS
+            assert disk.value.errno in faulty_calls.DISK_ERRORS
+
+
+def test_patched_transfers_and_polls_fail_with_documented_errors(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    keep_patched_names(monkeypatch)
+    page = FaultPage(tmp_path / "page")
+    failures = faulty_calls.Failures(page, random.Random(1))
+    faulty_calls.patch_socket_options(failures)
+    faulty_calls.patch_transfers(failures)
+    faulty_calls.patch_polling(failures)
+    with socket.create_server(("127.0.0.1", 0)) as listener, socket.create_connection(
+            listener.getsockname()) as client, listener.accept()[0] as served, selectors.EpollSelector() as selector:
+        page.transfer_failure_share = page.poll_failure_share = page.socket_failure_share = 1.0
+        cases = [(lambda: client.send(b"x"), faulty_calls.TRANSFER_ERRORS),
+                 (lambda: served.recv(1), faulty_calls.TRANSFER_ERRORS),
+                 (lambda: served.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1), faulty_calls.OPTION_ERRORS),
+                 (lambda: served.shutdown(socket.SHUT_WR), faulty_calls.OPTION_ERRORS),
+                 (socket.socket, faulty_calls.SOCKET_ERRORS),
+                 (lambda: selector.register(served, selectors.EVENT_READ), faulty_calls.CONTROL_ERRORS),
+                 (lambda: select.poll().poll(0), faulty_calls.POLL_ERRORS),
+                 (selectors.EpollSelector, faulty_calls.EPOLL_CREATE_ERRORS)]
+        for call, errors in cases:
+            with pytest.raises(OSError) as failed:
+                call()
+            assert failed.value.errno in errors
+        page.transfer_failure_share = page.poll_failure_share = page.socket_failure_share = 0.0
+        selector.register(served, selectors.EVENT_READ)
+        assert client.send(b"x") == 1 and selector.select(1.0) and served.recv(1) == b"x"
 
 
 def test_a_run_of_real_couriers_is_clean() -> None:
--- /dev/null
+++ b/tests/test_journal_before_effects.py
@@ -0,0 +1,61 @@
+"""What the journal's disk did not take must not be acted on: real couriers, a disk that fails, and SIGKILL."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+from failing_courier import FailingScene, failing_scene
+from loopback import run
+
+FAILS_S = 0.6
+FLUSH_S = 0.5  # after the disk works again, what it did not take is written within this
+AFTER_RESTART_S = 2.0  # restored messages are called within this
+OK = (200, {}, b"")
+
+
+async def deliver_while_the_disk_fails(scene: FailingScene, message: str) -> None:
+    """Have the endpoint answer the call of a message, and the courier read that, while nothing can be written."""
+    scene.page.disk_failure_share = 1.0
+    scene.replies[message] = OK
+    await scene.wait_until(lambda: message in scene.answered)
+    await asyncio.sleep(FAILS_S)
+
+
+# Incident 57, order: the end of a key's first message was lost with the process, after the second one had been sent.
+def test_a_delivered_message_is_not_sent_behind_the_next_of_its_key_after_failed_writes_and_a_kill(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        async with failing_scene(tmp_path, monkeypatch) as scene:
+            scene.default_reply = None
+            for message in ("first", "second"):
+                assert await scene.courier.hand_in(message, "ordered", "k") == 202
+            await scene.wait_until(lambda: "first" in scene.called())
+            await deliver_while_the_disk_fails(scene, "first")
+            scene.page.disk_failure_share = 0.0
+            await scene.wait_until(lambda: "second" in scene.called())
+            await scene.restart()
+            scene.default_reply = OK
+            await scene.wait_until(lambda: "second" in scene.answered)
+            await asyncio.sleep(AFTER_RESTART_S)
+            calls = scene.called()
+            assert "first" not in calls[calls.index("second"):]
+    run(scenario())
+
+
+# Incident 57's class, order: what the disk did not take was only written with the next event, however late that came.
+def test_what_the_disk_did_not_take_is_written_soon_after_it_works_again(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        async with failing_scene(tmp_path, monkeypatch) as scene:
+            scene.default_reply = None
+            assert await scene.courier.hand_in("delivered", "ordered", "k") == 202
+            await scene.wait_until(lambda: "delivered" in scene.called())
+            await deliver_while_the_disk_fails(scene, "delivered")
+            scene.page.disk_failure_share = 0.0
+            await asyncio.sleep(FLUSH_S)
+            await scene.restart()
+            await asyncio.sleep(AFTER_RESTART_S)
+            assert scene.called() == ["delivered"]
+    run(scenario())
--- a/wheelstep/rehearsal/soak/control.py
+++ b/wheelstep/rehearsal/soak/control.py
@@ -31,9 +31,12 @@
     ones. The file is created, filled with zeros, if it does not exist; raises OSError where it can't be mapped."""
 
     clock_offset_s = _FloatField("<d", 0)  # added to the wall clock
-    socket_failure_share = _FloatField("<d", 8)  # share of connects and accepts that fail
+    socket_failure_share = _FloatField("<d", 8)  # share that fails of connects, accepts, new sockets and their options
     disk_failure_share = _FloatField("<d", 16)  # share of calls that fail; half of the failing writes write a part
     max_socket_bytes = _FloatField("<d", 24)  # read or written by one call on a socket at most; 0: no limit
+    transfer_failure_share = _FloatField("<d", 32)  # share of reads and writes on sockets that fail
+    poll_failure_share = _FloatField("<d", 40)  # share of the calls of poll and epoll that fail
+    open_failure_share = _FloatField("<d", 48)  # share that fails of opening files for reading, and listing folders
 
     def __init__(self, path: Path) -> None:
         file_descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
