--- a/tests/failing_courier.py
+++ b/tests/failing_courier.py
@@ -51,14 +51,16 @@
 
 
 @contextlib.asynccontextmanager
-async def failing_scene(folder: Path, monkeypatch: pytest.MonkeyPatch, **caps: Any) -> AsyncIterator[FailingScene]:
+async def failing_scene(folder: Path, monkeypatch: pytest.MonkeyPatch, tick_us: int = 5_000,
+                        **caps: Any) -> AsyncIterator[FailingScene]:
     """Start a courier with one message in each call, without a second address. `caps` replace those of the
     settings."""
     page = FaultPage(folder / "page")
     monkeypatch.setenv(FAULT_PAGE_VARIABLE, str(folder / "page"))
     scene = Scene(folder, console=True)
     scene.courier.console = ""
-    scene.courier.settings = {**scene.courier.settings, "caps": {**scene.courier.settings["caps"], **caps}}
+    base = scene.courier.settings
+    scene.courier.settings = {**base, "tick_us": tick_us, "caps": {**base["caps"], **caps}}
     scene.courier.program = ("wheelstep.rehearsal.soak.faulty",)
     async with scene as started:
         yield FailingScene(started, page)
--- a/tests/test_journal_before_effects.py
+++ b/tests/test_journal_before_effects.py
@@ -10,7 +10,9 @@
 from loopback import run
 
 FAILS_S = 0.6
+SLOW_TICK_US = 300_000  # time for a test between a message and what becomes of it
 FLUSH_S = 0.5  # after the disk works again, what it did not take is written within this
+UNTIL_STOPPED_S = 3.0  # after SIGTERM a courier without connections has stopped all else by then
 AFTER_RESTART_S = 2.0  # restored messages are called within this
 OK = (200, {}, b"")
 
@@ -59,3 +61,23 @@
             await asyncio.sleep(AFTER_RESTART_S)
             assert scene.called() == ["delivered"]
     run(scenario())
+
+
+# Incident 57's class, order: a process that was told to end took with it what the disk did not take.
+def test_a_courier_that_is_told_to_end_writes_what_the_disk_did_not_take(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        async with failing_scene(tmp_path, monkeypatch) as scene:
+            scene.default_reply = None
+            assert await scene.courier.hand_in("delivered", "ordered", "k") == 202
+            await scene.wait_until(lambda: "delivered" in scene.called())
+            scene.courier.process.terminate()
+            await deliver_while_the_disk_fails(scene, "delivered")
+            await asyncio.sleep(UNTIL_STOPPED_S - FAILS_S)
+            scene.page.disk_failure_share = 0.0
+            assert await scene.courier.process.wait() == 0
+            scene.courier.listen = scene.courier.address
+            await scene.courier.start()
+            await asyncio.sleep(AFTER_RESTART_S)
+            assert scene.called() == ["delivered"]
+    run(scenario())
--- a/tests/test_journal_crashes.py
+++ b/tests/test_journal_crashes.py
@@ -27,6 +27,7 @@
     open_journal,
 )
 
+ERROR_BURST = 6  # operations of the disk in a row that fail
 KINDS = st.sampled_from(["take", "attempt", "outcome", "end", "over", "mark", "compact"])
 STEPS = st.lists(st.tuples(KINDS, st.integers(0, 5), st.integers(0, 1 << 16)), max_size=25)
 
@@ -312,12 +313,33 @@
                 apply_step(journal, step)
             except OSError:  # an attempt that could not be written, and is not sent
                 assert step[0] == "attempt"
-        journal._write_deferred()
+        assert journal._deferred.write()
         held = JournalState.of(journal)
         again = JournalState.of(open_journal(disk.after_crash(power=False), SyncPolicy.NONE))
         assert again.messages == held.messages
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_the_disk_has_all_that_happened_whenever_an_attempt_or_a_message_was_written(seed: int) -> None:
+    """Incident 57: a burst of errors at each operation in turn; what is written next must not overtake what was not."""
+    history = draw_history(random.Random(seed), 40)
+    whole = open_journal(disk := FaultyDisk(1), SyncPolicy.NONE)
+    for step in history:
+        apply_step(whole, step)
+    for point in range(1, disk.count + 1):
+        disk = FaultyDisk(1)
+        journal = open_journal(disk, SyncPolicy.NONE)
+        disk.faults = dict.fromkeys(range(max(point, disk.count + 1), point + ERROR_BURST), errno.EIO)
+        for step in history:
+            before = JournalState.of(journal)
+            try:
+                apply_step(journal, step)
+            except OSError:
+                continue
+            if step[0] in ("attempt", "take") and (held := JournalState.of(journal)) != before:
+                assert JournalState.of(open_journal(disk.after_crash(power=False), SyncPolicy.NONE)) == held
+
+
 def test_half_a_record_that_can_not_be_cut_off_hides_nothing_behind_it() -> None:
     journal = open_journal(disk := FaultyDisk(), SyncPolicy.NONE)
     journal.take(message("a"))
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -11,19 +11,19 @@
 import signal
 import sys
 import time
-from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from wheelstep import interface as api
 from wheelstep.courier.answer_corrections import AnswerCorrections
 from wheelstep.courier.client_server import ClientServer
-from wheelstep.courier.config import Address, Config, ConfigError, load
+from wheelstep.courier.config import Config, ConfigError, load
 from wheelstep.courier.core import Core
 from wheelstep.courier.invariants import Invariant
 from wheelstep.courier.listing import entries
 from wheelstep.courier.notifier import Notifier, notification_session
 from wheelstep.courier.opening import account, obtain_journal, open_console, open_journal_with_retry, recorder
-from wheelstep.courier.shutdown import SHUTDOWN_S, ignore_signals, leave
+from wheelstep.courier.reload import follow_config, reload_operator_file
+from wheelstep.courier.shutdown import SHUTDOWN_S, flush, ignore_signals, leave
 from wheelstep.courier.spread import calling_couriers, max_retry_s
 from wheelstep.courier.wall_clock import clock
 from wheelstep.courier.watch import Watch
@@ -117,7 +117,7 @@
                     for task in tasks:
                         task.cancel()
                     journal.close()
-                source = HandoverSource(config.state, core, server, lambda: watch.seq, close,
+                source = HandoverSource(config.state, core, server, lambda: watch.seq, journal.flush, close,
                                         target.calls_in_flight if target is not None else list)
                 source.start()
             if fleet is not None:
@@ -135,6 +135,7 @@
                 log.info("stopped after a hand-over; invariants violated: %s", core.invariants.summary())
             else:
                 await leave(core, server, fleet.leave() if fleet is not None else None)
+                await flush(journal)
             if fleet is not None:
                 await fleet.close()
             for task in tasks:
@@ -162,58 +163,6 @@
     return FleetDaemon(config, settings, journal)
 
 
-def reload_operator_file(path: str, fleet: FleetDaemon | ShardDaemon) -> None:
-    """Read the operator's file again and apply its contracts. A file that can't be used changes nothing."""
-    from wheelstep.operator import OperatorError
-    from wheelstep.operator import load as load_operator
-    try:
-        settings = load_operator(path).fleet
-    except OperatorError as error:
-        log.warning("the new operator's file is not used: %.300s", " ".join(str(error).split()))
-        return
-    if settings is not None:
-        fleet.renew(settings)
-
-
-class DiscoveryUser(Protocol):
-    """A part of the courier that sends requests to discovery's address."""
-
-    def move(self, discovery: Address) -> None:
-        """Use another address from now on."""
-
-
-async def follow_config(config: Config, reload_requested: asyncio.Event, *users: DiscoveryUser,
-                        on_applied: Callable[[], None] = lambda: None, core: Core | None = None,
-                        on_reload: Callable[[], None] = lambda: None) -> None:
-    """Read the configuration again whenever that is requested, until cancelled. A configuration that can't be used
-    changes nothing. `on_reload` is called before it is read, `on_applied` after it was applied."""
-    discovery, raw = config.discovery, config.raw
-    while True:
-        await reload_requested.wait()
-        reload_requested.clear()
-        on_reload()
-        from wheelstep.renewal.files import check
-        try:
-            fresh = load(os.environ, again=True)
-            check(fresh.raw, raw)
-        except (ConfigError, ValueError) as error:
-            log.warning("the new configuration is not used: %.300s", " ".join(str(error).split()))
-            if core is not None and core.counters is not None:
-                core.counters.load_errors += 1
-            continue
-        address, raw = fresh.discovery, fresh.raw
-        if core is not None:
-            core.renew(fresh)
-            if core.counters is not None:
-                core.counters.loads += 1
-        log.info("configuration read again: discovery at %s:%d", address.host, address.port)
-        if address != discovery:
-            discovery = address
-            for user in users:
-                user.move(address)
-        on_applied()
-
-
 def main(operator_file: str | None = None, workers: int | None = None) -> int:
     """Run the courier that the environment describes and return the exit code. `operator_file` names the operator's
     file (default: `UMBERCHUTE_OPERATOR`), `workers` the number of workers (default: that of the file)."""
--- a/wheelstep/courier/dialling.py
+++ b/wheelstep/courier/dialling.py
@@ -3,18 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 
 from wheelstep.courier.call_errors import ConnectionBrokenError, LocalResourceError
 from wheelstep.courier.config import Address
 from wheelstep.courier.connection import Connection
+from wheelstep.courier.local_errors import LOCAL_ERRORS, SHORTAGE
 
-# Errors of `socket` and `connect` for a resource that this machine lacks (socket(2), connect(2)).
-_SHORTAGE = frozenset({errno.EADDRNOTAVAIL, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
-# A brief local shortage, or the endpoint's network is unreachable.
-_NO_ROUTE = frozenset({errno.ENETDOWN, errno.ENETUNREACH})
-LOCAL_ERRORS = _SHORTAGE | _NO_ROUTE
-"""Errors of this machine, which may pass at any moment and tell nothing of the peer."""
 LOCAL_RETRY_S = 0.02
 """Between two attempts to connect while this machine refuses."""
 
@@ -35,6 +29,6 @@
                     refused = error
                 await asyncio.sleep(LOCAL_RETRY_S)
     except TimeoutError as error:
-        if refused is not None and refused.errno in _SHORTAGE:
+        if refused is not None and refused.errno in SHORTAGE:
             raise LocalResourceError(f"connect to {address.host}:{address.port}: {refused}") from error
         raise ConnectionBrokenError(f"connect to {address.host}:{address.port}: not done in {timeout_s} s") from error
--- a/wheelstep/courier/notifier.py
+++ b/wheelstep/courier/notifier.py
@@ -14,7 +14,8 @@
 import aiohttp
 
 from wheelstep.courier.config import Address
-from wheelstep.courier.dialling import LOCAL_ERRORS, LOCAL_RETRY_S
+from wheelstep.courier.dialling import LOCAL_RETRY_S
+from wheelstep.courier.local_errors import LOCAL_ERRORS
 
 # After a message's deadline its notice must have been answered within this time (PROTOCOL, 'The rules on sockets').
 _ANSWERED_WITHIN_S = 0.3
--- a/wheelstep/courier/opening.py
+++ b/wheelstep/courier/opening.py
@@ -4,12 +4,12 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import logging
 import time
 from typing import TYPE_CHECKING
 
 from wheelstep.courier.config import Address, Config, ConfigError
+from wheelstep.courier.local_errors import may_pass
 from wheelstep.journal import FolderInUseError, Journal
 from wheelstep.journal.codec import FormatError
 from wheelstep.journal.durability import SyncPolicy
@@ -21,9 +21,6 @@
     from wheelstep.recording.writer import Recorder
     from wheelstep.upgrade.target import HandoverTarget
 
-# Errors of a disk, or of the system, that may pass by themselves; the operator has to fix any other.
-_TRANSIENT_ERRNOS = frozenset({errno.EAGAIN, errno.EDQUOT, errno.EINTR, errno.EIO, errno.EMFILE, errno.ENFILE,
-                               errno.ENOMEM, errno.ENOSPC})
 _DISK_TIMEOUT_S = 20.0  # a courier that takes over 30 s to be ready has failed (standing test)
 _DISK_RETRY_S = 0.1
 
@@ -57,11 +54,6 @@
     return front
 
 
-def _is_transient(error: ConfigError) -> bool:
-    """Return whether opening the folder may succeed later."""
-    return isinstance(error.__cause__, OSError) and error.__cause__.errno in _TRANSIENT_ERRNOS
-
-
 async def open_journal_with_retry(config: Config, operator: Operator | None) -> Journal:
     """Open the journal, and try again while the disk fails. Raises `ConfigError` if that takes too long, or if the
     folder can't be used for another reason."""
@@ -70,7 +62,7 @@
         try:
             return open_journal(config, operator)
         except ConfigError as error:
-            if not _is_transient(error) or asyncio.get_running_loop().time() >= until_s:
+            if not may_pass(error) or asyncio.get_running_loop().time() >= until_s:
                 raise
             log.warning("the folder can't be opened yet: %s", error)
         await asyncio.sleep(_DISK_RETRY_S)
@@ -92,7 +84,7 @@
         try:
             opened.append(open_journal(config, operator))
         except ConfigError as error:
-            if not isinstance(error.__cause__, FolderInUseError) and not _is_transient(error):
+            if not isinstance(error.__cause__, FolderInUseError) and not may_pass(error):
                 raise
         return bool(opened)
     takeover = asyncio.create_task(take_over(config.state, try_open))
--- a/wheelstep/courier/shutdown.py
+++ b/wheelstep/courier/shutdown.py
@@ -9,12 +9,15 @@
 
 from wheelstep.courier.client_server import STOP_S, ClientServer
 from wheelstep.courier.core import Core
+from wheelstep.journal import Journal
 
 # Counted from SIGTERM:
 _ATTEMPTS_UNTIL_S = 2.0  # no new attempt starts from then on
 _CONNECTIONS_UNTIL_S = 2.8  # clients' connections are ended
 # Messages get 503. One that is accepted after _ATTEMPTS_UNTIL_S waits in the journal for the next process.
 _MESSAGES_UNTIL_S = _CONNECTIONS_UNTIL_S
+_FLUSH_S = 0.4  # after SHUTDOWN_S, before the platform kills the process at 3.7 s
+_FLUSH_RETRY_S = 0.01
 SHUTDOWN_S = _CONNECTIONS_UNTIL_S + STOP_S  # calls that are still under way are left to the next process
 
 log = logging.getLogger("wheelstep.courier.leaving")
@@ -47,6 +50,13 @@
     log.info("stopped; invariants violated: %s", core.invariants.summary())
 
 
+async def flush(journal: Journal) -> None:
+    """Write what the journal's disk has not taken yet, and try again for a while if it still fails."""
+    until_s = asyncio.get_running_loop().time() + _FLUSH_S
+    while not journal.flush() and asyncio.get_running_loop().time() < until_s:
+        await asyncio.sleep(_FLUSH_RETRY_S)
+
+
 def ignore_signals() -> None:
     """Ignore SIGTERM, SIGINT and SIGHUP for the rest of the process. A closing event loop restores their default
     actions, so a second SIGTERM in the last moments would kill the process, which has to exit with 0."""
--- a/wheelstep/journal/compaction.py
+++ b/wheelstep/journal/compaction.py
@@ -100,11 +100,9 @@
             raise OSError(errno.ENOSPC, "no space to copy records forward")
         segment = self._append(b"".join(parts))
         for message in messages:
-            self._assign_segment(message, segment)
+            self.assign_segment(message, segment)
         for name in facts:
-            oldest.facts.pop(name, None)
-            segment.facts[name] = None
-            self._fact_segments[name] = segment.number
+            self.assign_fact(name, segment)
 
     def _release_segment(self, oldest: Segment) -> None:
         """Remove a segment that is no longer needed; under `SyncPolicy.GROUP` only once the copies are synced."""
@@ -126,8 +124,11 @@
         self.sync_now()
 
     async def run_compaction(self, budget_s: float = 0.001, rest_s: float = 0.003) -> None:
-        """Run compaction in slices between turns of the event loop, whenever it is worthwhile. Never returns."""
+        """Run compaction in slices between turns of the event loop, whenever it is worthwhile, and write what was
+        deferred once the disk takes it. Never returns."""
         while True:
+            if self._deferred:
+                self._deferred.write()
             if self.wants_compaction():
                 self.compact(budget_s)
                 if self._pending_removals:
@@ -154,8 +155,19 @@
         if (segment := self._segments_by_number.get(message.segment_number)) is not None:
             segment.messages.pop(message.id, None)
 
-    def _assign_segment(self, message: StoredMessage, segment: Segment) -> None:
+    def assign_segment(self, message: StoredMessage, segment: Segment) -> None:
         """Record that a message's current full record is in this segment."""
         self._remove_from_segment(message)
         message.segment_number = segment.number
         segment.messages[message.id] = None
+
+    def assign_fact(self, name: str, segment: Segment) -> None:
+        """Record that a fact's current record is in this segment."""
+        self.remove_fact(name)
+        segment.facts[name] = None
+        self._fact_segments[name] = segment.number
+
+    def remove_fact(self, name: str) -> None:
+        """Remove a fact from the index of its segment."""
+        if (number := self._fact_segments.pop(name, None)) is not None:
+            self._segments_by_number[number].facts.pop(name, None)
--- a/wheelstep/journal/journal.py
+++ b/wheelstep/journal/journal.py
@@ -17,6 +17,7 @@
 
 from wheelstep.journal import codec, recovery
 from wheelstep.journal.compaction import Compactor
+from wheelstep.journal.deferral import DeferredEvents
 from wheelstep.journal.disk import Disk, Folder
 from wheelstep.journal.durability import FolderInUseError, NoRoomError, SyncPolicy
 from wheelstep.journal.migration import migrate_old_format
@@ -68,6 +69,7 @@
                       len(result.doubted & set(result.state.messages)), len(result.bodies_lost))
         recovery.clean_up(self._disk, result)
         self._state = result.state
+        self._deferred = DeferredEvents(self._state, self, self._log_deferral)
         self._log = Log(self._disk, self._target_bytes, self._sync is not SyncPolicy.NONE)
         self._segments_by_number = {segment.number: segment for segment in result.segments}
         self._fact_segments = result.fact_segments
@@ -83,8 +85,12 @@
         """Write messages that recovery rebuilt from later records, which no segment holds whole."""
         for name in names:
             if name in self._state.messages:
-                self._deferred[name] = None
-        self._write_deferred()
+                self._deferred.defer_message(name)
+        self._deferred.write()
+
+    @staticmethod
+    def _log_deferral(name: str, error: OSError) -> None:
+        log.warning("journal: deferred the state of %s: %s", name, error)
 
     # --- content ---
 
@@ -118,9 +124,14 @@
         """Whether `durable` ever waits."""
         return self._sync is SyncPolicy.GROUP
 
+    def flush(self) -> bool:
+        """Write what the disk has not taken yet. True once nothing is left."""
+        return self._deferred.write()
+
     def close(self) -> None:
         """Close all files and unlock the folder. Under a sync policy, written records are synced first."""
         try:
+            self._deferred.write()
             if self._sync is not SyncPolicy.NONE and not self._sync_failed:
                 self.sync_now()
         except OSError as error:
@@ -145,14 +156,14 @@
         if (self._log.used + len(record) + self._reserve_bytes + self._exact_check_margin > self._limit_bytes
                 and not self._make_room(len(record) + self._reserve_bytes + self._copy_reserve(), 0)):
             raise NoRoomError(f"{self._log.used} bytes used with a limit of {self._limit_bytes}")
-        if self._deferred and not self._write_deferred():
+        if self._deferred and not self._deferred.write():
             raise NoRoomError(self._write_error)
         try:
             segment = self._append(record)
         except OSError as error:
             raise NoRoomError(str(error)) from error
         if self._sync_failed and known is None:  # its own sync has failed: the record is written, and must be cancelled
-            self._write_or_defer(message.id, codec.over(message.id))
+            self._deferred.write_event(message.id, codec.over(message.id))
             raise NoRoomError("a sync has failed: new messages are refused until the next start")
         if known is not None:
             self._remove_from_segment(known)
@@ -163,79 +174,39 @@
     def attempt(self, message: str, number: int, at_ms: int, endpoint: str) -> None:
         """Record that an attempt is about to be sent. Raises `OSError` if it cannot be written, and then it must not be
         sent."""
-        if message in self._deferred and not self._write_deferred():
+        if self._deferred and not self._deferred.write():  # after a kill, later attempts must not be all that is known
             raise OSError(errno.EIO, self._write_error)
-        self._append_reserved(codec.attempt(message, number, at_ms, endpoint))
+        self.append_reserved(codec.attempt(message, number, at_ms, endpoint))
         self._state.attempt(message, number, at_ms, endpoint)
 
     def outcome(self, message: str, number: int, may_have_run: bool) -> None:
         """Record that an attempt has ended while the message stays open."""
         if self._state.outcome(message, number, may_have_run):
-            self._write_or_defer(message, codec.outcome(message, number, may_have_run))
+            self._deferred.write_event(message, codec.outcome(message, number, may_have_run))
 
     def end(self, message: str, outcome: str, retry_ms: int) -> None:
         """Record a message's final outcome, of which the platform is still to be notified."""
         if self._state.end(message, outcome, retry_ms):
-            self._write_or_defer(message, codec.end(message, outcome, retry_ms))
+            self._deferred.write_event(message, codec.end(message, outcome, retry_ms))
 
     def over(self, message: str) -> None:
         """Record that a message is finished: delivered, withdrawn, or its notice acknowledged."""
         removed = self._state.over(message)
         if removed is not None:
             self._remove_from_segment(removed)
-            self._write_or_defer(message, codec.over(message))
+            self._deferred.write_event(message, codec.over(message))
 
     def mark(self, name: str, value: Any) -> None:
-        """Set a fact; None deletes it. A fact that cannot be written is dropped."""
+        """Set a fact; None deletes it."""
         if value is None and name not in self._state.marks:
             return
         self._state.mark(name, value)
-        if (segment_number := self._fact_segments.pop(name, None)) is not None:
-            self._segments_by_number[segment_number].facts.pop(name, None)
-        try:
-            segment = self._append_reserved(codec.fact(name, value))
-        except OSError:
-            return  # a lost fact does no harm: the next one with its name replaces it
-        if value is not None:
-            segment.facts[name] = None
-            self._fact_segments[name] = segment.number
-
-    def _write_or_defer(self, name: str, record: bytes) -> None:
-        """Write an event that has already happened, or defer it until the disk accepts writes.
-
-        A full or broken disk must not stop the process: memory stays current. A replay without the event would know
-        less, and would count the attempt as one that may have run.
-        """
-        if self._deferred:
-            self._deferred[name] = None
-            self.deferrals += 1
-            self._write_deferred()
-            return
-        try:
-            self._append_reserved(record)
-        except OSError as error:
-            self._deferred[name] = None
-            self.deferrals += 1
-            log.warning("journal: deferred the state of %s: %s", name, error)
-
-    def _write_deferred(self) -> bool:
-        """Write what was deferred. True once nothing is left."""
-        try:
-            for name in list(self._deferred):
-                message = self._state.messages.get(name)
-                if message is None:
-                    self._append_reserved(codec.over(name))
-                else:
-                    segment = self._append_reserved(codec.take(message))
-                    self._assign_segment(message, segment)
-                del self._deferred[name]
-        except OSError:
-            return False
-        return True
+        self.remove_fact(name)
+        self._deferred.write_fact(name)
 
     # --- writing ---
 
-    def _append_reserved(self, record: bytes) -> Segment:
+    def append_reserved(self, record: bytes) -> Segment:
         """Append a record that may use the reserve.
 
         The space for copying forward is used last, because copying is what frees space.
--- a/wheelstep/journal/state.py
+++ b/wheelstep/journal/state.py
@@ -30,6 +30,7 @@
     number: int = 0
     segment_number: int = field(default=0, compare=False)  # number of the segment that holds the whole message
     weight: int = field(default=0, compare=False)  # estimated live bytes, without open attempts
+    unwritten: bool = field(default=False, compare=False)  # the disk has an older state of it
 
     def may_have_run(self, except_attempt: int | None = None) -> tuple[int, str] | None:
         """Return send time and endpoint of the earliest attempt that may have run, or None.
--- a/wheelstep/journal/writing.py
+++ b/wheelstep/journal/writing.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 from wheelstep.journal import codec
+from wheelstep.journal.deferral import DeferredEvents
 from wheelstep.journal.disk import Disk
 from wheelstep.journal.durability import NoRoomError, SyncPolicy
 from wheelstep.journal.segments import Log, Segment
@@ -22,17 +23,16 @@
     """Appends records and tracks how far the log is synced."""
 
     _log: Log  # set when the folder is opened
+    _deferred: DeferredEvents
 
     def __init__(self, disk: Disk, limit_bytes: int, sync: SyncPolicy, wait_s: float,
                  clock: Callable[[], float]) -> None:
         self._disk = disk
         self._limit_bytes, self._sync, self._wait_s, self._clock = limit_bytes, sync, wait_s, clock
         self._segments_by_number: dict[int, Segment] = {}
-        self._deferred: dict[str, None] = {}  # messages whose latest state could not be written yet
         self._write_error = ""  # the first error since writing last worked; empty while it works
         self._failing_since_s = 0.0  # of the journal's clock, when that error came
         self.failed_writes = 0  # since the start
-        self.deferrals = 0  # events since the start that had happened and could not be written at once
         self._sync_failed = False  # a sync has failed: no new message is accepted until the next start
         self._synced = 0  # offset up to which the log is synced
         # (offset, segment): the segment is removed once the log is synced up to the offset
@@ -56,9 +56,9 @@
             with contextlib.suppress(OSError):  # it is written: only new messages are refused
                 self.sync_now()
         if self._write_error and not self._deferred:
-            log.warning("journal: writes again after %.3f s, %d failed writes and %d deferred events since the start; the "
-                        "error was: %s", self._clock() - self._failing_since_s, self.failed_writes, self.deferrals,
-                        self._write_error)
+            log.warning("journal: writes again after %.3f s, %d failed writes and %d deferred events since the start; "
+                        "the error was: %s", self._clock() - self._failing_since_s, self.failed_writes,
+                        self._deferred.total, self._write_error)
             self._write_error = ""
         return segment
 
--- a/wheelstep/upgrade/source.py
+++ b/wheelstep/upgrade/source.py
@@ -23,6 +23,8 @@
 from wheelstep.upgrade.states import Action, Handover, State
 
 _HANDOVER_TIMEOUT_S = 4.0  # time limit for all steps of a handover
+_FLUSH_TIMEOUT_S = 0.3  # time limit for the disk to take what happened during the handover
+_FLUSH_RETRY_S = 0.01
 _OUTCOMES_TIMEOUT_S = 0.2  # time limit for sending the last outcomes
 
 log = logging.getLogger(__name__)
@@ -31,14 +33,17 @@
 class HandoverSource:
     """Waits for a successor for as long as the process serves.
 
-    `close` must stop all writes to the journal and close it. `seq` returns the endpoint list's sequence number.
+    `flush` writes what the journal's disk has not taken yet and tells whether nothing is left, `close` must stop all
+    writes to the journal and close it. `seq` returns the endpoint list's sequence number.
     """
 
     def __init__(self, folder: Path, core: Core, server: ClientServer, seq: Callable[[], int],
-                 close: Callable[[], None], inherited_calls: Callable[[], list[OpenCall]] = list) -> None:
+                 flush: Callable[[], bool], close: Callable[[], None],
+                 inherited_calls: Callable[[], list[OpenCall]] = list) -> None:
         """Prepare; `inherited_calls` returns the calls that the previous process still has in flight."""
         self._inherited_calls = inherited_calls
-        self._folder, self._core, self._server, self._seq, self._close = folder, core, server, seq, close
+        self._folder, self._core, self._server, self._seq = folder, core, server, seq
+        self._flush, self._close = flush, close
         self._handover = Handover()
         self._listener: socket.socket | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -74,8 +79,8 @@
         for descriptor in descriptors:
             os.close(descriptor)
         match head.get("do"):
-            case "take over" if self._leaving:
-                channel.close()  # the successor retries until the folder is free
+            case "take over" if self._leaving or not self._flush():
+                channel.close()  # the successor retries until the folder is free, or the disk has all that has happened
             case "take over":
                 self._perform(self._handover.requested(channel), channel)
             case "received":
@@ -151,9 +156,16 @@
         await channel.send_list({"is": "list", "seq": self._seq()}, write_rows(self._core.rows()))
         await channel.send({"is": "connections"})
 
+    async def _wait_flushed(self) -> None:
+        """Wait until the disk has all that has happened: the successor reads it there."""
+        until_s = time.monotonic() + _FLUSH_TIMEOUT_S
+        while not self._flush() and time.monotonic() < until_s:
+            await asyncio.sleep(_FLUSH_RETRY_S)
+
     async def _hand_over(self, channel: Channel) -> None:
         """Close the journal, then send the calls in flight, waits, settling keys and the messages that have ended."""
         self._core.journal_endpoint_health()
+        await self._wait_flushed()
         calls = [[call.endpoint, call.sent_ms, call.attempts]
                  for call in [*self._core.calls_out(), *self._inherited_calls()]]
         settling = list(self._core.order.settling(time.monotonic()).items())
--- a/wheelstep/workers/supervisor.py
+++ b/wheelstep/workers/supervisor.py
@@ -13,9 +13,9 @@
 from typing import TYPE_CHECKING, Any
 
 from wheelstep import interface as api
-from wheelstep.courier.__main__ import follow_config
 from wheelstep.courier.config import Address, Config
 from wheelstep.courier.listing import entries
+from wheelstep.courier.reload import follow_config
 from wheelstep.courier.rows import Row, write_rows
 from wheelstep.courier.shutdown import ignore_signals
 from wheelstep.courier.spread import calling_couriers, max_retry_s
