--- a/tests/test_journal_before_effects.py
+++ b/tests/test_journal_before_effects.py
@@ -63,6 +63,25 @@
     run(scenario())
 
 
+# Incident 57's class, duplicates: a client was told to come again before the journal had the end; after a kill the
+# message was sent as well.
+def test_a_message_is_not_sent_after_its_client_was_told_to_come_again_while_the_disk_failed(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        async with failing_scene(tmp_path, monkeypatch, tick_us=SLOW_TICK_US, open_cap=3) as scene:
+            scene.default_reply = None
+            for message in ("one", "two", "three"):  # with the third there is no room, and one is handed back untried
+                assert await scene.courier.hand_in(message) == 202
+            scene.page.disk_failure_share = 1.0
+            await asyncio.sleep(FAILS_S + SLOW_TICK_US / 1e6)
+            handed_back = set(scene.platform.notices_heard)
+            scene.page.disk_failure_share, scene.default_reply = 0.0, OK
+            await scene.restart()
+            await asyncio.sleep(AFTER_RESTART_S)
+            assert not handed_back & set(scene.called())
+    run(scenario())
+
+
 # Incident 57's class, order: a process that was told to end took with it what the disk did not take.
 def test_a_courier_that_is_told_to_end_writes_what_the_disk_did_not_take(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
--- a/wheelstep/courier/dispatcher.py
+++ b/wheelstep/courier/dispatcher.py
@@ -27,6 +27,7 @@
 from wheelstep.courier.send_guard import SendGuard
 from wheelstep.courier.timeliness import Timeliness, timeliness
 from wheelstep.courier.wall_clock import clock
+from wheelstep.courier.written_ends import notify_when_written
 from wheelstep.interface import NEVER_EXECUTED, Outcome
 from wheelstep.journal import NoRoomError, StoredMessage
 
@@ -243,8 +244,7 @@
 
     def _notify_end(self, message: StoredMessage) -> None:
         if message.notice is None or self.notices is None:
-            self.order.completed(message.id, time.monotonic())
-            return
+            return self.order.completed(message.id, time.monotonic())
         if message.notice[0] != "delivered":
             self.order.notification_pending(message.id, message.key)
-        self.notices.enqueue(message.id, *message.notice)
+        notify_when_written(message, self.notices)
