--- a/tests/test_journal_crashes.py
+++ b/tests/test_journal_crashes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import logging
 import random
@@ -340,6 +341,21 @@
                 assert JournalState.of(open_journal(disk.after_crash(power=False), SyncPolicy.NONE)) == held
 
 
+@pytest.mark.parametrize("broken", [{"write", "unlink"}, {"close"}, {"write", "truncate"}, {"write", "close"}])
+def test_a_journal_writes_again_after_a_new_segment_could_not_be_begun_or_cleaned_up(broken: set[str]) -> None:
+    """Incident 57: the file of a segment that was not begun stayed behind, and each later try found it there."""
+    journal = open_journal(disk := FaultyDisk(), SyncPolicy.NONE)
+    for number in range(12):  # segments hold 1,000 bytes
+        disk.broken = broken if number in (4, 5, 8) else set()
+        with contextlib.suppress(NoRoomError):
+            journal.take(message(f"m{number}", 400))
+    disk.broken = set()
+    journal.take(message("last", 400))
+    held = JournalState.of(journal)
+    assert {"m0", "m6", "m11", "last"} <= set(journal.messages)
+    assert JournalState.of(open_journal(disk.after_crash(power=False), SyncPolicy.NONE)) == held
+
+
 def test_half_a_record_that_can_not_be_cut_off_hides_nothing_behind_it() -> None:
     journal = open_journal(disk := FaultyDisk(), SyncPolicy.NONE)
     journal.take(message("a"))
--- a/wheelstep/journal/segments.py
+++ b/wheelstep/journal/segments.py
@@ -110,14 +110,13 @@
         before = self.segments[-1].size if self.segments else 0
         data = codec.header(codec.Header(number, low, before, taken_over))
         name = segment_file_name(number)
-        handle = self.disk.create(name)
+        handle = self._create(name)
         done = 0
         try:
             while done < len(data):
                 done += self.disk.write(handle, data[done:])
         except OSError:
-            with contextlib.suppress(OSError):
-                self.disk.close(handle)
+            self._close(handle)
             with contextlib.suppress(OSError):
                 self.disk.unlink(name)
             raise
@@ -126,13 +125,28 @@
             if self.syncs and (old in self.dirty or old in self._syncing):
                 self._retired.append(old)
             else:
-                self.disk.close(old)
+                self._close(old)
         self.segments.append(Segment(number, done, handle))
         self.used += rounded_to_blocks(done)
         if self.syncs:
             self.dirty.append(handle)
         self.folder_dirty, self._partial_tail = self.syncs, False
 
+    def _create(self, name: str) -> int:
+        """Create a segment's file. One that is there already is left over from a segment that could not be begun, and
+        holds no record."""
+        try:
+            return self.disk.create(name)
+        except FileExistsError:
+            self.disk.unlink(name)
+            return self.disk.create(name)
+
+    def _close(self, handle: int) -> None:
+        """Close a handle. It is released also where the call fails (close(2)), and what was written is as durable as
+        its last sync."""
+        with contextlib.suppress(OSError):
+            self.disk.close(handle)
+
     def drop_oldest(self) -> None:
         """Remove the oldest segment. The caller must have the records that are still needed in newer segments."""
         oldest = self.segments[0]
@@ -154,7 +168,7 @@
         handles, self._syncing = self._syncing, []
         for handle in [handle for handle in self._retired if handle in handles and handle not in self.dirty]:
             self._retired.remove(handle)
-            self.disk.close(handle)
+            self._close(handle)
 
     def close(self) -> None:
         """Close all handles."""
@@ -163,5 +177,4 @@
         for segment in self.segments:
             segment.handle = None
         for handle in handles:
-            with contextlib.suppress(OSError):
-                self.disk.close(handle)
+            self._close(handle)
--- a/wheelstep/rehearsal/faulty_disk.py
+++ b/wheelstep/rehearsal/faulty_disk.py
@@ -123,8 +123,9 @@
         self._pending.clear()
 
     def close(self, handle: int) -> None:
-        """Close a handle."""
+        """Close a handle, which is released also where the call fails (close(2))."""
         del self._handles[handle]
+        self._start_operation("close")
 
     def rename(self, old: str, new: str) -> None:
         """Rename a file, replacing another of the new name."""
