Sockets of clients and endpoints outlast errors that tell only of this machine's memory and buffers

Change: reliable_socket.py has such calls count as ones that would block, for clients, endpoints, the watch and notifications; a poll that fails says unknown; a failed accept at shutdown is repeated. connect(2) with EAGAIN began no connection, and is a shortage of this machine.

--- a/wheelstep/courier/client_connection.py
+++ b/wheelstep/courier/client_connection.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import logging
-import select
 from collections import deque
 from collections.abc import Callable
 
 from wheelstep.courier.client_phases import ConnectionManager, Phase
 from wheelstep.courier.request import MAX_BODY_BYTES, MAX_HEAD_BYTES, Request, RequestReader, format_response
+from wheelstep.courier.socket_state import Unread, unread
 
 # Bytes discarded after the half-close: one request of the largest size, since a client sends one at a time on a
 # connection (PROTOCOL, clients to couriers). Beyond that nothing is read, and flow control stops the client.
@@ -145,12 +145,10 @@
             self._half_close()
 
     def _has_unread_input(self) -> bool:
-        """Return whether input has arrived since the loop last read."""
+        """Return whether input may have arrived since the loop last read."""
         if self.transport is None or not self.transport.is_reading():
             return False
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return unread(self.transport.get_extra_info("socket")) is not Unread.NOTHING
 
     def cancel_wait(self) -> None:
         """Make a request that waits be answered with what is known now."""
--- a/wheelstep/courier/client_listener.py
+++ b/wheelstep/courier/client_listener.py
@@ -8,12 +8,14 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import socket
 from collections.abc import Callable
+from enum import Enum
 from typing import Any
 
+from wheelstep.courier import reliable_socket
+
 MAX_ACCEPTS_PER_TURN = 16  # in one turn of the loop; the number of connections may exceed its limit by as many
 # Without free descriptors the kernel keeps reporting that a connection waits; its client waits 400 ms (PROTOCOL).
 _RETRY_S = 0.1
@@ -21,6 +23,13 @@
 log = logging.getLogger(__name__)
 
 
+class Queue(Enum):
+    """What is known of the connections that wait in the kernel's queue."""
+
+    EMPTY = "empty"
+    UNKNOWN = "unknown"  # perhaps there are more, or accepting failed
+
+
 class ClientListener:
     """A listening socket; `protocol_factory` creates the protocol of a new connection."""
 
@@ -42,30 +51,33 @@
         if self.socket.fileno() >= 0:
             asyncio.get_running_loop().remove_reader(self.socket.fileno())
 
-    def accept(self) -> bool:
-        """Accept up to `MAX_ACCEPTS_PER_TURN` connections. Return False if none is left, or none can be accepted."""
+    def accept(self) -> Queue:
+        """Accept up to `MAX_ACCEPTS_PER_TURN` connections, and return what is known of the queue then."""
         if self.socket.fileno() < 0:
-            return False
+            return Queue.EMPTY
         for _ in range(MAX_ACCEPTS_PER_TURN):
             try:
-                client, _ = self.socket.accept()
+                client = reliable_socket.accept(self.socket)
             except (InterruptedError, ConnectionAbortedError):
                 continue
             except BlockingIOError:
-                return False
+                return Queue.EMPTY
             except OSError as error:
                 log.error("can't accept a connection, trying again soon: %s", error)
                 self.pause()
                 self._retry = asyncio.get_running_loop().call_later(_RETRY_S, self.resume)
-                return False
+                return Queue.UNKNOWN
             task = asyncio.get_running_loop().create_task(self._open(client))
             self._opening.add(task)
             task.add_done_callback(self._opening.discard)
-        return True
+        return Queue.UNKNOWN
 
     async def _open(self, client: socket.socket) -> None:
-        with contextlib.suppress(OSError):  # the client has disconnected meanwhile
+        try:
             await asyncio.get_running_loop().connect_accepted_socket(self._protocol_factory, client)
+        except OSError as error:  # the client has disconnected meanwhile
+            log.info("an accepted connection could not be opened: %s", error)
+            client.close()
 
     @property
     def opening(self) -> bool:
--- a/wheelstep/courier/client_server.py
+++ b/wheelstep/courier/client_server.py
@@ -16,7 +16,7 @@
 from wheelstep.courier.admission import Admission, BadRequestError, ClientApi, RefusedError, UnansweredError
 from wheelstep.courier.client_connection import ClientConnection
 from wheelstep.courier.client_connections import LINGER_S, ClientConnections
-from wheelstep.courier.client_listener import ClientListener
+from wheelstep.courier.client_listener import ClientListener, Queue
 from wheelstep.courier.client_phases import Phase
 from wheelstep.courier.config import Address
 from wheelstep.courier.listener import BACKLOG, open_listener
@@ -141,7 +141,7 @@
         self._listener.pause()
         queued = True
         while (left_s := began + STOP_S - loop.time()) > 0:
-            if queued and not (queued := self._listener.accept()):
+            if queued and not (queued := self._listener.accept() is Queue.UNKNOWN):
                 self._listener.close()  # in the same turn of the loop in which its queue was found empty
             self._connections.end_idle(silent=left_s < STOP_S / 2)
             if not queued and not self._listener.opening and not self._connections.all():
--- a/wheelstep/courier/dialling.py
+++ b/wheelstep/courier/dialling.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import ipaddress
+import socket
 
 from wheelstep.courier.call_errors import ConnectionBrokenError, LocalResourceError
 from wheelstep.courier.config import Address
 from wheelstep.courier.connection import Connection
 from wheelstep.courier.local_errors import LOCAL_ERRORS, SHORTAGE
+from wheelstep.courier.reliable_socket import create_socket
 
 LOCAL_RETRY_S = 0.02
 """Between two attempts to connect while this machine refuses."""
@@ -21,8 +24,7 @@
         async with asyncio.timeout(timeout_s):
             while True:
                 try:
-                    _, made = await asyncio.get_running_loop().create_connection(Connection, address.host, address.port)
-                    return made
+                    return await _connect(address)
                 except OSError as error:
                     if error.errno not in LOCAL_ERRORS:
                         raise ConnectionBrokenError(f"connect to {address.host}:{address.port}: {error}") from error
@@ -32,3 +34,18 @@
         if refused is not None and refused.errno in SHORTAGE:
             raise LocalResourceError(f"connect to {address.host}:{address.port}: {refused}") from error
         raise ConnectionBrokenError(f"connect to {address.host}:{address.port}: not done in {timeout_s} s") from error
+
+
+async def _connect(address: Address) -> Connection:
+    loop = asyncio.get_running_loop()
+    try:
+        family = socket.AF_INET6 if ipaddress.ip_address(address.host).version == 6 else socket.AF_INET
+    except ValueError:  # a name, which may have several addresses
+        return (await loop.create_connection(Connection, address.host, address.port))[1]
+    connected = create_socket(family)
+    try:
+        await loop.sock_connect(connected, (address.host, address.port))
+        return (await loop.create_connection(Connection, sock=connected))[1]
+    except BaseException:
+        connected.close()
+        raise
--- a/wheelstep/courier/notifier.py
+++ b/wheelstep/courier/notifier.py
@@ -16,6 +16,7 @@
 from wheelstep.courier.config import Address
 from wheelstep.courier.dialling import LOCAL_RETRY_S
 from wheelstep.courier.local_errors import LOCAL_ERRORS
+from wheelstep.courier.reliable_socket import socket_of_address
 
 # After a message's deadline its notice must have been answered within this time (PROTOCOL, 'The rules on sockets').
 _ANSWERED_WITHIN_S = 0.3
@@ -31,7 +32,7 @@
 def notification_session() -> aiohttp.ClientSession:
     """Return a session with one request on each connection: on a kept one, a second copy of a 204 would be read as the
     answer to the next notices. The platform's agent is on the same host, so that a new connection costs little."""
-    connector = aiohttp.TCPConnector(force_close=True)
+    connector = aiohttp.TCPConnector(force_close=True, socket_factory=socket_of_address)
     return aiohttp.ClientSession(connector=connector, auto_decompress=False, trust_env=False)
 
 
--- /dev/null
+++ b/wheelstep/courier/reliable_socket.py
@@ -0,0 +1,110 @@
+"""TCP sockets whose calls may fail for a while for want of memory or buffers, without the end of the connection.
+
+asyncio closes a connection at any error of `send` and `recv`. Some of them tell only that this machine lacks memory or
+buffers at the moment (send(2), recv(2)): nothing was transferred, and the connection is as it was. Such a call counts
+as one that would block; the event loop repeats it.
+"""
+
+from __future__ import annotations
+
+import errno
+import logging
+import os
+import socket
+import time
+from collections.abc import Callable
+from typing import Any
+
+from wheelstep.courier.local_errors import TRANSFER_ERRORS
+
+_LOG_INTERVAL_S = 1.0
+
+log = logging.getLogger(__name__)
+
+
+class _FailureLog:
+    """Logs failing calls, at most once in an interval, with their number since the last line."""
+
+    def __init__(self) -> None:
+        self._count, self._logged_s = 0, -_LOG_INTERVAL_S
+
+    def note(self, call: str, error: OSError) -> None:
+        self._count += 1
+        if (now_s := time.monotonic()) - self._logged_s >= _LOG_INTERVAL_S:
+            log.warning("%s fails and is repeated: %s; %d failed calls since the last line", call, error, self._count)
+            self._count, self._logged_s = 0, now_s
+
+
+_failures = _FailureLog()
+
+
+class ReliableSocket(socket.socket):
+    """A socket for asyncio's transports."""
+
+    def recv(self, size: int, flags: int = 0, /) -> bytes:
+        """Receive bytes. Raises `BlockingIOError` also where the system lacks memory."""
+        try:
+            return super().recv(size, flags)
+        except OSError as error:
+            raise _as_blocking("recv", error) from None
+
+    def send(self, data: Any, flags: int = 0, /) -> int:
+        """Send bytes. Raises `BlockingIOError` also where the system lacks memory or buffers."""
+        try:
+            return super().send(data, flags)
+        except OSError as error:
+            raise _as_blocking("send", error) from None
+
+    def connect(self, address: Any, /) -> None:
+        """Begin a connection. Without a free port or route the kernel says EAGAIN, and none is begun (connect(2))."""
+        try:
+            super().connect(address)
+        except BlockingIOError as error:
+            if error.errno == errno.EAGAIN:
+                raise OSError(errno.EADDRNOTAVAIL, os.strerror(errno.EADDRNOTAVAIL)) from error
+            raise
+
+    def setsockopt(self, *args: Any) -> None:
+        """Set an option, or leave it as it is where the system lacks memory: a connection without it is still one."""
+        self._or_skip("setsockopt", lambda: super(ReliableSocket, self).setsockopt(*args))
+
+    def shutdown(self, how: int, /) -> None:
+        """Close one direction, or leave that to the close of the socket where the system lacks buffers."""
+        self._or_skip("shutdown", lambda: super(ReliableSocket, self).shutdown(how))
+
+    @staticmethod
+    def _or_skip(name: str, call: Callable[[], None]) -> None:
+        try:
+            call()
+        except OSError as error:
+            if error.errno not in TRANSFER_ERRORS:
+                raise
+            _failures.note(name, error)
+
+
+def _as_blocking(call: str, error: OSError) -> OSError:
+    """Return the error to raise in place of this one."""
+    if error.errno not in TRANSFER_ERRORS:
+        return error
+    _failures.note(call, error)
+    return BlockingIOError(errno.EAGAIN, str(error))
+
+
+def create_socket(family: int, kind: int = socket.SOCK_STREAM, protocol: int = 0) -> ReliableSocket:
+    """Return a new socket that does not block. Raises `OSError`."""
+    created = ReliableSocket(family, kind, protocol)
+    created.setblocking(False)
+    return created
+
+
+def socket_of_address(address: tuple[Any, ...]) -> ReliableSocket:
+    """Return a new socket for an entry of `getaddrinfo`, as aiohttp asks for it. Raises `OSError`."""
+    return create_socket(*address[:3])
+
+
+def accept(listener: socket.socket) -> ReliableSocket:
+    """Accept a connection; the socket does not block. Raises `OSError`, see accept(2)."""
+    accepted, _ = listener.accept()
+    made = ReliableSocket(accepted.family, accepted.type, accepted.proto, fileno=accepted.detach())
+    made.setblocking(False)
+    return made
--- a/wheelstep/courier/socket_state.py
+++ b/wheelstep/courier/socket_state.py
@@ -18,13 +18,17 @@
     NOTHING = "nothing"
     BYTES = "bytes"
     END = "the end of the connection"  # perhaps behind further bytes
+    UNKNOWN = "unknown"  # the system could not tell
 
 
 def unread(connected: TransportSocket) -> Unread:
     """Return what waits to be read; the event loop may not have been told yet."""
     poll = select.poll()
     poll.register(connected.fileno(), select.POLLIN | select.POLLRDHUP)
-    found = poll.poll(0)
+    try:
+        found = poll.poll(0)
+    except OSError:  # ENOMEM, see poll(2)
+        return Unread.UNKNOWN
     if not found:
         return Unread.NOTHING
     ended = found[0][1] & (select.POLLRDHUP | select.POLLHUP | select.POLLERR)
--- a/wheelstep/courier/watch.py
+++ b/wheelstep/courier/watch.py
@@ -18,6 +18,7 @@
 from wheelstep.courier.config import Address, Names
 from wheelstep.courier.hedge import Hedge
 from wheelstep.courier.listing import MAX_BYTES, ListParser, entries
+from wheelstep.courier.reliable_socket import socket_of_address
 
 if TYPE_CHECKING:  # optional features are imported only when enabled
     from wheelstep.account.writer import AccountWriter
@@ -86,8 +87,9 @@
         """Keep a watch open; open another from the last version whenever one ends or is silent."""
         loop = asyncio.get_running_loop()
         self._hedge = hedge = Hedge(self._couriers, self._rng, loop.time(), self._most_s)
-        async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(keepalive_timeout=_KEEPALIVE_S),
-                                         auto_decompress=False, trust_env=False) as http, asyncio.TaskGroup() as group:
+        connector = aiohttp.TCPConnector(keepalive_timeout=_KEEPALIVE_S, socket_factory=socket_of_address)
+        async with (aiohttp.ClientSession(connector=connector, auto_decompress=False, trust_env=False) as http,
+                    asyncio.TaskGroup() as group):
             while True:
                 while (left_s := hedge.next_open_s - loop.time()) > 0:  # a line received meanwhile postpones it
                     with suppress(TimeoutError):
