--- a/tests/test_journal_crashes.py
+++ b/tests/test_journal_crashes.py
@@ -356,6 +356,27 @@
     assert JournalState.of(open_journal(disk.after_crash(power=False), SyncPolicy.NONE)) == held
 
 
+def test_a_journal_opens_although_half_a_record_can_not_be_cut_off_and_old_files_stay() -> None:
+    """Incident 57: a start gave up, or waited, where the disk took no changes; reading is enough to go on."""
+    journal = open_journal(disk := FaultyDisk(), SyncPolicy.NONE)
+    for number in range(5):
+        journal.take(message(f"m{number}", 400))
+    disk = disk.after_crash(power=False)
+    newest = max(disk.files)
+    disk.files[newest].data += disk.files[newest].data[:20]
+    disk.files[f"{int(newest[:8]) + 1:08}.journal"] = Inode(bytearray(b"no record"))
+    disk.broken = {"write", "truncate", "sync", "sync_folder", "unlink", "create"}
+    journal = open_journal(disk, SyncPolicy.NONE)
+    journal.over("m1")
+    with pytest.raises(OSError):
+        journal.attempt("m2", 0, 1, "e0")
+    disk.broken = set()
+    journal.attempt("m2", 0, 1, "e0")
+    held = JournalState.of(journal)
+    assert set(journal.messages) == {"m0", "m2", "m3", "m4"}
+    assert JournalState.of(open_journal(disk.after_crash(power=False), SyncPolicy.NONE)) == held
+
+
 def test_half_a_record_that_can_not_be_cut_off_hides_nothing_behind_it() -> None:
     journal = open_journal(disk := FaultyDisk(), SyncPolicy.NONE)
     journal.take(message("a"))
--- a/wheelstep/courier/client_listener.py
+++ b/wheelstep/courier/client_listener.py
@@ -18,7 +18,7 @@
 
 MAX_ACCEPTS_PER_TURN = 16  # in one turn of the loop; the number of connections may exceed its limit by as many
 # Without free descriptors the kernel keeps reporting that a connection waits; its client waits 400 ms (PROTOCOL).
-_RETRY_S = 0.1
+_RETRY_S = 0.02
 
 log = logging.getLogger(__name__)
 
@@ -39,6 +39,13 @@
         self._retry: asyncio.TimerHandle | None = None
         listening.setblocking(False)
 
+    def port(self) -> int:
+        """Return the port, 0 where the system can't tell (ENOBUFS, see getsockname(2))."""
+        try:
+            return int(self.socket.getsockname()[1])
+        except OSError:
+            return 0
+
     def resume(self) -> None:
         """Accept connections."""
         self._retry = None
--- a/wheelstep/courier/client_server.py
+++ b/wheelstep/courier/client_server.py
@@ -58,7 +58,7 @@
         listener.listen(BACKLOG)  # another process may have had it
         self._listener = ClientListener(listener, lambda: ClientConnection(connections))
         self._listener.resume()
-        return int(self._listener.socket.getsockname()[1])
+        return self._listener.port() or listen.port
 
     # --- transfer from one process to the next (wheelstep.upgrade) ---
 
--- a/wheelstep/courier/dispatcher.py
+++ b/wheelstep/courier/dispatcher.py
@@ -110,8 +110,8 @@
         if self._report is not None:
             self.invariants.report_violation(Invariant.OWNER, f"a call to {endpoint} began after the handover")
         for item in items:
-            self.order.attempt_started(item.message, item.attempt)
             self._journal.attempt(item.message, item.attempt, now_ms, endpoint)
+            self.order.attempt_started(item.message, item.attempt)
             self._untried.discard(item.message)
             self._record(EventKind.ATTEMPT_STARTED, item.message, f"{item.attempt} at {endpoint}")
             if self.account is not None:
--- a/wheelstep/journal/journal.py
+++ b/wheelstep/journal/journal.py
@@ -67,13 +67,13 @@
         if result.damage:
             log.error("journal: %d messages are treated as possibly run, %d lost their bodies and are ended as failed",
                       len(result.doubted & set(result.state.messages)), len(result.bodies_lost))
-        recovery.clean_up(self._disk, result)
+        cleaned = self._clean_up(result)
         self._state = result.state
         self._deferred = DeferredEvents(self._state, self, self._log_deferral)
         self._log = Log(self._disk, self._target_bytes, self._sync is not SyncPolicy.NONE)
         self._segments_by_number = {segment.number: segment for segment in result.segments}
         self._fact_segments = result.fact_segments
-        self._log.adopt(result.segments)
+        self._log.adopt(result.segments, partial_tail=not cleaned)
         if result.old is not None:
             segment = migrate_old_format(self._disk, self._log, self._state, self._fact_segments,
                                          result.old_fingerprint)
@@ -81,6 +81,16 @@
         if result.bodies_lost:
             self._write_recovered(result.bodies_lost)
 
+    def _clean_up(self, result: recovery.RecoveryResult) -> bool:
+        """Clean up after recovery. Return False where the disk refuses that: then a new segment has to be begun, and
+        files that are not in use stay until the next start."""
+        try:
+            recovery.clean_up(self._disk, result)
+        except OSError as error:
+            log.warning("journal: could not clean up, a new segment is begun: %s", error)
+            return False
+        return True
+
     def _write_recovered(self, names: set[str]) -> None:
         """Write messages that recovery rebuilt from later records, which no segment holds whole."""
         for name in names:
--- a/wheelstep/journal/recovery.py
+++ b/wheelstep/journal/recovery.py
@@ -211,7 +211,7 @@
 
 def clean_up(disk: Disk, result: RecoveryResult) -> None:
     """Cut off a torn tail and remove files that are not in use. Idempotent, so that it can be repeated after a
-    crash."""
+    crash. Raises `OSError`."""
     if (result.torn is not None and result.segments
             and segment_file_name(result.segments[-1].number) == result.torn.file):
         handle = disk.append_to(result.torn.file)
--- a/wheelstep/journal/segments.py
+++ b/wheelstep/journal/segments.py
@@ -67,12 +67,14 @@
         """The newest segment, which appends go to."""
         return self.segments[-1]
 
-    def adopt(self, segments: list[Segment]) -> None:
-        """Continue with the segments that recovery found."""
-        self.segments = segments
+    def adopt(self, segments: list[Segment], partial_tail: bool = False) -> None:
+        """Continue with the segments that recovery found; `partial_tail`: the newest may end in half a record. One that
+        can't be opened is not appended to."""
+        self.segments, self._partial_tail = segments, partial_tail
         self.used = sum(rounded_to_blocks(segment.size) for segment in segments)
-        if segments and segments[-1].size < self.target_bytes:
-            segments[-1].handle = self.disk.append_to(segment_file_name(segments[-1].number))
+        if segments and segments[-1].size < self.target_bytes and not partial_tail:
+            with contextlib.suppress(OSError):
+                segments[-1].handle = self.disk.append_to(segment_file_name(segments[-1].number))
 
     def append(self, data: bytes) -> Segment:
         """Append one or several records to one segment, and return the segment."""
