Hand-overs outlast errors of this machine; the soak draws the new faults

Cause: the serving process could not listen for its successor once, at its start, and never tried again. Change: it tries every 100 ms; packets are repeated where the system lacks memory; connections that were handed over outlast errors as those that were accepted do.

--- a/tests/test_failing_starts.py
+++ b/tests/test_failing_starts.py
@@ -4,12 +4,18 @@
 
 import asyncio
 import contextlib
+import errno
+import socket
 from pathlib import Path
+from typing import Any
 
 import pytest
 from failing_courier import failing_scene
 from loopback import LIMIT_S, run
 
+from wheelstep.upgrade import channel
+from wheelstep.upgrade.source import HandoverSource
+
 SHARE = 0.5  # of the calls, where some of them have to work
 FAILS_S = 1.0
 SOON_S = 2.5
@@ -55,3 +61,29 @@
                 await scene.wait_until(lambda: scene.called().count("owed") > 1, SOON_S)
             assert scene.called().count("owed") == 2 and not scene.platform.notices_heard
     run(scenario())
+
+
+# Incident 57's class: a process that could not listen for its successor once was never upgraded under load.
+def test_a_process_listens_for_a_successor_although_the_system_refused_that_at_first(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    real, refusals = channel.listen, [errno.EINTR, errno.EMFILE]
+
+    def listen(folder: Path) -> socket.socket:
+        if refusals:
+            raise OSError(refusals.pop(), "refused")
+        return real(folder)
+
+    async def scenario() -> None:
+        core: Any = None
+        server: Any = None
+        source = HandoverSource(tmp_path, core, server, lambda: 0, lambda: True, lambda: None)
+        source.start()
+        async with asyncio.timeout(SOON_S):
+            while True:
+                with contextlib.suppress(OSError):
+                    channel.connect(tmp_path).close()
+                    break
+                await asyncio.sleep(0.01)
+        source.stop()
+    monkeypatch.setattr(channel, "listen", listen)
+    run(scenario())
--- a/wheelstep/rehearsal/soak/courier.py
+++ b/wheelstep/rehearsal/soak/courier.py
@@ -18,6 +18,8 @@
 UPGRADE_READY_TIMEOUT_S = 6.0  # until an upgraded process must report ready on its console
 MAX_SUSPECT_LINES = 40  # that are kept of a courier's logs
 _POLL_INTERVAL_S = 0.02
+_PAGE_FIELDS = {"sockets": "socket_failure_share", "short": "max_socket_bytes", "disk": "disk_failure_share",
+                "transfers": "transfer_failure_share", "polls": "poll_failure_share", "opens": "open_failure_share"}
 SUSPECT_PHRASES = ("invariant violated", "Traceback", "unexpectedly", "a turn failed", "could not carry out",
                    "never retrieved")
 """Texts that must not appear in a courier's log under any fault."""
@@ -102,18 +104,10 @@
                     _send_signal(self._serving_process, signal.SIGHUP)
             case "clock":
                 self.page.clock_offset_s += fault.share
-            case "sockets":
-                self.page.socket_failure_share = fault.share
+            case kind if (field := _PAGE_FIELDS.get(kind)) is not None:
+                setattr(self.page, field, fault.share)
                 await asyncio.sleep(duration_s)
-                self.page.socket_failure_share = 0.0
-            case "short":
-                self.page.max_socket_bytes = fault.share
-                await asyncio.sleep(duration_s)
-                self.page.max_socket_bytes = 0
-            case "disk":
-                self.page.disk_failure_share = fault.share
-                await asyncio.sleep(duration_s)
-                self.page.disk_failure_share = 0.0
+                setattr(self.page, field, 0.0)
 
     async def _send_signal_series(self, rng: random.Random) -> None:
         """Send SIGHUPs, then SIGTERM, then more of both until the process has ended; it is started again after that."""
--- a/wheelstep/rehearsal/soak/plan.py
+++ b/wheelstep/rehearsal/soak/plan.py
@@ -20,8 +20,8 @@
 CROWD_SOCKETS = 256
 CLOCK_STEPS_S = (-3600.0, -5.0, -0.4, 0.4, 5.0, 3600.0)
 COURIER_FAULTS = ("kill", "term", "signals", "upgrade", "upgrades", "upgrade-kill", "pause", "reload", "discovery",
-                  "agent-copy")
-IN_PROCESS_FAULTS = ("clock", "sockets", "short", "disk")
+                  "agent-copy", "disk-kill", "start")
+IN_PROCESS_FAULTS = ("clock", "sockets", "short", "disk", "transfers", "polls", "opens")
 """Faults inside a courier's process; they need it to run under `faulty`."""
 ENDPOINT_FAULTS = ("stall", "silent", "hang", "refuse", "shut", "fail", "reset", "spoil", "copy", "leave", "replace")
 _MS, _S = 1_000, 1_000_000
@@ -124,6 +124,14 @@
                     yield Fault("upgrade", at_us, at_us, couriers=targets)
                     killed_us = at_us + int(rng.uniform(0.3, 1.2) * 1e6)
                     yield Fault("kill", killed_us, killed_us + 600 * _MS, couriers=targets)
+                case "disk-kill":  # what the disk did not take is lost, or was written just before
+                    yield Fault("disk", at_us, until_us, couriers=targets, share=rng.choice([0.3, 0.7, 1.0]))
+                    killed_us = at_us + int(rng.uniform(0.2, 1.2) * (until_us - at_us))
+                    yield Fault("kill", killed_us, killed_us + 600 * _MS, couriers=targets)
+                case "start":  # calls fail while the process after a kill starts
+                    yield Fault("kill", at_us, at_us + 600 * _MS, couriers=targets)
+                    failing = rng.choice(("sockets", "disk", "polls", "opens"))
+                    yield Fault(failing, at_us + 500 * _MS, at_us + 1_500 * _MS, couriers=targets, share=0.5)
                 case "upgrade" | "reload":
                     yield Fault(kind, at_us, at_us, couriers=targets)
                 case "pause":
@@ -139,7 +147,7 @@
         for kind in rng.sample(config.in_process_faults, min(len(config.in_process_faults), rng.choice([1, 2]))):
             at_us, until_us = _draw_interval(rng, config, 0.3, 1.2)
             share = {"clock": rng.choice(CLOCK_STEPS_S), "sockets": 0.5, "short": float(rng.choice([1, 7, 100])),
-                     "disk": rng.choice([0.3, 1.0])}[kind]
+                     "disk": rng.choice([0.3, 1.0])}.get(kind, rng.choice([0.2, 0.7]))
             yield Fault(kind, at_us, at_us if kind == "clock" else until_us, couriers=(courier,), share=share)
 
 
--- a/wheelstep/upgrade/channel.py
+++ b/wheelstep/upgrade/channel.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import logging
 import os
@@ -15,10 +16,13 @@
 from pathlib import Path
 from typing import Any
 
+from wheelstep.courier.local_errors import TRANSFER_ERRORS
+
 SOCKET_NAME = "successor"  # socket in the state folder, where a new process finds the serving one
 MAX_PACKET_BYTES = 96 * 1024  # bytes of a packet; less than the kernel's socket buffers hold
 ROWS_PER_PACKET = 200  # entries of a list in one packet
 _WRITE_TIMEOUT_S = 2.0
+_REPEATED_ERRORS = TRANSFER_ERRORS | {errno.EAGAIN}  # nothing was transferred
 
 log = logging.getLogger(__name__)
 
@@ -46,9 +50,9 @@
         """Receive one packet and pass it on; close the connection if that fails."""
         try:
             data, descriptors, _, _ = socket.recv_fds(self._socket, MAX_PACKET_BYTES, 8)
-        except BlockingIOError:
-            return
-        except OSError:
+        except OSError as error:
+            if error.errno in _REPEATED_ERRORS:
+                return
             data, descriptors = b"", []
         if not data:
             self.close()
@@ -78,7 +82,9 @@
             raise OSError("the connection has ended")
         try:
             socket.send_fds(self._socket, [data], list(descriptors))
-        except BlockingIOError:
+        except OSError as error:
+            if error.errno not in _REPEATED_ERRORS:
+                raise
             return False
         return True
 
--- a/wheelstep/upgrade/source.py
+++ b/wheelstep/upgrade/source.py
@@ -16,6 +16,7 @@
 from wheelstep.courier.call import Item, Result
 from wheelstep.courier.client_server import ClientServer
 from wheelstep.courier.core import Core
+from wheelstep.courier.local_errors import may_pass
 from wheelstep.courier.ports import OpenCall
 from wheelstep.courier.rows import write_rows
 from wheelstep.upgrade import channel as channels
@@ -23,6 +24,7 @@
 from wheelstep.upgrade.states import Action, Handover, State
 
 _HANDOVER_TIMEOUT_S = 4.0  # time limit for all steps of a handover
+_LISTEN_RETRY_S = 0.1
 _FLUSH_TIMEOUT_S = 0.3  # time limit for the disk to take what happened during the handover
 _FLUSH_RETRY_S = 0.01
 _OUTCOMES_TIMEOUT_S = 0.2  # time limit for sending the last outcomes
@@ -49,6 +51,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._channel: Channel | None = None
         self._time_limit: asyncio.TimerHandle | None = None
+        self._listen_retry: asyncio.TimerHandle | None = None
         self._leaving = False
 
     @property
@@ -57,11 +60,16 @@
         return self._handover.state in (State.GIVEN, State.DONE)
 
     def start(self) -> None:
-        """Listen for a successor. If that fails, an upgrade waits until this process has ended."""
+        """Listen for a successor, and try again while the system refuses that. An upgrade waits for it, or until this
+        process has ended."""
+        if self._leaving:
+            return
         try:
             self._listener = channels.listen(self._folder)
         except OSError as error:
             log.warning("cannot listen for a successor, no upgrade under load: %s", error)
+            if may_pass(error):
+                self._listen_retry = asyncio.get_running_loop().call_later(_LISTEN_RETRY_S, self.start)
             return
         asyncio.get_running_loop().add_reader(self._listener.fileno(), self._accept)
 
@@ -225,6 +233,8 @@
     def stop(self) -> None:
         """Close all sockets and tasks; what a successor has received stays with it."""
         self._cancel_time_limit()
+        if self._listen_retry is not None:
+            self._listen_retry.cancel()
         if self._listener is not None and self._handover.state is not State.DONE:
             asyncio.get_running_loop().remove_reader(self._listener.fileno())
             self._listener.close()
--- a/wheelstep/upgrade/target.py
+++ b/wheelstep/upgrade/target.py
@@ -17,6 +17,7 @@
 from wheelstep.courier.client_server import ClientServer
 from wheelstep.courier.core import Core
 from wheelstep.courier.ports import OpenCall
+from wheelstep.courier.reliable_socket import ReliableSocket
 from wheelstep.courier.rows import Row, read_rows
 from wheelstep.interface import Outcome
 from wheelstep.upgrade import channel as channels
@@ -66,7 +67,7 @@
         transferred = self.transferred
         match head["is"]:
             case "client":
-                transferred.clients.append((socket.socket(fileno=descriptors.pop()), bool(head["idle"]), body))
+                transferred.clients.append((ReliableSocket(fileno=descriptors.pop()), bool(head["idle"]), body))
             case "listener":
                 transferred.listener = socket.socket(fileno=descriptors.pop())
             case "list":
