A call whose first byte this machine can't take for 20 ms is not sent, and goes back to the module

Need: since sockets outlast failing sends, a call could wait for the machine and go out after its endpoint was told to drain or had asked to wait. Change: a call of which no byte was taken within 20 ms is not sent (LocalResourceError), its checks are made anew with the next attempt. A failing close releases its descriptor (close(2)) and is logged. Evidence: the new test failed before: the endpoint got the call 0.9 s after it was listed as draining.

--- a/tests/test_failing_system_calls.py
+++ b/tests/test_failing_system_calls.py
@@ -7,11 +7,12 @@
 
 import pytest
 from failing_courier import FailingScene, busy_share, failing_scene
-from loopback import LIMIT_S, run
+from loopback import LIMIT_S, host, run
 
 SHARE = 0.5  # of the calls, in tests that don't need all of them to fail
 NEARLY_ALL = 0.9  # of the calls: `epoll_wait` has to tell of some events meanwhile
 FAILS_S = 1.0
+SLOW_TICK_US = 300_000  # from a message to its call
 BUSY_SHARE = 0.5  # of one core, for a courier that has nothing to do
 SOON_S = 2.5
 FIELDS = ("transfer_failure_share", "poll_failure_share", "socket_failure_share", "open_failure_share")
@@ -114,6 +115,22 @@
     run(scenario())
 
 
+# Incident 57's class, drain: a call that waited for the machine was written after its endpoint was told to drain.
+def test_a_call_whose_first_byte_could_not_be_written_is_not_sent_to_an_endpoint_that_drains_by_then(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        async with failing_scene(tmp_path, monkeypatch, tick_us=SLOW_TICK_US) as scene:
+            assert await scene.courier.hand_in("waiting") == 202
+            scene.page.transfer_failure_share = 1.0
+            await asyncio.sleep(SLOW_TICK_US / 1e6 + 0.1)
+            scene.platform.push(host("e0", scene.endpoint.address, health="DRAINING"))
+            await asyncio.sleep(FAILS_S)
+            scene.page.transfer_failure_share = 0.0
+            await asyncio.sleep(FAILS_S)
+            assert scene.called() == []
+    run(scenario())
+
+
 # Incident 57's class, lost: at a shutdown the listener was closed over clients when one `accept` failed.
 def test_clients_that_wait_to_be_accepted_at_a_shutdown_are_answered_although_accept_fails(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
--- a/wheelstep/courier/connection.py
+++ b/wheelstep/courier/connection.py
@@ -12,12 +12,15 @@
 import time
 from asyncio.trsock import TransportSocket
 from collections.abc import Callable
+from typing import cast
 
 from wheelstep.courier.answer import MAX_BODY, MAX_HEAD, Answer, AnswerReader, MalformedError, final_start, says_200
-from wheelstep.courier.call_errors import ConnectionBrokenError, WriteTimeoutError
+from wheelstep.courier.call_errors import ConnectionBrokenError, LocalResourceError, WriteTimeoutError
 from wheelstep.courier.socket_state import Unread, discard_unsent_at_close, has_unsent_bytes, unread
 
 _IMMEDIATE_BYTES = 8 * 1024  # bytes the kernel takes at once if none are queued: under half of Linux's first buffer
+# A call whose first byte waits longer for this machine is not sent: its endpoint may drain or ask to wait meanwhile.
+_FIRST_BYTE_S = 0.02
 _ANSWER_TIME_S = 0.5  # seconds from an answer's first byte until it must be complete, else it is malformed
 
 
@@ -36,6 +39,7 @@
         self.peer_closed_at: float | None = None  # when the endpoint closed it while no call was under way
         self._sent_at = 0.0
         self._cancelled = False
+        self._begun = False  # the kernel has a byte of the call
         self._last_byte_held = False  # the call's last byte is not yet passed to the transport
         self._write_timer: asyncio.TimerHandle | None = None
         self.number = 0  # of this connection at its pool, for logs
@@ -78,20 +82,17 @@
 
     def resume_writing(self) -> None:
         """Note that the transport has written all bytes."""
-        # asyncio calls this in the step that writes the last byte, also while this side closes. If a call ends
-        # between that step and its task's next turn, it must not count as never run.
+        # asyncio calls this in the step that writes the last byte, also while this side closes. A call that ends
+        # between that step and its task's next turn must not count as never run.
         self._paused, self.written = False, not self._last_byte_held
         self._changed.set()
 
     # --- interface to the endpoint client ---
 
     def usable(self) -> bool:
-        """Return whether a call may be written. Polls the socket itself, since the end of the connection or
-        unrequested bytes may have arrived since the event loop last read."""
-        if self._ended or self._transport is None or self._transport.is_closing():
-            self._note_peer_close()
-            return False
-        waiting = unread(self._socket)
+        """Return whether a call may be written. Polls the socket, since its end or unrequested bytes may have come."""
+        ended = self._ended or self._transport is None or self._transport.is_closing()
+        waiting = Unread.END if ended else unread(self._socket)
         if waiting is Unread.END:
             self._note_peer_close()
         elif waiting is Unread.BYTES:
@@ -101,8 +102,7 @@
     @property
     def _socket(self) -> TransportSocket:
         assert self._transport is not None
-        connected: TransportSocket = self._transport.get_extra_info("socket")
-        return connected
+        return cast(TransportSocket, self._transport.get_extra_info("socket"))
 
     def _note_peer_close(self) -> None:
         if not self._busy and not self._closed and self.peer_closed_at is None:
@@ -115,28 +115,26 @@
 
     def close(self) -> None:
         """Close at once. Bytes of an unanswered call that the kernel still holds are discarded and never sent."""
-        if self._transport is None:
-            return
-        self._closed = True
-        self._cancel_write_timer()
-        self._discard_unsent()
-        self._transport.abort()
+        if self._transport is not None:
+            self._closed = True
+            self._cancel_write_timer()
+            self._discard_unsent()
+            self._transport.abort()
 
     def _discard_unsent(self) -> None:
         if self._transport is not None and self.awaits_answer:
             discard_unsent_at_close(self._socket)  # a cancelled call's last byte, sent long after, would run it
 
     async def send(self, request: bytes, write_until_s: float = math.inf) -> None:
-        """Write one request whole. Raise `ConnectionBrokenError` if the connection ends, `WriteTimeoutError` if
-        writing would last past `write_until_s`. `written` says whether its last byte was sent."""
+        """Write one request whole. Raise `ConnectionBrokenError` if the connection ends, `WriteTimeoutError` if that
+        would last past `write_until_s`, `LocalResourceError` if no byte can be written. `written`: all were."""
         assert self._transport is not None
         self._busy, self._received, self._answer_at, self.written = True, b"", None, False
         self.calls += 1
         self._sent_at = time.monotonic()
-        self._cancelled = False  # may be left over from a last call whose answer had arrived
-        # Keeps the transport from writing the last byte late, right after the event loop was blocked. If the
-        # request may have to wait for the endpoint, its last byte is written separately, after the clock was
-        # checked.
+        self._cancelled = self._begun = False  # may be left over from a last call whose answer had arrived
+        # Keeps the transport from writing the last byte late, right after the event loop was blocked: where the request
+        # may have to wait for the endpoint, its last byte is written separately, after the clock was checked.
         ahead = len(request) - 1 if len(request) > _IMMEDIATE_BYTES and write_until_s < math.inf else 0
         for part in (request[:ahead], request[ahead:]) if ahead else (request,):
             self._last_byte_held = bool(ahead) and len(part) > 1
@@ -156,14 +154,23 @@
         if not self._paused:
             self.written = not self._transport.is_closing() and not self._last_byte_held  # failed writes close at once
             return
+        if (not self._begun and not await self._all_written(time.monotonic() + _FIRST_BYTE_S)
+                and self._transport.get_write_buffer_size() == len(part)):
+            raise LocalResourceError("no byte of the call could be written")
+        self._begun = True
+        if not await self._all_written(write_until_s):
+            raise WriteTimeoutError
+
+    async def _all_written(self, until_s: float) -> bool:
+        """Wait until the kernel has all bytes or the connection has ended. Return False if that lasts too long."""
         try:
-            async with asyncio.timeout_at(write_until_s if write_until_s < math.inf else None):
+            async with asyncio.timeout_at(until_s if until_s < math.inf else None):
                 while self._paused and not self._ended:
                     self._changed.clear()
                     await self._changed.wait()
         except TimeoutError:
-            if self._paused:
-                raise WriteTimeoutError from None
+            return not self._paused
+        return True
 
     def _cancel_write_timer(self) -> None:
         if self._write_timer is not None:
@@ -171,17 +178,13 @@
 
     def _write_time_up(self) -> None:
         """Close if the kernel still holds the last byte, which a network that recovers would deliver too late."""
-        unanswered = self._answer_at is None and self._busy
-        if unanswered and self._transport is not None and not self._transport.is_closing() and has_unsent_bytes(
-                self._socket):
+        open_transport = self._transport is not None and not self._transport.is_closing()
+        if self._answer_at is None and self._busy and open_transport and has_unsent_bytes(self._socket):
             self.close()
 
     async def read_answer(self, single: bool = True) -> Answer:
-        """Read the answer. Raise `ConnectionBrokenError` if the connection ends before any byte of it.
-
-        If the call is cancelled in the middle of the answer, the message of a `single` call counts as delivered if
-        the first line said so.
-        """
+        """Read the answer. Raise `ConnectionBrokenError` if the connection ends before any byte of it. If the call is
+        cancelled in the middle, the message of a `single` call counts as delivered if the first line said so."""
         reader = self._reader = AnswerReader()
         start = b""  # received bytes, as far as needed to read a malformed answer's first line
         try:
@@ -219,9 +222,8 @@
                 if not self._changed.is_set():  # it may have come while the event loop was blocked
                     raise MalformedError("the answer was not completed in time") from None
             except asyncio.CancelledError:
-                # If an answer came before the call was cancelled, its wait and outcome must count: received bytes
-                # are still read, missing ones are not waited for. One more turn reads what the kernel has received
-                # meanwhile, such as while the event loop was blocked.
+                # If an answer came before the call was cancelled, its wait and outcome must count: what came is read,
+                # the rest not waited for. One more turn reads what the kernel has received meanwhile.
                 if not self._received and not self._ended:
                     with contextlib.suppress(asyncio.CancelledError):  # cancelled twice: cancel and time-out
                         await asyncio.sleep(0)
@@ -234,8 +236,7 @@
         return data
 
     def make_idle(self) -> bool:
-        """Make the connection idle and return True, or return False if it cannot carry another call, as when bytes
-        are left over from the last one."""
+        """Make the connection idle and return True, or False if it can't carry another call (bytes are left)."""
         reader = self._reader
         if reader is not None and reader.complete and (reader.has_surplus or self._received):
             self.on_unrequested(self._received)
--- a/wheelstep/courier/reliable_socket.py
+++ b/wheelstep/courier/reliable_socket.py
@@ -72,6 +72,13 @@
         """Close one direction, or leave that to the close of the socket where the system lacks buffers."""
         self._or_skip("shutdown", lambda: super(ReliableSocket, self).shutdown(how))
 
+    def close(self) -> None:
+        """Close the socket. Its descriptor is released also where the call fails (close(2))."""
+        try:
+            super().close()
+        except OSError as error:
+            _failures.note("close", error)
+
     @staticmethod
     def _or_skip(name: str, call: Callable[[], None]) -> None:
         try:
