--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -11,6 +11,7 @@
 import signal
 import sys
 import time
+from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING
 
 from wheelstep import interface as api
@@ -27,6 +28,7 @@
 from wheelstep.courier.shutdown import SHUTDOWN_S, flush, ignore_signals, leave
 from wheelstep.courier.spread import calling_couriers, max_retry_s
 from wheelstep.courier.starting import ADDRESS_ERRORS, create_event_loop, retry, retry_blocking
+from wheelstep.courier.task_supervision import keep_running
 from wheelstep.courier.wall_clock import boot_id, clock
 from wheelstep.courier.watch import Watch
 from wheelstep.journal import Journal
@@ -92,11 +94,15 @@
         watches = fleet is None or not fleet.lists  # otherwise the fleet's daemon provides the list
         if watches:
             core.listed(api.ListKind.RESTORED, rows)
-        async with asyncio.TaskGroup() as group:  # a task that fails ends the process with its traceback
-            tasks = [group.create_task(work) for work in
-                     (core.notices.run(), core.endpoint_client.sweep(), server.sweep(), journal.run_compaction(),
-                      follow_config(config, reload_requested, watch, core.notices, core=core, on_reload=reload_fleet),
-                      *([watch.run()] if watches else []))]
+        async with asyncio.TaskGroup() as group:
+            follow = functools.partial(follow_config, config, reload_requested, watch, core.notices, core=core,
+                                       on_reload=reload_fleet)
+            permanent: dict[str, Callable[[], Coroutine[object, object, None]]] = {
+                "notifications": core.notices.run, "sweep of endpoints": core.endpoint_client.sweep,
+                "sweep of clients": server.sweep, "compaction": journal.run_compaction, "configuration": follow}
+            if watches:
+                permanent["watch"] = watch.run
+            tasks = [group.create_task(keep_running(name, work)) for name, work in permanent.items()]
             if core.account is not None:
                 tasks.append(group.create_task(core.account.run(core.gauge)))
                 watch.account = core.account
