Nothing is sent while a socket's bytes can't be read for lack of memory

Need: an answer that asks to wait, or the news that an endpoint drains, may lie unread while recv fails; both bind from when they were written. Change: no call and no probe begins while the last read of any socket has failed (reads_fail); a call that was due goes back to the module. Workers and the standalone courier use the event loop that survives failing calls. Evidence: the new test failed before (a second call came within the wait).

--- a/tests/test_failing_system_calls.py
+++ b/tests/test_failing_system_calls.py
@@ -115,6 +115,28 @@
     run(scenario())
 
 
+# Incident 57's class, wait: a call was written while the answer that asked to wait lay unread.
+def test_nothing_is_sent_while_an_answer_that_asks_to_wait_can_not_be_read(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        async with failing_scene(tmp_path, monkeypatch, tick_us=SLOW_TICK_US) as scene:
+            scene.default_reply = None
+            assert await scene.courier.hand_in("first") == 202
+            await scene.wait_until(lambda: "first" in scene.called())
+            assert await scene.courier.hand_in("second") == 202
+            scene.page.read_failure_share = 1.0
+            scene.replies["first"] = (503, {"Retry-After": "2"}, b"")
+            await scene.wait_until(lambda: "first" in scene.answered)
+            await asyncio.sleep(FAILS_S)
+            scene.page.read_failure_share = 0.0
+            await asyncio.sleep(FAILS_S / 2)
+            assert scene.called() == ["first"]
+            scene.replies.clear()
+            scene.default_reply = (200, {}, b"")
+            await scene.wait_until(lambda: sorted(scene.called()) == ["first", "first", "second"])
+    run(scenario())
+
+
 # Incident 57's class, drain: a call that waited for the machine was written after its endpoint was told to drain.
 def test_a_call_whose_first_byte_could_not_be_written_is_not_sent_to_an_endpoint_that_drains_by_then(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -27,7 +27,7 @@
 from wheelstep.courier.reload import follow_config, reload_operator_file
 from wheelstep.courier.shutdown import SHUTDOWN_S, flush, ignore_signals, leave
 from wheelstep.courier.spread import calling_couriers, max_retry_s
-from wheelstep.courier.starting import ADDRESS_ERRORS, create_event_loop, retry, retry_blocking
+from wheelstep.courier.starting import ADDRESS_ERRORS, retry, retry_blocking, run_event_loop
 from wheelstep.courier.task_supervision import keep_running
 from wheelstep.courier.wall_clock import boot_id, clock
 from wheelstep.courier.watch import Watch
@@ -197,10 +197,9 @@
             workers = operator.workers.count
         if workers:
             from wheelstep.workers.start import supervise
-            return asyncio.run(supervise(load(os.environ), reload_requested, operator, workers, operator_file))
+            return run_event_loop(supervise(load(os.environ), reload_requested, operator, workers, operator_file))
         config = retry_blocking("the configuration", lambda: load(os.environ))
-        with asyncio.Runner(loop_factory=create_event_loop) as runner:
-            runner.run(serve(config, reload_requested, operator, path))
+        run_event_loop(serve(config, reload_requested, operator, path))
     except ConfigError as error:
         print(f"courier: {' '.join(str(error).split())}", file=sys.stderr)
         return 1
--- a/wheelstep/courier/endpoint_client.py
+++ b/wheelstep/courier/endpoint_client.py
@@ -22,6 +22,7 @@
 from wheelstep.courier.call_errors import ConnectionBrokenError, LocalResourceError, WriteTimeoutError
 from wheelstep.courier.connection import Connection
 from wheelstep.courier.pool import REQUEST_TIMEOUT, ConnectionPool, Host
+from wheelstep.courier.reliable_socket import reads_fail
 from wheelstep.interface import NEVER_EXECUTED, Outcome
 
 __all__ = ["CallOwner", "EndpointClient", "Item", "Result"]
@@ -148,7 +149,11 @@
             for item in items])
 
     def _may_start(self, endpoint: str, item: Item) -> bool:
-        return time.monotonic() < item.write_until_s and self._owner.may_start(endpoint, item)
+        now_s = time.monotonic()
+        return now_s < item.write_until_s and not reads_fail(now_s) and self._owner.may_start(endpoint, item)
+
+    def _may_probe(self, endpoint: str) -> bool:
+        return not reads_fail(time.monotonic()) and self._owner.may_probe(endpoint)
 
     async def _probe(self, endpoint: str, timeout_us: int) -> None:
         began = time.monotonic()
@@ -156,7 +161,7 @@
         progress = Progress()
         outcome, answer = await self._run_bounded(
             lambda: self._exchange(endpoint, progress,
-                                   lambda: request if self._owner.may_probe(endpoint) else None),
+                                   lambda: request if self._may_probe(endpoint) else None),
             progress, timeout_us)
         if answer is not None:
             outcome = form.status_result(answer).outcome
--- a/wheelstep/courier/reliable_socket.py
+++ b/wheelstep/courier/reliable_socket.py
@@ -18,6 +18,7 @@
 from wheelstep.courier.local_errors import TRANSFER_ERRORS
 
 _LOG_INTERVAL_S = 1.0
+_READ_RETRIED_WITHIN_S = 0.05  # the event loop repeats a failed read in its next turn
 
 log = logging.getLogger(__name__)
 
@@ -36,6 +37,16 @@
 
 
 _failures = _FailureLog()
+_failed_reads: dict[int, float] = {}  # sockets whose last read failed, with its monotonic time
+
+
+def reads_fail(now_s: float) -> bool:
+    """Return whether bytes may wait on a socket that the system could not deliver: an answer that asks to wait, or news
+    that an endpoint drains."""
+    if _failed_reads:
+        for descriptor in [number for number, at_s in _failed_reads.items() if now_s - at_s > _READ_RETRIED_WITHIN_S]:
+            del _failed_reads[descriptor]  # closed, or not read at the moment
+    return bool(_failed_reads)
 
 
 class ReliableSocket(socket.socket):
@@ -44,9 +55,14 @@
     def recv(self, size: int, flags: int = 0, /) -> bytes:
         """Receive bytes. Raises `BlockingIOError` also where the system lacks memory."""
         try:
-            return super().recv(size, flags)
+            received = super().recv(size, flags)
         except OSError as error:
+            if error.errno in TRANSFER_ERRORS:
+                _failed_reads[self.fileno()] = time.monotonic()
             raise _as_blocking("recv", error) from None
+        if _failed_reads:
+            _failed_reads.pop(self.fileno(), None)
+        return received
 
     def send(self, data: Any, flags: int = 0, /) -> int:
         """Send bytes. Raises `BlockingIOError` also where the system lacks memory or buffers."""
--- a/wheelstep/courier/starting.py
+++ b/wheelstep/courier/starting.py
@@ -6,7 +6,7 @@
 import errno
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import TypeVar
 
 from wheelstep.courier.config import ConfigError
@@ -57,6 +57,13 @@
             await asyncio.sleep(patience.check(what, error))
 
 
+def run_event_loop(main: Coroutine[object, object, Result]) -> Result:
+    """Run a coroutine in a new event loop that survives failing system calls, and return its result. Raises `OSError`
+    if no loop can be had in time."""
+    with asyncio.Runner(loop_factory=create_event_loop) as runner:
+        return runner.run(main)
+
+
 def create_event_loop() -> asyncio.AbstractEventLoop:
     """Return a new event loop that survives failing system calls. Raises `OSError` if none can be had in time."""
     return retry_blocking("the event loop", lambda: asyncio.SelectorEventLoop(ReliableSelector()))
--- a/wheelstep/rehearsal/soak/control.py
+++ b/wheelstep/rehearsal/soak/control.py
@@ -37,6 +37,7 @@
     transfer_failure_share = _FloatField("<d", 32)  # share of reads and writes on sockets that fail
     poll_failure_share = _FloatField("<d", 40)  # share of the calls of poll and epoll that fail
     open_failure_share = _FloatField("<d", 48)  # share that fails of opening files for reading, and listing folders
+    read_failure_share = _FloatField("<d", 56)  # share of reads on sockets that fail, beside the transfers
 
     def __init__(self, path: Path) -> None:
         file_descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
--- a/wheelstep/rehearsal/soak/faulty_calls.py
+++ b/wheelstep/rehearsal/soak/faulty_calls.py
@@ -53,8 +53,10 @@
 def patch_transfers(failures: Failures) -> None:
     """Make `send` and `recv` of IPv4 sockets fail."""
     socket_class: Any = socket.socket
-    for name in ("send", "recv"):
-        _fail_before(socket_class, name, failures, lambda: failures.page.transfer_failure_share, TRANSFER_ERRORS)
+    page = failures.page
+    _fail_before(socket_class, "send", failures, lambda: page.transfer_failure_share, TRANSFER_ERRORS)
+    _fail_before(socket_class, "recv", failures, lambda: max(page.transfer_failure_share, page.read_failure_share),
+                 TRANSFER_ERRORS)
 
 
 def patch_socket_options(failures: Failures) -> None:
--- a/wheelstep/standalone/serve.py
+++ b/wheelstep/standalone/serve.py
@@ -23,6 +23,7 @@
 from wheelstep.courier.opening import open_journal
 from wheelstep.courier.rows import Row
 from wheelstep.courier.shutdown import ignore_signals, leave
+from wheelstep.courier.starting import run_event_loop
 from wheelstep.standalone.ends import OutcomeStore
 from wheelstep.standalone.folder import EndpointFolder, merge_endpoints
 from wheelstep.standalone.front import Policy, StandaloneClientApi, is_mirror_copy, tenant_of
@@ -220,7 +221,7 @@
     signal.signal(signal.SIGHUP, lambda *_: reload_requested.set())
     path, failure = Path(file), ""
     try:
-        asyncio.run(Courier(path, load(path)).serve(reload_requested))
+        run_event_loop(Courier(path, load(path)).serve(reload_requested))
     except* (FileError, ConfigError) as group:
         error: BaseException = group
         while isinstance(error, BaseExceptionGroup):
--- a/wheelstep/workers/worker.py
+++ b/wheelstep/workers/worker.py
@@ -26,6 +26,7 @@
 from wheelstep.courier.opening import account, open_journal, recorder
 from wheelstep.courier.rows import Row, read_rows
 from wheelstep.courier.shutdown import leave
+from wheelstep.courier.starting import run_event_loop
 from wheelstep.forwarding.client import RemoteAdmission
 from wheelstep.journal import FolderInUseError, Journal
 from wheelstep.workers.between import OwnerSide, forward_client
@@ -218,7 +219,7 @@
 
     async def work() -> None:
         await Worker(config, layout, description["number"], paths, operator).run(control, listener)
-    asyncio.run(work())
+    run_event_loop(work())
     return 0
 
 
