--- a/wheelstep/courier/reliable_selector.py
+++ b/wheelstep/courier/reliable_selector.py
@@ -74,6 +74,10 @@
             time.sleep(_PAUSE_S)
         return ready
 
+    def get_key(self, fileobj: Any) -> selectors.SelectorKey:
+        """Return the key of a file. Raises `KeyError` if it is not watched."""
+        return self._keys[_descriptor(fileobj)]
+
     def get_map(self) -> Mapping[Any, selectors.SelectorKey]:
         """Return the keys by descriptor."""
         return self._keys
