--- a/tests/test_failing_starts.py
+++ b/tests/test_failing_starts.py
@@ -13,6 +13,8 @@
 from failing_courier import failing_scene
 from loopback import LIMIT_S, run
 
+from wheelstep.courier.config import Address
+from wheelstep.courier.listener import open_listener
 from wheelstep.upgrade import channel
 from wheelstep.upgrade.source import HandoverSource
 
@@ -87,3 +89,13 @@
         source.stop()
     monkeypatch.setattr(channel, "listen", listen)
     run(scenario())
+
+
+# Incident 57's class, not started: the option's error was passed over, and the address was in use for a minute.
+def test_an_address_that_can_not_be_made_reusable_is_not_bound_without_that(monkeypatch: pytest.MonkeyPatch) -> None:
+    def refuse(self: socket.socket, *args: object) -> None:
+        raise OSError(errno.ENOBUFS, "no buffers")
+    monkeypatch.setattr(socket.socket, "setsockopt", refuse)
+    with pytest.raises(OSError) as refused:
+        open_listener(Address("127.0.0.1", 0))
+    assert refused.value.errno == errno.ENOBUFS
