--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,4 +1,5 @@
-"""The journal on real files: truncation, a small disk, the old format, the tools. Crashes: test_journal_crashes."""
+"""The journal on real files: truncation, a small disk, the old format, the tools. Crashes: test_journal_crashes; errors of the disk:
+test_journal_disk_errors."""
 
 from __future__ import annotations
 
