A handover no longer blocks a tried message by its own settle period

Cause: the process that hands over tells one settle period a key, the latest of its complete messages and of the message that is first in it. The successor applied it to the key. A message is not blocked by its own settle period in one process, but was so by the told one: in the guard, and in the decision module where its repeat waited in no call.

Change: a settle period that was told binds only messages that were not tried before the handover, as the settle period after a restart does. A message that was tried had its turn, so every earlier period of its key had passed.

--- a/tests/test_key_order.py
+++ b/tests/test_key_order.py
@@ -87,6 +87,20 @@
     assert continue_settling(KeyOrder(SETTLE_S), {}, 99.0, 1.1) is None
 
 
+def test_message_tried_before_a_handover_does_not_wait_for_its_own_settle_period(order: KeyOrder) -> None:
+    """Guards against a handover that takes the settle period of a message's own attempt for one of an earlier message:
+    its repeats were stopped."""
+    order.attempt_started("first", 0)
+    order.attempt_ended("first", 0, True, 1.0)
+    after = KeyOrder(SETTLE_S)
+    continue_settling(after, order.settling(1.1), 99.0, 1.1)
+    after.accepted("first", "k", tried=True)
+    after.accepted("second", "k")
+    assert after.block("first", 1.1) is None
+    after.completed("first", 1.1)
+    assert after.block("second", 1.29) is Block.SETTLING and after.block("second", 1.31) is None
+
+
 def test_after_a_restart_every_key_settles_except_for_a_message_that_was_tried() -> None:
     """Guards against attempts of a killed process that may still run: which keys they concern is unknown, so all
     keys settle; a message tried before had its turn already."""
@@ -165,6 +179,18 @@
     assert sent_messages(drive.tick(201 * MS, MS)) == ["a"]
 
 
+def test_decision_module_repeats_a_message_tried_before_a_handover_while_its_own_attempt_settles() -> None:
+    """Guards against a decision module that delays such a repeat, or lets the next message of the key go early."""
+    drive = SenderDriver(order_settle_us=300 * MS)
+    first, second = (api.MessageAccepted(name, 3, 7, 20 * S, "k") for name in ("first", "second"))
+    started = drive.at(0, api.KeysSettling((("k", 200 * MS),)), api.MessageRestored(first, 1),
+                       api.MessageRestored(second))
+    assert sent_messages(started) == ["first"]
+    assert not sent_messages(drive.end("first", api.Outcome.OK, attempt=1))
+    assert not sent_messages(drive.tick(199 * MS, MS))
+    assert sent_messages(drive.tick(201 * MS, MS)) == ["second"]
+
+
 def test_decision_module_lets_all_keys_settle_after_a_restart_except_for_what_was_tried() -> None:
     """Guards against a decision module that starts messages which the send guard would stop after a restart, or that
     delays tried or unordered messages needlessly."""
--- a/wheelstep/courier/key_order.py
+++ b/wheelstep/courier/key_order.py
@@ -40,6 +40,12 @@
     messages: dict[str, _MessageState] = field(default_factory=dict)  # incomplete messages, in the order of acceptance
     attempts: dict[tuple[str, int], None] = field(default_factory=dict)  # open attempts
     settled_at: float = 0.0  # settle time left over from complete messages
+    inherited_settled_at: float = 0.0  # as the previous process reported it; no matter to a message tried there
+
+    @property
+    def all_settled_at(self) -> float:
+        """When nothing of the key settles any more, as far as its complete messages and the previous process go."""
+        return max(self.settled_at, self.inherited_settled_at)
 
 
 class KeyOrder:
@@ -117,31 +123,32 @@
         if message not in state.messages and not any(name == message for name, _ in state.attempts):
             self._key_of.pop(message, None)
         if not state.messages and not state.attempts:
-            if state.settled_at > now_s:
-                self._expiries.append((state.settled_at, key))
+            if state.all_settled_at > now_s:
+                self._expiries.append((state.all_settled_at, key))
             else:
                 self._keys.pop(key, None)
         while self._expiries and self._expiries[0][0] <= now_s:
             _, expired = self._expiries.popleft()
             other = self._keys.get(expired)
-            if other is not None and not other.messages and not other.attempts and other.settled_at <= now_s:
+            if other is not None and not other.messages and not other.attempts and other.all_settled_at <= now_s:
                 del self._keys[expired]
 
     # --- handover between processes ---
 
     def settling(self, now_s: float) -> dict[str, int]:
         """Return the keys that settle, with the microseconds left."""
-        until = {key: max([state.settled_at, *(message.settled_at for message in state.messages.values())])
+        until = {key: max([state.all_settled_at, *(message.settled_at for message in state.messages.values())])
                  for key, state in self._keys.items()}
         return {key: int((settled_at - now_s) * 1e6) + 1 for key, settled_at in until.items() if settled_at > now_s}
 
     def settle(self, keys: Iterable[tuple[str, int]], now_s: float) -> None:
-        """Take over the settle periods, in microseconds from now, that a previous process reported."""
+        """Take over the settle periods, in microseconds from now, that a previous process reported. A message that it
+        tried had its turn already and does not wait for them: they may come from that message's own attempts."""
         for key, left_us in keys:
             state = self._keys.setdefault(key, _KeyState())
-            state.settled_at = max(state.settled_at, now_s + left_us / 1e6)
+            state.inherited_settled_at = max(state.inherited_settled_at, now_s + left_us / 1e6)
             if not state.messages and not state.attempts:
-                self._expiries.append((state.settled_at, key))
+                self._expiries.append((state.inherited_settled_at, key))
 
     def settle_all(self, until_s: float) -> None:
         """Let every key settle until then. A message tried before had its turn already and does not wait for it."""
@@ -162,9 +169,8 @@
         if any(name != message for name, _ in state.attempts):
             return Block.ATTEMPT
         tried = message in state.messages and state.messages[message].tried
-        if now_s < state.settled_at or not tried and now_s < self._all_settled_at:
-            return Block.SETTLING
-        return None
+        untried_settled_at = 0.0 if tried else max(state.inherited_settled_at, self._all_settled_at)
+        return Block.SETTLING if now_s < max(state.settled_at, untried_settled_at) else None
 
     async def until_answered(self, messages: Iterable[str], now_s: float) -> None:
         """Wait until no unanswered notification precedes any of these messages."""
--- a/wheelstep/policy/messages.py
+++ b/wheelstep/policy/messages.py
@@ -110,3 +110,4 @@
 
     messages: deque[Message] = field(default_factory=deque)
     settled_us: int = 0
+    inherited_settled_us: int = 0  # as an earlier process reported it; no matter to a message tried there
--- a/wheelstep/policy/sender_state.py
+++ b/wheelstep/policy/sender_state.py
@@ -138,7 +138,8 @@
         while queue.messages and queue.messages[0].done and queue.messages[0].call is None:
             queue.settled_us = max(queue.settled_us, queue.messages.popleft().settled_us)
         tried = bool(queue.messages and queue.messages[0].attempts)
-        settled_us = queue.settled_us if tried else max(queue.settled_us, self._all_settled_us)
+        untried_settled_us = 0 if tried else max(queue.inherited_settled_us, self._all_settled_us)
+        settled_us = max(queue.settled_us, untried_settled_us)
         if self._now < settled_us:
             self._schedule(settled_us, lambda: self._advance_key(key))
         elif not queue.messages:
@@ -151,7 +152,7 @@
         self._all_settled_us = max(self._all_settled_us, self._now + event.all_us)
         for key, left_us in event.keys:
             queue = self._key_queues[key]
-            queue.settled_us = max(queue.settled_us, self._now + left_us)
+            queue.inherited_settled_us = max(queue.inherited_settled_us, self._now + left_us)
             self._advance_key(key)
 
     def _may_refuse(self, message: Message) -> bool:
