Deadlines count from when a request may have arrived, not from when it was read

Cause: the deadline was counted from the reading of a request. What lies between its arrival and that, a long turn of the event loop, a stopped process, a queue at the listener, a hand-over, failing reads, was passed on to the client.

Change: the selector bounds it. What a poll reports at once came after the poll before; what it reports after a wait has just come; one that lasted longer than it was to wait stood still.

--- a/wheelstep/console/front.py
+++ b/wheelstep/console/front.py
@@ -84,7 +84,7 @@
         """Listen, and return the port. Raises `OSError`."""
         listener = open_listener(listen)
         listener.listen(BACKLOG)
-        self._listener = ClientListener(listener, lambda: _Connection(self))
+        self._listener = ClientListener(listener, lambda _: _Connection(self))
         self._listener.resume()
         return int(listener.getsockname()[1])
 
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -117,6 +117,8 @@
             gc.freeze()  # restored objects live long: a full collection that visits them would block the event loop
             listener = target.transferred.listener if target is not None else None
             listener = listener or await retry("the address", lambda: open_listener(config.listen), ADDRESS_ERRORS)
+            if target is not None:
+                server.queued_since_s = target.transferred.requested_s
             port = await server.start(config.listen, listener)
             if target is not None:
                 await target.resume_serving(core, server)
--- a/wheelstep/courier/client_connection.py
+++ b/wheelstep/courier/client_connection.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import logging
+import math
+import time
 from collections import deque
 from collections.abc import Callable
 
+from wheelstep.courier.arrival import arrivals
 from wheelstep.courier.client_phases import ConnectionManager, Phase
 from wheelstep.courier.request import MAX_BODY_BYTES, MAX_HEAD_BYTES, Request, RequestReader, format_response
 from wheelstep.courier.socket_state import Unread, unread
@@ -26,8 +29,9 @@
     until the client closes or a limit is reached (`ClientConnections`). Closing with unread input would send a reset,
     which can destroy the answer on its way. What is read after the half-close is never served."""
 
-    def __init__(self, connections: ConnectionManager) -> None:
-        self._connections = connections
+    def __init__(self, connections: ConnectionManager, queued_since_s: float = math.inf) -> None:
+        """`queued_since_s`: since when input may have been waiting, where it came before this process watched it."""
+        self._connections, self._queued_since_s, self._polls_before = connections, queued_since_s, 0
         self._reader: RequestReader | None = None  # created with the first byte
         self._queued: deque[Request] = deque()  # complete requests whose answer has to wait for the one before them
         self._pending_work: asyncio.Future[None] | None = None  # what the current answer waits for
@@ -45,7 +49,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the new connection with its manager."""
         assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
+        self.transport, self._polls_before = transport, arrivals.polls
         self._connections.add(self)
 
     def data_received(self, data: bytes) -> None:
@@ -61,12 +65,19 @@
                                     if len(self.partial_request) + len(data) <= _MAX_PARTIAL_BYTES else None)
         if self._reader is None:
             self._reader = RequestReader()
-        self._queued += self._reader.feed(data)
+        requests = self._reader.feed(data)
+        for request in requests:
+            request.arrived_s = self._earliest_arrival_s()
+        self._queued += requests
         if self._reader.expects_continue and not self._queued and self.transport is not None:
             self._reader.expects_continue = False
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self._serve()
 
+    def _earliest_arrival_s(self) -> float:
+        first_poll = 0 < arrivals.polls <= self._polls_before + 1  # that reports this connection
+        return arrivals.earliest_s(time.monotonic(), self._queued_since_s if first_poll else math.inf)
+
     def _serve(self) -> None:
         """Answer the complete requests in order."""
         reader, served = self._reader, bool(self._queued)
--- a/wheelstep/courier/client_listener.py
+++ b/wheelstep/courier/client_listener.py
@@ -9,12 +9,15 @@
 
 import asyncio
 import logging
+import math
 import socket
+import time
 from collections.abc import Callable
 from enum import Enum
 from typing import Any
 
 from wheelstep.courier import reliable_socket
+from wheelstep.courier.arrival import arrivals
 
 MAX_ACCEPTS_PER_TURN = 16  # in one turn of the loop; the number of connections may exceed its limit by as many
 # Without free descriptors the kernel keeps reporting that a connection waits; its client waits 400 ms (PROTOCOL).
@@ -31,10 +34,13 @@
 
 
 class ClientListener:
-    """A listening socket; `protocol_factory` creates the protocol of a new connection."""
+    """A listening socket; `protocol_factory` creates the protocol of a new connection, given since when its bytes may
+    have been waiting (monotonic seconds)."""
 
-    def __init__(self, listening: socket.socket, protocol_factory: Callable[[], asyncio.Protocol]) -> None:
-        self.socket, self._protocol_factory = listening, protocol_factory
+    def __init__(self, listening: socket.socket, protocol_factory: Callable[[float], asyncio.Protocol],
+                 queued_since_s: float = math.inf) -> None:
+        """`queued_since_s`: since when connections may have been waiting, where another process had the socket."""
+        self.socket, self._protocol_factory, self._queued_since_s = listening, protocol_factory, queued_since_s
         self._opening: set[asyncio.Task[Any]] = set()  # accepted, and without a transport yet
         self._retry: asyncio.TimerHandle | None = None
         listening.setblocking(False)
@@ -62,26 +68,29 @@
         """Accept up to `MAX_ACCEPTS_PER_TURN` connections, and return what is known of the queue then."""
         if self.socket.fileno() < 0:
             return Queue.EMPTY
+        self._queued_since_s = arrivals.earliest_s(time.monotonic(), self._queued_since_s)
         for _ in range(MAX_ACCEPTS_PER_TURN):
             try:
                 client = reliable_socket.accept(self.socket)
             except (InterruptedError, ConnectionAbortedError):
                 continue
             except BlockingIOError:
+                self._queued_since_s = math.inf
                 return Queue.EMPTY
             except OSError as error:
                 log.error("can't accept a connection, trying again soon: %s", error)
                 self.pause()
                 self._retry = asyncio.get_running_loop().call_later(_RETRY_S, self.resume)
                 return Queue.UNKNOWN
-            task = asyncio.get_running_loop().create_task(self._open(client))
+            task = asyncio.get_running_loop().create_task(self._open(client, self._queued_since_s))
             self._opening.add(task)
             task.add_done_callback(self._opening.discard)
         return Queue.UNKNOWN
 
-    async def _open(self, client: socket.socket) -> None:
+    async def _open(self, client: socket.socket, queued_since_s: float) -> None:
         try:
-            await asyncio.get_running_loop().connect_accepted_socket(self._protocol_factory, client)
+            await asyncio.get_running_loop().connect_accepted_socket(
+                lambda: self._protocol_factory(queued_since_s), client)
         except OSError as error:  # the client has disconnected meanwhile
             log.info("an accepted connection could not be opened: %s", error)
             client.close()
--- a/wheelstep/courier/client_server.py
+++ b/wheelstep/courier/client_server.py
@@ -10,6 +10,7 @@
 import asyncio
 import functools
 import logging
+import math
 import socket
 from collections.abc import Callable, Mapping
 
@@ -41,11 +42,11 @@
                  client_api: ClientApi | None = None) -> None:
         """`find_admission` returns what accepts messages of a destination, where that differs; `admission` tells
         readiness. `transferable`: another process may take connections over. `client_api` interprets requests."""
-        self._api = client_api
-        self._admission, self._classes, self._limit = admission, classes, max_connections
+        self._api, self._admission, self._classes, self._limit = client_api, admission, classes, max_connections
         self._find_admission, self._transferable = find_admission, transferable
         self.closing = False  # answers close their connections from now on
         self.refusing = False  # new messages are refused
+        self.queued_since_s = math.inf  # since when clients may have been waiting that another process served before
         self.bad_requests = self._no_room_count = 0
         self.on_unanswered: Callable[[str], None] = functools.partial(log.warning, "no answer to a client: %s")
         self._connections: ClientConnections | None = None
@@ -53,10 +54,10 @@
 
     async def start(self, listen: Address, listener: socket.socket | None = None) -> int:
         """Listen on `listener`, or at the address `listen` without one, and return the port."""
-        connections = self._connections = self._connections or ClientConnections(self, self._limit, self._transferable)
-        listener = listener or open_listener(listen)
-        listener.listen(BACKLOG)  # another process may have had it
-        self._listener = ClientListener(listener, lambda: ClientConnection(connections))
+        self._connections = self._connections or ClientConnections(self, self._limit, self._transferable)
+        (listener := listener or open_listener(listen)).listen(BACKLOG)  # another process may have had it
+        make = functools.partial(ClientConnection, self._connections)
+        self._listener = ClientListener(listener, make, self.queued_since_s)
         self._listener.resume()
         return self._listener.port() or listen.port
 
@@ -107,11 +108,10 @@
     async def adopt(self, client: socket.socket, idle: bool, raw: bytes) -> None:
         """Take over a connection from another process; `raw` is what came of an incomplete request."""
         assert self._connections is not None
-        connections = self._connections
-        loop = asyncio.get_running_loop()
-        _, connection = await loop.connect_accepted_socket(lambda: ClientConnection(connections), client)
+        connection = ClientConnection(self._connections, self.queued_since_s)
+        await asyncio.get_running_loop().connect_accepted_socket(lambda: connection, client)
         if idle:
-            connections.set_phase(connection, Phase.IDLE)
+            self._connections.set_phase(connection, Phase.IDLE)
         if raw:
             connection.data_received(raw)
 
--- a/wheelstep/courier/message_request.py
+++ b/wheelstep/courier/message_request.py
@@ -29,7 +29,7 @@
     token = token_of(headers)
     return StoredMessage(
         id=name, message_class=message_class, destination=_destination(headers.get("x-consignee", "")),
-        deadline_ms=clock.now_ms() + left_ms,
+        deadline_ms=clock.at_ms(request.arrived_s) + left_ms,
         key=key_of(request.target) if classes[message_class] else None,
         token=token, resubmitted="x-retry" in headers, body=request.body)
 
--- a/wheelstep/courier/reliable_selector.py
+++ b/wheelstep/courier/reliable_selector.py
@@ -16,6 +16,8 @@
 from collections.abc import Mapping
 from typing import Any
 
+from wheelstep.courier.arrival import arrivals
+
 _RETRY_S = 0.005  # the longest wait while a change is still to be repeated
 _PAUSE_S = 0.001  # where nothing else is ready: the kernel may report a descriptor that is not wanted any more
 _RETRIED_ERRORS = frozenset({errno.EINTR, errno.ENOMEM, errno.ENOSPC})  # of epoll_ctl(2), as far as they pass
@@ -64,10 +66,12 @@
             timeout = _RETRY_S if timeout is None else min(timeout, _RETRY_S)
         # epoll_wait counts in milliseconds; rounded up, so as not to return before the time.
         wait_s = -1.0 if timeout is None else max(0.0, math.ceil(timeout * 1e3) * 1e-3)
+        called_s = time.monotonic()
         try:
             found = self._epoll.poll(wait_s, max(len(self._kernel_events), 1))
         except InterruptedError:
             return []
+        arrivals.polled(called_s, time.monotonic(), wait_s)
         ready = [(key, events) for descriptor, reported in found
                  if (key := self._keys.get(descriptor)) is not None and (events := _ready_events(reported, key.events))]
         if self._stale and not ready:
--- a/wheelstep/courier/reliable_socket.py
+++ b/wheelstep/courier/reliable_socket.py
@@ -13,8 +13,10 @@
 import socket
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
+from wheelstep.courier.arrival import arrivals
 from wheelstep.courier.local_errors import TRANSFER_ERRORS
 
 _LOG_INTERVAL_S = 1.0
@@ -37,14 +39,25 @@
 
 
 _failures = _FailureLog()
-_failed_reads: dict[int, float] = {}  # sockets whose last read failed, with its monotonic time
+
+
+@dataclass(slots=True)
+class _FailedReads:
+    """Reads of one socket that failed in a row; monotonic seconds."""
+
+    first_s: float
+    last_s: float
+
+
+_failed_reads: dict[int, _FailedReads] = {}  # of the sockets whose last read failed
 
 
 def reads_fail(now_s: float) -> bool:
     """Return whether bytes may wait on a socket that the system could not deliver: an answer that asks to wait, or news
     that an endpoint drains."""
     if _failed_reads:
-        for descriptor in [number for number, at_s in _failed_reads.items() if now_s - at_s > _READ_RETRIED_WITHIN_S]:
+        for descriptor in [number for number, failed in _failed_reads.items()
+                           if now_s - failed.last_s > _READ_RETRIED_WITHIN_S]:
             del _failed_reads[descriptor]  # closed, or not read at the moment
     return bool(_failed_reads)
 
@@ -58,10 +71,11 @@
             received = super().recv(size, flags)
         except OSError as error:
             if error.errno in TRANSFER_ERRORS:
-                _failed_reads[self.fileno()] = time.monotonic()
+                now_s = time.monotonic()
+                _failed_reads.setdefault(self.fileno(), _FailedReads(arrivals.earliest_s(now_s), now_s)).last_s = now_s
             raise _as_blocking("recv", error) from None
-        if _failed_reads:
-            _failed_reads.pop(self.fileno(), None)
+        if _failed_reads and (failed := _failed_reads.pop(self.fileno(), None)) is not None:
+            arrivals.read_after_failures(failed.first_s)
         return received
 
     def send(self, data: Any, flags: int = 0, /) -> int:
--- a/wheelstep/courier/wall_clock.py
+++ b/wheelstep/courier/wall_clock.py
@@ -37,6 +37,10 @@
         """Return the Unix time in whole milliseconds."""
         return int(self.now_s() * 1000)
 
+    def at_ms(self, monotonic_s: float) -> int:
+        """Return the Unix time of a moment that the monotonic clock gave, in whole milliseconds."""
+        return int((self.now_s() - (time.monotonic() - monotonic_s)) * 1000)
+
     def adopt_offset(self, marks: Mapping[str, Any], store: Callable[[str, Any], None],
                      boot: str | None = None) -> None:
         """Use the offset of an earlier process on this boot, or store a new one. `marks` are the journal's, `store`
--- a/wheelstep/upgrade/target.py
+++ b/wheelstep/upgrade/target.py
@@ -7,6 +7,7 @@
 import logging
 import os
 import socket
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from pathlib import Path
@@ -41,6 +42,7 @@
     waits: dict[str, int] = field(default_factory=dict)
     settling: dict[str, int] | None = None  # keys, and for how many microseconds each settles; None if not sent
     ended: list[tuple[str, int]] = field(default_factory=list)  # messages, and for how many microseconds they have
+    requested_s: float = field(default_factory=time.monotonic)  # the previous process serves nobody from then on
 
     def close(self) -> None:
         """Close all received sockets."""
