An answer to several messages delivers none once the time of one of them is up

Cause: a call is given up at the first deadline among its messages, but an answer that had come when the process got to it still counted, for the messages with time left.

Change: the answer to a call is judged as a whole (`call_timeliness`): late or doubtful for one of its messages, or one of them ended meanwhile, it is so for all. They may have run: repeated where that is harmless, else ended by a notice.

tests/test_late_reads.py, a call of two, the process stopped over the deadline of one: failed before (no notice, no repeat), pass now.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -296,10 +296,10 @@
     """A platform, one endpoint of destination 7, and a courier, started and stopped as a context manager."""
 
     def __init__(self, folder: Path, operator: Path | None = None, disk_mb: float = 3,
-                 console: bool = False) -> None:
+                 console: bool = False, settings: dict[str, Any] | None = None) -> None:
         self.platform, self.endpoint = Platform(), Endpoint()
         # `Endpoint` gives one answer for the whole call, which is no outcome of each message in a bulk call.
-        settings = {**SETTINGS, "specifics": {**SETTINGS["specifics"], "per_call": [1]}} if console else None
+        settings = settings or (ALONE if console else None)
         self.courier = Courier(folder, self.platform, settings, operator, disk_mb, console)
 
     async def __aenter__(self) -> Scene:
--- a/tests/test_late_reads.py
+++ b/tests/test_late_reads.py
@@ -10,7 +10,7 @@
 
 import aiohttp
 import pytest
-from loopback import Call, Reply, Scene, run
+from loopback import LIMIT_S, SETTINGS, Call, Reply, Scene, run
 
 from wheelstep.courier.arrival import CLIENT_PATIENCE_S, ArrivalBound
 
@@ -18,6 +18,9 @@
 DEADLINE_S = 0.5
 NOTICE_S = 0.3 + 0.05  # after a message's time is up its notice is due (PROTOCOL, 'The rules on sockets')
 NOW_S = 100.0
+ONE_CALL = {**SETTINGS, "specifics": {**SETTINGS["specifics"], "calls_out": 1}}
+CALL_DEADLINE_S = 1.2
+SLACK_S = 0.05
 
 
 def bound(*polls: tuple[float, float, float]) -> ArrivalBound:
@@ -77,3 +80,40 @@
             await scene.platform.wait_notice("late")
             assert time.monotonic() - sent_s <= DEADLINE_S + NOTICE_S
     run(play())
+
+
+@pytest.mark.parametrize("cls", ["once", "ordered"])
+def test_an_answer_to_several_messages_delivers_none_once_the_time_of_one_is_up(tmp_path: Path, cls: str) -> None:
+    """Guards against messages that count as delivered by an answer after the end of their call, which a process that
+    stood still reads late: for the platform they were never delivered, and they were lost."""
+    async def play() -> None:
+        async with Scene(tmp_path, settings=ONE_CALL) as scene:
+            first_may_end, answered = asyncio.Event(), asyncio.Event()
+
+            async def reply(call: Call) -> Reply | None:
+                if len(scene.endpoint.calls) == 1:
+                    await first_may_end.wait()
+                    return 200, {}, b""
+                if len(scene.endpoint.calls) > 2:
+                    return 200, {}, b""
+                scene.courier.process.send_signal(signal.SIGSTOP)
+                await asyncio.sleep(max(0.0, due_s + SLACK_S - time.monotonic()))
+                asyncio.get_running_loop().call_later(SLACK_S, scene.courier.process.send_signal, signal.SIGCONT)
+                answered.set()
+                return 200, {}, b"short delivered\r\nlong delivered\r\n"
+            scene.endpoint.reply = reply
+            assert await scene.courier.hand_in("first") == 202
+            await scene.endpoint.wait(1)
+            due_s = time.monotonic() + CALL_DEADLINE_S
+            assert await scene.courier.hand_in("short", X_Deadline_Ms=str(int(CALL_DEADLINE_S * 1000))) == 202
+            assert await scene.courier.hand_in("long", cls, "k") == 202
+            first_may_end.set()
+            await scene.endpoint.wait(2)
+            assert scene.endpoint.calls[1].target == "/inbox/bulk"
+            await asyncio.wait_for(answered.wait(), LIMIT_S)
+            if cls == "once":
+                assert (await scene.platform.wait_notice("long"))["outcome"] == "given_up"
+            else:
+                await scene.endpoint.wait(3)
+                assert scene.endpoint.calls[2].headers["x-request-id"] == "long"
+    run(play())
--- a/wheelstep/courier/dispatcher.py
+++ b/wheelstep/courier/dispatcher.py
@@ -25,7 +25,7 @@
 from wheelstep.courier.outcome_reports import report_outcome
 from wheelstep.courier.ports import JournalPort, NotificationSender, OpenCall, OutcomeListener
 from wheelstep.courier.send_guard import SendGuard
-from wheelstep.courier.timeliness import Timeliness, timeliness
+from wheelstep.courier.timeliness import Timeliness, call_timeliness
 from wheelstep.courier.wall_clock import clock
 from wheelstep.courier.written_ends import notify_when_written
 from wheelstep.interface import NEVER_EXECUTED, Outcome
@@ -128,11 +128,11 @@
         if self._report is not None:
             self._report(endpoint, results)
             return
-        now_s = time.monotonic()
+        now_s, settings = time.monotonic(), self._settings
+        timely = Timeliness.IN_TIME if self.notifies_deliveries else call_timeliness(results, self._held, settings)
         for item, result in results:
             self.order.attempt_ended(item.message, item.attempt, result.may_still_run, now_s)
             held = self._held.get(item.message)
-            timely = timeliness(None if self.notifies_deliveries else held, self._settings)
             if result.outcome is Outcome.OK and timely is Timeliness.LATE:
                 result = replace(result, outcome=Outcome.TIMEOUT)
             complete = result.outcome is Outcome.OK or result.over or held is None
