Test of the small disk counts its compaction's time as processor time

A process that is not run for those 4 ms frees nothing, and the message is refused, as intended. The test demanded that enough is freed, in real time, on any machine.

Change: the test hands in the process's processor time as the clock. The demand and the 4 ms stay.

--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from pathlib import Path
 
 import pytest
@@ -76,7 +77,8 @@
 
 def test_on_a_small_disk_the_size_limit_is_never_exceeded(tmp_path: Path) -> None:
     """Accept 64 KiB bodies until refused; every accepted message must still get its attempts and end."""
-    journal, taken = Journal(tmp_path, LIMIT), []
+    # The time that compaction has while a client waits counts as processor time: the machine may be busy.
+    journal, taken = Journal(tmp_path, LIMIT, clock=time.process_time), []
     most = 0
 
     def used() -> int:
