--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -356,7 +356,7 @@
 
 def test_a_journal_of_version_0_1_is_converted_at_start(tmp_path: Path) -> None:
     """An upgrade in place: the messages of the old version are delivered, and its file is removed."""
-    from test_journal import old_message
+    from test_journal_migration import old_message
     async def scene() -> None:
         s = Scene(tmp_path)
         (tmp_path / "state" / "journal.log").write_bytes(
