A request with the id of another accepted message is answered 400, not 202

A message had been taken with a key that no other request had, and the endpoints answered its calls with an error at once.

Inferred: read at once with the real request, the copy was taken first, and the real one was answered 202 as a repeat, so that its client took it as accepted.

Change: a request with the id of a message that has not ended must have its class, destination, key, token and body, else it is answered 400. The same request again is answered 202 as before.

--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -119,6 +119,7 @@
             listener = listener or await retry("the address", lambda: open_listener(config.listen), ADDRESS_ERRORS)
             if target is not None:
                 server.queued_since_s = target.transferred.requested_s
+            server.find_message = journal.messages.get
             port = await server.start(config.listen, listener)
             if target is not None:
                 await target.resume_serving(core, server)
--- a/wheelstep/courier/client_server.py
+++ b/wheelstep/courier/client_server.py
@@ -21,7 +21,7 @@
 from wheelstep.courier.client_phases import Phase
 from wheelstep.courier.config import Address
 from wheelstep.courier.listener import BACKLOG, open_listener
-from wheelstep.courier.message_request import read_message
+from wheelstep.courier.message_request import check_content, read_message
 from wheelstep.courier.request import Request
 from wheelstep.journal import NoRoomError, StoredMessage
 
@@ -44,8 +44,8 @@
         readiness. `transferable`: another process may take connections over. `client_api` interprets requests."""
         self._api, self._admission, self._classes, self._limit = client_api, admission, classes, max_connections
         self._find_admission, self._transferable = find_admission, transferable
-        self.closing = False  # answers close their connections from now on
-        self.refusing = False  # new messages are refused
+        self.closing = self.refusing = False  # answers close their connections from now on; new messages are refused
+        self.find_message: Callable[[str], StoredMessage | None] = lambda name: None  # one that was accepted before
         self.queued_since_s = math.inf  # since when clients may have been waiting that another process served before
         self.bad_requests = self._no_room_count = 0
         self.on_unanswered: Callable[[str], None] = functools.partial(log.warning, "no answer to a client: %s")
@@ -163,8 +163,7 @@
                 return
             if request.target.partition("?")[0] != "/healthz":
                 if self._api is not None:
-                    self._api.other(request, connection)
-                    return
+                    return self._api.other(request, connection)
                 raise BadRequestError("no such path; expected /healthz, or a message by POST")
             if request.method not in ("GET", "HEAD"):
                 raise BadRequestError("no such method; expected GET, or a message by POST")
@@ -183,6 +182,7 @@
 
     def _hand_in(self, request: Request, connection: ClientConnection) -> None:
         message = self._api.message(request) if self._api is not None else read_message(request, self._classes)
+        check_content(message, self.find_message(message.id))
         admission = self._admission if self._find_admission is None else self._find_admission(message.destination)
         if admission.holds(message.id):  # handed in again: its first request and the end of a connection crossed
             if admission.is_unconfirmed(message.id):  # guards against a 202 for a message that may still be withdrawn
--- a/wheelstep/courier/message_request.py
+++ b/wheelstep/courier/message_request.py
@@ -34,6 +34,17 @@
         token=token, resubmitted="x-retry" in headers, body=request.body)
 
 
+def check_content(message: StoredMessage, known: StoredMessage | None) -> None:
+    """Raise `BadRequestError` if the message that is known by the same id is another one: a 202 would promise to
+    deliver what was never accepted."""
+    if known is None:
+        return
+    same_address = ((message.message_class, message.destination, message.key, message.token)
+                    == (known.message_class, known.destination, known.key, known.token))
+    if not same_address or known.notice is None and message.body != known.body:
+        raise BadRequestError("X-Request-Id is that of another message")
+
+
 def unique_headers(request: Request) -> Mapping[str, str]:
     """Return the headers of a request. Raises `BadRequestError` if one that this module reads is given twice: of two
     ids, for example, one would be owed an end, and it would be unclear which."""
