--- a/wheelstep/courier/message_request.py
+++ b/wheelstep/courier/message_request.py
@@ -27,9 +27,10 @@
     if left_ms > _MAX_DEADLINE_MS:
         raise BadRequestError("X-Deadline-Ms is too far off")
     token = token_of(headers)
+    arrived_ms = clock.now_ms() if request.arrived_s is None else clock.at_ms(request.arrived_s)
     return StoredMessage(
         id=name, message_class=message_class, destination=_destination(headers.get("x-consignee", "")),
-        deadline_ms=clock.at_ms(request.arrived_s) + left_ms,
+        deadline_ms=arrived_ms + left_ms,
         key=key_of(request.target) if classes[message_class] else None,
         token=token, resubmitted="x-retry" in headers, body=request.body)
 
--- a/wheelstep/courier/request.py
+++ b/wheelstep/courier/request.py
@@ -32,8 +32,7 @@
     repeated_headers: set[str] = field(default_factory=set)
     body: bytes = b""
     keep_alive: bool = True  # whether its connection may stay open
-    # Monotonic seconds: when its last byte may have arrived at the earliest.
-    arrived_s: float = field(default_factory=time.monotonic)
+    arrived_s: float | None = None  # monotonic: when its last byte may have arrived at the earliest; None: just now
 
 
 @dataclass(frozen=True, slots=True)
