--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -20,8 +20,8 @@
         tmp_path: Path, late_s: float) -> None:
     """Brink seed 14021, lost and order: a 200 after the client's deadline counted as a delivery, and nothing was told.
 
-    The courier counted the deadline from when it read the request, after its process had stood still. Now it gives the
-    call up at the client's deadline, so that the answer is read only where the process is late.
+    The process stands still between the arrival of the request and its reading. The courier gives the call up at the
+    client's deadline, so that the answer is read only where the process is late.
     """
     async def play() -> None:
         loop, platform = asyncio.get_running_loop(), Platform()
