Review: a case that fails itself or is ended by a signal exits with 2, not 1

Need: exit code 1 has to say that the rule was broken and nothing else, and nothing may be left running.

Change: any error of a script, and SIGTERM or SIGINT to it, ends what it started and exits with 2; so does a play in which the disruption could not take hold: nothing taken on before the kill (case 1), no connection reset in time (case 2), no reply at the second address (case 3).

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,7 +10,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins import Scene, play, settings  # noqa: E402
+from standins import CannotRunError, Scene, play, settings  # noqa: E402
 
 RATE_S = 0.1  # between two messages: 10 a second
 CLUMP = 20  # messages for one partner at once, about as many as it takes in 3 s (BRIEF: in 1.1 to 3.4 s)
@@ -69,6 +69,8 @@
     await asyncio.gather(*handed)
     await second.kill()
     await asyncio.sleep(0.6)
+    if not any(one.taken for one in scene.client.handed.values() if one.sent_at > scene.record.now() - 3.0):
+        raise CannotRunError("the new process took nothing on")
     third = scene.courier()
     third.write_config(after if trouble else before)
     await third.start()
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,7 +10,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins import RESET, Answer, Call, Scene, play, settings  # noqa: E402
+from standins import RESET, Answer, Call, CannotRunError, Scene, play, settings  # noqa: E402
 
 NAMED_S = 1.2  # from SIGHUP on clients name the new class, and its rules bind (DAYS)
 SLACK_S = 0.05
@@ -67,6 +67,8 @@
     if trouble:
         await first.end()
     await asyncio.sleep(15)
+    if not any(row["what"] == "reset" for row in scene.record.rows):
+        raise CannotRunError("no connection was reset before clients named the new class")
     return breaches(scene, sighup_at)
 
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -43,7 +43,7 @@
         await second.wait_yes()
     reply = await first.call("exclude e3")
     said_at = scene.record.now()
-    if not trouble and not reply.startswith("+OK"):
+    if not reply or not trouble and not reply.startswith("+OK"):
         raise CannotRunError(f"exclude was answered {reply!r}")
     await asyncio.sleep(SIGTERM_AFTER_S)
     if trouble:
--- a/review/standins.py
+++ b/review/standins.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 import uuid
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -26,6 +27,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 RESET = "reset"  # an endpoint's answer: the connection is reset after the call's last byte
 SILENT = None  # an endpoint's answer: there is none
+LONGEST_S = 110.0  # of a case
 CLIENT_WAIT_S = 0.4  # a client waits so long for its answer (PROTOCOL, 'Clients to couriers')
 Answer = tuple[int, dict[str, str], bytes] | str | None
 
@@ -287,7 +289,7 @@
         one = self.handed[name] = Handed(name, cls, dest, key, self.record.add("hand in", id=name, cls=cls, dest=dest,
                                                                                key=key), deadline_ms / 1e3)
         for again in (False, True):  # once more on a new connection, where the courier closed a kept one meanwhile
-            kept = bool(self._idle) and not again
+            kept, pair = bool(self._idle) and not again, None
             try:
                 async with asyncio.timeout(CLIENT_WAIT_S):
                     pair = self._idle.pop() if kept else await self._dial()
@@ -303,7 +305,8 @@
                     self._idle.append(pair)
                 break
             except TimeoutError:
-                pair[1].transport.abort()
+                if pair is not None:
+                    pair[1].transport.abort()
                 break
             except (OSError, asyncio.IncompleteReadError):
                 if not kept:
@@ -466,6 +469,7 @@
         self.agent = Agent(self.record)
         self.endpoints: dict[str, Endpoint] = {}
         self.couriers: list[Courier] = []
+        self._opened = False
         self.listen = free_address()
         self.client = Client(self.record, lambda: self.listen)
 
@@ -479,6 +483,7 @@
         for one in self.endpoints.values():
             await one.start()
         await self.agent.start()
+        self._opened = True
         self.agent.list(*self.endpoints.values())
 
     def courier(self, console: bool = True) -> Courier:
@@ -502,9 +507,10 @@
             if hasattr(one, "process") and one.process.returncode is None:
                 one.process.kill()
                 await one.process.wait()
-        for endpoint in self.endpoints.values():
-            endpoint.close()
-        self.agent.close()
+        if self._opened:
+            for endpoint in self.endpoints.values():
+                endpoint.close()
+            self.agent.close()
         self.client.close()
         for one in self.couriers:
             if one.log.exists():
@@ -515,21 +521,29 @@
 
 
 def play(folder: Path, case: Callable[[Scene, bool], Awaitable[list[str]]]) -> int:
-    """Play a case: 1 with a line for each breach of the rule, 0 if it held, 2 if the case could not run."""
+    """Play a case: 1 with a line for each breach of the rule, 0 if it held, 2 if the case could not run, also where a
+    signal ends it or it fails itself."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def work() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):  # what was started is ended then, too
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         scene = Scene(folder)
         try:
-            async with asyncio.timeout(115):
+            async with asyncio.timeout(LONGEST_S):
                 broken = await case(scene, trouble)
-        except (CannotRunError, TimeoutError, OSError) as error:
-            print(f"could not run: {error!r}", file=sys.stderr)
-            return 2
         finally:
             await scene.close()
         for line in broken[:20]:
             print(line)
         print(f"{'broken' if broken else 'held'}: {len(broken)} breaches")
         return 1 if broken else 0
-    return asyncio.run(work())
+    try:
+        return asyncio.run(work())
+    except (Exception, asyncio.CancelledError) as error:  # 1 would say that the rule was broken
+        if not isinstance(error, CannotRunError):
+            traceback.print_exc()
+        print(f"could not run: {error!r}", file=sys.stderr)
+        return 2
