--- a/wheelstep/courier/classes.py
+++ b/wheelstep/courier/classes.py
@@ -39,7 +39,7 @@
 
     def renew(self, config: Config) -> None:
         """Apply the classes and the maximum of attempts of a new configuration. The rest needs a restart. For
-        `SETTLE_S` a class that changes has the stricter rules of both versions."""
+        `TRANSITION_S` a class that changes has the stricter rules of both versions."""
         from wheelstep.renewal.classes import TRANSITION_S, ClassTable, transitional_classes
         classes = _classes(config)
         if self._table is None:
@@ -53,6 +53,12 @@
             self._settling.cancel()
         self._settling = asyncio.get_running_loop().call_later(TRANSITION_S, self._settle, classes)
 
+    def stop(self) -> None:
+        """Change nothing any more, as another process owns the messages."""
+        if self._settling is not None:
+            self._settling.cancel()
+            self._settling = None
+
     def _settle(self, classes: dict[str, api.MessageClass]) -> None:
         self._settling = None
         self._apply(classes)
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -74,8 +74,9 @@
         Always True after a handover. True also with one place left while restored, untried messages fill more than half
         of the limit: a message that took it would make the decision module return one just accepted, and refusing it
         costs less than that."""
-        room = self._settings.hold_limit - len(self._journal.messages)
-        return self._report is not None or room <= 0 or room == 1 and 2 * len(self._untried) > self._settings.hold_limit
+        limit = self._settings.hold_limit
+        room = limit - len(self._journal.messages)
+        return self._report is not None or room <= 0 or room == 1 and 2 * len(self._untried) > limit
 
     def serves(self, destination: int) -> bool:
         """Return whether any list has named the destination, or no list has been read yet."""
@@ -161,10 +162,6 @@
         for note in sorted(notes, key=lambda note: -note.health.carried)[:_MAX_HEALTH_NOTES]:
             self._carry_out(note, {})
 
-    def waits(self) -> dict[str, int]:
-        """Return the waits in force: microseconds left by endpoint."""
-        return self.endpoints.waits(time.monotonic())
-
     def rows(self) -> list[Row]:
         """Return the current list."""
         return [(info, address) for name, info in self.endpoints.listed.items()
@@ -175,9 +172,10 @@
         self._record(EventKind.STATE, detail="handed over")
         self._report, self._report_wait = on_outcomes, on_wait
         self.decision_loop.end()
+        self.classes.stop()
         self._held.clear()
-        for endpoint in self.endpoints.listed:
-            self.endpoint_client.close_idle(endpoint)
+        for name in self.endpoints.listed:
+            self.endpoint_client.close_idle(name)
 
     def restore(self, marks: Mapping[str, Any], messages: Iterable[StoredMessage], calls: Sequence[OpenCall] = (),
                 settling: Mapping[str, int] | None = None, owned_since_s: float | None = None) -> None:
--- a/wheelstep/journal/durability.py
+++ b/wheelstep/journal/durability.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 from enum import StrEnum
 
 
@@ -13,6 +14,13 @@
     """Another process has locked the folder."""
 
 
+class JournalClosedError(OSError):
+    """The journal is closed, and its folder may belong to another process by now."""
+
+    def __init__(self) -> None:
+        super().__init__(errno.EBADF, "the journal is closed")
+
+
 class SyncPolicy(StrEnum):
     """When written records are also synced to the device."""
 
--- a/wheelstep/journal/journal.py
+++ b/wheelstep/journal/journal.py
@@ -139,7 +139,8 @@
         return self._deferred.write()
 
     def close(self) -> None:
-        """Close all files and unlock the folder. Under a sync policy, written records are synced first."""
+        """Close all files and unlock the folder. Under a sync policy, written records are synced first. Later events
+        change the state in memory alone."""
         try:
             self._deferred.write()
             if self._sync is not SyncPolicy.NONE and not self._sync_failed:
--- a/wheelstep/journal/segments.py
+++ b/wheelstep/journal/segments.py
@@ -12,6 +12,7 @@
 
 from wheelstep.journal import codec
 from wheelstep.journal.disk import Disk
+from wheelstep.journal.durability import JournalClosedError
 
 BLOCK = 512  # allocation unit: a file's size counts rounded up to it
 _NAME = re.compile(r"(\d{8})\.journal")
@@ -48,7 +49,8 @@
     """The segments in use.
 
     Methods raise `OSError` from the disk; then nothing has changed, except that half a record may be left at the end of
-    the newest segment (`_partial_tail`).
+    the newest segment (`_partial_tail`). Once the log is closed, whatever would change a file raises
+    `JournalClosedError`: the folder may belong to another process by then.
     """
 
     def __init__(self, disk: Disk, target_bytes: int, syncs: bool) -> None:
@@ -61,6 +63,7 @@
         self._syncing: list[int] = []  # handles of the sync in progress, which may run in another thread
         self._retired: list[int] = []  # handles of full segments, closed once they are synced
         self._partial_tail = False  # the newest segment ends in half a record that could not be cut off
+        self._closed = False
 
     @property
     def head(self) -> Segment:
@@ -78,6 +81,7 @@
 
     def append(self, data: bytes) -> Segment:
         """Append one or several records to one segment, and return the segment."""
+        self._check_open()
         segments = self.segments
         if not segments or segments[-1].handle is None or self._partial_tail or segments[-1].size >= self.target_bytes:
             self.roll()
@@ -107,6 +111,7 @@
 
     def roll(self, taken_over: str = "") -> None:
         """Start a new segment."""
+        self._check_open()
         number = self.segments[-1].number + 1 if self.segments else 1
         low = self.segments[0].number if self.segments else number
         before = self.segments[-1].size if self.segments else 0
@@ -134,6 +139,10 @@
             self.dirty.append(handle)
         self.folder_dirty, self._partial_tail = self.syncs, False
 
+    def _check_open(self) -> None:
+        if self._closed:
+            raise JournalClosedError
+
     def _create(self, name: str) -> int:
         """Create a segment's file. One that is there already is left over from a segment that could not be begun, and
         holds no record."""
@@ -151,6 +160,7 @@
 
     def drop_oldest(self) -> None:
         """Remove the oldest segment. The caller must have the records that are still needed in newer segments."""
+        self._check_open()
         oldest = self.segments[0]
         self.disk.unlink(segment_file_name(oldest.number))
         self.segments.pop(0)
@@ -173,7 +183,8 @@
             self._close(handle)
 
     def close(self) -> None:
-        """Close all handles."""
+        """Close all handles. Nothing is written from then on."""
+        self._closed = True
         handles = [*self._retired, *(one.handle for one in self.segments if one.handle is not None)]
         self._retired.clear()
         for segment in self.segments:
--- a/wheelstep/shards/core_adapter.py
+++ b/wheelstep/shards/core_adapter.py
@@ -74,7 +74,7 @@
         left_us)."""
         self._read_notes()
         healths = [EndpointHealth(note.endpoint, 0, astuple(note.health)) for note in self._notes.get(shard, ())]
-        waits = [(endpoint, left_us) for endpoint, left_us in self._core.waits().items()
+        waits = [(endpoint, left_us) for endpoint, left_us in self._core.endpoints.waits(time.monotonic()).items()
                  if shard_of(self._core.endpoints.listed[endpoint].destination, self._shards) == shard]
         return healths, waits
 
--- a/wheelstep/upgrade/source.py
+++ b/wheelstep/upgrade/source.py
@@ -177,7 +177,7 @@
         calls = [[call.endpoint, call.sent_ms, call.attempts]
                  for call in [*self._core.calls_out(), *self._inherited_calls()]]
         settling = list(self._core.order.settling(time.monotonic()).items())
-        waits = list(self._core.waits().items())
+        waits = list(self._core.endpoints.waits(time.monotonic()).items())
         self._core.hand_over(self._send_outcomes, self._send_wait)
         self._close()  # from here on this process writes nothing
         await channel.send_list({"is": "calls"}, calls)
