--- a/tests/test_renewal.py
+++ b/tests/test_renewal.py
@@ -97,7 +97,9 @@
                 stored = json.loads(json.dumps(table.store()))
                 if data.draw(st.booleans()):
                     now = classes()  # the file has changed meanwhile
-                table = ClassTable.restored(stored, now, seq, [(name, number) for number, (name, _) in held.items()])
+                known = [(name, number) for number, (name, _) in held.items()]
+                table = ClassTable.restored(stored, known)
+                table.renew(now, seq, known)
         for number, (name, rules) in held.items():
             place = table.place(name, number)
             assert place is not None and table.places[place] == rules
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -95,11 +95,9 @@
         if watches:
             core.listed(api.ListKind.RESTORED, rows)
         async with asyncio.TaskGroup() as group:
-            follow = functools.partial(follow_config, config, reload_requested, watch, core.notices, core=core,
-                                       on_reload=reload_fleet)
             permanent: dict[str, Callable[[], Coroutine[object, object, None]]] = {
                 "notifications": core.notices.run, "sweep of endpoints": core.endpoint_client.sweep,
-                "sweep of clients": server.sweep, "compaction": journal.run_compaction, "configuration": follow}
+                "sweep of clients": server.sweep, "compaction": journal.run_compaction}
             if watches:
                 permanent["watch"] = watch.run
             tasks = [group.create_task(keep_running(name, work)) for name, work in permanent.items()]
@@ -114,6 +112,9 @@
                 calls, settling = (target.transferred.calls, target.transferred.settling) if target else ((), None)
                 core.restore(journal.marks, journal.messages.values(), calls, settling)
                 core.ended_messages.restore(target.transferred.ended if target else (), time.monotonic())
+            follow = functools.partial(follow_config, config, reload_requested, watch, core.notices, core=core,
+                                       on_reload=reload_fleet, at_once=target is not None)
+            tasks.append(group.create_task(keep_running("configuration", follow)))  # not before classes are restored
             gc.freeze()  # restored objects live long: a full collection that visits them would block the event loop
             listener = target.transferred.listener if target is not None else None
             listener = listener or await retry("the address", lambda: open_listener(config.listen), ADDRESS_ERRORS)
--- a/wheelstep/courier/classes.py
+++ b/wheelstep/courier/classes.py
@@ -40,21 +40,22 @@
     def renew(self, config: Config) -> None:
         """Apply the classes and the maximum of attempts of a new configuration. The rest needs a restart. For
         `TRANSITION_S` a class that changes has the stricter rules of both versions."""
-        from wheelstep.renewal.classes import TRANSITION_S, ClassTable, transitional_classes
+        from wheelstep.renewal.classes import ClassTable
         classes = _classes(config)
-        if self._table is None:
-            if classes == _classes(self._config):
-                return
-            self._table = ClassTable(_classes(self._config))
-        elif self._settling is None and classes == {name: self._table.current(name) for name in self._table.names}:
-            return
-        self._apply(transitional_classes(self._table, classes))
-        if self._settling is not None:
-            self._settling.cancel()
+        table = self._table or ClassTable(_classes(self._config))
+        if self._settling is not None or classes != table.current_classes():
+            self._begin_transition(table, classes)
+
+    def _begin_transition(self, table: ClassTable, classes: dict[str, api.MessageClass]) -> None:
+        """Apply the stricter of the rules in the table and in `classes`; after `TRANSITION_S`, those of `classes`."""
+        from wheelstep.renewal.classes import TRANSITION_S, transitional_classes
+        self._table = table
+        self._apply(transitional_classes(table, classes))
+        self.stop()
         self._settling = asyncio.get_running_loop().call_later(TRANSITION_S, self._settle, classes)
 
     def stop(self) -> None:
-        """Change nothing any more, as another process owns the messages."""
+        """Stop the transition that is under way: another one follows, or another process owns the messages."""
         if self._settling is not None:
             self._settling.cancel()
             self._settling = None
@@ -77,25 +78,31 @@
         self._post(api.ClassesChanged(tuple(table.places)))
 
     def restore(self, marks: Mapping[str, Any], messages: list[StoredMessage]) -> None:
-        """Keep the rules of messages whose class was changed or removed after they were accepted, by SIGHUP or before a
-        restart: each process writes its classes to the journal. A message whose class is unknown is tried under rules
-        that allow no repeat."""
+        """Continue from the classes of the process before, which are in the journal: each process writes its own there.
+
+        Messages keep the rules that they were accepted under, also if their class was changed or removed since. If the
+        classes of this process differ, its clients may not know of that yet (the process before may have applied them a
+        moment ago), so that they apply after a transition, as at SIGHUP. A message whose class is unknown is tried
+        under rules that allow no repeat."""
         from wheelstep.renewal.classes import ClassTable, rules_for_unknown_class
         now = _classes(self._config)
         held = [(message.message_class, message.seq) for message in messages]
         taken, table = 1 + max((seq for _, seq in held), default=0), ClassTable(now)
         try:
             if _MARK in marks:
-                table = ClassTable.restored(marks[_MARK], now, taken, held)
+                table = ClassTable.restored(marks[_MARK], held)
         except (KeyError, IndexError, TypeError, ValueError, AttributeError) as error:
             log.error("the classes that an earlier process stored in the journal can't be used: %r", error)
+        before = table.current_classes()
         if lost := {name: rules_for_unknown_class(now.values())
                     for name, seq in held if table.place(name, seq) is None}:
             log.error("classes not known any more, their messages are tried as not repeatable: %s",
                       ", ".join(map(repr, lost)))
-            table.renew({**now, **lost}, taken, held)
-            table.renew(now, taken, held)
-        if table.store() != ClassTable(now).store():
+            table.renew({**before, **lost}, taken, held)
+            table.renew(before, taken, held)
+        if before != now:
+            self._begin_transition(table, now)
+        elif table.store() != ClassTable(now).store():
             self._table = table
             self._publish(table)
         elif marks.get(_MARK) != table.store():
--- a/wheelstep/courier/reload.py
+++ b/wheelstep/courier/reload.py
@@ -67,12 +67,15 @@
 
 async def follow_config(config: Config, reload_requested: asyncio.Event, *users: DiscoveryUser,
                         on_applied: Callable[[], None] = lambda: None, core: Core | None = None,
-                        on_reload: Callable[[], None] = lambda: None) -> None:
+                        on_reload: Callable[[], None] = lambda: None, at_once: bool = False) -> None:
     """Read the configuration again whenever that is requested, until cancelled. A configuration that can't be used
-    changes nothing. `on_reload` is called before it is read, `on_applied` after it was applied."""
+    changes nothing. `on_reload` is called before it is read, `on_applied` after it was applied. `at_once`: read it at
+    once as well, which counts as no load, because the process before may have been told of a newer one."""
     discovery, raw = config.discovery, config.raw
     while True:
-        await reload_requested.wait()
+        if not at_once:
+            await reload_requested.wait()
+        requested, at_once = reload_requested.is_set(), False
         reload_requested.clear()
         on_reload()
         try:
@@ -80,13 +83,13 @@
         except (ConfigError, ValueError) as error:
             log.warning("the new configuration is not used: %.300s", " ".join(str(error).split()))
             if core is not None and core.counters is not None:
-                core.counters.load_errors += 1
+                core.counters.load_errors += requested
             continue
         address, raw = fresh.discovery, fresh.raw
         if core is not None:
             core.renew(fresh)
             if core.counters is not None:
-                core.counters.loads += 1
+                core.counters.loads += requested
         log.info("configuration read again: discovery at %s:%d", address.host, address.port)
         if address != discovery:
             discovery = address
--- a/wheelstep/renewal/classes.py
+++ b/wheelstep/renewal/classes.py
@@ -49,6 +49,10 @@
         """Return the rules for new messages of a class. Raises `KeyError` for an unknown class."""
         return self.places[self._current[name]]
 
+    def current_classes(self) -> dict[str, MessageClass]:
+        """Return the rules for new messages of each class that clients may name."""
+        return {name: self.current(name) for name in self._current}
+
     def place(self, name: str, taken: int) -> int | None:
         """Return the place for the message of this class with sequence number `taken`, or None if no rules are known
         for it."""
@@ -103,9 +107,8 @@
                 "past": {name: [list(row) for row in rows] for name, rows in self._history.items()}}
 
     @classmethod
-    def restored(cls, stored: Mapping[str, Any], classes: Mapping[str, MessageClass], taken: int,
-                 held: Iterable[tuple[str, int]]) -> ClassTable:
-        """Restore what an earlier process stored, and apply the current classes.
+    def restored(cls, stored: Mapping[str, Any], held: Iterable[tuple[str, int]]) -> ClassTable:
+        """Restore what an earlier process stored. Rules that no message of `held` uses are dropped.
 
         Invalid data raises whatever error it causes (`KeyError`, `TypeError`, `ValueError` or `IndexError` among them).
         """
@@ -113,17 +116,19 @@
         table.places = [_from_json(row) for row in stored["places"]]
         table._current = {str(name): int(place) for name, place in stored["now"].items()}
         table._history = {str(name): [(int(before), int(place)) for before, place in rows]
-                       for name, rows in stored["past"].items()}
+                          for name, rows in stored["past"].items()}
+        if not table._current:
+            raise ValueError("no classes; expected one at least")
         for place in [*table._current.values(), *(place for rows in table._history.values() for _, place in rows)]:
             table.places[place]
-        table.renew(classes, taken, held)
+        table.renew(table.current_classes(), 0, held)
         return table
 
 
 def transitional_classes(before: ClassTable, classes: Mapping[str, MessageClass]) -> dict[str, MessageClass]:
     """Return the classes that apply until clients know the new ones: all old and new, changed ones with the stricter
     rules."""
-    both = {name: before.current(name) for name in before.names}
+    both = before.current_classes()
     return {**both, **{name: stricter_rules(both[name], cls) if name in both and both[name] != cls else cls
                        for name, cls in classes.items()}}
 
