A hand-over passes on answers that turn out to be copies: their messages get an end

Seen by callers: a message that was refused is neither called again nor ended by a notice, where the copy of an earlier 200 met its call in a process that hands over before the call's own answer comes.

Change: what calls still bring after a hand-over goes through one interface (ports.Successor): outcomes, waits and, new, contradictions. upgrade/reports.py has the packets; the others keep their form.

--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -9,7 +9,7 @@
 import asyncio
 import logging
 import time
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import TYPE_CHECKING, Any
 
 from wheelstep import interface as api
@@ -17,7 +17,7 @@
 from wheelstep.courier.flight_recorder import EventKind
 from wheelstep.courier.handover_state import continue_settling
 from wheelstep.courier.operator_commands import OperatorCommands
-from wheelstep.courier.ports import JournalPort, OpenCall, OutcomeListener
+from wheelstep.courier.ports import JournalPort, OpenCall, Successor
 from wheelstep.courier.rows import Row
 from wheelstep.courier.wall_clock import CLOCK_MARK, ago_us, left_us
 from wheelstep.interface import EndpointState
@@ -76,7 +76,7 @@
         costs less than that."""
         limit = self._settings.hold_limit
         room = limit - len(self._journal.messages)
-        return self._report is not None or room <= 0 or room == 1 and 2 * len(self._untried) > limit
+        return self.handed_over or room <= 0 or room == 1 and 2 * len(self._untried) > limit
 
     def serves(self, destination: int) -> bool:
         """Return whether any list has named the destination, or no list has been read yet."""
@@ -136,9 +136,9 @@
     # --- handover between processes ---
 
     @property
-    def frozen(self) -> bool:
-        """Whether the decision module is suspended, as another process is about to take over."""
-        return self.decision_loop.frozen
+    def handed_over(self) -> bool:
+        """Whether another process owns the messages now."""
+        return self._successor is not None
 
     def freeze(self) -> None:
         """Start nothing new. Calls under way continue; those that have not written a byte end as not sent."""
@@ -167,10 +167,10 @@
         return [(info, address) for name, info in self.endpoints.listed.items()
                 if (address := self.endpoint_client.address(name)) is not None]
 
-    def hand_over(self, on_outcomes: OutcomeListener, on_wait: Callable[[str, int], None]) -> None:
-        """Give the messages to another process: outcomes and waits go to it, nothing is journalled here now."""
+    def hand_over(self, successor: Successor) -> None:
+        """Give the messages to another process: what calls still bring goes to it, nothing is journalled here now."""
         self._record(EventKind.STATE, detail="handed over")
-        self._report, self._report_wait = on_outcomes, on_wait
+        self._successor, self.endpoint_client.on_contradiction = successor, successor.contradicted
         self.decision_loop.end()
         self.classes.stop()
         self._held.clear()
--- a/wheelstep/courier/dispatcher.py
+++ b/wheelstep/courier/dispatcher.py
@@ -23,7 +23,7 @@
 from wheelstep.courier.invariants import Invariant, Invariants
 from wheelstep.courier.key_order import KeyOrder
 from wheelstep.courier.outcome_reports import report_outcome
-from wheelstep.courier.ports import JournalPort, NotificationSender, OpenCall, OutcomeListener
+from wheelstep.courier.ports import JournalPort, NotificationSender, OpenCall, Successor
 from wheelstep.courier.send_guard import SendGuard
 from wheelstep.courier.timeliness import Timeliness, call_timeliness
 from wheelstep.courier.wall_clock import clock
@@ -66,8 +66,7 @@
         self.account: AccountWriter | None = None
         self.fence: Callable[[str], bool] | None = None  # further permission for a message's first byte
         self.late_outcome: Callable[[Item, Result], None] | None = None  # receives outcomes of messages no longer held
-        self._report: OutcomeListener | None = None  # set once another process owns the messages
-        self._report_wait: Callable[[str, int], None] | None = None
+        self._successor: Successor | None = None  # set once another process owns the messages
 
     @property
     def syncs(self) -> bool:
@@ -107,7 +106,7 @@
     def attempts_starting(self, endpoint: str, items: Sequence[Item]) -> None:
         """Journal the attempts before their first byte."""
         now_ms = clock.now_ms()
-        if self._report is not None:
+        if self._successor is not None:
             self.invariants.report_violation(Invariant.OWNER, f"a call to {endpoint} began after the handover")
         for item in items:
             self._journal.attempt(item.message, item.attempt, now_ms, endpoint)
@@ -120,13 +119,13 @@
     def apply_wait(self, endpoint: str, wait_us: int) -> None:
         """Send nothing more to the endpoint for this long, not even on connections that are being opened."""
         self.endpoints.apply_wait(endpoint, time.monotonic(), wait_us / 1e6)
-        if self._report_wait is not None:
-            self._report_wait(endpoint, wait_us)
+        if self._successor is not None:
+            self._successor.apply_wait(endpoint, wait_us)
 
     def ended(self, endpoint: str, results: Sequence[tuple[Item, Result]]) -> None:
         """Process the outcomes of one call."""
-        if self._report is not None:
-            self._report(endpoint, results)
+        if self._successor is not None:
+            self._successor.ended(endpoint, results)
             return
         now_s, settings = time.monotonic(), self._settings
         timely = Timeliness.IN_TIME if self.notifies_deliveries else call_timeliness(results, self._held, settings)
@@ -164,7 +163,7 @@
 
     def probed(self, endpoint: str, result: Result) -> None:
         """Process the outcome of a probe."""
-        if self._report is not None:
+        if self._successor is not None:
             return
         if self.account is not None:
             self.account.probed(endpoint, result.outcome.value)
--- a/wheelstep/courier/ports.py
+++ b/wheelstep/courier/ports.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from wheelstep.courier.call import Item, Result
+from wheelstep.courier.call import Contradiction, Item, Result
 from wheelstep.journal import StoredMessage
 
-OutcomeListener = Callable[[str, Sequence[tuple[Item, Result]]], None]
-
 
 class JournalPort(Protocol):
     """The part of a journal that the core uses: see `wheelstep.journal.Journal`."""
@@ -66,6 +64,19 @@
         """Send a notification of this end as soon as possible."""
 
 
+class Successor(Protocol):
+    """The process that owns the messages after a handover. What the calls of this process still bring goes to it."""
+
+    def ended(self, endpoint: str, results: Sequence[tuple[Item, Result]]) -> None:
+        """Pass on the outcomes of a call that was in flight at the handover."""
+
+    def apply_wait(self, endpoint: str, wait_us: int) -> None:
+        """Pass on a wait that an endpoint stated in an answer to this process."""
+
+    def contradicted(self, contradiction: Contradiction) -> None:
+        """Pass on that an answer to a call of this process was a copy of an earlier one."""
+
+
 @dataclass(frozen=True, slots=True)
 class OpenCall:
     """A call under way: its endpoint, its start (Unix time), and its messages with their attempts."""
--- a/wheelstep/upgrade/source.py
+++ b/wheelstep/upgrade/source.py
@@ -9,11 +9,10 @@
 import socket
 import sys
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
-from wheelstep.courier.call import Item, Result
 from wheelstep.courier.client_server import ClientServer
 from wheelstep.courier.core import Core
 from wheelstep.courier.local_errors import may_pass
@@ -21,6 +20,7 @@
 from wheelstep.courier.rows import write_rows
 from wheelstep.upgrade import channel as channels
 from wheelstep.upgrade.channel import Channel, ConnectionLostError
+from wheelstep.upgrade.reports import SuccessorReports
 from wheelstep.upgrade.states import Action, Handover, State
 
 _HANDOVER_TIMEOUT_S = 4.0  # time limit for all steps of a handover
@@ -178,7 +178,7 @@
                  for call in [*self._core.calls_out(), *self._inherited_calls()]]
         settling = list(self._core.order.settling(time.monotonic()).items())
         waits = list(self._core.endpoints.waits(time.monotonic()).items())
-        self._core.hand_over(self._send_outcomes, self._send_wait)
+        self._core.hand_over(SuccessorReports(self._send_report))
         self._close()  # from here on this process writes nothing
         await channel.send_list({"is": "calls"}, calls)
         await channel.send_list({"is": "waits"}, waits)
@@ -197,22 +197,11 @@
             self._listener.close()
         log.info("handed over, %d calls still in flight", len(self._core.endpoint_client.calls()))
 
-    def _send_outcomes(self, endpoint: str, results: Sequence[tuple[Item, Result]]) -> None:
-        """Send the outcomes of calls that were in flight here at the handover."""
-        rows = [[item.message, item.attempt, result.outcome.value, result.spent_us, result.wait_us,
-                 [result.limit.left, result.limit.per_s] if result.limit is not None else None,
-                 result.over, result.exhausted] for item, result in results]
-        unfinished = [[item.message, item.attempt] for item, result in results if result.unfinished]
+    def _send_report(self, head: dict[str, Any]) -> None:
+        """Queue a packet about calls that were in flight here at the handover."""
         if self._channel is not None:
-            head = {"is": "ended", "endpoint": endpoint, "rows": rows, "unfinished": unfinished}
             self._spawn(self._channel.send(head))
 
-    def _send_wait(self, endpoint: str, wait_us: int) -> None:
-        """Send a wait that an endpoint stated in answer to a call or probe of this process: it binds the successor
-        too."""
-        if self._channel is not None:
-            self._spawn(self._channel.send({"is": "waits", "rows": [[endpoint, wait_us]]}))
-
     def leave(self) -> None:
         """Note that this process is to end (SIGTERM).
 
--- a/wheelstep/upgrade/target.py
+++ b/wheelstep/upgrade/target.py
@@ -13,7 +13,6 @@
 from pathlib import Path
 from typing import Any
 
-from wheelstep import interface as api
 from wheelstep.courier.call import Item, Result
 from wheelstep.courier.client_server import ClientServer
 from wheelstep.courier.core import Core
@@ -23,6 +22,7 @@
 from wheelstep.interface import Outcome
 from wheelstep.upgrade import channel as channels
 from wheelstep.upgrade.channel import Channel, ConnectionLostError
+from wheelstep.upgrade.reports import apply_contradiction, read_results
 
 _RETRY_S = 0.05
 _STEP_TIMEOUT_S = 4.0
@@ -59,7 +59,7 @@
         """Use a connected socket to the serving process."""
         self.transferred = TransferredState()
         self._core: Core | None = None
-        self._early_outcomes: list[dict[str, Any]] = []  # before the core was set, at most one per call
+        self._early_reports: list[dict[str, Any]] = []  # before the core was set, at most two per call
         self._in_flight: dict[tuple[str, int], str] = {}  # attempts at the previous process -> endpoint
         self._steps: asyncio.Queue[str] = asyncio.Queue()
         self._channel = Channel(sock, self._on_packet, self._on_lost)
@@ -86,10 +86,10 @@
                 transferred.settling.update((str(key), int(left_us)) for key, left_us in head["rows"])
             case "ended messages":
                 transferred.ended += [(str(message), int(age_us)) for message, age_us in head["rows"]]
-            case "ended" if self._core is None:
-                self._early_outcomes.append(head)
-            case "ended":
-                self._apply_outcomes(head)
+            case "ended" | "contradiction" if self._core is None:
+                self._early_reports.append(head)
+            case "ended" | "contradiction":
+                self._apply_report(head)
             case "connections" | "yours" as step:
                 self._steps.put_nowait(step)
         for descriptor in descriptors:
@@ -146,9 +146,9 @@
             with contextlib.suppress(OSError):  # its client has disconnected meanwhile
                 await server.adopt(connection, idle, raw)
         self._core = core
-        for head in self._early_outcomes:
-            self._apply_outcomes(head)
-        self._early_outcomes.clear()
+        for head in self._early_reports:
+            self._apply_report(head)
+        self._early_reports.clear()
         if self._channel.open:
             with contextlib.suppress(ConnectionLostError):
                 await self._channel.send({"do": "mine"})
@@ -161,18 +161,19 @@
                  for call in self.transferred.calls]
         return [call for call in calls if call.attempts]
 
-    def _apply_outcomes(self, head: dict[str, Any]) -> None:
-        """Apply the outcomes of calls that were in flight at the previous process."""
+    def _apply_report(self, head: dict[str, Any]) -> None:
+        """Apply what a call of the previous process has brought after the handover."""
         assert self._core is not None
+        if head["is"] == "contradiction":
+            apply_contradiction(head, self._core)
+            return
         endpoint, results = str(head["endpoint"]), []
-        for name, number, outcome, spent_us, wait_us, limit, over, exhausted in head["rows"]:
-            if self._in_flight.pop((name, number), None) is None:
+        for item, result in read_results(head):
+            if self._in_flight.pop((item.message, item.attempt), None) is None:
                 continue
-            if wait_us:
-                self._core.apply_wait(endpoint, wait_us)
-            results.append((Item(name, number, None, b""), Result(
-                Outcome(outcome), spent_us, wait_us, api.LimitReport(*limit) if limit else None, over, exhausted,
-                unfinished=[name, number] in head.get("unfinished", ()))))
+            if result.wait_us:
+                self._core.apply_wait(endpoint, result.wait_us)
+            results.append((item, result))
         if results:
             self._core.ended(endpoint, results)
 
