Operators' commands and SIGHUP reach the process that owns the messages

Cause: the console passed commands to the core of its own process, whether or not that owned the messages; likewise a SIGHUP at the old process was heard by nobody.

Change: upgrade/owner_commands.py. The console's replies are tasks, since they may wait. Connecting to that socket no longer blocks the event loop.

--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -9,7 +9,7 @@
 import pytest
 from loopback import LIMIT_S, Endpoint, Scene, host, run
 
-from wheelstep.console.commands import reply
+from wheelstep.console.commands import NoOwnerError, reply
 from wheelstep.console.front import MAX_CONNECTIONS, ConsoleServer
 from wheelstep.console.metrics import Counters, Gauges, render
 from wheelstep.courier.config import Address
@@ -24,11 +24,14 @@
     def telemetry(self) -> str:
         return "app.loads:0|c\n"
 
-    def exclude(self, endpoint: str) -> bool:
+    async def exclude(self, endpoint: str) -> bool:
+        if endpoint == "orphan":
+            raise NoOwnerError("no process")
+        await asyncio.sleep(0)  # as for a command that another process carries out
         self.out.add(endpoint)
         return endpoint == "e0"
 
-    def include(self, endpoint: str) -> bool:
+    async def include(self, endpoint: str) -> bool:
         self.out.discard(endpoint)
         return endpoint == "e0"
 
@@ -36,9 +39,10 @@
 @pytest.mark.parametrize(("line", "start"), [
     (b"readyz", b"+OK"), (b"readyz\r", b"+OK"), (b"telemetry", b"+OK\napp.loads:0|c\n.\n"),
     (b"exclude e0", b"+OK"), (b"include e0", b"+OK"), (b"exclude nobody", b"-ERR"), (b"include nobody", b"-ERR"),
+    (b"exclude orphan", b"-ERR no process"),
     (b"exclude", b"-ERR"), (b"readyz now", b"-ERR"), (b"", b"-ERR"), (b"\xff\x00", b"-ERR"), (b"READYZ", b"-ERR")])
 def test_every_line_has_one_reply(line: bytes, start: bytes) -> None:
-    answer = reply(line, ConsoleBackend())
+    answer = asyncio.run(reply(line, ConsoleBackend()))
     assert answer.startswith(start) and answer.endswith(b"\n")
 
 
@@ -65,6 +69,10 @@
         for _, writer in slow:
             writer.write(b"read")
         assert await call(b"rea", b"dyz\n") == b"+OK ready\n"
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"exclude e0")  # its end is that of the caller's input, and the reply still comes
+        writer.write_eof()
+        assert await reader.read() == b"+OK e0 is out\n"
         assert await call(b"x" * 4000) == b"-ERR expected one of: readyz, telemetry, exclude ID, include ID\n"
         assert len(front._connections) <= MAX_CONNECTIONS
         front.stop()
--- a/wheelstep/console/commands.py
+++ b/wheelstep/console/commands.py
@@ -1,4 +1,4 @@
-"""The console's commands. No I/O.
+"""The console's commands. No I/O of its own.
 
 A command is one line; the reply is a line that starts with `+OK` or `-ERR`. After `telemetry` the metrics follow, and a
 line with a dot.
@@ -11,6 +11,10 @@
 MAX_LINE_BYTES = 512  # bytes of a command
 
 
+class NoOwnerError(Exception):
+    """No process of this courier could carry a command out in time."""
+
+
 class ConsoleBackend(Protocol):
     """What the commands need from the courier."""
 
@@ -21,20 +25,23 @@
     def telemetry(self) -> str:
         """Return the metrics, one per line."""
 
-    def exclude(self, endpoint: str) -> bool:
+    async def exclude(self, endpoint: str) -> bool:
         """Take an endpoint out of use, whatever the endpoint list says, until it is included again. False if it is
-        unknown."""
+        unknown. Raises `NoOwnerError`."""
 
-    def include(self, endpoint: str) -> bool:
-        """Put an excluded endpoint back into use. False if it is unknown."""
+    async def include(self, endpoint: str) -> bool:
+        """Put an excluded endpoint back into use. False if it is unknown. Raises `NoOwnerError`."""
 
 
-def reply(line: bytes, backend: ConsoleBackend) -> bytes:
+async def reply(line: bytes, backend: ConsoleBackend) -> bytes:
     """Return the whole reply to one command."""
-    return _reply(line.decode("utf-8", "replace").split(), backend).encode()
+    try:
+        return (await _reply(line.decode("utf-8", "replace").split(), backend)).encode()
+    except NoOwnerError as error:
+        return f"-ERR {error}\n".encode()
 
 
-def _reply(words: list[str], backend: ConsoleBackend) -> str:
+async def _reply(words: list[str], backend: ConsoleBackend) -> str:
     """Return the reply to a command's words."""
     match words:
         case ["readyz"]:
@@ -42,9 +49,9 @@
         case ["telemetry"]:
             return f"+OK\n{backend.telemetry()}.\n"
         case ["exclude", endpoint]:
-            return f"+OK {endpoint} is out\n" if backend.exclude(endpoint) else _unknown(endpoint)
+            return f"+OK {endpoint} is out\n" if await backend.exclude(endpoint) else _unknown(endpoint)
         case ["include", endpoint]:
-            return f"+OK {endpoint} is back\n" if backend.include(endpoint) else _unknown(endpoint)
+            return f"+OK {endpoint} is back\n" if await backend.include(endpoint) else _unknown(endpoint)
         case _:
             return "-ERR expected one of: readyz, telemetry, exclude ID, include ID\n"
 
--- a/wheelstep/console/front.py
+++ b/wheelstep/console/front.py
@@ -11,6 +11,7 @@
 from wheelstep.courier.listener import BACKLOG, open_listener
 
 MAX_CONNECTIONS = 20  # concurrent connections; one more closes the oldest one whose command is incomplete
+MAX_COMMANDS = 100  # carried out at once, with those whose callers have disconnected
 _TIME_LIMIT_S = 5.0  # time limit of a connection, from its opening until it is closed
 
 log = logging.getLogger(__name__)
@@ -43,21 +44,21 @@
             self._answer(line)
 
     def eof_received(self) -> bool:
-        """Treat the end of the input as the end of the command."""
+        """Treat the end of the input as the end of the command. Return whether a reply is still to be sent."""
         if self._line and not self.received:
             self._answer(self._line)
-        return False
+        return self.received
 
     def _answer(self, line: bytes) -> None:
-        """Send the reply and close the connection."""
+        """Have the command carried out, also if its caller disconnects meanwhile."""
         self.received, self._line = True, b""
-        assert self._transport is not None
-        try:
-            self._transport.write(reply(line[:MAX_LINE_BYTES + 1], self._server.backend))
-        except Exception:
-            log.exception("a console command failed: %.80r", line)
-            self._transport.write(b"-ERR failed; the log has more\n")
-        self._transport.close()
+        self._server.start_command(line[:MAX_LINE_BYTES + 1], self)
+
+    def finish(self, text: bytes) -> None:
+        """Send the reply and close the connection."""
+        if self._transport is not None:
+            self._transport.write(text)
+            self._transport.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Forget the connection."""
@@ -78,6 +79,7 @@
         """Answer commands from `backend`."""
         self.backend = backend
         self._connections: dict[_Connection, None] = {}
+        self._commands: set[asyncio.Task[None]] = set()
         self._listener: ClientListener | None = None
 
     async def start(self, listen: Address) -> int:
@@ -88,6 +90,22 @@
         self._listener.resume()
         return int(listener.getsockname()[1])
 
+    def start_command(self, line: bytes, connection: _Connection) -> None:
+        """Carry out a command in a task of its own, since it may have to wait for another process."""
+        if len(self._commands) >= MAX_COMMANDS:
+            connection.finish(b"-ERR too many commands at once; try again\n")
+            return
+        task = asyncio.get_running_loop().create_task(self._run_command(line, connection))
+        self._commands.add(task)
+        task.add_done_callback(self._commands.discard)
+
+    async def _run_command(self, line: bytes, connection: _Connection) -> None:
+        try:
+            connection.finish(await reply(line, self.backend))
+        except Exception:
+            log.exception("a console command failed: %.80r", line)
+            connection.finish(b"-ERR failed; the log has more\n")
+
     def opened(self, connection: _Connection) -> None:
         """Add a connection.
 
@@ -108,3 +126,5 @@
             self._listener.close()
         for connection in list(self._connections):
             connection.abort()
+        for command in self._commands:
+            command.cancel()
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -38,6 +38,7 @@
     from wheelstep.fleet.settings import FleetConfig
     from wheelstep.operator import Operator
     from wheelstep.shards.daemon import ShardDaemon
+    from wheelstep.upgrade.owner_commands import OwnerCommands
     from wheelstep.upgrade.source import HandoverSource
 
 # The agent on the same host answers at once (PROTOCOL, 'Discovery') unless discovery is down.
@@ -54,10 +55,16 @@
     terminated = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, terminated.set)
+    commands: OwnerCommands | None = None
     if config.console is None:
         journal, target, console = await open_journal_with_retry(config, operator), None, None
     else:
-        console = await open_console(config.console)
+        from wheelstep.upgrade.owner_commands import OwnerCommands  # noqa: F811
+        commands = OwnerCommands(config.state, reload_requested.set)
+        loop.add_signal_handler(signal.SIGHUP, commands.reload)
+        if reload_requested.is_set():  # SIGHUP came before the event loop ran
+            commands.reload()
+        console = await open_console(config.console, commands)
         if (obtained := await obtain_journal(config, operator, terminated)) is None:
             console.stop()
             return
@@ -75,9 +82,10 @@
                           transferable=console is not None, client_api=client_api)
     server.on_unanswered = functools.partial(core.invariants.report_violation, Invariant.ANSWERED)
     source: HandoverSource | None = None
-    if console is not None:
+    if commands is not None:
         from wheelstep.console.metrics import Counters
-        core.counters, console.backend = Counters(), core
+        core.counters = Counters()
+        commands.attach(core)
 
     def reload_fleet() -> None:
         if fleet is not None and operator_file is not None:
@@ -112,6 +120,8 @@
                 calls, settling = (target.transferred.calls, target.transferred.settling) if target else ((), None)
                 core.restore(journal.marks, journal.messages.values(), calls, settling)
                 core.ended_messages.restore(target.transferred.ended if target else (), time.monotonic())
+            if commands is not None:
+                commands.restored()
             follow = functools.partial(follow_config, config, reload_requested, watch, core.notices, core=core,
                                        on_reload=reload_fleet, at_once=target is not None)
             tasks.append(group.create_task(keep_running("configuration", follow)))  # not before classes are restored
@@ -124,7 +134,7 @@
             port = await server.start(config.listen, listener)
             if target is not None:
                 await target.resume_serving(core, server)
-            if console is not None:
+            if commands is not None:
                 from wheelstep.upgrade.source import HandoverSource  # noqa: F811
 
                 def close() -> None:
@@ -132,7 +142,7 @@
                         task.cancel()
                     journal.close()
                 source = HandoverSource(config.state, core, server, lambda: watch.seq, journal.flush, close,
-                                        target.calls_in_flight if target is not None else list)
+                                        commands, target.calls_in_flight if target is not None else list)
                 source.start()
             if fleet is not None:
                 await fleet.start()
--- a/wheelstep/courier/opening.py
+++ b/wheelstep/courier/opening.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:  # imported at run time only where the feature is on
     from wheelstep.account.writer import AccountWriter
+    from wheelstep.console.commands import ConsoleBackend
     from wheelstep.console.front import ConsoleServer
     from wheelstep.operator import Operator
     from wheelstep.recording.writer import Recorder
@@ -25,26 +26,10 @@
 log = logging.getLogger(__name__)
 
 
-class _Starting:
-    """What the console shows and does before the courier is there."""
-
-    ready = False
-
-    def telemetry(self) -> str:
-        from wheelstep.console.metrics import Counters, Gauges, render
-        return render(Counters(), Gauges(0, 0, 0), ())
-
-    def exclude(self, endpoint: str) -> bool:
-        return False
-
-    def include(self, endpoint: str) -> bool:
-        return False
-
-
-async def open_console(address: Address) -> ConsoleServer:
+async def open_console(address: Address, backend: ConsoleBackend) -> ConsoleServer:
     """Start the console for operators. Raises `ConfigError` if it can't listen."""
     from wheelstep.console.front import ConsoleServer
-    front, patience = ConsoleServer(_Starting()), Patience()
+    front, patience = ConsoleServer(backend), Patience()
     while True:
         try:
             await front.start(address)
--- a/wheelstep/upgrade/channel.py
+++ b/wheelstep/upgrade/channel.py
@@ -126,8 +126,8 @@
 
 
 def connect(folder: Path) -> socket.socket:
-    """Connect to the serving process. Raises `OSError` if there is none."""
-    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    """Connect to the serving process. Raises `OSError` if there is none, or too many wait for it already."""
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET | socket.SOCK_NONBLOCK)
     try:
         with _ShortSocketPath(folder) as path:
             sock.connect(path)
--- a/wheelstep/upgrade/source.py
+++ b/wheelstep/upgrade/source.py
@@ -20,6 +20,7 @@
 from wheelstep.courier.rows import write_rows
 from wheelstep.upgrade import channel as channels
 from wheelstep.upgrade.channel import Channel, ConnectionLostError
+from wheelstep.upgrade.owner_commands import OwnerCommand, OwnerCommands
 from wheelstep.upgrade.reports import SuccessorReports
 from wheelstep.upgrade.states import Action, Handover, State
 
@@ -40,12 +41,12 @@
     """
 
     def __init__(self, folder: Path, core: Core, server: ClientServer, seq: Callable[[], int],
-                 flush: Callable[[], bool], close: Callable[[], None],
+                 flush: Callable[[], bool], close: Callable[[], None], commands: OwnerCommands,
                  inherited_calls: Callable[[], list[OpenCall]] = list) -> None:
         """Prepare; `inherited_calls` returns the calls that the previous process still has in flight."""
         self._inherited_calls = inherited_calls
         self._folder, self._core, self._server, self._seq = folder, core, server, seq
-        self._flush, self._close = flush, close
+        self._flush, self._close, self._commands = flush, close, commands
         self._handover = Handover()
         self._listener: socket.socket | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -91,11 +92,21 @@
                 channel.close()  # the successor retries until the folder is free, or the disk has all that has happened
             case "take over":
                 self._perform(self._handover.requested(channel), channel)
+            case "command":
+                self._answer_command(channel, OwnerCommand.of_packet(head))
             case "received":
                 self._perform(self._handover.received(channel), channel)
             case "mine":
                 self._perform(self._handover.confirmed(channel), channel)
 
+    def _answer_command(self, channel: Channel, command: OwnerCommand) -> None:
+        """Carry out a command that another process passes on, or close its channel, so that it finds the owner."""
+        known = self._commands.execute_here(command)
+        if known is None:
+            channel.close()
+        else:
+            self._spawn(channel.send({"is": "carried out", "known": known}))
+
     def _on_lost(self, channel: Channel) -> None:
         """Process the end of a successor's connection."""
         if channel is self._channel and self._handover.state is State.DONE:
