Workers: a courier serves once every worker knows the owners of all shares

Cause: the supervisor said `serves on` when all shares were open, and told the workers of the owners only then. One that a client reached before had no owner for the share and refused.

Change: workers acknowledge the table of owners; the courier serves once all running workers have acknowledged the newest.

--- a/wheelstep/workers/ownership.py
+++ b/wheelstep/workers/ownership.py
@@ -136,6 +136,11 @@
         """Return whether all shares are open, except those that are set aside."""
         return all(share in self.opened_by for share in self._all_shares if share not in self.quarantined)
 
+    def running(self) -> list[int]:
+        """Return the workers whose processes run, or are being started."""
+        return [number for number, worker in self.workers.items()
+                if worker.state in (WorkerState.STARTING, WorkerState.UP)]
+
     def all_parked(self) -> bool:
         """Return whether all workers are parked, so that none is left."""
         return all(worker.state is WorkerState.PARKED for worker in self.workers.values())
@@ -218,7 +223,7 @@
                 self.owners[share] = owner
                 given.setdefault(owner, []).append(share)
         actions: list[Action] = [Open(owner, tuple(owned)) for owner, owned in given.items()
-                                 if self.workers[owner].state in (WorkerState.STARTING, WorkerState.UP)]
+                                 if owner in self.running()]
         return [*actions, Publish()]
 
     def reload(self, now_s: float) -> list[Action]:
--- a/wheelstep/workers/supervisor.py
+++ b/wheelstep/workers/supervisor.py
@@ -52,7 +52,9 @@
         self._processes: dict[int, asyncio.subprocess.Process] = {}
         self._controls: dict[int, FrameConnection] = {}
         self._discovery = config.discovery
-        self._ready = False
+        self._ready = False  # all shares were open once, and every worker knew where
+        self._view_version = 0
+        self._known_view: dict[int, int] = {}  # by worker: the version that it has acknowledged
         self._worker_ended = asyncio.Event()
 
     async def run(self, reload_requested: asyncio.Event) -> None:
@@ -152,6 +154,7 @@
         code = await process.wait()
         control.close()
         del self._controls[number], self._processes[number]
+        self._known_view.pop(number, None)
         if not self._pool.stopping:
             log.error("worker %d ended with %d", number, code)
         self._perform(self._pool.died(number, asyncio.get_running_loop().time()))
@@ -165,20 +168,33 @@
 
     def _on_worker_frame(self, number: int, head: dict[str, Any]) -> None:
         self._pool.heartbeat(number)
-        if head["is"] == "open":
-            self._perform(self._pool.opened(number, int(head["share"])))
+        match head["is"]:
+            case "open":
+                self._perform(self._pool.opened(number, int(head["share"])))
+            case "view":
+                self._known_view[number] = int(head["version"])
+                self._check_ready()
+
+    def _check_ready(self) -> None:
+        """Serve from the moment on in which all shares are open and every worker knows the owners: one that does not
+        would refuse messages for shares of the others."""
+        if self._ready or not self._pool.all_open():
+            return
+        if any(self._known_view.get(number) != self._view_version for number in self._pool.running()):
+            return
+        self._ready = True
+        log.info("%s serves on %s:%d with %d workers, %d shares", self._config.name, self._config.listen.host,
+                 self._listener.getsockname()[1], len(self._pool.workers), self._layout.shares)
+        self._publish()
 
     def _publish(self) -> None:
-        if not self._ready and self._pool.all_open():
-            self._ready = True
-            log.info("%s serves on %s:%d with %d workers, %d shares", self._config.name, self._config.listen.host,
-                     self._listener.getsockname()[1], len(self._pool.workers), self._layout.shares)
+        self._view_version += 1
         for control in self._controls.values():
             self._send_view(control)
 
     def _send_view(self, control: FrameConnection) -> None:
-        control.send({"do": "view", "owners": self._pool.opened_by, "ready": self._ready and not self._pool.stopping,
-                      "knows": bool(self._rows)})
+        control.send({"do": "view", "version": self._view_version, "owners": self._pool.opened_by,
+                      "ready": self._ready and not self._pool.stopping, "knows": bool(self._rows)})
 
     # --- reload and shutdown ---
 
--- a/wheelstep/workers/worker.py
+++ b/wheelstep/workers/worker.py
@@ -64,6 +64,7 @@
         self._path = paths[number]
         self._share_by_destination: dict[int, int] = {}  # destination -> share, a cache
         self._leaving = asyncio.Event()
+        self._knows_owners = asyncio.Event()
         self._control = FrameConnection(self._on_supervisor_frame, self._on_supervisor_lost)
         if operator is not None:
             self._core.recorder, self._core.account = recorder(operator, config), account(operator, config)
@@ -105,6 +106,8 @@
                 self._owners = {int(share): worker for share, worker in head["owners"].items()}
                 self._core.endpoints.knows_list = self._core.endpoints.knows_list or head["knows"]
                 self.ready = head["ready"] and not self._leaving.is_set()
+                self._knows_owners.set()
+                self._control.send({"is": "view", "version": head["version"]})
             case "discovery":
                 self._notices.move(Address(head["host"], head["port"]))
             case "leave":
@@ -178,6 +181,7 @@
             if self._core.account is not None:
                 self._tasks.append(self._group.create_task(self._core.account.run(self._core.gauge)))
             await loop.create_unix_connection(lambda: self._control, sock=control)
+            await self._knows_owners.wait()  # before, every client would be refused
             await server.start(self._config.listen, listener)
             await self._leaving.wait()
             self.ready = False
