--- a/tests/test_renewal.py
+++ b/tests/test_renewal.py
@@ -114,7 +114,7 @@
     assert order.index(both.effect) == max(order.index(one.effect), order.index(other.effect))
     assert all((both.most_attempts or 99) <= (cls.most_attempts or 99) for cls in (one, other))
     assert all(both.key_ttl_us <= cls.key_ttl_us for cls in (one, other) if cls.effect is Effect.KEYED is both.effect)
-    assert transitional_classes(ClassTable({"x": one}), {"x": other, "y": one})["y"] == one
+    assert transitional_classes({"x": one}, {"x": other, "y": one})["y"] == one
 
 
 def test_the_decision_module_keeps_a_held_message_under_its_old_class() -> None:
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -178,7 +178,8 @@
             self.endpoint_client.close_idle(name)
 
     def restore(self, marks: Mapping[str, Any], messages: Iterable[StoredMessage], calls: Sequence[OpenCall] = (),
-                settling: Mapping[str, int] | None = None, owned_since_s: float | None = None) -> None:
+                settling: Mapping[str, int] | None = None, owned_since_s: float | None = None,
+                partition: int = 0) -> None:
         """Restore what a journal holds: endpoint health, and the messages in their order. `calls` are still under
         way in the previous process, which will report their outcomes. `settling` has the keys that settle there and
         the microseconds left. None: no process can report them, so any key may settle until a settle period after
@@ -190,7 +191,7 @@
             self.decision_loop.post(event)
         out = {name: (at, number, call) for at, call in enumerate(calls) for name, number in call.attempts}
         messages = list(messages)
-        self.classes.restore(marks, messages)
+        self.classes.restore(marks, messages, partition)
         self.endpoints.restore(marks)
         self.resume(messages, out)
 
--- a/wheelstep/courier/ports.py
+++ b/wheelstep/courier/ports.py
@@ -57,6 +57,19 @@
         ...
 
 
+class Partitions(Protocol):
+    """The parts of a journal that have folders of their own, such as the shares of a worker. The sequence numbers of
+    messages are comparable within one only."""
+
+    def partition_of(self, message: StoredMessage) -> int:
+        """Return the partition of a message."""
+        ...
+
+    def mark_partition(self, partition: int, name: str, value: Any) -> None:
+        """Store a mark in one partition."""
+        ...
+
+
 class NotificationSender(Protocol):
     """Sends notifications of ends; calls `Core.answered` once they are answered."""
 
--- a/wheelstep/rehearsal/broken/order.py
+++ b/wheelstep/rehearsal/broken/order.py
@@ -27,9 +27,9 @@
 
     def restore_noted(self: Core, marks: Mapping[str, Any], messages: Iterable[StoredMessage],
                       calls: Sequence[OpenCall] = (), settling: Mapping[str, int] | None = None,
-                      owned_since_s: float | None = None) -> None:
+                      owned_since_s: float | None = None, partition: int = 0) -> None:
         restoring.append(self)
-        restore(self, marks, messages, calls, settling, owned_since_s)
+        restore(self, marks, messages, calls, settling, owned_since_s, partition)
         restoring.clear()
 
     def always_may_send(self: SendGuard, message: StoredMessage, item: Item, now_s: float) -> bool:
--- a/wheelstep/renewal/classes.py
+++ b/wheelstep/renewal/classes.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import astuple, replace
 from typing import Any
 
@@ -61,6 +61,32 @@
                 return place
         return self._current.get(name)
 
+    def rules(self, name: str, taken: int) -> MessageClass | None:
+        """Return the rules for the message of this class with sequence number `taken`, or None if none are known."""
+        place = self.place(name, taken)
+        return None if place is None else self.places[place]
+
+    def named_rules(self) -> Iterator[tuple[str, MessageClass]]:
+        """Yield class name and rules for all messages, held and new."""
+        for name, place in self._current.items():
+            yield name, self.places[place]
+        for name, rows in self._history.items():
+            for _, place in rows:
+                yield name, self.places[place]
+
+    def has_history(self) -> bool:
+        """Return whether any unfinished message has other rules than a new one of its class."""
+        return bool(self._history)
+
+    def add_unknown(self, held: Sequence[tuple[str, int]], known: Iterable[MessageClass]) -> set[str]:
+        """Give messages without known rules such that violate no class's. Return the names of their classes."""
+        unknown = {name: rules_for_unknown_class(known) for name, seq in held if self.place(name, seq) is None}
+        if unknown:
+            present, taken = self.current_classes(), 1 + max(seq for _, seq in held)
+            self.renew({**present, **unknown}, taken, held)
+            self.renew(present, taken, held)
+        return set(unknown)
+
     def renew(self, classes: Mapping[str, MessageClass], taken: int, held: Iterable[tuple[str, int]]) -> None:
         """Apply `classes` to messages from sequence number `taken` on.
 
@@ -125,12 +151,12 @@
         return table
 
 
-def transitional_classes(before: ClassTable, classes: Mapping[str, MessageClass]) -> dict[str, MessageClass]:
+def transitional_classes(before: Mapping[str, MessageClass],
+                         classes: Mapping[str, MessageClass]) -> dict[str, MessageClass]:
     """Return the classes that apply until clients know the new ones: all old and new, changed ones with the stricter
     rules."""
-    both = before.current_classes()
-    return {**both, **{name: stricter_rules(both[name], cls) if name in both and both[name] != cls else cls
-                       for name, cls in classes.items()}}
+    return {**before, **{name: stricter_rules(before[name], cls) if name in before and before[name] != cls else cls
+                         for name, cls in classes.items()}}
 
 
 def rules_for_unknown_class(classes: Iterable[MessageClass]) -> MessageClass:
--- a/wheelstep/workers/journals.py
+++ b/wheelstep/workers/journals.py
@@ -8,6 +8,8 @@
 
 from wheelstep.journal import Journal, NoRoomError, StoredMessage
 
+_GLOBAL_PREFIX = ":"  # of marks that name no endpoint
+
 
 class Journals:
     """Journals of the shares that are open here. `share_of` returns the share of a destination, `share_at` that of an
@@ -65,8 +67,11 @@
             del self.messages[message]
 
     def mark(self, name: str, value: Any) -> None:
-        """As `Journal.mark`, in the journal that has the mark, or else in that of the share of the endpoint `name`.
-        Dropped if that share is unknown or not open here; so are new marks that are not named after an endpoint."""
+        """As `Journal.mark`, in the journal that has the mark, or else in that of the share of the endpoint `name`;
+        dropped if that share is unknown or not open here. A mark that names no endpoint goes to all journals."""
+        if name.startswith(_GLOBAL_PREFIX):
+            self._mark_all(name, value)
+            return
         share = self._mark_shares.get(name, self._share_at(name))
         if share is None or share not in self._journals:
             return  # no message depends on a mark
@@ -77,6 +82,21 @@
         else:
             self.marks[name], self._mark_shares[name] = value, share
 
+    def _mark_all(self, name: str, value: Any) -> None:
+        for journal in self._journals.values():
+            journal.mark(name, value)
+        self.marks.pop(name, None)
+        if value is not None:
+            self.marks[name] = value
+
+    def partition_of(self, message: StoredMessage) -> int:
+        """Return the share of a message (`courier.ports.Partitions`)."""
+        return self._share_of(message.destination)
+
+    def mark_partition(self, partition: int, name: str, value: Any) -> None:
+        """Store a mark of one share (`courier.ports.Partitions`)."""
+        self._journals[partition].mark(name, value)
+
     async def durable(self) -> None:
         """As `Journal.durable`, for all shares."""
         waiting = [journal.durable() for journal in self._journals.values() if journal.waits]
--- a/wheelstep/workers/worker.py
+++ b/wheelstep/workers/worker.py
@@ -58,6 +58,7 @@
         self._share_by_endpoint: dict[str, int] = {}  # endpoint -> share
         self._journals = Journals(self._share_of, self._share_by_endpoint.get)
         self._core = Core(config, self._journals)
+        self._core.classes.partitions = self._journals
         self._opening: set[int] = set()
         self._owners: dict[int, int] = {}
         self._clients = {other: forward_client(path) for other, path in enumerate(paths) if other != number}
@@ -137,7 +138,8 @@
             disk_bytes=self._config.disk_bytes // self._layout.shares))
         self._journals.add(number, journal)
         self._opening.discard(number)
-        self._core.restore(journal.marks, journal.messages.values(), owned_since_s=time.monotonic())
+        self._core.restore(journal.marks, journal.messages.values(), owned_since_s=time.monotonic(),
+                           partition=number)
         self._tasks.append(self._group.create_task(journal.run_compaction(), name=f"compaction of share {number}"))
         log.info("share %d is open after %d ms, %d messages restored", number, (time.monotonic() - began) * 1e3,
                  len(journal.messages))
