Soak: new settings, operators' commands and overlapping processes; all drawn faults are played

Change: SIGHUP with another effect of one class and another number of attempts; exclusions for 1 to 5 s; both go to any process that answers commands: the old one, the new one, or one that starts. The old process stays for up to 2 s. Composed faults put them on top of upgrades, resets and kills. The judge takes what a client meant at its submission, and exclusions, which hold over kills and upgrades; a refusal for an endpoint that discovery lists is a finding.

A fault of the kit: `transfers`, `polls` and `opens` were drawn and never played, since Faults.play did not name them.

--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -30,7 +30,7 @@
 def test_a_seed_always_gives_the_same_plan_and_every_kind_of_fault_is_drawn() -> None:
     assert draw_plan(1, SMALL).digest() == draw_plan(1, SMALL).digest() != draw_plan(2, SMALL).digest()
     kinds = {fault.kind for seed in range(20) for fault in draw_plan(seed, SoakConfig()).faults}
-    composed = {"upgrades", "upgrade-kill", "disk-kill", "start"}
+    composed = {"upgrades", "upgrade-kill", "upgrade-settings", "upgrade-exclude", "disk-kill", "start"}
     assert kinds == {*COURIER_FAULTS, *IN_PROCESS_FAULTS, *ENDPOINT_FAULTS} - composed
 
 
--- a/wheelstep/rehearsal/evidence.py
+++ b/wheelstep/rehearsal/evidence.py
@@ -14,6 +14,7 @@
     NEVER_RAN,
     Answer,
     Call,
+    Excluded,
     Fate,
     HandIn,
     History,
@@ -97,6 +98,7 @@
         self.calls: list[Call] = []
         self.probes: list[Probe] = []
         self.told: dict[tuple[str, str], list[Told]] = defaultdict(list)
+        self.excluded: dict[tuple[str, str], list[Excluded]] = defaultdict(list)
         self.lives: dict[str, list[Life]] = defaultdict(list)
         self.outages: list[Outage] = []
         self.violations: list[Strange] = []
@@ -121,6 +123,8 @@
                     self.probes.append(fact)
                 case Told():
                     self.told[fact.courier, fact.endpoint].append(fact)
+                case Excluded():
+                    self.excluded[fact.courier, fact.endpoint].append(fact)
                 case Notice():
                     notices.append(fact)
                 case Life():
@@ -132,6 +136,8 @@
         self.calls.sort(key=lambda call: call.last_us)
         for told in self.told.values():
             told.sort(key=lambda row: row.at_us)
+        for excluded in self.excluded.values():
+            excluded.sort(key=lambda row: row.at_us)
         for lives in self.lives.values():
             lives.sort(key=lambda row: row.at_us)
         for answer in sorted(answers, key=lambda row: row.at_us):
--- a/wheelstep/rehearsal/faults.py
+++ b/wheelstep/rehearsal/faults.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from wheelstep.rehearsal.plan import Fault
+from wheelstep.rehearsal.planned import SOAK_FAULTS
 from wheelstep.rehearsal.standins.partner import PartnerPool
 from wheelstep.rehearsal.standins.platform import Agent
 from wheelstep.rehearsal.standins.process import Courier
@@ -41,7 +42,7 @@
                         self._start_task(courier.terminate(for_s))
                     else:
                         self._start_task(courier.pause(for_s))
-            case "upgrade" | "reload" | "signals" | "clock" | "sockets" | "short" | "disk":
+            case kind if kind in SOAK_FAULTS:
                 for index in fault.couriers:
                     self._start_task(self._couriers[index].apply_fault(fault))
             case "worker-kill" | "worker-hang":
--- a/wheelstep/rehearsal/history.py
+++ b/wheelstep/rehearsal/history.py
@@ -55,7 +55,8 @@
 @dataclass(frozen=True, slots=True)
 class HandIn:
     """A client's submission, sent at `at_us`. `origin` is the number of the planned message, the same for all its
-    submissions. The message's deadline passes at `deadline_us`, a time of the rehearsal.
+    submissions. The message's deadline passes at `deadline_us`, a time of the rehearsal. `effect` is what the client
+    meant where settings change; None: that of the class.
     """
 
     at_us: int
@@ -66,6 +67,7 @@
     destination: int
     key: str | None
     deadline_us: int
+    effect: Effect | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,6 +121,17 @@
     state: str  # SERVING, DRAINING or DELETED
 
 
+@dataclass(frozen=True, slots=True)
+class Excluded:
+    """An operator excluded an endpoint at a courier, which counts from the courier's consent, or included it again
+    (`out` is false), which counts from the command."""
+
+    at_us: int
+    courier: str
+    endpoint: str
+    out: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Notice:
     """A courier's notification of a message's outcome; `at_us` is when the platform answered it."""
@@ -185,7 +198,7 @@
     late_us: int
 
 
-Fact = HandIn | Answer | Call | Probe | Told | Notice | Life | Outage | Strange | Late
+Fact = HandIn | Answer | Call | Probe | Told | Excluded | Notice | Life | Outage | Strange | Late
 
 
 @dataclass(frozen=True, slots=True)
--- a/wheelstep/rehearsal/historyfile.py
+++ b/wheelstep/rehearsal/historyfile.py
@@ -13,6 +13,7 @@
     ClassFigures,
     Effect,
     End,
+    Excluded,
     Fate,
     Figures,
     HandIn,
@@ -32,8 +33,8 @@
 VERSION = 1
 
 _FACT_TYPES: dict[str, type[Any]] = {kind.__name__: kind for kind in (
-    HandIn, Answer, Call, Probe, Told, Notice, Life, Outage, Strange, Late)}
-_ENUM_FIELDS: dict[str, Any] = {"end": End, "how": How, "turn": Turn}
+    HandIn, Answer, Call, Probe, Told, Excluded, Notice, Life, Outage, Strange, Late)}
+_ENUM_FIELDS: dict[str, Any] = {"end": End, "how": How, "turn": Turn, "effect": Effect}
 
 
 class HistoryError(Exception):
@@ -73,7 +74,7 @@
 
 
 def _value(key: str, value: Any) -> Any:
-    if key in _ENUM_FIELDS:
+    if key in _ENUM_FIELDS and value is not None:
         return _ENUM_FIELDS[key](value)
     if key == "fates":
         return tuple(Fate(item) for item in value)
--- a/wheelstep/rehearsal/planned.py
+++ b/wheelstep/rehearsal/planned.py
@@ -67,6 +67,9 @@
 
 
 PROCESS_FAULTS = ("kill", "term", "pause", "worker-kill", "worker-hang")
+SOAK_FAULTS = frozenset({"upgrade", "reload", "settings", "exclude", "signals", "clock", "sockets", "short", "disk",
+                         "transfers", "polls", "opens"})
+"""Faults of couriers that only those of a soak play."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/wheelstep/rehearsal/rig.py
+++ b/wheelstep/rehearsal/rig.py
@@ -140,6 +140,7 @@
             for index, clients in enumerate(self._clients):
                 clients.address = self._couriers[index].address
                 clients.may_connect = self._couriers[index].takes_new_connections
+                clients.effect_of = self._couriers[index].effect_of
                 if self._plan.crowd:
                     await clients.open_idle_connections(self._plan.crowd)
             self._start_task(lateness.record_lateness(self._couriers, self._history, self._now_us))
--- a/wheelstep/rehearsal/rules/drains.py
+++ b/wheelstep/rehearsal/rules/drains.py
@@ -1,4 +1,4 @@
-"""Rule 3: no call starts at an endpoint after the courier was told that it is draining or deleted."""
+"""Rule 3: no call starts at an endpoint after the courier was told that it is draining, deleted or excluded."""
 
 from __future__ import annotations
 
@@ -9,7 +9,28 @@
 
 
 def findings(evidence: Evidence) -> Iterable[Finding]:
-    """Yield calls that started later than the grace period after discovery announced a drain or removal."""
+    """Yield calls that started later than the grace period after a drain, a removal or an exclusion."""
+    yield from _told_by_discovery(evidence)
+    yield from _excluded_by_operators(evidence)
+
+
+def _excluded_by_operators(evidence: Evidence) -> Iterable[Finding]:
+    """An exclusion holds over restarts and upgrades, until the endpoint is included again."""
+    for call in evidence.calls:
+        since_us: int | None = None
+        for row in evidence.excluded.get((call.courier, call.endpoint), ()):
+            if row.at_us <= call.first_us:
+                since_us = None if not row.out else row.at_us if since_us is None else since_us
+        if since_us is None:
+            continue
+        grace_us = evidence.figures.drain_grace_us + evidence.figures.socket_slack_us
+        if call.first_us > since_us + grace_us + evidence.lateness.around(call.first_us):
+            yield Finding(Rule.DRAINS, call.first_us, call.courier,
+                          f"call started at {call.endpoint} {millis(call.first_us - since_us)} after the courier "
+                          "agreed to exclude it", call.messages, (call,))
+
+
+def _told_by_discovery(evidence: Evidence) -> Iterable[Finding]:
     for call in evidence.calls:
         rows = evidence.told.get((call.courier, call.endpoint), [])
         before = [row for row in rows if row.at_us <= call.first_us]
--- a/wheelstep/rehearsal/rules/twice.py
+++ b/wheelstep/rehearsal/rules/twice.py
@@ -16,9 +16,10 @@
         if figures is None or not message.calls:
             continue
         courier = message.submission.courier
-        if figures.effect is Effect.UNSAFE:
+        effect = message.submission.effect or figures.effect
+        if effect is Effect.UNSAFE:
             yield from _unsafe(evidence, name, courier, message)
-        elif figures.effect is Effect.KEYED:
+        elif effect is Effect.KEYED:
             yield from _keyed(evidence, name, courier, message, figures.key_life_us)
 
 
--- a/wheelstep/rehearsal/soak/courier.py
+++ b/wheelstep/rehearsal/soak/courier.py
@@ -9,9 +9,11 @@
 import signal
 from typing import Any
 
-from wheelstep.rehearsal.history import Turn
+from wheelstep.rehearsal.history import Effect, Turn
 from wheelstep.rehearsal.planned import Fault
 from wheelstep.rehearsal.soak.control import FAULT_PAGE_VARIABLE, FaultPage
+from wheelstep.rehearsal.soak.operators import Operators, console_reply
+from wheelstep.rehearsal.soak.settings import SettingsTimeline
 from wheelstep.rehearsal.standins.machine import CourierPort
 from wheelstep.rehearsal.standins.process import TERM_TIMEOUT_S, Courier
 
@@ -41,20 +43,46 @@
         self._retiring: set[asyncio.subprocess.Process] = set()  # replaced by an upgrade, or about to be; still running
         self._serving_process: asyncio.subprocess.Process | None = None  # the newest process that became ready
         self._console_port = CourierPort()
+        self._consoles: dict[asyncio.subprocess.Process, CourierPort] = {}  # of processes that answer commands
         self._transition_lock = asyncio.Lock()
+        self._settings = SettingsTimeline()
+        self._base_configure, self._configure = self._configure, self._changed_config
+        self._operators = Operators(self.name, self._history, self._now_us, self._console_ports, self._listed)
+
+    def _changed_config(self, listen: str) -> dict[str, Any]:
+        """Return the configuration with the present settings and the newest process's console."""
+        config = self._settings.present.applied(self._base_configure(listen))
+        return {**config, "console": f"127.0.0.1:{self._console_port.port}"}
+
+    def effect_of(self, message_class: str) -> Effect | None:
+        """Return what clients mean by a class now; None: what the plan says."""
+        return self._settings.effect_of(message_class, self._now_us())
 
     # --- starting ---
 
     async def _spawn(self) -> asyncio.subprocess.Process:
-        self._console_port.change()
-        base_configure = self._configure
-        console_address = f"127.0.0.1:{self._console_port.port}"
-        self._configure = lambda listen: {**base_configure(listen), "console": console_address}
+        self._console_port = CourierPort()
         os.environ[FAULT_PAGE_VARIABLE] = str(self._folder / "faults")  # the process inherits it; nothing else reads it
-        try:
-            return await super()._spawn()
-        finally:
-            self._configure = base_configure
+        process = await super()._spawn()
+        self._create_task(self._note_console(process, self._console_port))
+        return process
+
+    async def _note_console(self, process: asyncio.subprocess.Process, port: CourierPort) -> None:
+        """Note the console of a process while it answers there."""
+        while process.returncode is None:
+            with contextlib.suppress(OSError, TimeoutError):
+                await console_reply(port.port, "readyz")
+                self._consoles[process] = port
+                await process.wait()
+            await asyncio.sleep(_POLL_INTERVAL_S)
+        self._consoles.pop(process, None)
+        port.close()
+
+    def _console_ports(self) -> list[int]:
+        return [port.port for port in self._consoles.values()]
+
+    def _listed(self) -> set[str]:
+        return {row["host"] for row in self._base_configure(self._listen)["known"]["hosts"]}
 
     async def start(self) -> bool:
         """Start the process and wait until it is ready; return False if it never is. Raises `NoStartError`."""
@@ -75,15 +103,10 @@
                 self.suspect.append(f"{self.name}: {text}")
 
     async def _wait_console_ready(self, process: asyncio.subprocess.Process) -> bool:
-        end = asyncio.get_running_loop().time() + UPGRADE_READY_TIMEOUT_S
+        port, end = self._console_port.port, asyncio.get_running_loop().time() + UPGRADE_READY_TIMEOUT_S
         while asyncio.get_running_loop().time() < end and process.returncode is None:
             with contextlib.suppress(OSError, TimeoutError):
-                async with asyncio.timeout(1.0):
-                    reader, writer = await asyncio.open_connection("127.0.0.1", self._console_port.port)
-                    writer.write(b"readyz\n")
-                    answer = await reader.readline()
-                    writer.close()
-                if answer.startswith(b"+OK"):
+                if (await console_reply(port, "readyz")).startswith("+OK"):
                     return True
             await asyncio.sleep(_POLL_INTERVAL_S)
         return False
@@ -94,11 +117,16 @@
         """Apply one fault to this courier and return when it is over. A clock offset stays; an upgrade is over once the
         new process is ready or has failed to be. Unknown kinds are ignored."""
         duration_s = (fault.until_us - fault.at_us) / 1e6
+        rng = random.Random(f"{self.name} {fault.at_us}")
         match fault.kind:
             case "upgrade":
-                await self._upgrade()
+                await self._upgrade(fault.wait_us / 1e6)
+            case "settings":
+                self._change_settings(rng)
+            case "exclude":
+                await self._operators.exclude_for(fault.endpoints[0], duration_s, rng)
             case "signals":
-                await self._send_signal_series(random.Random(f"{self.name} {fault.at_us}"))
+                await self._send_signal_series(rng)
             case "reload":
                 if self.ready.is_set() and self._serving_process is not None:
                     _send_signal(self._serving_process, signal.SIGHUP)
@@ -109,6 +137,15 @@
                 await asyncio.sleep(duration_s)
                 setattr(self.page, field, 0.0)
 
+    def _change_settings(self, rng: random.Random) -> None:
+        """Write other settings to the configuration's file, and send SIGHUP to any process that answers commands."""
+        running = [process for process in self._consoles if process.returncode is None]
+        if not running or self._stopping:
+            return
+        self._settings.change(self._now_us(), rng)
+        self._write_config()
+        _send_signal(rng.choice(running), signal.SIGHUP)
+
     async def _send_signal_series(self, rng: random.Random) -> None:
         """Send SIGHUPs, then SIGTERM, then more of both until the process has ended; it is started again after that."""
         process = self._serving_process
@@ -124,7 +161,8 @@
                 _send_signal(process, rng.choice((signal.SIGHUP, signal.SIGTERM)))
         await restart
 
-    async def _upgrade(self) -> None:
+    async def _upgrade(self, overlap_s: float) -> None:
+        """Start a new version beside the serving process, and end that one `overlap_s` after the new one is ready."""
         async with self._transition_lock:
             predecessor = self.process
             if predecessor is None or predecessor.returncode is not None or not self.ready.is_set():
@@ -140,9 +178,11 @@
                 return
             self._create_task(self._watch(process))
             self._serving_process = process
-            self._create_task(self._retire(predecessor))
+            self._create_task(self._retire(predecessor, overlap_s))
 
-    async def _retire(self, process: asyncio.subprocess.Process) -> None:
+    async def _retire(self, process: asyncio.subprocess.Process, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        self._consoles.pop(process, None)  # operators and SIGHUP go to those that stay
         _send_signal(process, signal.SIGTERM)
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(process.wait(), TERM_TIMEOUT_S)
@@ -168,5 +208,4 @@
             with contextlib.suppress(ProcessLookupError):
                 os.killpg(process.pid, signal.SIGKILL)
         await super().stop()
-        self._console_port.close()
         self.page.close()
--- a/wheelstep/rehearsal/soak/plan.py
+++ b/wheelstep/rehearsal/soak/plan.py
@@ -11,20 +11,24 @@
 from wheelstep.rehearsal.plan import draw
 from wheelstep.rehearsal.planned import Arrival, Fault, Plan
 from wheelstep.rehearsal.scenario import Scenario
+from wheelstep.rehearsal.soak.settings import CHANGING_CLASS
 from wheelstep.rehearsal.standins.process import TERM_TIMEOUT_S
 
 RATE_PER_S = 5.0  # messages submitted to each courier
+SETTINGS_RATE_PER_S, SETTINGS_TRAFFIC_S = 15.0, 3.0  # submitted from a SIGHUP on, to a destination that resets calls
 SHUTDOWN_RATE_PER_S = 25.0  # submitted to a courier from its SIGTERM until the kill, on connections that are open
 CROWD_SHARE = 0.25  # of the runs
 CROWD_CONNECTIONS = 100  # idle ones to each courier; its descriptors are then limited to CROWD_SOCKETS
 CROWD_SOCKETS = 256
 CLOCK_STEPS_S = (-3600.0, -5.0, -0.4, 0.4, 5.0, 3600.0)
 COURIER_FAULTS = ("kill", "term", "signals", "upgrade", "upgrades", "upgrade-kill", "pause", "reload", "discovery",
-                  "agent-copy", "disk-kill", "start")
+                  "agent-copy", "disk-kill", "start", "settings", "exclude", "upgrade-exclude", "upgrade-settings",
+                  "upgrade-settings")  # twice, as little of its traffic meets the moments that matter
 IN_PROCESS_FAULTS = ("clock", "sockets", "short", "disk", "transfers", "polls", "opens")
 """Faults inside a courier's process; they need it to run under `faulty`."""
 ENDPOINT_FAULTS = ("stall", "silent", "hang", "refuse", "shut", "fail", "reset", "spoil", "copy", "leave", "replace")
 _MS, _S = 1_000, 1_000_000
+_MAX_OVERLAP_S = 2.0  # the platform asks a new process every 1 to 2 s whether it is ready, then ends the old one
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,12 +46,13 @@
     """Return the plan of one seed; the same seed and configuration give the same plan."""
     rng = random.Random(f"soak {seed}")
     base_plan = draw("soak", _scenario(rng, config), seed)
-    faults = sorted([*_draw_courier_faults(rng, config), *_draw_in_process_faults(rng, config),
+    faults = sorted([*_draw_courier_faults(rng, config, base_plan), *_draw_in_process_faults(rng, config),
                      *_draw_endpoint_faults(rng, config, base_plan)], key=lambda fault: fault.at_us)
+    arrivals = _with_shutdown_traffic(rng, base_plan.arrivals, faults)
     last_us = max([base_plan.length_us, *(fault.until_us for fault in faults)])
     return dataclasses.replace(
         base_plan, faults=tuple(faults), end_us=base_plan.end_us + last_us - base_plan.length_us,
-        arrivals=_with_shutdown_traffic(rng, base_plan.arrivals, faults),
+        arrivals=_with_settings_traffic(rng, arrivals, faults, base_plan),
         crowd=CROWD_CONNECTIONS if rng.random() < CROWD_SHARE else 0)
 
 
@@ -73,6 +78,22 @@
     return tuple(sorted([*arrivals, *added], key=lambda arrival: arrival.at_us))
 
 
+def _with_settings_traffic(rng: random.Random, arrivals: tuple[Arrival, ...], faults: list[Fault],
+                           base_plan: Plan) -> tuple[Arrival, ...]:
+    """Return the arrivals with further ones of the class that changes, from each SIGHUP that names endpoints on."""
+    added: list[Arrival] = []
+    for fault in faults:
+        like = [arrival for arrival in arrivals if arrival.courier in fault.couriers and arrival.key is None]
+        partner = next((one for one in base_plan.partners if one.endpoints == fault.endpoints), None)
+        if fault.kind != "settings" or partner is None or not like:
+            continue
+        for index in range(int(SETTINGS_RATE_PER_S * SETTINGS_TRAFFIC_S)):
+            added.append(dataclasses.replace(
+                rng.choice(like), number=len(arrivals) + len(added), message_class=CHANGING_CLASS, token=None,
+                destination=partner.destination, at_us=fault.at_us + int(index / SETTINGS_RATE_PER_S * 1e6)))
+    return tuple(sorted([*arrivals, *added], key=lambda arrival: arrival.at_us))
+
+
 def _scenario(rng: random.Random, config: SoakConfig) -> Scenario:
     settle_us = rng.choice([300 * _MS, 300 * _MS, 500 * _MS, 1_200 * _MS])
     deadline_us = rng.choice([2, 3, 4]) * _S
@@ -94,7 +115,8 @@
         "rules": {"settle": f"{settle_us}us", "cold": "4s"},
         "kind": [{"name": "single"}, {"name": "batch", "batch": 5}], "partner": partners,
         "class": [message_class("safe", Effect.SAFE), message_class("unsafe", Effect.UNSAFE),
-                  message_class("keyed", Effect.KEYED), message_class("ordered-safe", Effect.SAFE, True),
+                  message_class("keyed", Effect.KEYED), message_class(CHANGING_CLASS, Effect.UNSAFE),
+                  message_class("ordered-safe", Effect.SAFE, True),
                   message_class("ordered-unsafe", Effect.UNSAFE, True)],
         "traffic": {"rate_per_s": RATE_PER_S * config.couriers, "keys": max(1, config.couriers // 3), "fresh": 0.2}})
 
@@ -104,7 +126,32 @@
     return int(at_s * 1e6), int((at_s + rng.uniform(min_s, max_s)) * 1e6)
 
 
-def _draw_courier_faults(rng: random.Random, config: SoakConfig) -> Iterator[Fault]:
+def _draw_upgrade(rng: random.Random, at_us: int, targets: tuple[int, ...]) -> Fault:
+    """Return an upgrade; `wait_us` is for how long the old process stays once the new one is ready."""
+    return Fault("upgrade", at_us, at_us, couriers=targets, wait_us=int(rng.uniform(0.0, _MAX_OVERLAP_S) * 1e6))
+
+
+def _draw_exclusion(rng: random.Random, at_us: int, targets: tuple[int, ...], base_plan: Plan) -> Fault:
+    """Return an exclusion of one endpoint, rather of a destination that has several."""
+    partner = max(rng.sample(base_plan.partners, 2), key=lambda one: len(one.endpoints))
+    return Fault("exclude", at_us, at_us + int(rng.uniform(1.0, 5.0) * 1e6), couriers=targets,
+                 endpoints=(rng.choice(partner.endpoints),))
+
+
+def _draw_upgrade_with_settings(rng: random.Random, at_us: int, targets: tuple[int, ...],
+                                base_plan: Plan) -> Iterator[Fault]:
+    """Yield an upgrade with new settings around it, calls that are reset, and in most cases a kill."""
+    yield _draw_upgrade(rng, at_us, targets)
+    changed_us = max(0, at_us + int(rng.uniform(-0.4, 1.2) * 1e6))
+    endpoints = rng.choice(base_plan.partners).endpoints
+    yield Fault("settings", changed_us, changed_us, couriers=targets, endpoints=endpoints)
+    yield Fault("reset", changed_us, changed_us + 1_500 * _MS, endpoints=endpoints, share=rng.choice([0.4, 1.0]))
+    if rng.random() < 0.7:
+        killed_us = changed_us + int(rng.uniform(1.6, 3.5) * 1e6)
+        yield Fault("kill", killed_us, killed_us + 600 * _MS, couriers=targets)
+
+
+def _draw_courier_faults(rng: random.Random, config: SoakConfig, base_plan: Plan) -> Iterator[Fault]:
     """Yield one to three faults for each courier, at random times."""
     for courier in range(config.couriers):
         for _ in range(rng.choice([1, 2, 3])):
@@ -118,10 +165,10 @@
                 case "agent-copy":
                     yield Fault(kind, at_us, until_us, couriers=targets, wait_us=rng.choice([0, 5, 30, 200]) * _MS)
                 case "upgrades":  # two upgrades in a row
-                    yield Fault("upgrade", at_us, at_us, couriers=targets)
-                    yield Fault("upgrade", at_us + 1, at_us + 1, couriers=targets)
+                    yield _draw_upgrade(rng, at_us, targets)
+                    yield _draw_upgrade(rng, at_us + 1, targets)
                 case "upgrade-kill":  # a kill around the moment of the handover
-                    yield Fault("upgrade", at_us, at_us, couriers=targets)
+                    yield _draw_upgrade(rng, at_us, targets)
                     killed_us = at_us + int(rng.uniform(0.3, 1.2) * 1e6)
                     yield Fault("kill", killed_us, killed_us + 600 * _MS, couriers=targets)
                 case "disk-kill":  # what the disk did not take is lost, or was written just before
@@ -132,7 +179,17 @@
                     yield Fault("kill", at_us, at_us + 600 * _MS, couriers=targets)
                     failing = rng.choice(("sockets", "disk", "polls", "opens"))
                     yield Fault(failing, at_us + 500 * _MS, at_us + 1_500 * _MS, couriers=targets, share=0.5)
-                case "upgrade" | "reload":
+                case "upgrade":
+                    yield _draw_upgrade(rng, at_us, targets)
+                case "exclude":
+                    yield _draw_exclusion(rng, at_us, targets, base_plan)
+                case "upgrade-settings":
+                    yield from _draw_upgrade_with_settings(rng, at_us, targets, base_plan)
+                case "upgrade-exclude":
+                    yield _draw_upgrade(rng, at_us, targets)
+                    for _ in range(2):
+                        yield _draw_exclusion(rng, at_us + int(rng.uniform(0.0, 2.5) * 1e6), targets, base_plan)
+                case "reload" | "settings":
                     yield Fault(kind, at_us, at_us, couriers=targets)
                 case "pause":
                     yield Fault(kind, at_us, at_us + int(rng.uniform(0.03, 0.14) * 1e6), couriers=targets)
--- a/wheelstep/rehearsal/standins/clients.py
+++ b/wheelstep/rehearsal/standins/clients.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 
-from wheelstep.rehearsal.history import Answer, End, HandIn, History
+from wheelstep.rehearsal.history import Answer, Effect, End, HandIn, History
 from wheelstep.rehearsal.plan import Arrival, Plan
 from wheelstep.rehearsal.standins.ledger import Ledger, Submission
 from wheelstep.rehearsal.standins.wire import Client
@@ -40,6 +40,7 @@
         self._plan, self.name, self._ledger, self._history, self._now_us = plan, f"c{courier}", ledger, history, now_us
         self.address = ("127.0.0.1", 0)
         self.may_connect: Callable[[], bool] = lambda: True
+        self.effect_of: Callable[[str], Effect | None] = lambda message_class: None  # where settings change
         self._habits = habits
         self._idle: list[Client] = []
         self._submissions: dict[int, int] = defaultdict(int)
@@ -122,7 +123,7 @@
         request = request_bytes(arrival, message, body, left_us, retry_header)
         self.submitted += 1
         self._history.add(HandIn(now_us, self.name, message, number, arrival.message_class, arrival.destination,
-                                 arrival.key, now_us + left_us))
+                                 arrival.key, now_us + left_us, self.effect_of(arrival.message_class)))
         end, status, retry_us = await self._exchange(request, arrival.fresh)
         self._history.add(Answer(self._now_us(), self.name, message, end, status))
         if status == 202 and arrival.luck < self._habits.copy_share:
--- a/wheelstep/rehearsal/standins/process.py
+++ b/wheelstep/rehearsal/standins/process.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import Any
 
-from wheelstep.rehearsal.history import History, Life, Turn
+from wheelstep.rehearsal.history import Effect, History, Life, Turn
 from wheelstep.rehearsal.planned import PROCESS_FAULTS, Fault
 from wheelstep.rehearsal.standins.machine import CourierPort, NoStartError, children, is_free, run_queue_wait_us
 from wheelstep.rehearsal.standins.wire import Client
@@ -38,6 +38,7 @@
                  configure: Callable[[str], dict[str, Any]], ready_s: float) -> None:
         self.name, self._command, self._folder, self._history = name, command, folder, history
         self._now_us, self._configure, self._ready_s = now_us, configure, ready_s
+        self._config_path = folder / "config.json"
         self.port = CourierPort()
         self.log: deque[bytes] = deque()
         self._log_bytes = 0
@@ -55,11 +56,19 @@
         """The address for clients."""
         return "127.0.0.1", self.port.port
 
+    @property
+    def _listen(self) -> str:
+        return f"127.0.0.1:{self.port.port}"
+
     def takes_new_connections(self) -> bool:
         """Return whether the platform makes new connections to the courier: for a while after SIGTERM, and again once
         it is ready."""
         return self._connects_until_s is None or asyncio.get_running_loop().time() < self._connects_until_s
 
+    def effect_of(self, message_class: str) -> Effect | None:
+        """Return what clients mean by a class where its settings change; None: what the plan says."""
+        return None
+
     def _record_turn(self, turn: Turn, code: int = 0) -> None:
         self._history.add(Life(self._now_us(), self.name, turn, code))
 
@@ -87,17 +96,21 @@
             self._record_turn(Turn.NEVER_READY)
         return False
 
-    async def _spawn(self) -> asyncio.subprocess.Process:
-        listen = f"127.0.0.1:{self.port.port}"
-        config = self._configure(listen)
-        path = self._folder / "config.json"
+    def _write_config(self) -> dict[str, Any]:
+        """Write the configuration's file as it is now, and return its content."""
+        config = self._configure(self._listen)
+        path = self._config_path
         path.with_suffix(".new").write_text(json.dumps(config))
         path.with_suffix(".new").replace(path)
+        return config
+
+    async def _spawn(self) -> asyncio.subprocess.Process:
+        config = self._write_config()
         scratch = self._folder / "tmp"
         scratch.mkdir(exist_ok=True)
-        env = {**os.environ, "RELAY_NAME": self.name, "RELAY_LISTEN": listen, "RELAY_CONFIG": str(path),
-               "RELAY_DISCOVERY": config["discovery"], "RELAY_STATE": str(self._folder / "state"),
-               "TMPDIR": str(scratch)}
+        env = {**os.environ, "RELAY_NAME": self.name, "RELAY_LISTEN": self._listen, "TMPDIR": str(scratch),
+               "RELAY_CONFIG": str(self._config_path), "RELAY_DISCOVERY": config["discovery"],
+               "RELAY_STATE": str(self._folder / "state")}
         try:
             self.process = await asyncio.create_subprocess_exec(
                 *shlex.split(self._command), env=env, stdin=asyncio.subprocess.DEVNULL,
