A wait told by an endpoint that has left the list binds its destination

Change: the endpoints that left last, 1,000 at most, are kept with their destination for this.

Evidence: a test of Endpoints failed before (may_write within the wait).

--- a/tests/test_review_observations.py
+++ b/tests/test_review_observations.py
@@ -14,6 +14,7 @@
 from wheelstep.courier.call import Item, Result
 from wheelstep.courier.config import Address
 from wheelstep.courier.endpoint_client import EndpointClient
+from wheelstep.courier.endpoints import Endpoints
 
 S = 1_000_000
 SETTINGS = api.Settings(classes=(SAFE,), slots=4, hold_limit=10)
@@ -48,3 +49,19 @@
             owner.peer.close()
         assert owner.closed_at_outcome
     run(play())
+
+
+def test_a_wait_that_is_told_by_an_endpoint_which_has_left_binds_its_destination() -> None:
+    """Guards against calls to a destination that asked to wait in answer to its last call of a replaced endpoint
+    (FINDINGS 41)."""
+    class Journal:
+        marks: dict[str, object] = {}
+
+    endpoints = Endpoints(SETTINGS, Journal(), lambda event: None)  # type: ignore[arg-type]
+    for name in ("old", "new"):
+        endpoints.add(api.EndpointInfo(name, 7))
+    endpoints.remove("old")
+    endpoints.apply_wait("old", 10.0, 2.0)
+    assert not endpoints.may_write("new", 11.9) and endpoints.may_write("new", 12.0)
+    endpoints.apply_wait("nobody", 20.0, 2.0)
+    assert endpoints.may_write("new", 20.0)
--- a/wheelstep/courier/endpoints.py
+++ b/wheelstep/courier/endpoints.py
@@ -16,6 +16,7 @@
 
 _EXCLUDED_MARK = ":out "  # prefix of an excluded endpoint's id in the journal's marks
 _MAX_EXCLUDED = 10_000  # endpoints that can be excluded at once
+_MAX_REMOVED = 1_000  # endpoints that have left the list and whose calls may still bring a wait
 
 log = logging.getLogger(__name__)
 
@@ -29,6 +30,7 @@
         self.destinations: set[int] = set()  # destinations that any list has named
         self.knows_list = False  # whether any list has been read, even one without entries for this courier
         self.excluded: set[str] = set()  # endpoints that an operator has excluded, listed or not
+        self._removed: dict[str, api.EndpointInfo] = {}  # endpoints that have left the list last, oldest first
         self.wait_until: dict[str | int, float] = {}  # until when nothing may be sent to a destination or route
 
     def missing_from(self, named: set[str]) -> list[str]:
@@ -42,7 +44,11 @@
 
     def remove(self, endpoint: str) -> None:
         """Remove an endpoint that is not listed any more, and the note of its health, which is of no more use."""
-        self.listed.pop(endpoint, None)
+        if (info := self.listed.pop(endpoint, None)) is not None:
+            self._removed.pop(endpoint, None)
+            self._removed[endpoint] = info
+            if len(self._removed) > _MAX_REMOVED:
+                del self._removed[next(iter(self._removed))]
         if endpoint in self._journal.marks:
             self._journal.mark(endpoint, None)
 
@@ -109,8 +115,8 @@
 
     def apply_wait(self, endpoint: str, now_s: float, wait_s: float) -> None:
         """Block the endpoint's route for `wait_s`, if that is longer than its present wait, also for connections being
-        opened. Ignored if the endpoint is not listed."""
-        if info := self.listed.get(endpoint):
+        opened. An endpoint that has left the list meanwhile may still speak for its destination."""
+        if info := self.listed.get(endpoint) or self._removed.get(endpoint):
             route = self.route(info)
             self.wait_until = {other: until for other, until in self.wait_until.items() if until > now_s}
             self.wait_until[route] = max(self.wait_until.get(route, 0.0), now_s + wait_s)
