Standalone: a message that its partner calls over is told as failed, not as delivered

Cause: Dispatcher.ended took every call that ends a message for a delivery where deliveries are notified.

Change: there such a message ends as given up. On the platform nothing changes: it is forgotten, as the protocol says.

Evidence: a test with a real process failed before (`delivered`).

--- a/tests/test_review_observations.py
+++ b/tests/test_review_observations.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import socket
 from collections.abc import Sequence
+from pathlib import Path
 
 from endpoint_clients import FakeOwner, item
 from helpers import SAFE
-from loopback import run
+from loopback import Call, Reply, run
+from test_standalone import StandaloneProcess
 
 from wheelstep import interface as api
 from wheelstep.courier.call import Item, Result
@@ -65,3 +68,16 @@
     assert not endpoints.may_write("new", 11.9) and endpoints.may_write("new", 12.0)
     endpoints.apply_wait("nobody", 20.0, 2.0)
     assert endpoints.may_write("new", 20.0)
+
+
+def test_a_message_that_its_partner_calls_over_is_not_reported_as_delivered(tmp_path: Path) -> None:
+    """Guards against a 410, after which a message has never run, told as a delivery and to nobody (FINDINGS 37)."""
+    async def scenario() -> None:
+        async with StandaloneProcess(tmp_path) as s:
+            async def over(call: Call) -> Reply:
+                return 410, {}, b""
+            s.alpha.reply = over
+            assert await s.post("m1", "/a/1") == 202
+            assert (await s.ask("GET", "/messages/m1?wait=20"))[1]["end"] == "failed"
+            await s.stop(signal.SIGTERM)
+    run(scenario())
--- a/wheelstep/courier/dispatcher.py
+++ b/wheelstep/courier/dispatcher.py
@@ -45,8 +45,8 @@
 
     def __init__(self, config: Config, journal: JournalPort) -> None:
         self._config, self._settings, self._journal = config, config.settings, journal
-        self.decision_loop = DecisionLoop(Sender(config.settings, config.seed), config.settings.tick_us,
-                                          self._carry_out, self._call)
+        sender = Sender(config.settings, config.seed)
+        self.decision_loop = DecisionLoop(sender, config.settings.tick_us, self._carry_out, self._call)
         self.endpoints = Endpoints(config.settings, journal, self.decision_loop.post)
         self.classes = ClassIndex(config, journal, self.decision_loop.post)
         self.ordered = self.classes.ordered
@@ -84,7 +84,7 @@
         return True
 
     async def wait_for_earlier(self, items: Sequence[Item]) -> None:
-        """Keep the order of keys: a message that ended with a notification is complete only once that is answered."""
+        """Keep the order of keys: a message that ended with a notification is complete once that is answered."""
         await self.order.until_answered((item.message for item in items), time.monotonic())
 
     def may_start(self, endpoint: str, item: Item) -> bool:
@@ -127,8 +127,9 @@
         if self._successor is not None:
             self._successor.ended(endpoint, results)
             return
-        now_s, settings = time.monotonic(), self._settings
-        timely = Timeliness.IN_TIME if self.notifies_deliveries else call_timeliness(results, self._held, settings)
+        now_s = time.monotonic()
+        timely = Timeliness.IN_TIME if self.notifies_deliveries else call_timeliness(
+            results, self._held, self._settings)
         for item, result in results:
             self.order.attempt_ended(item.message, item.attempt, result.may_still_run, now_s)
             held = self._held.get(item.message)
@@ -140,7 +141,8 @@
                 if self.counters is not None and not result.over:
                     self.counters.passed[held.message_class] += 1
                 del self._held[item.message], self._next_attempt[item.message]
-                if result.outcome is Outcome.OK and timely is Timeliness.DOUBTFUL:
+                never_ran = result.over and self.notifies_deliveries
+                if never_ran or result.outcome is Outcome.OK and timely is Timeliness.DOUBTFUL:
                     self._journal.end(item.message, "given_up", 0)
                     self._notify_end(held)
                 else:
@@ -209,8 +211,7 @@
 
     def _start_attempt(self, action: api.StartAttempt, batches: AttemptBatches) -> None:
         name, endpoint = action.message, action.endpoint
-        message = self._held[name]
-        number = self._next_attempt[name]
+        message, number = self._held[name], self._next_attempt[name]
         self._next_attempt[name] = number + 1
         write_until_s = (self.decision_loop.now_us + action.latest_us) / 1e6 if action.latest_us else math.inf
         batch = batches.setdefault(endpoint, [])
