Standalone: a message that its client names `mirror` is not taken for a mirror's copy

Cause: TENANT~mirror ends with the suffix by which copies are known.

Evidence: a test with a real process failed before (no end), and the names are tested apart.

--- a/tests/test_review_observations.py
+++ b/tests/test_review_observations.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 
+import pytest
 from endpoint_clients import FakeOwner, item
 from helpers import SAFE
 from loopback import Call, Reply, run
@@ -18,6 +19,7 @@
 from wheelstep.courier.config import Address
 from wheelstep.courier.endpoint_client import EndpointClient
 from wheelstep.courier.endpoints import Endpoints
+from wheelstep.standalone.front import is_mirror_copy, mirror_name
 
 S = 1_000_000
 SETTINGS = api.Settings(classes=(SAFE,), slots=4, hold_limit=10)
@@ -81,3 +83,19 @@
             assert (await s.ask("GET", "/messages/m1?wait=20"))[1]["end"] == "failed"
             await s.stop(signal.SIGTERM)
     run(scenario())
+
+
+def test_a_message_that_its_client_names_mirror_is_reported_to_it(tmp_path: Path) -> None:
+    """Guards against a name of a client's that is taken for the name of a mirror's copy (FINDINGS 38)."""
+    async def scenario() -> None:
+        async with StandaloneProcess(tmp_path) as s:
+            assert await s.post("mirror", "/b/1") == 202
+            assert (await s.ask("GET", "/messages/mirror?wait=20"))[1]["end"] == "delivered"
+            await s.stop(signal.SIGTERM)
+    run(scenario())
+
+
+@pytest.mark.parametrize("name", ["mirror", "one~mirror", "m", "one~m", "mirror~m"])
+def test_no_name_of_a_message_is_that_of_a_copy(name: str) -> None:
+    assert not is_mirror_copy(name) and is_mirror_copy(mirror_name(name))
+    assert mirror_name("one~m") == "one~m~mirror"  # as partners have seen it so far
--- a/wheelstep/standalone/front.py
+++ b/wheelstep/standalone/front.py
@@ -36,9 +36,14 @@
     return name.rpartition(_SEPARATOR)[0]
 
 
+def mirror_name(name: str) -> str:
+    """Return the name of a message's mirror copy. It has two separators, which no client's message has."""
+    return name + (_MIRROR_SUFFIX if _SEPARATOR in name else _SEPARATOR + _MIRROR_SUFFIX)
+
+
 def is_mirror_copy(name: str) -> bool:
     """Return whether the message is a mirror copy, whose outcome is reported to nobody."""
-    return name.endswith(_MIRROR_SUFFIX)
+    return name.count(_SEPARATOR) > 1
 
 
 def _client_name(name: str) -> str:
@@ -116,7 +121,7 @@
             raise RefusedError(429, "more than your share\n", (("Retry-After", str(max(1, math.ceil(wait_s)))),))
         self._copies.pop(name, None)  # left by an earlier request that was not accepted
         if target.mirror is not None:
-            self._copies[name] = replace(message, id=name + _MIRROR_SUFFIX, key=None,
+            self._copies[name] = replace(message, id=mirror_name(name), key=None,
                                          destination=destination_number(target.mirror))
             if len(self._copies) > _MAX_PENDING_COPIES:
                 del self._copies[next(iter(self._copies))]
