--- a/tests/test_after_handover.py
+++ b/tests/test_after_handover.py
@@ -11,8 +11,8 @@
 
 from copying_endpoint import CopyingEndpoint, PlannedAnswer
 from loopback import ALONE, LIMIT_S, Courier, Endpoint, Scene, host, run
+from successors import upgraded, waiting_successor
 from test_answer_copies import LATE_CALL_S, SETTINGS
-from test_upgrade import upgraded, waiting_successor
 
 from wheelstep.upgrade.channel import Channel, connect
 
--- a/tests/test_closed_journal.py
+++ b/tests/test_closed_journal.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 from journal_cases import message
 from loopback import ALONE, LIMIT_S, Call, Scene, run
-from test_upgrade import waiting_successor
+from successors import waiting_successor
 
 from wheelstep.journal import Journal
 from wheelstep.journal.durability import JournalClosedError, SyncPolicy
--- a/tests/test_settings_across_processes.py
+++ b/tests/test_settings_across_processes.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from loopback import ALONE, LIMIT_S, Call, Reply, Scene, run
-from test_upgrade import waiting_successor
+from successors import waiting_successor
 
 
 def with_effect(effect: str, **extra: Any) -> dict[str, Any]:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import os
-from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
@@ -13,47 +12,13 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from loopback import LIMIT_S, Call, Courier, Reply, Scene, free_address, run
+from loopback import LIMIT_S, Call, Reply, Scene, free_address, run
+from successors import upgraded, waiting_successor
 
-from wheelstep.upgrade.channel import SOCKET_NAME, Channel, connect
+from wheelstep.upgrade.channel import Channel, connect
 from wheelstep.upgrade.states import Action, Handover
 
 
-@contextlib.asynccontextmanager
-async def upgraded(scene: Scene) -> AsyncIterator[Courier]:
-    """Yield the successor once it serves; the previous process still runs."""
-    after = scene.courier.successor()
-    await after.begin()
-    try:
-        after.address = scene.courier.address
-        await after.wait_ready()
-        yield after
-    finally:
-        if after.process.returncode is None:
-            await after.kill()
-
-
-@contextlib.asynccontextmanager
-async def waiting_successor(scene: Scene) -> AsyncIterator[tuple[Courier, Callable[[], Awaitable[None]]]]:
-    """Yield a successor that has started and can't reach the serving process yet, and a function that lets it take over
-    and waits until it serves. So a test's time limits don't depend on how long a start takes."""
-    socket = scene.courier.folder / "state" / SOCKET_NAME
-    hidden = socket.rename(socket.with_name("hidden"))
-    after = scene.courier.successor()
-    await after.begin()
-    after.address = scene.courier.address
-
-    async def take_over() -> None:
-        hidden.rename(socket)
-        await after.wait_ready()
-    try:
-        await after.wait_console()
-        yield after, take_over
-    finally:
-        if after.process.returncode is None:
-            await after.kill()
-
-
 def test_a_kept_connection_goes_on_and_a_call_that_is_out_is_not_made_again(tmp_path: Path) -> None:
     async def scene() -> None:
         async with Scene(tmp_path, console=True) as s, waiting_successor(s) as (after, take_over):
--- a/tests/test_workers_settings.py
+++ b/tests/test_workers_settings.py
@@ -10,7 +10,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from loopback import ALONE, Call, Endpoint, Reply, Scene, host, run
-from test_workers import message, operator
+from test_workers import operator
+from test_workers_forwarding import message
 
 from wheelstep.interface import MessageClass
 from wheelstep.journal import Journal
