A drain that was told holds over a kill while discovery is silent

Cause: what discovery had told was in memory alone; the next process goes by the older list until discovery is back.

A process that starts goes by them until it has heard discovery, on any answer: from then on the list is newer than they are. On the platform's courier only; workers, fleets and standalone write none.

--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -101,6 +101,7 @@
                       calling_couriers(config.settings), config.seed, max_retry_s(config.settings))
         watches = fleet is None or not fleet.lists  # otherwise the fleet's daemon provides the list
         if watches:
+            core.endpoints.left.enable(journal.marks)
             core.listed(api.ListKind.RESTORED, rows)
         async with asyncio.TaskGroup() as group:
             permanent: dict[str, Callable[[], Coroutine[object, object, None]]] = {
@@ -109,6 +110,8 @@
             if watches:
                 permanent["watch"] = watch.run
             tasks = [group.create_task(keep_running(name, work)) for name, work in permanent.items()]
+            if watches:
+                tasks.append(group.create_task(watch.heard(core.endpoints.discovery_heard)))
             if core.account is not None:
                 tasks.append(group.create_task(core.account.run(core.gauge)))
                 watch.account = core.account
--- a/wheelstep/courier/core.py
+++ b/wheelstep/courier/core.py
@@ -15,11 +15,11 @@
 from wheelstep import interface as api
 from wheelstep.courier.config import Address, Config
 from wheelstep.courier.flight_recorder import EventKind
-from wheelstep.courier.handover_state import continue_settling
+from wheelstep.courier.handover_state import continue_settling, was_used
 from wheelstep.courier.operator_commands import OperatorCommands
 from wheelstep.courier.ports import JournalPort, OpenCall, Successor
 from wheelstep.courier.rows import Row
-from wheelstep.courier.wall_clock import CLOCK_MARK, ago_us, left_us
+from wheelstep.courier.wall_clock import ago_us, left_us
 from wheelstep.interface import EndpointState
 from wheelstep.journal import StoredMessage
 
@@ -45,9 +45,11 @@
 
     def listed(self, kind: api.ListKind, rows: list[tuple[api.EndpointInfo, Address]]) -> None:
         """Apply a list from discovery, or changes to it."""
-        if kind is not api.ListKind.CHANGES:
-            for gone in self.endpoints.missing_from({info.endpoint for info, _ in rows}):
-                self._remove_endpoint(gone)
+        gone = [] if kind is api.ListKind.CHANGES else self.endpoints.missing_from({info.endpoint for info, _ in rows})
+        if kind is not api.ListKind.RESTORED:
+            self.endpoints.note_told((info for info, _ in rows), gone)
+        for endpoint in gone:
+            self._remove_endpoint(endpoint)
         for info, address in rows:
             if info.state is EndpointState.REMOVED:
                 self._remove_endpoint(info.endpoint)
@@ -184,8 +186,7 @@
         way in the previous process, which will report their outcomes. `settling` has the keys that settle there and
         the microseconds left. None: no process can report them, so any key may settle until a settle period after
         `owned_since_s`, when this process got the state folder (default: when this core was made)."""
-        first = marks.keys() <= {CLOCK_MARK}  # no process has used this folder before
-        settle_us = 0 if first else self._settings.order_settle_us
+        settle_us = self._settings.order_settle_us if was_used(marks) else 0
         settled_s = (owned_since_s or self._created_s) + settle_us / 1e6
         if (event := continue_settling(self.order, settling, settled_s, time.monotonic())) is not None:
             self.decision_loop.post(event)
--- a/wheelstep/courier/endpoints.py
+++ b/wheelstep/courier/endpoints.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from wheelstep import interface as api
+from wheelstep.courier.left_endpoints import LeftEndpoints
 from wheelstep.courier.ports import JournalPort
 from wheelstep.courier.wall_clock import ago_us
 from wheelstep.interface import EndpointState, Settings
@@ -30,6 +31,7 @@
         self.destinations: set[int] = set()  # destinations that any list has named
         self.knows_list = False  # whether any list has been read, even one without entries for this courier
         self.excluded: set[str] = set()  # endpoints that an operator has excluded, listed or not
+        self.left = LeftEndpoints(journal)
         self._removed: dict[str, api.EndpointInfo] = {}  # endpoints that have left the list last, oldest first
         self.wait_until: dict[str | int, float] = {}  # until when nothing may be sent to a destination or route
 
@@ -53,11 +55,25 @@
             self._journal.mark(endpoint, None)
 
     def with_exclusions(self, info: api.EndpointInfo) -> api.EndpointInfo:
-        """Return the entry as the decision module gets it: an excluded endpoint drains, whatever the list says."""
-        if info.endpoint in self.excluded and info.state is EndpointState.UP:
+        """Return the entry as the decision module gets it: an excluded endpoint drains, whatever the list says, and so
+        does one that the process before was told of, as long as discovery is silent."""
+        if info.state is EndpointState.UP and (info.endpoint in self.excluded or self.left.blocks(info.endpoint)):
             return replace(info, state=EndpointState.DRAINING)
         return info
 
+    def note_told(self, infos: Iterable[api.EndpointInfo], gone: Iterable[str]) -> None:
+        """Note what discovery tells: entries, and endpoints that a whole list does not name any more."""
+        self.discovery_heard()
+        for info in infos:
+            self.left.told(info.endpoint, info.state)
+        for endpoint in gone:
+            self.left.told(endpoint, EndpointState.REMOVED)
+
+    def discovery_heard(self) -> None:
+        """Go by the list from now on."""
+        if unblocked := [self.listed[name] for name in self.left.heard() if name in self.listed]:
+            self.post_membership(api.ListKind.CHANGES, unblocked)
+
     def post_membership(self, kind: api.ListKind, infos: Iterable[api.EndpointInfo]) -> None:
         """Pass these entries to the decision module."""
         self._post(api.MembershipReceived(kind, tuple(map(self.with_exclusions, infos))))
@@ -109,7 +125,7 @@
     def may_write(self, endpoint: str, now_s: float) -> bool:
         """Return whether anything new may be written to the endpoint."""
         info = self.listed.get(endpoint)
-        if info is None or info.state is not EndpointState.UP or endpoint in self.excluded:
+        if info is None or self.with_exclusions(info).state is not EndpointState.UP:
             return False
         return now_s >= self.wait_until.get(self.route(info), 0.0)
 
--- a/wheelstep/courier/handover_state.py
+++ b/wheelstep/courier/handover_state.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from wheelstep import interface as api
 from wheelstep.courier.key_order import KeyOrder
+from wheelstep.courier.left_endpoints import LEFT_MARK
 from wheelstep.courier.ports import OpenCall
+from wheelstep.courier.wall_clock import CLOCK_MARK
 from wheelstep.journal import StoredMessage
 
 
@@ -23,6 +25,12 @@
     return found
 
 
+def was_used(marks: Iterable[str]) -> bool:
+    """Return whether a process has used this folder before, given the names of the journal's marks. The clock's and
+    those of endpoints that discovery names are written at the start, before anything is restored."""
+    return any(name != CLOCK_MARK and not name.startswith(LEFT_MARK) for name in marks)
+
+
 def continue_settling(order: KeyOrder, settling: Mapping[str, int] | None, all_settled_s: float,
            now_s: float) -> api.KeysSettling | None:
     """Continue the settle periods of the process before, and return the event for the decision module, None if no key
--- a/wheelstep/courier/watch.py
+++ b/wheelstep/courier/watch.py
@@ -83,6 +83,11 @@
             with suppress(TimeoutError):
                 await asyncio.wait_for(self._first_answer.wait(), within_s)
 
+    async def heard(self, call: Callable[[], None]) -> None:
+        """Call once discovery has answered on any watch: a list, changes, or that there is nothing new."""
+        await self._first_answer.wait()
+        call()
+
     async def run(self) -> None:
         """Keep a watch open; open another from the last version whenever one ends or is silent."""
         loop = asyncio.get_running_loop()
