A command to the console is confirmed only once the disk has it

If the process hands over meanwhile, the command goes on to its successor.

Evidence: tests/test_after_handover.py, one test more, failed before (`+OK` at once).

--- a/tests/test_after_handover.py
+++ b/tests/test_after_handover.py
@@ -9,11 +9,13 @@
 import time
 from pathlib import Path
 
+import pytest
 from copying_endpoint import CopyingEndpoint, PlannedAnswer
 from loopback import ALONE, LIMIT_S, Courier, Endpoint, Scene, host, run
 from successors import upgraded, waiting_successor
 from test_answer_copies import LATE_CALL_S, SETTINGS
 
+from wheelstep.rehearsal.soak.control import FAULT_PAGE_VARIABLE, FaultPage
 from wheelstep.upgrade.channel import Channel, connect
 
 COPY_S = 1.0  # the copy, and the answer of the call that it meets, come after the hand-over, which takes less
@@ -169,3 +171,27 @@
             await s.platform.wait_notice("refused")
         endpoint.close()
     run(play())
+
+
+def test_a_command_is_confirmed_only_once_the_disk_has_it(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a `+OK` to an exclusion that a kill undoes, as the disk had not taken it."""
+    async def scene() -> None:
+        page = FaultPage(tmp_path / "page")
+        monkeypatch.setenv(FAULT_PAGE_VARIABLE, str(tmp_path / "page"))
+        s = Scene(tmp_path, console=True)
+        s.courier.program = ("wheelstep.rehearsal.soak.faulty",)
+        async with s, two_endpoints(s) as other:
+            page.disk_failure_share = 1.0
+            began = time.monotonic()
+            assert (await s.courier.call("exclude e0")).startswith("-ERR the disk")
+            assert time.monotonic() - began < REPLY_LIMIT_S
+            asked = asyncio.create_task(s.courier.call("exclude e0"))
+            await asyncio.sleep(0.2)
+            assert not asked.done()
+            page.disk_failure_share = 0.0
+            assert await asked == "+OK e0 is out\n"
+            await s.courier.kill()
+            await s.courier.start()
+            assert await deliver(s, s.courier, other, "m") == 0
+        page.close()
+    run(scene())
--- a/wheelstep/courier/__main__.py
+++ b/wheelstep/courier/__main__.py
@@ -124,7 +124,7 @@
                 core.restore(journal.marks, journal.messages.values(), calls, settling)
                 core.ended_messages.restore(target.transferred.ended if target else (), time.monotonic())
             if commands is not None:
-                commands.restored()
+                commands.restored(journal.flush)
             follow = functools.partial(follow_config, config, reload_requested, watch, core.notices, core=core,
                                        on_reload=reload_fleet, at_once=target is not None)
             tasks.append(group.create_task(keep_running("configuration", follow)))  # not before classes are restored
--- a/wheelstep/upgrade/owner_commands.py
+++ b/wheelstep/upgrade/owner_commands.py
@@ -24,6 +24,7 @@
 _REPLY_LIMIT_S = 0.9  # replies are due within 1 s
 _TRY_LIMIT_S = 0.3  # of one request to another process: a version before this one does not answer
 _RETRY_S = 0.02
+_WRITE_RETRY_S = 0.01
 
 log = logging.getLogger(__name__)
 
@@ -60,16 +61,17 @@
     def __init__(self, folder: Path, reload: Callable[[], None]) -> None:
         self._folder, self._reload = folder, reload
         self._core: Core | None = None
-        self._restored = False
+        self._flush: Callable[[], bool] | None = None  # set once the core has what the journal holds
         self._passing_on: set[asyncio.Task[bool | None]] = set()
 
     def attach(self, core: Core) -> None:
         """Show the metrics of this process's core from now on."""
         self._core = core
 
-    def restored(self) -> None:
-        """Note that the core has what the journal holds, and carries commands out until it hands over."""
-        self._restored = True
+    def restored(self, flush: Callable[[], bool]) -> None:
+        """Note that the core has what the journal holds, and carries commands out until it hands over. `flush` writes
+        what the journal's disk has not taken yet and tells whether nothing is left."""
+        self._flush = flush
 
     # --- the console ---
 
@@ -109,10 +111,22 @@
     # --- who carries it out ---
 
     def _owns(self) -> bool:
-        return self._core is not None and self._restored and not self._core.handed_over
+        return self._core is not None and self._flush is not None and not self._core.handed_over
+
+    async def carry_out(self, command: OwnerCommand, within_s: float = _REPLY_LIMIT_S) -> bool | None:
+        """Carry a command out, and return whether what it names is known, once that outlasts this process. None if
+        another process has to do it. Raises `NoOwnerError` if the disk does not take it within a time."""
+        known = self._carry_out_in_memory(command)
+        until_s = asyncio.get_running_loop().time() + within_s
+        while known and self._flush is not None and not self._flush():
+            if not self._owns():  # a handover has not waited for the disk any longer
+                return None
+            if asyncio.get_running_loop().time() >= until_s:
+                raise NoOwnerError("the disk does not take it, so that it ends with this process; try again")
+            await asyncio.sleep(_WRITE_RETRY_S)
+        return known
 
-    def execute_here(self, command: OwnerCommand) -> bool | None:
-        """Carry a command out, and return whether what it names is known; None if another process has to do that."""
+    def _carry_out_in_memory(self, command: OwnerCommand) -> bool | None:
         if self._core is None or not self._owns():
             return None
         match command.name:
@@ -127,15 +141,14 @@
     async def _execute(self, command: OwnerCommand) -> bool:
         """Carry a command out here or at the owner, as soon as there is one. Raises `NoOwnerError`."""
         until_s = asyncio.get_running_loop().time() + _REPLY_LIMIT_S
-        while (known := self.execute_here(command)) is None:
-            left_s = until_s - asyncio.get_running_loop().time()
-            if left_s <= 0:
-                raise NoOwnerError("no process of this courier has its messages now; try again")
-            known = await self._ask_owner(command, min(left_s, _TRY_LIMIT_S))
+        while (left_s := until_s - asyncio.get_running_loop().time()) > 0:
+            known = await self.carry_out(command, left_s)
+            if known is None:
+                known = await self._ask_owner(command, min(left_s, _TRY_LIMIT_S))
             if known is not None:
-                break
+                return known
             await asyncio.sleep(_RETRY_S)
-        return known
+        raise NoOwnerError("no process of this courier has its messages now; try again")
 
     async def _ask_owner(self, command: OwnerCommand, limit_s: float) -> bool | None:
         """Ask the process at the state folder's socket. None if there is none, or it is not the owner."""
--- a/wheelstep/upgrade/source.py
+++ b/wheelstep/upgrade/source.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from typing import Any
 
+from wheelstep.console.commands import NoOwnerError
 from wheelstep.courier.client_server import ClientServer
 from wheelstep.courier.core import Core
 from wheelstep.courier.local_errors import may_pass
@@ -93,19 +94,19 @@
             case "take over":
                 self._perform(self._handover.requested(channel), channel)
             case "command":
-                self._answer_command(channel, OwnerCommand.of_packet(head))
+                self._spawn(self._answer_command(channel, OwnerCommand.of_packet(head)))
             case "received":
                 self._perform(self._handover.received(channel), channel)
             case "mine":
                 self._perform(self._handover.confirmed(channel), channel)
 
-    def _answer_command(self, channel: Channel, command: OwnerCommand) -> None:
-        """Carry out a command that another process passes on, or close its channel, so that it finds the owner."""
-        known = self._commands.execute_here(command)
-        if known is None:
-            channel.close()
-        else:
-            self._spawn(channel.send({"is": "carried out", "known": known}))
+    async def _answer_command(self, channel: Channel, command: OwnerCommand) -> None:
+        """Carry out a command that another process passes on. Without success its channel is closed, and it tries
+        again."""
+        with contextlib.suppress(NoOwnerError):
+            if (known := await self._commands.carry_out(command)) is not None:
+                return await channel.send({"is": "carried out", "known": known})
+        channel.close()
 
     def _on_lost(self, channel: Channel) -> None:
         """Process the end of a successor's connection."""
