--- a/tests/test_after_handover.py
+++ b/tests/test_after_handover.py
@@ -8,6 +8,7 @@
 import json
 import time
 from pathlib import Path
+from typing import Any
 
 import pytest
 from copying_endpoint import CopyingEndpoint, PlannedAnswer
@@ -15,8 +16,10 @@
 from successors import upgraded, waiting_successor
 from test_answer_copies import LATE_CALL_S, SETTINGS
 
+from wheelstep.courier.call import Contradiction, Item
 from wheelstep.rehearsal.soak.control import FAULT_PAGE_VARIABLE, FaultPage
 from wheelstep.upgrade.channel import Channel, connect
+from wheelstep.upgrade.reports import SuccessorReports, apply_contradiction
 
 COPY_S = 1.0  # the copy, and the answer of the call that it meets, come after the hand-over, which takes less
 ANSWER_S = 1.2
@@ -195,3 +198,23 @@
             assert await deliver(s, s.courier, other, "m") == 0
         page.close()
     run(scene())
+
+
+def test_a_contradicted_answer_is_passed_on_over_a_row_of_upgrades() -> None:
+    """Guards against a process in the middle of the row that corrects it in a journal that it has handed over."""
+    packets: list[dict[str, Any]] = []
+    found: list[Contradiction] = []
+    first = SuccessorReports(packets.append)
+    first.contradicted(Contradiction(Item("m", 3, None, b"", once=True), 200, 503))
+
+    class Client:
+        on_contradiction = SuccessorReports(packets.append).contradicted  # as after a hand-over
+
+    class Core:
+        endpoint_client: Any = Client
+    apply_contradiction(packets[0], Core())  # type: ignore[arg-type]
+    assert packets[0] == packets[1]
+    Core.endpoint_client = type("Client", (), {"on_contradiction": found.append})
+    apply_contradiction(packets[1], Core())  # type: ignore[arg-type]
+    assert [(one.item.message, one.item.attempt, one.item.once, one.believed, one.found) for one in found] == [
+        ("m", 3, True, 200, 503)]
--- a/wheelstep/upgrade/reports.py
+++ b/wheelstep/upgrade/reports.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 from wheelstep import interface as api
-from wheelstep.courier.answer_corrections import AnswerCorrections
 from wheelstep.courier.call import Contradiction, Item, Result
 from wheelstep.courier.core import Core
 from wheelstep.interface import Outcome
@@ -51,6 +50,7 @@
 
 
 def apply_contradiction(head: dict[str, Any], core: Core) -> None:
-    """Correct what a contradicted answer to a call of the process before led to."""
+    """Correct what a contradicted answer to a call of the process before led to, or pass that on in turn."""
     item = Item(str(head["message"]), int(head["attempt"]), None, b"", once=bool(head["once"]))
-    AnswerCorrections(core).apply(Contradiction(item, int(head["believed"]), int(head["found"])))
+    if core.endpoint_client.on_contradiction is not None:
+        core.endpoint_client.on_contradiction(Contradiction(item, int(head["believed"]), int(head["found"])))
