--- a/review/peers2.py
+++ b/review/peers2.py
@@ -463,6 +463,9 @@
     code = NOT_RUN
 
     async def bounded() -> str:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(LIMIT_S):
                 return await case(record, work)
@@ -477,12 +480,11 @@
     try:
         record.line(f"TROUBLE={int(TROUBLE)}")
         broken = asyncio.run(bounded())
-        code = BROKEN if broken else HELD
-        record.line(f"verdict: {'broken: ' + broken if broken else 'held'}")
-    except (CannotRunError, TimeoutError, OSError) as error:
-        record.line(f"verdict: could not run: {error!r}")
-    finally:
-        record.close()
-        shutil.rmtree(work, ignore_errors=True)
-    print((folder / "record.txt").read_text(encoding="utf-8").splitlines()[-1])
+        verdict, code = (f"broken: {broken}", BROKEN) if broken else ("held", HELD)
+    except BaseException as error:  # also a fault of the script: it must not look like a broken rule
+        verdict = f"could not run: {error!r}"
+    record.line(f"verdict: {verdict}")
+    record.close()
+    shutil.rmtree(work, ignore_errors=True)
+    print(f"verdict: {verdict}")
     sys.exit(code)
