Review cases: each case takes its ports from a slice of its own

Change: a case holds one of twelve slices of 1,000 loopback ports while it runs. Before, case 9 with its 961 listeners could take a port between another case's choice of it and its courier's start.

--- a/review/peers2.py
+++ b/review/peers2.py
@@ -267,20 +267,38 @@
             "born_ms": 0}
 
 
+_SLICE = 1_000  # ports that one case has to itself
+_slice: list[socket.socket] = []  # holds the first port of this case's slice, so that no other case takes from it
 _given_ports: set[int] = set()
 
 
+def _first_port() -> int:
+    """Return the first port of this case's slice. The slices lie below the ports that the system gives to outgoing
+    connections, so that a port stays free for the case."""
+    while not _slice:
+        held = socket.socket()
+        try:
+            held.bind(("127.0.0.1", 20_000 + _SLICE * random.SystemRandom().randrange(12)))
+            held.listen(1)
+            _slice.append(held)
+        except OSError:
+            held.close()
+    return int(_slice[0].getsockname()[1])
+
+
 def free_port() -> int:
-    """Return a port that is free now. It lies below those that the system gives to outgoing connections, so that it
-    stays free for the case."""
+    """Return a port that is free now."""
+    first = _first_port()
     while True:
-        port = random.SystemRandom().randrange(20_000, 32_000)
+        port = first + random.SystemRandom().randrange(1, _SLICE)
         if port in _given_ports:
             continue
+        _given_ports.add(port)
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
-            _given_ports.add(port)
             return port
+        if len(_given_ports) >= _SLICE - 1:
+            raise CannotRunError("no port is free")
 
 
 async def listen(serve: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
