A ramp outlasts the cold time: what it held back does not go out while the endpoint warms

What callers saw: after an outage of 6 or 20 s the ramp held, and at its end, 14 s after the return, the whole backlog went out: an endpoint that is warm just then gets more than it bears in the last 3 s in which it can fall. Cause: `Endpoint._advance_ramp` ended the ramp after `cold_us` from the first success; the spans of `overload_for_us` that begin while the endpoint is cold end later. Change: after an outage that this process saw, the ramp goes on for two more such spans; its rate keeps growing past the usual one, so that a backlog goes out at a pace. A ramp for an endpoint that is merely listed as up again, whose usual rate may not be known, is as long as before.

--- a/wheelstep/policy/endpoint.py
+++ b/wheelstep/policy/endpoint.py
@@ -20,6 +20,7 @@
 SICK_FAILURE_SHARE = 0.5  # failure share above which an endpoint counts as sick ("failing most calls")
 MIN_BASE_PER_S = 0.25  # calls a second taken for the base rate of an endpoint that carried next to nothing
 RAMP_SHARE = 0.8  # share of `fall_multiple` times its base rate that an endpoint gets as it warms up
+RAMP_EXTRA_SPANS = 2  # spans of overload that a ramp goes on once warm: no burst of what is held back
 IDLE_CONNECTION_COST = 0.12  # points that an idle connection takes from others, and must save in handshakes
 
 
@@ -41,9 +42,7 @@
 
 class Endpoint:
     """Health, derived from outcomes alone. A sick endpoint gets trial calls, at a rate that it can bear cold.
-    A returning one gets a ramp of what it carried before, from `cold_from` of it up over `cold_us`. Handles
-    every outage that outcomes show (down, silent, hung, shut, failing) and avoids overloading one that
-    returns. Its cost: where it takes bad luck for an outage, traffic waits for a needless ramp."""
+    A returning one gets a ramp of what it carried before, from `cold_from` of it up over `cold_us`."""
 
     def __init__(self, info: api.EndpointInfo, settings: Settings, pacer: Pacer, promise_us: int,
                  rng: random.Random) -> None:
@@ -54,6 +53,7 @@
         self.usual_us, self._deviation_us, self._last_answer_us = 0.0, 0.0, 0
         self.failures = DecayingSum(4 * promise_us)  # `value` is the recent share of failed calls
         self._ramp_start_us: int | None = None
+        self._ramp_us = settings.cold_us  # its length
         self._next_us, self._last_ok_us, self.last_used_us = 0.0, -math.inf, -1  # -1: no idle connection
         self._base_rate, self._cold_share = 1.0, settings.fall_multiple * settings.cold_from
         self._min_call_us, self._unreported_refusals = 0.0, 0
@@ -100,8 +100,7 @@
         return not self.calls and self._settings.conn_idle_us > 0 and saves < cost
 
     def _add_result(self, now_us: int, failed: bool) -> None:
-        """Add a result to the failure share. The fewer recent deliveries, the more it weighs: after a long
-        time without calls a single failure makes it sick."""
+        """Add a result to the failure share. It weighs the more the fewer recent deliveries there are."""
         share = 1 / (1.5 + min(self.pacer.delivered.read(now_us), MAX_EVIDENCE))
         self.failures.add(now_us, share * (failed - self.failures.read(now_us)))
 
@@ -119,6 +118,7 @@
         Needlessly slow where it was not restarted."""
         if not self.sick:
             self.failures.value, self._ramp_start_us, self._next_us = 0.0, now_us, now_us
+            self._ramp_us = self._settings.cold_us
             self._advance_ramp(now_us, self._rng.random())
 
     def fall_sick(self, now_us: int) -> None:
@@ -156,8 +156,7 @@
                 self.pacer.delivered = carried
 
     def _next_trial_us(self, now_us: int) -> float:
-        """Return when to try again: at the rate that it can bear cold, on its return, if every sender tries
-        in proportion to what it carried."""
+        """Return when to try again: at a rate that it can bear cold if all senders do the same."""
         pace_us = 1e6 / (self._cold_share * self._base_rate)
         return now_us + max(self._promise_us / 2, pace_us) * self._rng.uniform(0.5, 1.5)
 
@@ -180,8 +179,8 @@
         return api.WaitReason.CROWDED if self._ramp_start_us is None else api.WaitReason.RETURNING
 
     def _advance_ramp(self, now_us: int, work: float) -> None:
-        """Delay the next call by the ramp's gap for so much work; end the ramp after `cold_us`."""
-        if self._ramp_start_us is not None and now_us - self._ramp_start_us >= self._settings.cold_us:
+        """Delay the next call by the ramp's gap for so much work; end a ramp that is over."""
+        if self._ramp_start_us is not None and now_us - self._ramp_start_us >= self._ramp_us:
             self._ramp_start_us = None
         elif self._ramp_start_us is not None:
             warmed = (1 - self._settings.cold_from) * (now_us - self._ramp_start_us) / self._settings.cold_us
@@ -189,7 +188,7 @@
                 self._settings.cold_from + warmed)
             rate /= max(self.pacer.endpoints, 1)  # 0 once the list has none
             next_us = max(self._next_us, now_us) + work / rate * 1e6
-            self._next_us = min(next_us, self._ramp_start_us + self._settings.cold_us)
+            self._next_us = min(next_us, self._ramp_start_us + self._ramp_us)
 
     def record_sent(self, now_us: int, messages: int) -> None:
         """Record a call with so many messages, or a probe, that starts now."""
@@ -244,6 +243,7 @@
             self.sick, self._next_us = False, now_us  # bad luck or a slow answer, not an outage: no ramp
         elif self.sick:
             self.sick, self.failures.value, self._ramp_start_us = False, 0.0, now_us
+            self._ramp_us = self._settings.cold_us + RAMP_EXTRA_SPANS * self._settings.overload_for_us
             self._advance_ramp(now_us, self._rng.random())
         elif self._ramp_start_us is None:
             self.pacer.delivered.add(now_us)
