An outage is told from bad luck by the failures seen, not by how soon a call succeeds again

Cause: `Endpoint._succeeded` took any success within two promises (5 s) of the last one for the end of bad luck, however many calls had failed in between, so that every outage that is shorter than two promises less the wait for a trial had no ramp. The same cause on related paths: the wait told by a shut endpoint, calls that were out when an endpoint fell silent, an endpoint that fell sick in its ramp, a destination with several endpoints of which each saw few failures, and a process that was killed or replaced before three failures. Change: `policy/outage.py` adds up the evidence of outcomes (Page's cumulative sum) against failures as frequent as usual at this endpoint, for it and for its route. Four failures in a row show an outage where failures are rare, more where one call in ten fails. Before that is clear trials come at the usual rate, so that it soon is. Two failures in a row are noted for a later process; what fails in a ramp is the outage before it. The base rate of a note is that of the moment, and is in force before the first trial of the process that reads it.

--- a/wheelstep/policy/balancing.py
+++ b/wheelstep/policy/balancing.py
@@ -23,7 +23,8 @@
     """Return the time of a call at each endpoint over the mean of all, drawn towards 1 by PRIOR_CALLS; 1.0
     for all while fewer than PRIOR_CALLS were answered recently. Calls in progress count with the time that
     they have taken so far: the estimate for exponential times of which some are censored."""
-    seen = {e: (e.recent_answers.read(now_us), e.recent_time_us.read(now_us)) for e in destination.endpoints}
+    seen = {e: (e.times.recent_answers.read(now_us), e.times.recent_time_us.read(now_us))
+            for e in destination.endpoints}
     answers = sum(own for own, _ in seen.values())
     if answers < PRIOR_CALLS:
         return dict.fromkeys(seen, 1.0)
--- a/wheelstep/policy/dispatch.py
+++ b/wheelstep/policy/dispatch.py
@@ -9,8 +9,8 @@
 from wheelstep.interface import Effect, EndReason
 from wheelstep.policy.balancing import next_in_turn
 from wheelstep.policy.common import call_weight
-from wheelstep.policy.endpoint import Call, Endpoint
-from wheelstep.policy.messages import Destination, Message
+from wheelstep.policy.endpoint import Endpoint
+from wheelstep.policy.messages import Call, Destination, Message
 from wheelstep.policy.outcomes import Outcomes
 from wheelstep.policy.ranking import Ranking
 
@@ -147,7 +147,7 @@
             message.attempts, message.restored_tried = message.attempts + 1, False
             # Calls may take longer while slots are free.
             patience = call_weight(call.size) * (2 - self._calls_out / self._settings.slots)
-            patience_us = patience * max(message.cls.promise_us, endpoint.overdue_us())
+            patience_us = patience * max(message.cls.promise_us, endpoint.times.overdue_us())
             timeout_us = min(message.due_us - self._now, int(patience_us))
             latest_us, once = self._latest_us(message) - self._now, message.cls.effect is Effect.UNSAFE
             self._actions.append(api.StartAttempt(
--- a/wheelstep/policy/messages.py
+++ b/wheelstep/policy/messages.py
@@ -11,11 +11,27 @@
 
 from wheelstep import interface as api
 from wheelstep.interface import Decay, Settings
-from wheelstep.policy.endpoint import Call, Endpoint
+from wheelstep.policy.endpoint import Endpoint
 from wheelstep.policy.pacer import Pacer
 from wheelstep.policy.retry import CallWindow, RetryController
 
 
+@dataclass(eq=False, slots=True)
+class Call:
+    """A call in progress: one or more messages that share a slot and the call's outcome."""
+
+    endpoint: Endpoint
+    sent_us: int
+    trial: bool  # sent while the endpoint was sick
+    idle_us: int = 0  # how long its connection had been idle when it started
+    size: int = 0  # in messages
+    open_messages: int = 0  # those without an outcome
+    judged: bool = False  # an outcome has counted for its window and endpoint
+    messages: list[Message] = field(default_factory=list)
+    later_answers: int = 0  # answered calls that were sent to this endpoint after this one
+    cancelled: bool = False  # its cancellation has been requested
+
+
 class Message:
     """A message that the sender holds, from its acceptance until its end."""
 
@@ -101,7 +117,7 @@
 
     def expected_us(self) -> float:
         """Return how long a call is expected to take at its quickest endpoint; 0 where that is not known."""
-        return min((endpoint.expected_us() for endpoint in self.endpoints), default=0.0)
+        return min((endpoint.times.expected_us() for endpoint in self.endpoints), default=0.0)
 
 
 @dataclass(slots=True)
--- a/wheelstep/policy/outcomes.py
+++ b/wheelstep/policy/outcomes.py
@@ -7,8 +7,8 @@
 from wheelstep import interface as api
 from wheelstep.interface import MAY_STILL_RUN, NEVER_EXECUTED, Effect, EndReason, Outcome
 from wheelstep.policy.common import SMALL_FLEET, call_weight
-from wheelstep.policy.endpoint import Call, Endpoint
-from wheelstep.policy.messages import Destination, Message
+from wheelstep.policy.endpoint import Endpoint
+from wheelstep.policy.messages import Call, Destination, Message
 from wheelstep.policy.sender_state import SenderState
 
 MIN_LATER_ANSWERS = 3  # answered later calls that show a silent connection, not a slow endpoint
@@ -52,34 +52,39 @@
                 self._count_later_answer(call)
             elif outcome is Outcome.TIMEOUT:  # connections idle since before the call may be silent too
                 self._actions.append(api.CloseIdle(endpoint.info.endpoint, event.spent_us))
-            # Where many senders share a connection table, one that waits for its rate keeps others out.
-            pausing = (self._settings.senders > SMALL_FLEET
-                       and endpoint.ready_us() > self._now + endpoint.usual_us)
-            if (pausing or not destination.waiting) and endpoint.rarely_used(self._now):
-                endpoint.last_used_us = -1
-                self._actions.append(api.CloseIdle(endpoint.info.endpoint))
+            self._close_if_rarely_used(endpoint, destination)
         if outcome is Outcome.RESET and call.idle_us:
             self._safe_idle_us, self._idle_reset_us = min(self._max_idle_us(), call.idle_us / 2), self._now
         if outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
             destination.retry_controller.record_answer(self._now, retried)
         # A time-out at the message's own deadline, before the call was overdue, shows no failure: it may not
         # shrink the window or mark the endpoint, and measures no call. Silence is still noticed.
-        overdue = event.spent_us >= endpoint.overdue_us() * call_weight(call.size)
+        overdue = event.spent_us >= endpoint.times.overdue_us() * call_weight(call.size)
         cut_short = outcome is Outcome.TIMEOUT and not overdue
         if outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and not cut_short:
             destination.retry_controller.add_duration(event.spent_us)
         if event.wait_us:  # comes with every message of a call: the longest applies
             endpoint.pacer.wait_until_us = max(endpoint.pacer.wait_until_us, self._now + event.wait_us)
         if cut_short and not call.later_answers:
-            endpoint.record_cut_short(event.spent_us)
+            endpoint.times.record_cut_short(event.spent_us)
         if call.judged or (cut_short or outcome is Outcome.TIMEOUT and call.later_answers) and not call.trial:
             return
         call.judged = True
         if outcome in (Outcome.OK, Outcome.TIMEOUT):
-            endpoint.add_duration(self._now, event.spent_us / call_weight(call.size), outcome is Outcome.OK)
+            spent_us = event.spent_us / call_weight(call.size)
+            endpoint.times.add_duration(self._now, spent_us, outcome is Outcome.OK)
         destination.window.record_outcome(outcome)
         self._apply_outcome(endpoint, event)
 
+    def _close_if_rarely_used(self, endpoint: Endpoint, destination: Destination) -> None:
+        """Close an idle connection that is rarely used. Where many senders share a connection table, also one
+        that waits for its rate: it keeps others out."""
+        pausing = (self._settings.senders > SMALL_FLEET
+                   and endpoint.ready_us() > self._now + endpoint.times.usual_us)
+        if (pausing or not destination.waiting) and endpoint.rarely_used(self._now):
+            endpoint.last_used_us = -1
+            self._actions.append(api.CloseIdle(endpoint.info.endpoint))
+
     def _count_later_answer(self, answered: Call) -> None:
         """Count an answer for the calls that were sent before it. Frees slots from connections that have
         fallen silent while their endpoint answers on others. Calls in one queue return about in order; the
@@ -98,7 +103,7 @@
             return
         unsafe = any(message.cls.effect is Effect.UNSAFE for message in call.messages)
         late_us = call.sent_us + (
-            call_weight(call.size) * endpoint.overtaken_timeout_us() * (2 if unsafe else 1))
+            call_weight(call.size) * endpoint.times.overdue_us(0.5) * (2 if unsafe else 1))
         if self._now < late_us:
             self._schedule(late_us, lambda: self._cancel_overtaken(call))
             return
@@ -117,13 +122,23 @@
         """Apply an outcome and its limit report to an endpoint; log and note a change of its health."""
         if event.limit is not None:
             endpoint.pacer.apply_report(self._now, event.limit.per_s, event.limit.left)
-        self._mark_ready(self._destination(endpoint.info.destination))
+        destination, suspect = self._destination(endpoint.info.destination), endpoint.may_be_cold()
+        self._mark_ready(destination)
         if endpoint.record_outcome(self._now, event):
             change = "unavailable" if endpoint.sick else "available again"
             self._actions.append(api.WriteLog(f"{endpoint.info.endpoint} {change} ({event.outcome.value})"))
             self._note_health(endpoint)
-        elif event.outcome is Outcome.FULL and endpoint.pacer.last_cut_us == self._now:
+        elif suspect != endpoint.may_be_cold() or (
+                event.outcome is Outcome.FULL and endpoint.pacer.last_cut_us == self._now):
             self._note_health(endpoint)
+        for other in destination.endpoints:
+            if other.pacer is endpoint.pacer and not other.sick and other.in_outage():
+                self._mark_unavailable(other, "outage")
+
+    def _mark_unavailable(self, endpoint: Endpoint, cause: str) -> None:
+        endpoint.fall_sick(self._now)
+        self._actions.append(api.WriteLog(f"{endpoint.info.endpoint} unavailable ({cause})"))
+        self._note_health(endpoint)
 
     def _note_health(self, endpoint: Endpoint) -> None:
         health = endpoint.health(self._now, self._destination(endpoint.info.destination))
@@ -133,7 +148,7 @@
         """Return the health of all endpoints of which anything is known, for a later process."""
         self._now, self._actions = now_us, []
         for endpoint in self._endpoints.values():
-            if endpoint.sick or endpoint.usual_us:
+            if endpoint.sick or endpoint.times.usual_us:
                 self._note_health(endpoint)
         return [action for action in self._actions if isinstance(action, api.NoteHealth)]
 
@@ -164,9 +179,8 @@
         """Mark an endpoint sick when it has been silent for long enough; one timer serves each endpoint."""
         silent_at_us = endpoint.silent_at_us()
         if silent_at_us <= self._now:
-            endpoint.fall_sick(self._now)
-            self._actions.append(api.WriteLog(f"{endpoint.info.endpoint} unavailable (silent)"))
-            self._note_health(endpoint)
+            endpoint.record_silence()
+            self._mark_unavailable(endpoint, "silent")
         endpoint.silence_timer_set = self._now < silent_at_us < math.inf
         if endpoint.silence_timer_set:
             self._schedule(silent_at_us, lambda: self._check_silence(endpoint))
--- a/wheelstep/policy/pacer.py
+++ b/wheelstep/policy/pacer.py
@@ -6,6 +6,7 @@
 import random
 
 from wheelstep.policy.common import RATE_WINDOW_US, SMALL_FLEET, DecayingSum
+from wheelstep.policy.outage import OutageEvidence
 
 # The even part of a limit is the limit divided by the number of senders.
 # Factor at a refusal; growth per second, in start rates, when every call at the current rate is delivered.
@@ -39,7 +40,7 @@
         self._next_us, self._sent, self._last_report_us, self._last_growth_us = (
             0.0, DecayingSum(COUNTED_COOLDOWNS * cooldown_us), 0, 0)
         self.delivered, self.last_ok_us, self.limit_reported = DecayingSum(RATE_WINDOW_US), -math.inf, False
-        self._limit_exhausted = False
+        self._limit_exhausted, self.evidence = False, OutageEvidence()
 
     def set_limit(self, per_s: float) -> None:
         """Set a known limit over all senders, in calls a second: start at an even part of it, never exceed
@@ -83,6 +84,10 @@
             gap_us, saved_us = self.random_pause_us() if self._senders > SMALL_FLEET else 0.0, 0.0
         self._next_us = max(self._next_us, now_us - saved_us) + gap_us
 
+    def delivery_rate(self, now_us: int) -> float:
+        """Return the recent deliveries a second."""
+        return self.delivered.read(now_us) * 1e6 / RATE_WINDOW_US
+
     def random_pause_us(self) -> float:
         """Return a random time of about a cooldown, so that senders don't act at the same moment."""
         return self._cooldown_us * self._rng.uniform(0.5, 1.5)
@@ -99,7 +104,7 @@
         sent_rate = max(self._sent.read(now_us) * 1e6 / self._sent.time_constant_us, self.even_rate)
         if self.rate == math.inf:
             self._start_rate = max(sent_rate, MIN_START_PER_S)
-        min_rate = cold_share * self.delivered.read(now_us) * 1e6 / RATE_WINDOW_US
+        min_rate = cold_share * self.delivery_rate(now_us)
         self.rate = max(min(self.rate, sent_rate) * DECREASE_FACTOR,
                         self.even_rate * (MIN_SHARE if self.limit_reported else 1 / 8), min_rate)
         pause_us, gap_us = self.random_pause_us(), 1e6 / self.rate
--- a/wheelstep/policy/sender.py
+++ b/wheelstep/policy/sender.py
@@ -9,8 +9,8 @@
 from wheelstep import interface as api
 from wheelstep.interface import EndpointState, EndReason
 from wheelstep.policy.dispatch import Dispatch
-from wheelstep.policy.endpoint import Call, Endpoint
-from wheelstep.policy.messages import Message
+from wheelstep.policy.endpoint import Endpoint
+from wheelstep.policy.messages import Call, Message
 from wheelstep.policy.pacer import Pacer
 
 MAX_TIMERS_PER_BATCH = 5_000  # timers that fire in one batch; the others fire in the next ones
--- a/wheelstep/policy/sender_state.py
+++ b/wheelstep/policy/sender_state.py
@@ -11,8 +11,8 @@
 
 from wheelstep import interface as api
 from wheelstep.interface import Effect, EndReason, Settings
-from wheelstep.policy.endpoint import Call, Endpoint
-from wheelstep.policy.messages import Destination, KeyQueue, Message
+from wheelstep.policy.endpoint import Endpoint
+from wheelstep.policy.messages import Call, Destination, KeyQueue, Message
 
 T1_PROMISE_SHARE = 1 / 3  # T1 over the shortest promise: a lower one retries sooner and gates more often
 FEW = 64  # up to so many ready destinations are all ranked in every batch
--- a/wheelstep/rehearsal/broken/waits.py
+++ b/wheelstep/rehearsal/broken/waits.py
@@ -7,8 +7,7 @@
 from wheelstep import interface as api
 from wheelstep.courier import form
 from wheelstep.courier.core import Core
-from wheelstep.policy.endpoint import Call
-from wheelstep.policy.messages import Destination
+from wheelstep.policy.messages import Call, Destination
 from wheelstep.policy.sender import Sender
 from wheelstep.rehearsal.broken.patch import change_settings
 
