An endpoint that is listed anew in an outage continues with the health of its destination

What callers saw: a destination whose endpoint left the list in an outage and came back, under its name or another, got its full load at once: a new endpoint was taken for well, though every other one of its destination was out. Cause: `Sender._apply_entry` drops an endpoint with all that is known of it, and makes a new one that knows nothing. Change: a new endpoint continues with the health of the others if none of those is well, and if there are none, with that of the endpoint that left last; the health is noted for a later process. Where any other endpoint is well, nothing changes. Tests: `test_a_destination_that_is_listed_anew_in_its_outage_ramps_up` failed for both events before the fix, and one case of `test_an_endpoint_that_is_removed_and_listed_again_is_healthy_once_its_destination_is_warm`. That one replaces `..._starts_healthy`, which was wrong: it asked for the full rate 5 s after the destination's first success, within the cold time of 10 s. The new one asks for the ramp there, for a delivery in it, and for the full rate after it.

--- a/wheelstep/policy/messages.py
+++ b/wheelstep/policy/messages.py
@@ -109,6 +109,8 @@
             RetryController(settings.slots, t1_us, rng), CallWindow(settings.slots))
         self.endpoints: list[Endpoint] = []
         self.queues: dict[api.MessageClass, MessageQueue] = defaultdict(lambda: MessageQueue(settings.decay))
+        # When an endpoint left last, and its health.
+        self.left_health = 0, api.Health(sick=False, returning=False, base=0.0, rate=0.0)
         self.pacer: Pacer | None = None  # where the endpoints share one limit
         self.waiting = self.calls_out = 0
         self.next_check_us: float = math.inf  # when it is considered again if nothing happens before
--- a/wheelstep/policy/sender.py
+++ b/wheelstep/policy/sender.py
@@ -10,7 +10,7 @@
 from wheelstep.interface import EndpointState, EndReason
 from wheelstep.policy.dispatch import Dispatch
 from wheelstep.policy.endpoint import Endpoint
-from wheelstep.policy.messages import Call, Message
+from wheelstep.policy.messages import Call, Destination, Message
 from wheelstep.policy.pacer import Pacer
 
 MAX_TIMERS_PER_BATCH = 5_000  # timers that fire in one batch; the others fire in the next ones
@@ -94,6 +94,7 @@
             if endpoint is not None:
                 endpoint.pacer.endpoints -= 1
                 destination.endpoints.remove(self._endpoints.pop(info.endpoint))
+                destination.left_health = self._now, endpoint.health(self._now, destination)
             return
         if endpoint is None:
             pacer = destination.pacer or Pacer(self._settings.senders, self._t1_us, self._rng)
@@ -104,10 +105,22 @@
             pacer.endpoints += 1
             if self._settings.weights_are_rates:
                 pacer.set_limit(info.weight)
+            self._inherit_health(endpoint, destination)
         was, endpoint.info = endpoint.info.state, info
         if was is not info.state:
             (endpoint.mark_draining if info.state is EndpointState.DRAINING else endpoint.mark_up)(self._now)
 
+    def _inherit_health(self, endpoint: Endpoint, destination: Destination) -> None:
+        """Continue with the health of the destination's others if none of them is well, or of the endpoint
+        that left last if there are no others: the same servers may return under other names."""
+        others = [other for other in destination.endpoints if other is not endpoint]
+        noted_us, health = destination.left_health
+        if others:
+            noted_us, health = self._now, others[0].health(self._now, destination)
+        if (health.sick or health.returning) and all(other.may_be_cold() for other in others):
+            endpoint.restore(self._now, health, self._now - noted_us)
+            self._note_health(endpoint)
+
     def _accept(self, event: api.MessageAccepted, enforce_limit: bool = True) -> None:
         """Hold a new message; `enforce_limit`: refuse the least worth one if the sender is full."""
         cls = self._settings.classes[event.message_class]
