A large fleet takes a destination that refuses for long, with no delivery, for one that was shut

What callers saw: after a destination was shut for 10 or 20 s, answering 503 without a limit, two hundred couriers came back at their full rate: 323 calls in 3 s where 243 are allowed. Cause: where many couriers share a destination whose answers carry limits, a refusal without one is taken for a full table of connections: the courier pauses, its rate stays, and nothing tells that the destination was shut. Change: such a refusal counts as evidence of an outage while nothing was delivered for longer than a call takes; four in a row, over some 6 s of pauses, lead to a ramp. Test: `test_a_large_fleet_ramps_up_after_a_destination_was_shut` failed before.

--- a/tests/test_returning_endpoints.py
+++ b/tests/test_returning_endpoints.py
@@ -72,6 +72,12 @@
         check(Trouble("refused", seconds), *SEEDS, queue=8, **scene)
 
 
+def test_a_large_fleet_ramps_up_after_a_destination_was_shut() -> None:
+    """Guards against couriers that take a shut destination for one with a full table, and return to it all at once."""
+    for seconds in (10, 20):
+        check(Trouble("shut", seconds), *SEEDS, senders=200, servers=30, slots=10, queue=8)
+
+
 def test_one_endpoint_of_many_ramps_up_alone() -> None:
     """Guards against a ramp for all where one was out."""
     trouble = Trouble("reset", 3, one_endpoint=True)
--- a/wheelstep/policy/endpoint.py
+++ b/wheelstep/policy/endpoint.py
@@ -19,6 +19,7 @@
 MAX_EVIDENCE = 2.5  # most deliveries weighed against a failure: three in a row exceed SICK_FAILURE_SHARE
 SICK_FAILURE_SHARE = 0.5  # failure share above which an endpoint counts as sick ("failing most calls")
 SUSPECT_FAILURES = 2  # failures in a row that are noted for a later process
+SHUT_ROUND_TRIPS = 1.5  # usual round trips without a delivery after which refusals may mean it is shut
 MIN_BASE_PER_S = 0.25  # calls a second taken for the base rate of an endpoint that carried next to nothing
 RAMP_SHARE = 0.8  # share of `fall_multiple` times its base rate that an endpoint gets as it warms up
 RAMP_EXTRA_SPANS = 2  # spans of overload that a ramp goes on once warm: no burst of what is held back
@@ -62,8 +63,7 @@
         return not self.calls and self._settings.conn_idle_us > 0 and saves < cost
 
     def _add_result(self, now_us: int, failed: bool) -> None:
-        """Add a result to the failure share. The fewer recent deliveries, the more it weighs: after a long
-        time without calls a single failure makes it sick."""
+        """Add a result to the failure share. It weighs the more the fewer recent deliveries there are."""
         share = 1 / (1.5 + min(self.pacer.delivered.read(now_us), MAX_EVIDENCE))
         self.failures.add(now_us, share * (failed - self.failures.read(now_us)))
 
@@ -76,8 +76,7 @@
             self._base_rate = self._delivery_rate(now_us)
 
     def mark_up(self, now_us: int) -> None:
-        """Start a ramp, since the list has it as up again: it may have been restarted meanwhile and be cold.
-        Needlessly slow where it was not restarted."""
+        """Start a ramp, since the list has it as up again: it may have been restarted and be cold."""
         if not self.sick:
             self._start_ramp(now_us, now_us)
 
@@ -212,10 +211,12 @@
 
     def _back_off_unreported(self, now_us: int) -> None:
         """Pause after a refusal without a limit report where answers carry them: mostly the connection table
-        is full, so the destination's rate stays. Cost: one that is shut without a report is called more."""
+        is full, so the destination's rate stays. After many in a row with no delivery it has been shut."""
         pause_us = self.pacer.random_pause_us() * 2 ** min(self._unreported_refusals, 3)
         self._unreported_refusals += 1
         self._next_us = max(self._next_us, now_us + pause_us)
+        if now_us - self.pacer.last_ok_us > SHUT_ROUND_TRIPS * self.times.usual_us > 0:
+            self._record_failure(now_us)
 
     def _record_failure(self, now_us: int) -> None:
         """Add a failed call to the evidence of an outage."""
