--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -6,10 +6,11 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
+MAX_POLICY_LINES = 1_200
 
 
 def test_the_module_is_made_of_short_parts() -> None:
-    """The operators took back the limit on its lines in all; files, functions and what they are for are held to."""
+    """Files, functions and what they are for are held to."""
     files = sorted((ROOT / "wheelstep" / "policy").rglob("*.py"))
     texts = [path.read_text().splitlines() for path in files]
     for tree in map(ast.parse, map("\n".join, texts)):
@@ -23,6 +24,13 @@
     assert deploy["policy"] == [str(path.relative_to(ROOT)) for path in files]
 
 
+def test_the_module_stays_within_its_lines() -> None:
+    """The operators' limit on the files of `policy` in the deploy file: lines that are not blank."""
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    lines = [line for name in deploy["policy"] for line in (ROOT / name).read_text().splitlines() if line.strip()]
+    assert len(lines) <= MAX_POLICY_LINES
+
+
 def test_the_readme_example_runs() -> None:
     blocks = re.findall(r"```python\n(.*?)```", (ROOT / "README.md").read_text(), re.S)
     assert len(blocks) == 1
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -10,8 +10,8 @@
 
 from wheelstep import Sender, Settings
 from wheelstep import interface as api
+from wheelstep import timer_queue as batch
 from wheelstep.policy import dispatch, ranking, sender_state
-from wheelstep.policy import sender as batch
 
 S = 1_000_000
 CLASSES = (api.MessageClass(2 * S, 20 * S, api.Effect.KEYED, key_ttl_us=15 * S, ordered=True),
@@ -99,7 +99,7 @@
 
 def test_timers_due_at_once_fire_over_several_batches() -> None:
     """Every message ends, and none waits for a batch that takes a second."""
-    count = 2 * batch.MAX_TIMERS_PER_BATCH + 100
+    count = 2 * batch.MAX_FIRED_AT_ONCE + 100
     made = sender(1, slots=1)
     made.handle(1, [accepted(number, 1) for number in range(count)])
     ended: list[str] = []
@@ -109,7 +109,7 @@
         batches += 1
         actions = made.handle(now, [api.TimerFired(0)])
         fresh = [action.message for action in actions if isinstance(action, api.Refuse | api.Fail)]
-        assert len(fresh) <= batch.MAX_TIMERS_PER_BATCH
+        assert len(fresh) <= batch.MAX_FIRED_AT_ONCE
         ended += fresh
         if not any(isinstance(action, api.SetTimer) and action.in_us == 0 for action in actions):
             break
@@ -119,7 +119,7 @@
 
 def test_timers_of_ended_messages_do_not_accumulate(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against the timer of a message with a deadline in a day staying for that day after its delivery."""
-    monkeypatch.setattr(batch, "LEAST_DEAD", 50)
+    monkeypatch.setattr(batch, "MIN_STALE", 50)
     made = sender(1)
     for number in range(1_000):
         now = 1_000 * number
@@ -127,8 +127,9 @@
         for action in actions:
             if isinstance(action, api.StartAttempt):
                 made.handle(now, [api.AttemptEnded(action.message, 0, action.endpoint, api.Outcome.OK, 500, True)])
-    assert len(made._timers) <= 200 and made._stale_timers == sum(
-        timer[3] is not None and timer[3].done for timer in made._timers)
+    timers = made._timers
+    assert len(timers._timers) <= 200 and timers._stale == sum(
+        timer[3] is not None and timer[3].done for timer in timers._timers)
 
 
 def test_making_room_compares_all_backlogs_only_occasionally(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/wheelstep/policy/common.py
+++ b/wheelstep/decaying_sum.py
@@ -1,19 +1,10 @@
-"""Constants and arithmetic that several parts of the decision module use."""
+"""A sum that decays exponentially with time."""
 
 from __future__ import annotations
 
 import math
 from dataclasses import dataclass
 
-SMALL_FLEET = 4  # with more senders, calls are spaced until a limit is known, and idle connections cost more
-EXTRA_MESSAGE_WEIGHT = 0.25  # work and time of each further message of a call, relative to the first
-RATE_WINDOW_US = 10_000_000  # time constant over which the delivery rate of a route is averaged
-
-
-def call_weight(messages: int) -> float:
-    """Return the work of a call with so many messages, in units of a call with one message."""
-    return 1 + EXTRA_MESSAGE_WEIGHT * (messages - 1)
-
 
 @dataclass(slots=True)
 class DecayingSum:
--- a/wheelstep/policy/balancing.py
+++ b/wheelstep/policy/balancing.py
@@ -1,28 +1,18 @@
-"""The choice among a destination's endpoints where neither a fee nor a trial decides.
-
-Each courier of a fleet sees few calls, and the endpoint that looks best to one looks best to all. So calls
-rotate over all endpoints, from a different one on at every courier, and the measured times only make the
-turns of a slow one rarer: by start tags, as in Goyal, Vin and Cheng's start-time fair queueing.
-"""
-
-from __future__ import annotations
+"""The choice among a destination's endpoints where neither a fee nor a trial decides: by start tags, as in
+Goyal, Vin and Cheng's start-time fair queueing, from a different endpoint on at each sender."""
 
 import random
 
-from wheelstep.policy.common import call_weight
+from wheelstep.policy.call_times import call_weight
 from wheelstep.policy.endpoint import Endpoint
 from wheelstep.policy.messages import Destination
 
 PRIOR_CALLS = 1.0  # calls of the destination's mean time that are added, since few samples tell little
-# An endpoint that takes twice the mean time gets a quarter of the turns of a mean one, under half of an equal
-# share, as intended.
-TIME_EXPONENT = 2
+TIME_EXPONENT = 2  # an endpoint that takes twice the mean time gets a quarter of the turns of a mean one
 
 
 def relative_times(destination: Destination, now_us: int) -> dict[Endpoint, float]:
-    """Return the time of a call at each endpoint over the mean of all, drawn towards 1 by PRIOR_CALLS; 1.0
-    for all while fewer than PRIOR_CALLS were answered recently. Calls in progress count with the time that
-    they have taken so far: the estimate for exponential times of which some are censored."""
+    """Return the time of a call at each endpoint over the mean of all, drawn towards 1 by PRIOR_CALLS."""
     seen = {e: (e.times.recent_answers.read(now_us), e.times.recent_time_us.read(now_us))
             for e in destination.endpoints}
     answers = sum(own for own, _ in seen.values())
@@ -36,10 +26,7 @@
 
 def next_in_turn(destination: Destination, candidates: list[Endpoint], now_us: int,
                  rng: random.Random) -> Endpoint:
-    """Return the one of `candidates` whose turn it is, and take its turn. A single candidate is returned
-    without taking a turn. One that is new, or was not available for longer than a turn, joins at a random
-    point. Keeps couriers from all going to the same one at once. Calls take longer than they need to where
-    one endpoint is always the quickest and could carry all."""
+    """Return the one of `candidates` whose turn it is; a new one joins at a random point."""
     if len(candidates) == 1:
         return candidates[0]
     times = relative_times(destination, now_us)
--- a/wheelstep/policy/call_times.py
+++ b/wheelstep/policy/call_times.py
@@ -1,18 +1,24 @@
-"""How long calls to an endpoint take."""
+"""How long calls to an endpoint take, and how much work they are."""
 
-from __future__ import annotations
-
-from wheelstep.policy.common import RATE_WINDOW_US, DecayingSum
+from wheelstep.decaying_sum import DecayingSum
+from wheelstep.round_trip import RoundTrip
 
+EXTRA_MESSAGE_WEIGHT = 0.25  # work and time of each further message of a call, relative to the first
+RATE_WINDOW_US = 10_000_000  # time constant over which the delivery rate of a route is averaged
 OVERDUE_DEVIATIONS = 6  # an answer is overdue this many deviations past the usual round trip
 
 
-class CallTimes:
-    """The usual round trip of an endpoint's calls, with its deviation, and the recent answers and times."""
+def call_weight(messages: int) -> float:
+    """Return the work of a call with so many messages, in units of a call with one message."""
+    return 1 + EXTRA_MESSAGE_WEIGHT * (messages - 1)
+
+
+class CallTimes(RoundTrip):
+    """The usual round trip of an endpoint's calls, and the recent answers and times."""
 
     def __init__(self, promise_us: int) -> None:
+        super().__init__()
         self._promise_us, self._min_call_us = promise_us, 0.0
-        self.usual_us = self.deviation_us = 0.0
         self.recent_answers, self.recent_time_us = DecayingSum(RATE_WINDOW_US), DecayingSum(RATE_WINDOW_US)
 
     def add_duration(self, now_us: int, spent_us: float, answered: bool) -> None:
@@ -23,10 +29,7 @@
     def record_delivery(self, spent_us: int) -> None:
         """Record the round trip of a delivery."""
         self._min_call_us = min(self._min_call_us, float(spent_us))
-        if not self.usual_us:
-            self.usual_us, self.deviation_us = float(spent_us), spent_us / 2
-        self.deviation_us += (abs(spent_us - self.usual_us) - self.deviation_us) / 8
-        self.usual_us += (spent_us - self.usual_us) / 8
+        self.add(spent_us)
 
     def record_cut_short(self, spent_us: int) -> None:
         """Record that a call was cut short after `spent_us`."""
@@ -37,6 +40,5 @@
         return max(least_promises * self._promise_us, self.usual_us + OVERDUE_DEVIATIONS * self.deviation_us)
 
     def expected_us(self) -> float:
-        """Return the usual time of a call, or more than calls were given that were cut short: one with too
-        little time does not show how long it takes."""
+        """Return the usual time of a call, or more than calls were given that were cut short."""
         return max(self.usual_us, self._min_call_us)
--- a/wheelstep/policy/dispatch.py
+++ b/wheelstep/policy/dispatch.py
@@ -1,18 +1,16 @@
 """Dispatch: which message goes next, and to which endpoint."""
 
-from __future__ import annotations
-
 import heapq
 import math
 
 from wheelstep import interface as api
 from wheelstep.interface import Effect, EndReason
 from wheelstep.policy.balancing import next_in_turn
-from wheelstep.policy.common import call_weight
+from wheelstep.policy.call_times import call_weight
 from wheelstep.policy.endpoint import Endpoint
 from wheelstep.policy.messages import Call, Destination, Message
 from wheelstep.policy.outcomes import Outcomes
-from wheelstep.policy.ranking import Ranking
+from wheelstep.policy.ranking import Ranked, Ranking
 
 RISKY_FAILURE_SHARE = 0.2  # failure share above which messages that may be sent only once wait
 NEAR = 0.02  # a bound that is higher than the best gain rate by less than this share is not followed up
@@ -20,50 +18,25 @@
 
 
 class Dispatch(Ranking, Outcomes):
-    """Gives slots to the destinations with the highest gain rates, and chooses an endpoint for each message.
-
-    A message's gain is the worth that sending it now saves over sending it later by the longest promise of a
-    class. A destination's gain rate is the highest gain of its heads over the time that a call takes.
-    """
-
-    def wait_reasons(self, now_us: int) -> list[tuple[int, api.WaitReason, int]]:
-        """For operators: each destination with waiting messages, why they wait, and how many they are."""
-        return [(destination.number, self._wait_reason(destination, now_us), destination.waiting)
-                for destination in self._backlog.values()]
-
-    def _wait_reason(self, destination: Destination, now_us: int) -> api.WaitReason:
-        if self._calls_out >= self._settings.slots:
-            return api.WaitReason.SLOTS
-        if not destination.window.has_room(destination.calls_out, self._in_doubt(destination)):
-            return api.WaitReason.WINDOW
-        if destination.number in self._ready:
-            return api.WaitReason.NOTHING
-        first = min(destination.endpoints, key=Endpoint.ready_us, default=None)
-        return api.WaitReason.GONE if first is None else first.wait_reason(now_us)
+    """Gives slots to the destinations with the highest gain rates, and an endpoint to each message."""
 
     def _in_doubt(self, destination: Destination) -> bool:
-        """Return whether calls to a destination take long or one of its endpoints is sick."""
         return (destination.retry_controller.tau_us >= self._t1_us
                 or any(e.sick for e in destination.endpoints))
 
     def _dispatch(self) -> None:
-        """Send while slots are free, from the ready destination with the highest gain rate first. One that
-        can't send is left out until something happens to it, so that a batch costs what its events do.
-        The same holds for those that merely wait: each has a bound on its gain rate for a while, and is
-        ranked again only where that exceeds the best ranked one (to `NEAR`, the result is that of ranking
-        all)."""
+        """Send while slots are free, the highest gain rate first; what can't be sent waits for an event."""
         if self._calls_out >= self._settings.slots:
             return
-        ranked: list[tuple[float, int, list[Message]]] = []
+        ranked: Ranked = []
         to_rank = self._destinations_to_rank()
         for destination in to_rank[:MAX_RANKED_PER_BATCH]:
             self._rank(destination, ranked)
         if len(to_rank) > MAX_RANKED_PER_BATCH:  # keeps the event loop from blocking if all change at once
-            self._dirty.update(
-                (destination.number, destination) for destination in to_rank[MAX_RANKED_PER_BATCH:])
+            self._dirty.update({later.number: later for later in to_rank[MAX_RANKED_PER_BATCH:]})
             self._schedule(self._now, lambda: None)
         while self._calls_out < self._settings.slots:
-            while (top := self._highest_bound()) is not None and (
+            while (top := self._bounds.highest(self._now)) is not None and (
                     not ranked or top < (ranked[0][0] * (1 + NEAR), ranked[0][1])):
                 self._rank(self._ready[top[1]], ranked)
             if not ranked:
@@ -73,7 +46,7 @@
             if self._send_one(destination, heads):
                 self._rank(destination, ranked)
             else:
-                del self._ready[number]
+                self._drop_ready(number)
         if self._using_bounds:
             for gain_rate, number, heads in ranked:
                 self._add_bound(self._ready[number], -gain_rate, heads)
@@ -83,8 +56,7 @@
         if not destination.window.has_room(destination.calls_out, self._in_doubt(destination)):
             return False
         if too_late := [m for m in heads if self._now + destination.expected_us() > m.due_us]:
-            # Ends a backlog as old as its deadline: sent in order, every message would come too late, and the
-            # ones behind it as well. May end a message that an unusually quick answer would have delivered.
+            # Sent in order, all messages of a backlog as old as its deadline would come too late.
             for message in too_late:
                 self._end(message, EndReason.TOO_LATE)
             return True
@@ -107,18 +79,14 @@
         return False
 
     def _cost(self, endpoint: Endpoint) -> tuple[float, bool]:
-        """Return the sort key of an endpoint: fees first (of its route, of another zone); among equal fees,
-        an endpoint that is due for a trial comes before the others."""
+        """Return the sort key of an endpoint: fees first; among equal ones, a due trial comes first."""
         zone = endpoint.info.zone
         fee = sum(self._settings.zone_fees[zone:zone + 1]) if self._kind(endpoint.info).routes_apart else 0.0
         fee += self._settings.cross_zone_price if zone != self._settings.zone else 0.0
         return fee, not endpoint.sick
 
     def _may_send_to(self, message: Message, endpoint: Endpoint) -> bool:
-        """Return whether a message may go to an endpoint. One that may be sent only once never goes to
-        an endpoint whose failure share is above RISKY_FAILURE_SHARE but that is not sick. To a sick one, as a
-        trial, it goes only after its promised time, and never if the settings allow probes. Protects it from
-        any failing endpoint, but delays the recovery of one to which nothing else is sent."""
+        """Return whether a message may go to an endpoint: what may be sent only once, to no failing one."""
         moved = message.ran_us is not None and endpoint.info.zone != message.ran_zone
         if not self._may_resend(message, self._now) or message.cls.zone_keys and moved:
             return False
@@ -145,8 +113,7 @@
         call.size, call.open_messages, call.messages = len(messages), len(messages), messages
         for message in messages:
             message.attempts, message.restored_tried = message.attempts + 1, False
-            # Calls may take longer while slots are free.
-            patience = call_weight(call.size) * (2 - self._calls_out / self._settings.slots)
+            patience = call_weight(call.size) * (2 - self._calls_out / self._settings.slots)  # by free slots
             patience_us = patience * max(message.cls.promise_us, endpoint.times.overdue_us())
             timeout_us = min(message.due_us - self._now, int(patience_us))
             latest_us, once = self._latest_us(message) - self._now, message.cls.effect is Effect.UNSAFE
--- a/wheelstep/policy/endpoint.py
+++ b/wheelstep/policy/endpoint.py
@@ -7,11 +7,11 @@
 from typing import TYPE_CHECKING
 
 from wheelstep import interface as api
+from wheelstep.decaying_sum import DecayingSum
 from wheelstep.interface import EndpointState, Outcome, Settings
-from wheelstep.policy.call_times import CallTimes
-from wheelstep.policy.common import RATE_WINDOW_US, SMALL_FLEET, DecayingSum, call_weight
-from wheelstep.policy.outage import CONCLUSIVE, OutageEvidence
-from wheelstep.policy.pacer import Pacer
+from wheelstep.policy.call_times import RATE_WINDOW_US, CallTimes, call_weight
+from wheelstep.policy.outage import OutageEvidence
+from wheelstep.policy.pacer import SMALL_FLEET, Pacer
 
 if TYPE_CHECKING:
     from wheelstep.policy.messages import Call, Destination
@@ -27,9 +27,8 @@
 
 
 class Endpoint:
-    """Health, derived from outcomes alone. A sick endpoint gets trial calls, at a rate that it can bear cold.
-    After an outage it gets a ramp of what it carried before, from `cold_from` of it up over `cold_us`. Avoids
-    overloading one that returns; where it takes bad luck for an outage, traffic waits needlessly."""
+    """Health, derived from outcomes alone. A sick endpoint gets trial calls, at a rate that it can bear cold;
+    after an outage it gets a ramp of what it carried before, from `cold_from` of it up over `cold_us`."""
 
     def __init__(self, info: api.EndpointInfo, settings: Settings, pacer: Pacer, promise_us: int,
                  rng: random.Random) -> None:
@@ -39,7 +38,7 @@
         self.calls: dict[Call, None] = {}
         self.failures = DecayingSum(4 * promise_us)  # `value` is the recent share of failed calls
         self.evidence = OutageEvidence()  # of its own calls; that of all calls on its route is the pacer's
-        self._ramp_start_us: int | None = None
+        self.ramp_start_us: int | None = None
         self._ramp_us = settings.cold_us  # its length
         self._base_rate, self._cold_share = 1.0, settings.fall_multiple * settings.cold_from
         self._next_us, self._last_ok_us, self._last_answer_us = 0.0, -math.inf, 0
@@ -55,8 +54,7 @@
         return max(oldest.sent_us, self._last_answer_us) + math.ceil(patience_us)
 
     def rarely_used(self, now_us: int) -> bool:
-        """Return whether an idle connection, which occupies a place in a table that other senders need, would
-        rarely be used before it times out."""
+        """Return whether an idle connection would rarely be used before it times out."""
         uses = self.pacer.delivered.read(now_us) * self._settings.conn_idle_us / RATE_WINDOW_US
         saves = uses * self._settings.handshake_price
         cost = IDLE_CONNECTION_COST * max(1.0, self._settings.senders / SMALL_FLEET)
@@ -72,7 +70,7 @@
 
     def mark_draining(self, now_us: int) -> None:
         """Record the start of a drain: keep the rate that it carried, for its return."""
-        if self._ramp_start_us is None and not self.sick:
+        if self.ramp_start_us is None and not self.sick:
             self._base_rate = self._delivery_rate(now_us)
 
     def mark_up(self, now_us: int) -> None:
@@ -88,15 +86,15 @@
     def may_be_cold(self) -> bool:
         """Return whether an outage is possible after its last outcomes, or was shortly before them."""
         suspect = self.evidence.failures_in_row >= SUSPECT_FAILURES
-        return suspect or self.sick or self._ramp_start_us is not None
+        return suspect or self.sick or self.ramp_start_us is not None
 
     def fall_sick(self, now_us: int) -> None:
         """Mark it sick: keep the rate that it carried, and schedule the first trial."""
-        if self._ramp_start_us is None:
+        if self.ramp_start_us is None:
             self._base_rate = self._delivery_rate(now_us)
-        if self._ramp_start_us is not None or self.in_outage():  # also if only others are delivered to since
-            self.evidence.value = CONCLUSIVE
-        self.sick, self._ramp_start_us = True, None
+        if self.ramp_start_us is not None or self.in_outage():  # also if only others are delivered to since
+            self.evidence.conclude()
+        self.sick, self.ramp_start_us = True, None
         self._next_us = self._next_trial_us(now_us)
 
     def record_silence(self) -> None:
@@ -105,7 +103,7 @@
 
     def health(self, now_us: int, destination: Destination) -> api.Health:
         """Return what a later process must know of it."""
-        start_us = self._ramp_start_us
+        start_us = self.ramp_start_us
         carrying = start_us is None and not self.sick
         return api.Health(
             sick=self.may_be_cold() and start_us is None, returning=start_us is not None,
@@ -117,11 +115,11 @@
             window=round(destination.window.size, 2), tau_us=int(destination.retry_controller.tau_us))
 
     def restore(self, now_us: int, health: api.Health, ago_us: int) -> None:
-        """Continue with the health that an earlier process noted. Keeps a sender that has just started from
-        overloading a returning endpoint; where that has recovered meanwhile, the cost is one trial."""
+        """Continue with the health that an earlier process noted, at the cost of a trial where it is well."""
         self._base_rate = health.base
         if health.sick:
-            self.sick, self.evidence.value = True, CONCLUSIVE
+            self.sick = True
+            self.evidence.conclude()
             self._next_us = self._next_trial_us(now_us)
         elif health.returning and ago_us + health.returning_us < self._settings.cold_us:
             self._start_ramp(now_us, now_us - ago_us - health.returning_us)
@@ -133,8 +131,7 @@
                 self.pacer.delivered = carried
 
     def _next_trial_us(self, now_us: int) -> float:
-        """Return when to try again: in an outage at the rate that it can bear cold, on its return, if every
-        sender tries in proportion to what it carried. Before one is sure, more outcomes are soon needed."""
+        """Return when to try again: in an outage at the cold rate, before that is sure at the usual one."""
         pause_us = 1e6 / self._base_rate
         if self.in_outage():
             pause_us = max(self._promise_us / 2, pause_us / self._cold_share)
@@ -146,30 +143,18 @@
             return math.inf
         return max(self._next_us, self.pacer.ready_us())
 
-    def wait_reason(self, now_us: int) -> api.WaitReason:
-        """Return what keeps a call from going here now."""
-        if self.info.state is not EndpointState.UP:
-            return api.WaitReason.GONE
-        if self.ready_us() <= now_us:
-            return api.WaitReason.DOUBT
-        if self.sick:
-            return api.WaitReason.SICK
-        if self.pacer.ready_us() >= self._next_us:
-            return api.WaitReason.LIMIT
-        return api.WaitReason.CROWDED if self._ramp_start_us is None else api.WaitReason.RETURNING
-
     def _start_ramp(self, now_us: int, start_us: int, extra_us: int = 0) -> None:
         """Forget earlier failures, and ramp up from `start_us` until it is warm, and for `extra_us` more."""
         self._ramp_us = self._settings.cold_us and self._settings.cold_us + extra_us
-        self.failures.value, self._ramp_start_us, self._next_us = 0.0, start_us, now_us
+        self.failures.value, self.ramp_start_us, self._next_us = 0.0, start_us, now_us
         self.evidence.clear()
         self._advance_ramp(now_us, self._rng.random())
 
     def _advance_ramp(self, now_us: int, work: float) -> None:
         """Delay the next call by the ramp's gap for so much work; end a ramp that is over."""
-        settings, start_us = self._settings, self._ramp_start_us
+        settings, start_us = self._settings, self.ramp_start_us
         if start_us is None or now_us - start_us >= self._ramp_us:
-            self._ramp_start_us = None
+            self.ramp_start_us = None
             return
         warmed = (1 - settings.cold_from) * (now_us - start_us) / settings.cold_us
         rate = max(1.0, RAMP_SHARE * settings.fall_multiple) * self._base_rate * (settings.cold_from + warmed)
@@ -195,7 +180,6 @@
         return was_sick != self.sick
 
     def _refused(self, now_us: int, event: api.AttemptEnded | api.ProbeEnded) -> None:
-        """Slow the route down: it is over a limit, or shut."""
         self._last_answer_us = now_us
         wait_us = event.wait_us if isinstance(event, api.AttemptEnded) else 0
         unreported = self._settings.limits_reported and event.limit is None
@@ -204,14 +188,13 @@
         else:
             self.pacer.refused(now_us, self._cold_share)
         if wait_us >= self._promise_us:
-            self.evidence.value = CONCLUSIVE
+            self.evidence.conclude()
             self.fall_sick(now_us)
             self._next_us += wait_us  # shut: not all senders may call at the moment it opens
             self.pacer.hold_until(self._next_us)
 
     def _back_off_unreported(self, now_us: int) -> None:
-        """Pause after a refusal without a limit report where answers carry them: mostly the connection table
-        is full, so the destination's rate stays. After many in a row with no delivery it has been shut."""
+        """Pause after a refusal without a limit report: the connection table is full, or it is shut."""
         pause_us = self.pacer.random_pause_us() * 2 ** min(self._unreported_refusals, 3)
         self._unreported_refusals += 1
         self._next_us = max(self._next_us, now_us + pause_us)
@@ -219,7 +202,6 @@
             self._record_failure(now_us)
 
     def _record_failure(self, now_us: int) -> None:
-        """Add a failed call to the evidence of an outage."""
         self.evidence.record_failures()
         self.pacer.evidence.record_failures()
         if not self.sick and (self.failures.value > SICK_FAILURE_SHARE or self.in_outage()):
@@ -245,6 +227,6 @@
             self.sick, self._next_us = False, now_us
             if outage:  # and not bad luck or a slow answer
                 self._start_ramp(now_us, now_us, RAMP_EXTRA_SPANS * self._settings.overload_for_us)
-        elif self._ramp_start_us is None:
+        elif self.ramp_start_us is None:
             self.pacer.delivered.add(now_us)
         self.pacer.record_delivery(now_us)
--- a/wheelstep/policy/messages.py
+++ b/wheelstep/policy/messages.py
@@ -39,8 +39,7 @@
         self.id, self.cls = event.message, cls
         self.destination, self.key = event.destination, event.key if cls.ordered else None
         self.due_us = now_us + event.left_us
-        # A new message may have less time left than its class allows.
-        accepted_us = self.due_us - cls.deadline_us if event.resubmitted else now_us
+        accepted_us = self.due_us - cls.deadline_us if event.resubmitted else now_us  # may be shorter
         self.promised_us = accepted_us + cls.promise_us
         self.attempts = self.ran_zone = self.settled_us = 0  # its key waits until `settled_us`
         self.call: Call | None = None
@@ -51,21 +50,11 @@
 
     def worth_at(self, at_us: float, decay: Decay) -> float:
         """Return its worth if it is delivered at `at_us`."""
-        late_us, cls = at_us - self.promised_us, self.cls
-        if at_us >= self.due_us:
-            return 0.0
-        if late_us <= 0:
-            return cls.worth
-        if decay is Decay.EVEN:
-            span_us = max(cls.deadline_us - cls.promise_us, 1)
-            return cls.worth * (1 - (1 - cls.late_worth) * late_us / span_us)
-        return cls.worth * float(max(0.5 ** (late_us / cls.promise_us), cls.late_worth))
+        return self.cls.worth_when_late(at_us - self.promised_us, decay) if at_us < self.due_us else 0.0
 
 
 class MessageQueue:
-    """The waiting messages of one destination and class, in two stages: those that can still keep their
-    promise, earliest first; late ones by deadline, the newest first where worth halves (old ones have little
-    left to lose)."""
+    """The waiting messages of a destination and class: those that can keep their promise, and late ones."""
 
     def __init__(self, decay: Decay) -> None:
         self._decay = decay
@@ -94,12 +83,6 @@
                 yield stage[0][2]
 
 
-def gain_rises(message: Message, at_us: float, horizon_us: float) -> bool:
-    """Return whether a message's gain rises at `at_us`: its promise is not past, but is a horizon later."""
-    later_us = at_us + horizon_us
-    return at_us <= message.promised_us <= later_us < message.due_us
-
-
 class Destination:
     """The state of one destination, and the messages that wait for it."""
 
@@ -109,13 +92,11 @@
             RetryController(settings.slots, t1_us, rng), CallWindow(settings.slots))
         self.endpoints: list[Endpoint] = []
         self.queues: dict[api.MessageClass, MessageQueue] = defaultdict(lambda: MessageQueue(settings.decay))
-        # When an endpoint left last, and its health.
-        self.left_health = 0, api.Health(sick=False, returning=False, base=0.0, rate=0.0)
+        self.left_health = 0, api.Health(False, False, 0.0, 0.0)  # when an endpoint left last, and its health
         self.pacer: Pacer | None = None  # where the endpoints share one limit
         self.waiting = self.calls_out = 0
         self.next_check_us: float = math.inf  # when it is considered again if nothing happens before
         self.start_tag = 0.0  # of its last call, see balancing.py
-        self.rank_number = 0  # of the ranking that its current bound is from
 
     def expected_us(self) -> float:
         """Return how long a call is expected to take at its quickest endpoint; 0 where that is not known."""
--- a/wheelstep/policy/outcomes.py
+++ b/wheelstep/policy/outcomes.py
@@ -1,14 +1,13 @@
 """What is learned from an outcome, and what happens to its message."""
 
-from __future__ import annotations
-
 import math
 
 from wheelstep import interface as api
 from wheelstep.interface import MAY_STILL_RUN, NEVER_EXECUTED, Effect, EndReason, Outcome
-from wheelstep.policy.common import SMALL_FLEET, call_weight
+from wheelstep.policy.call_times import call_weight
 from wheelstep.policy.endpoint import Endpoint
 from wheelstep.policy.messages import Call, Destination, Message
+from wheelstep.policy.pacer import SMALL_FLEET
 from wheelstep.policy.sender_state import SenderState
 
 MIN_LATER_ANSWERS = 3  # answered later calls that show a silent connection, not a slow endpoint
@@ -18,7 +17,6 @@
     """Handles outcomes and silence, and notes health for a later process."""
 
     def _attempt_ended(self, event: api.AttemptEnded) -> None:
-        """Learn from an attempt's outcome, then close, retry or end its message."""
         message = self._messages.get(event.message)
         if message is None or message.call is None:
             return
@@ -57,8 +55,7 @@
             self._safe_idle_us, self._idle_reset_us = min(self._max_idle_us(), call.idle_us / 2), self._now
         if outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
             destination.retry_controller.record_answer(self._now, retried)
-        # A time-out at the message's own deadline, before the call was overdue, shows no failure: it may not
-        # shrink the window or mark the endpoint, and measures no call. Silence is still noticed.
+        # A time-out at the message's own deadline, before the call was overdue, shows no failure.
         overdue = event.spent_us >= endpoint.times.overdue_us() * call_weight(call.size)
         cut_short = outcome is Outcome.TIMEOUT and not overdue
         if outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and not cut_short:
@@ -71,14 +68,13 @@
             return
         call.judged = True
         if outcome in (Outcome.OK, Outcome.TIMEOUT):
-            spent_us = event.spent_us / call_weight(call.size)
-            endpoint.times.add_duration(self._now, spent_us, outcome is Outcome.OK)
+            each_us = event.spent_us / call_weight(call.size)
+            endpoint.times.add_duration(self._now, each_us, outcome is Outcome.OK)
         destination.window.record_outcome(outcome)
         self._apply_outcome(endpoint, event)
 
     def _close_if_rarely_used(self, endpoint: Endpoint, destination: Destination) -> None:
-        """Close an idle connection that is rarely used. Where many senders share a connection table, also one
-        that waits for its rate: it keeps others out."""
+        """Close an idle connection that others need more, also while many senders wait for a rate."""
         pausing = (self._settings.senders > SMALL_FLEET
                    and endpoint.ready_us() > self._now + endpoint.times.usual_us)
         if (pausing or not destination.waiting) and endpoint.rarely_used(self._now):
@@ -86,9 +82,7 @@
             self._actions.append(api.CloseIdle(endpoint.info.endpoint))
 
     def _count_later_answer(self, answered: Call) -> None:
-        """Count an answer for the calls that were sent before it. Frees slots from connections that have
-        fallen silent while their endpoint answers on others. Calls in one queue return about in order; the
-        cost is for a call that takes far longer than most."""
+        """Count an answer for the calls that were sent before it, whose connections may be silent."""
         for call in answered.endpoint.calls:
             if call.sent_us >= answered.sent_us:
                 break
@@ -102,8 +96,8 @@
         if call.cancelled or call not in endpoint.calls:
             return
         unsafe = any(message.cls.effect is Effect.UNSAFE for message in call.messages)
-        late_us = call.sent_us + (
-            call_weight(call.size) * endpoint.times.overdue_us(0.5) * (2 if unsafe else 1))
+        patience = call_weight(call.size) * (2 if unsafe else 1)
+        late_us = call.sent_us + patience * endpoint.times.overdue_us(0.5)
         if self._now < late_us:
             self._schedule(late_us, lambda: self._cancel_overtaken(call))
             return
@@ -113,9 +107,7 @@
         self._actions.append(api.CloseIdle(endpoint.info.endpoint, self._now - call.sent_us))
 
     def _max_idle_us(self) -> float:
-        """Return how long a connection may idle before its next call is at risk. Protects messages that may
-        be sent only once from connections that were dropped unnoticed, by anything between the sender and the
-        endpoint; costs handshakes while a reset is remembered."""
+        """Return how long a connection may idle before its next call is at risk of a reset."""
         return self._safe_idle_us + (self._now - self._idle_reset_us) / 10
 
     def _apply_outcome(self, endpoint: Endpoint, event: api.AttemptEnded | api.ProbeEnded) -> None:
@@ -170,7 +162,6 @@
             self._end(message, EndReason.NOT_REPEATABLE)
 
     def _retry_due(self, message: Message, destination: Destination) -> None:
-        """Queue a message for its retry, or end it if retry control denies that."""
         if not message.done and not destination.retry_controller.may_retry(self._now):
             self._end(message, EndReason.RETRY_DENIED)
         self._enqueue(message)
--- a/wheelstep/policy/pacer.py
+++ b/wheelstep/policy/pacer.py
@@ -1,16 +1,16 @@
 """The rate of calls to one route."""
 
-from __future__ import annotations
-
 import math
 import random
 
-from wheelstep.policy.common import RATE_WINDOW_US, SMALL_FLEET, DecayingSum
+from wheelstep.decaying_sum import DecayingSum
+from wheelstep.policy.call_times import RATE_WINDOW_US
 from wheelstep.policy.outage import OutageEvidence
 
+SMALL_FLEET = 4  # with more senders, calls are spaced until a limit is known, and idle connections cost more
 # The even part of a limit is the limit divided by the number of senders.
-# Factor at a refusal; growth per second, in start rates, when every call at the current rate is delivered.
-DECREASE_FACTOR, INCREASE_PER_S = 0.55, 0.2
+DECREASE_FACTOR = 0.55  # of the rate, at a refusal
+INCREASE_PER_S = 0.2  # growth in start rates when every call at the current rate is delivered
 SUSTAINABLE_SHARE = 0.85  # share of the even part: a rate that all senders together can keep up
 MIN_SHARE = 0.4  # lowest rate after a refusal where limits are reported, as a share of the even part
 RECOVERY_PER_S = 0.4  # growth up to SUSTAINABLE_SHARE, in even parts a second
@@ -19,17 +19,14 @@
 TARGET_LEFT, GROWTH_PER_S = 0.6, 0.7
 MAX_LIMIT_PER_S = 1e9  # calls a second; a higher limit is taken for a mistake and ignored
 EXHAUSTED_LEFT = 0.1  # a lower reported share (reports are noisy) means that all calls are refused
-# Time constant of the count of sent calls, and mean longest pause at an exhausted limit, in cooldowns.
-COUNTED_COOLDOWNS = 6
+COUNTED_COOLDOWNS = 6  # time constant of the count of calls, and longest pause on average, in cooldowns
 MIN_TOTAL_PER_S = 6.0  # calls a second of all senders together to a destination of which nothing is known
 MIN_START_PER_S = 1.0  # lowest start rate, in calls a second; higher where the even part of the limit is
 
 
 class Pacer:
-    """Limits the calls a second to one route. Where limits are reported, it follows this sender's part of
-    them. Unknown ones are searched for: unpaced until the first refusal (but for gaps in a large fleet),
-    slower at a refusal, slowly faster with successes. Keeps to any shared limit that refusals show (rates,
-    counts per interval, full queues, other senders' share); a stray refusal can slow it down needlessly."""
+    """Limits the calls a second to one route. Where limits are reported, it follows this sender's part;
+    unknown ones are searched for: unpaced until a refusal, then slower, and slowly faster with successes."""
 
     def __init__(self, senders: int, cooldown_us: int, rng: random.Random) -> None:
         self.rate = self._limit = math.inf
@@ -43,19 +40,14 @@
         self._limit_exhausted, self.evidence = False, OutageEvidence()
 
     def set_limit(self, per_s: float) -> None:
-        """Set a known limit over all senders, in calls a second: start at an even part of it, never exceed
-        it. Among many senders few are busy with one destination at a time, so the start rate is at least
-        MIN_START_PER_S. A value that is out of range is ignored."""
+        """Set a limit over all senders, in calls a second, which is never exceeded; ignored out of range."""
         if 0 < per_s < MAX_LIMIT_PER_S:
             self._limit, self.even_rate = per_s, per_s / self._senders
             self._start_rate = min(per_s, max(self.even_rate, MIN_START_PER_S))
             self.rate = self._start_rate if self.rate == math.inf else min(self.rate, per_s)
 
     def apply_report(self, now_us: int, per_s: float, left: float) -> None:
-        """Apply a reported limit over all senders and its unused share, which all senders see alike: start
-        well within an even part, and follow a change at once. A report with either value out of range is
-        ignored as a whole. The share is averaged over about a second: where a limit counts calls per
-        interval, a single report shows the phase of the interval more than its use."""
+        """Apply a reported limit over all senders and its mean unused share; ignored out of range."""
         if not (0 < per_s < MAX_LIMIT_PER_S and 0 <= left <= 1):
             return
         previous_limit, self._limit, self.even_rate = self._limit, per_s, per_s / self._senders
@@ -73,9 +65,7 @@
         return max(self.wait_until_us, self._next_us)
 
     def record_call(self, now_us: int) -> None:
-        """Record a call that starts now. After a pause, the calls of one cooldown at the current rate may
-        start without gaps, and at least one extra call where limits are reported; not before anything is
-        known of a limit, since many senders that start together, each with a few calls, would exhaust it."""
+        """Record a call that starts now. After a pause, the calls of one cooldown need no gaps."""
         self._sent.add(now_us)
         if self.rate < math.inf:
             gap_us = 1e6 / self.rate
@@ -93,11 +83,7 @@
         return self._cooldown_us * self._rng.uniform(0.5, 1.5)
 
     def refused(self, now_us: int, cold_share: float) -> None:
-        """Reduce the rate, at most once in a cooldown; it stays at least `cold_share` of the recent delivery
-        rate. Where refused calls count against the limit too, all senders together must come well under it
-        before any call gets through, so each slows down a lot and soon recovers. Where nothing is left, each
-        pauses for a gap of its new rate: otherwise all return within a cooldown and keep the limit exhausted
-        for seconds. The pause slows down even a sender that uses little of the limit."""
+        """Reduce the rate, at most once in a cooldown; pause for a gap where nothing is left of the limit."""
         if now_us - self.last_cut_us < self._cooldown_us:
             return
         self.last_cut_us = self._last_growth_us = now_us
@@ -124,8 +110,7 @@
         self._next_us = max(self._next_us, until_us)
 
     def record_delivery(self, now_us: int) -> None:
-        """Raise the rate after a delivery, and shorten a longer pause to one gap of it. The caller counts the
-        delivery in `delivered`."""
+        """Raise the rate after a delivery, and shorten a longer pause to one gap of it."""
         if not self.limit_reported:
             step = min(self._start_rate / self.rate, self.rate / (1.01 - self._mean_left))
             self.rate = min(self._limit, self.rate + 2 * INCREASE_PER_S * self._mean_left * step)
@@ -134,8 +119,7 @@
         self._next_us, self.last_ok_us = min(self._next_us, now_us + 1e6 / self.rate), now_us
 
     def _grow(self, now_us: int) -> None:
-        """Raise the rate by elapsed time, not by deliveries: a sender with few calls recovers as fast as one
-        with many. Only one that has sent recently, within the gap of its rate, exceeds SUSTAINABLE_SHARE."""
+        """Raise the rate by elapsed time, beyond SUSTAINABLE_SHARE only for one that has sent recently."""
         elapsed_s = min(now_us - self._last_growth_us, max(2_000_000.0, 1e6 / self.rate)) / 1e6
         self._last_growth_us, sustainable = now_us, SUSTAINABLE_SHARE * self.even_rate
         if self.rate < sustainable:
--- a/wheelstep/policy/retry.py
+++ b/wheelstep/policy/retry.py
@@ -1,7 +1,5 @@
 """For each destination: the ratio control of retries, and the window of concurrent calls."""
 
-from __future__ import annotations
-
 import math
 import random
 from collections import deque
@@ -33,8 +31,7 @@
         self.tau_us += self._smoothing * (spent_us - self.tau_us) if self.tau_us else spent_us
 
     def record_answer(self, now_us: int, to_retry: bool) -> None:
-        """Count an answer. Few answers can't show a share near the target, so the interval reaches back over
-        1 / TARGET_RETRY_SHARE of them at least (the paper's is T1, too short for a sender with few calls)."""
+        """Count an answer, over T1 and at least 1 / TARGET_RETRY_SHARE answers: fewer show no share."""
         self._answers.append((now_us, to_retry))
         while len(self._answers) > 1 / TARGET_RETRY_SHARE and self._answers[0][0] < now_us - self._t1_us:
             self._answers.popleft()
@@ -75,8 +72,7 @@
 
 
 class CallWindow:
-    """The limit on concurrent calls to one destination: starts at a quarter of the slots, grows with
-    deliveries to under three quarters of them, and halves at refusals and time-outs."""
+    """The limit on concurrent calls to one destination: one call to under three quarters of the slots."""
 
     def __init__(self, slots: int) -> None:
         self._max_size, self._max_in_doubt = max(1, math.ceil(slots * 3 / 4) - 1), max(1, slots // 2)
@@ -90,6 +86,5 @@
             self.size = max(1.0, self.size / 2)
 
     def has_room(self, calls_out: int, in_doubt: bool) -> bool:
-        """Return whether one more call may start. A destination in doubt is limited to half of the slots even
-        before its outcomes have shrunk the window."""
+        """Return whether one more call may start; in doubt within half of the slots."""
         return calls_out < min(self.size, self._max_in_doubt if in_doubt else self._max_size)
--- a/wheelstep/policy/sender.py
+++ b/wheelstep/policy/sender.py
@@ -1,8 +1,5 @@
 """The sender: takes the events of a moment and returns actions. Types are in wheelstep/interface.py."""
 
-from __future__ import annotations
-
-import heapq
 import math
 from dataclasses import replace
 
@@ -13,35 +10,21 @@
 from wheelstep.policy.messages import Call, Destination, Message
 from wheelstep.policy.pacer import Pacer
 
-MAX_TIMERS_PER_BATCH = 5_000  # timers that fire in one batch; the others fire in the next ones
-LEAST_DEAD = 4_096  # timers of ended messages are dropped once they exceed this and half of all timers
-
 
 class Sender(Dispatch):
-    """Decides for one courier process: pass it every event with `handle`, and carry out the returned actions
-    in order."""
+    """Decides for one courier process: takes every event, and returns actions to carry out in order."""
 
     def handle(self, now_us: int, events: list[api.Event]) -> list[api.Action]:
         """Process the events up to `now_us` and the timers that are due; return the actions to carry out."""
         self._now, self._actions = now_us, []
         for event in events:
             self._handle_event(event)
-        for _ in range(MAX_TIMERS_PER_BATCH):
-            if not self._timers or self._timers[0][0] > now_us:
-                break
-            _, _, callback, message = heapq.heappop(self._timers)
-            if message is not None:
-                self._stale_timers -= message.done
-                message.has_timer = False
-            callback()
+        self._timers.fire(now_us)
         self._dispatch()
-        if self._stale_timers > max(LEAST_DEAD, len(self._timers) // 2):
-            self._timers = [timer for timer in self._timers if timer[3] is None or not timer[3].done]
-            heapq.heapify(self._timers)
-            self._stale_timers = 0
-        if self._timers and self._timers[0][0] < self._armed_us:
-            self._armed_us = self._timers[0][0]
-            self._actions.append(api.SetTimer(0, max(self._timers[0][0] - now_us, 0)))
+        self._timers.drop_stale()
+        if (next_us := self._timers.next_us()) < self._armed_us:
+            self._armed_us = next_us
+            self._actions.append(api.SetTimer(0, max(int(next_us) - now_us, 0)))
         return self._actions
 
     def _handle_event(self, event: api.Event) -> None:
@@ -86,7 +69,6 @@
             self._apply_entry(info)
 
     def _apply_entry(self, info: api.EndpointInfo) -> None:
-        """Add, change or remove the endpoint of an entry of the list."""
         destination = self._destination(info.destination)
         endpoint = self._endpoints.get(info.endpoint)
         self._mark_ready(destination)
@@ -97,10 +79,9 @@
                 destination.left_health = self._now, endpoint.health(self._now, destination)
             return
         if endpoint is None:
-            pacer = destination.pacer or Pacer(self._settings.senders, self._t1_us, self._rng)
+            pacer = destination.pacer or self._new_pacer()
             destination.pacer = None if self._kind(info).routes_apart else pacer
-            endpoint = self._endpoints[info.endpoint] = Endpoint(
-                info, self._settings, pacer, self._promise_us, self._rng)
+            endpoint = self._endpoints[info.endpoint] = self._new_endpoint(info, pacer)
             destination.endpoints.append(endpoint)
             pacer.endpoints += 1
             if self._settings.weights_are_rates:
@@ -110,9 +91,14 @@
         if was is not info.state:
             (endpoint.mark_draining if info.state is EndpointState.DRAINING else endpoint.mark_up)(self._now)
 
+    def _new_pacer(self) -> Pacer:
+        return Pacer(self._settings.senders, self._t1_us, self._rng)
+
+    def _new_endpoint(self, info: api.EndpointInfo, pacer: Pacer) -> Endpoint:
+        return Endpoint(info, self._settings, pacer, self._promise_us, self._rng)
+
     def _inherit_health(self, endpoint: Endpoint, destination: Destination) -> None:
-        """Continue with the health of the destination's others if none of them is well, or of the endpoint
-        that left last if there are no others: the same servers may return under other names."""
+        """Continue with the health of the destination's others, or of the one that left, if none is well."""
         others = [other for other in destination.endpoints if other is not endpoint]
         noted_us, health = destination.left_health
         if others:
@@ -136,8 +122,7 @@
             self._advance_key(message.key)
 
     def _restore(self, event: api.MessageRestored) -> None:
-        """Continue with a message of an earlier process. Avoids duplicate effects: what may have run before
-        counts as if it had been sent from here, and the key settles again once the message has ended."""
+        """Continue with a message of an earlier process, as if it had been sent from here."""
         self._accept(event.accepted, enforce_limit=False)
         message = self._messages[event.accepted.message]
         message.attempts, message.restored_tried = event.attempts, event.attempts > 0
@@ -158,11 +143,9 @@
         destination = self._destination(message.destination)
         if out.number not in self._resumed_calls:
             info = api.EndpointInfo(out.endpoint, message.destination, state=EndpointState.REMOVED)
-            endpoint = self._endpoints.get(out.endpoint) or Endpoint(
-                info, self._settings, Pacer(self._settings.senders, self._t1_us, self._rng),
-                self._promise_us, self._rng)
-            call = self._resumed_calls[out.number] = Call(
-                endpoint, self._now - out.sent_ago_us, endpoint.sick)
+            endpoint = self._endpoints.get(out.endpoint) or self._new_endpoint(info, self._new_pacer())
+            call = Call(endpoint, self._now - out.sent_ago_us, endpoint.sick)
+            self._resumed_calls[out.number] = call
             endpoint.calls[call] = None
             destination.calls_out += 1
             self._calls_out += 1
--- a/wheelstep/policy/sender_state.py
+++ b/wheelstep/policy/sender_state.py
@@ -1,18 +1,17 @@
 """The state of a sender: messages, destinations, endpoints and timers."""
 
-from __future__ import annotations
-
 import heapq
 import math
 import random
 from collections import defaultdict
-from collections.abc import Callable
 from dataclasses import replace
 
 from wheelstep import interface as api
 from wheelstep.interface import Effect, EndReason, Settings
+from wheelstep.linear_bounds import LinearBounds
 from wheelstep.policy.endpoint import Endpoint
 from wheelstep.policy.messages import Call, Destination, KeyQueue, Message
+from wheelstep.timer_queue import TimerQueue
 
 T1_PROMISE_SHARE = 1 / 3  # T1 over the shortest promise: a lower one retries sooner and gates more often
 FEW = 64  # up to so many ready destinations are all ranked in every batch
@@ -25,25 +24,21 @@
         api.check_settings(settings)
         self._settings, self._rng = settings, random.Random(seed)
         self._set_classes(settings.classes)
-        self._now = self._calls_out = self._timer_count = self._subscribe_wait_us = self._idle_reset_us = 0
+        self._now = self._calls_out = self._subscribe_wait_us = self._idle_reset_us = 0
+        self._evictable_until_us = self._all_settled_us = 0  # no key's next message goes before the latter
         self._actions: list[api.Action] = []
         self._messages: dict[str, Message] = {}
         self._destinations: dict[int, Destination] = {}
         self._backlog: dict[int, Destination] = {}  # those with waiting messages
         self._ready: dict[int, Destination] = {}  # those of them to which something has happened
         self._dirty: dict[int, Destination] = {}  # those of them that must be ranked again
-        # Bounds on gain rates, by slope: the bound at time 0, negated; destination number; rank number.
-        self._bounds: dict[float, list[tuple[float, int, int]]] = {}
-        self._bound_expiries: list[tuple[float, int, int]] = []  # expiry, destination, rank number
-        self._last_rank_number, self._using_bounds = 0, False
+        self._bounds, self._using_bounds = LinearBounds(), False  # on gain rates, by destination number
         self._endpoints: dict[str, Endpoint] = {}
         self._resumed_calls: dict[int, Call] = {}  # an earlier process's calls, `slots` at most
         self._key_queues: dict[str, KeyQueue] = defaultdict(KeyQueue)
-        self._all_settled_us = 0  # until then a call of an earlier process may still run for any key
-        self._timers: list[tuple[int, int, Callable[[], None], Message | None]] = []
-        self._stale_timers = 0  # how many of them belong to ended messages
+        self._timers: TimerQueue[Message] = TimerQueue()
+        self._schedule = self._timers.add
         self._evictable: list[Message] = []  # messages that may be refused to make room, the least worth last
-        self._evictable_until_us = 0
         self._armed_us = self._safe_idle_us = math.inf
         if settings.ask_for_list:
             self._schedule(0, lambda: self._actions.append(api.Subscribe()))
@@ -56,11 +51,6 @@
         self._horizon_us = max(cls.promise_us for cls in classes)
         self._t1_us = max(1, int(self._promise_us * T1_PROMISE_SHARE))
 
-    def _schedule(self, when_us: float, callback: Callable[[], None], message: Message | None = None) -> None:
-        """Call `callback` at `when_us`, but not after the end of a `message` whose deadline the timer is."""
-        self._timer_count += 1
-        heapq.heappush(self._timers, (math.ceil(when_us), self._timer_count, callback, message))
-
     def _kind(self, info: api.EndpointInfo) -> api.DestinationKind:
         return self._settings.kinds[min(info.kind, len(self._settings.kinds) - 1)]
 
@@ -76,12 +66,10 @@
                 destination.endpoints or destination.waiting or destination.calls_out):
             for table in (self._destinations, self._ready, self._dirty):
                 table.pop(number, None)
+            self._bounds.remove(number)
 
     def _evict_message(self) -> None:
-        """Refuse the message that will be worth least once its destination's backlog is sent, before new ones
-        are turned away. So no backlog shuts out the rest; the cost is for one that would go faster than one
-        per T1. Among many destinations one pass over all of them serves for a while: worth changes little in
-        it."""
+        """Refuse the message that will be worth least once its destination's backlog is sent."""
         if len(self._backlog) <= FEW or self._now >= self._evictable_until_us:
             self._evictable.clear()
         while self._evictable:
@@ -120,12 +108,10 @@
                 self._dirty[destination.number] = destination
 
     def _mark_ready(self, destination: Destination) -> None:
-        """Consider a destination to which something has happened in this batch, if messages wait there."""
         if destination.waiting:
             self._ready[destination.number] = self._dirty[destination.number] = destination
 
     def _check_at(self, destination: Destination, at_us: float) -> None:
-        """Consider a destination again at `at_us`, even if nothing happens to it before."""
         if at_us < math.inf and not self._now < destination.next_check_us <= at_us:
             destination.next_check_us = at_us
             self._schedule(at_us, lambda: self._mark_ready(destination))
@@ -161,15 +147,13 @@
         return message.ran_us is None or message.cls.effect is Effect.SAFE or repeat_ignored
 
     def _may_resend(self, message: Message, at_us: int) -> bool:
-        """Return whether an attempt may start at `at_us`."""
         max_attempts = message.cls.most_attempts or self._settings.max_attempts
         if message.attempts >= max_attempts or at_us >= self._latest_us(message):
             return False
         return message.ran_us is None or message.cls.effect is not Effect.UNSAFE
 
     def _latest_us(self, message: Message) -> int:
-        """Return until when it may be sent: before its deadline, and while its destination remembers its
-        key."""
+        """Return until when it may be sent: in its time, and while its destination remembers its key."""
         until_us = message.due_us
         if message.ran_us is not None and message.cls.effect is Effect.KEYED:
             until_us = min(until_us, message.ran_us + message.cls.key_ttl_us)
@@ -187,9 +171,9 @@
         self._close(message)
 
     def _close(self, message: Message) -> None:
-        """Mark a message as ended, and let its key advance."""
         self._dequeue(message)
-        self._stale_timers += message.has_timer and not message.done
+        if message.has_timer and not message.done:
+            self._timers.mark_stale()
         message.done = True
         if message.call is None:
             self._messages.pop(message.id, None)
@@ -197,8 +181,7 @@
             self._advance_key(message.key)
 
     def _gain(self, message: Message, tau_us: float) -> float:
-        """Return the worth that sending now saves over sending a promise later; ties go to the higher
-        worth."""
+        """Return the worth that sending now saves over a promise later; ties go to the higher worth."""
         at_us = self._now + tau_us
         now_worth = message.worth_at(at_us, self._settings.decay)
         return now_worth - message.worth_at(at_us + self._horizon_us, self._settings.decay) + now_worth / 100
--- a/wheelstep/settings.py
+++ b/wheelstep/settings.py
@@ -38,6 +38,15 @@
     ordered: bool = False  # messages with the same key are sent one after the other
     most_attempts: int = 0  # 0: `max_attempts` of the settings
 
+    def worth_when_late(self, late_us: float, decay: Decay) -> float:
+        """Return the worth of a delivery so long after the promised time, before the deadline."""
+        if late_us <= 0:
+            return self.worth
+        if decay is Decay.EVEN:
+            span_us = max(self.deadline_us - self.promise_us, 1)
+            return self.worth * (1 - (1 - self.late_worth) * late_us / span_us)
+        return self.worth * float(max(0.5 ** (late_us / self.promise_us), self.late_worth))
+
 
 @dataclass(frozen=True, slots=True)
 class DestinationKind:
