--- a/wheelstep/policy/endpoint.py
+++ b/wheelstep/policy/endpoint.py
@@ -76,7 +76,7 @@
     def mark_up(self, now_us: int) -> None:
         """Start a ramp, since the list has it as up again: it may have been restarted and be cold."""
         if not self.sick:
-            self._start_ramp(now_us, now_us)
+            self._start_ramp(now_us, now_us, known_rate=self._last_ok_us > -math.inf)
 
     def in_outage(self) -> bool:
         """Return whether an outage is known to have failed calls here since the last delivery."""
@@ -133,7 +133,7 @@
     def _next_trial_us(self, now_us: int) -> float:
         """Return when to try again: in an outage at the cold rate, before that is sure at the usual one."""
         pause_us = 1e6 / self._base_rate
-        if self.in_outage():
+        if self.in_outage() or self._settings.senders > SMALL_FLEET:
             pause_us = max(self._promise_us / 2, pause_us / self._cold_share)
         return now_us + pause_us * self._rng.uniform(0.5, 1.5)
 
@@ -143,8 +143,9 @@
             return math.inf
         return max(self._next_us, self.pacer.ready_us())
 
-    def _start_ramp(self, now_us: int, start_us: int, extra_us: int = 0) -> None:
-        """Forget earlier failures, and ramp up from `start_us` until it is warm, and for `extra_us` more."""
+    def _start_ramp(self, now_us: int, start_us: int, known_rate: bool = True) -> None:
+        """Forget earlier failures, and ramp up from `start_us`; for longer where its usual rate is known."""
+        extra_us = RAMP_EXTRA_SPANS * self._settings.overload_for_us if known_rate else 0
         self._ramp_us = self._settings.cold_us and self._settings.cold_us + extra_us
         self.failures.value, self.ramp_start_us, self._next_us = 0.0, start_us, now_us
         self.evidence.clear()
@@ -226,7 +227,7 @@
         if self.sick:
             self.sick, self._next_us = False, now_us
             if outage:  # and not bad luck or a slow answer
-                self._start_ramp(now_us, now_us, RAMP_EXTRA_SPANS * self._settings.overload_for_us)
+                self._start_ramp(now_us, now_us)
         elif self.ramp_start_us is None:
             self.pacer.delivered.add(now_us)
         self.pacer.record_delivery(now_us)
