The returning endpoints' test world in three modules: scene, events and play

Change: what a scene is made of and how it is judged stands in returning_scene.py, what happens to a process and its list beside an outage in returning_events.py.

--- a/tests/test_returning_endpoints.py
+++ b/tests/test_returning_endpoints.py
@@ -17,7 +17,8 @@
 from loopback import SETTINGS, Courier, run
 from loopback_peers import Call, Reply, host
 from restart import Client, PlatformWithEndpoints
-from returning_world import COLD_FROM, COLD_US, MULTIPLE, WINDOW_US, S, Trouble, World, worst_window
+from returning_scene import COLD_FROM, COLD_US, MULTIPLE, WINDOW_US, Trouble, worst_window
+from returning_world import S, World
 
 from wheelstep.policy.outage import OutageEvidence
 
