A minority of failed calls, or connections lost at one moment, is no outage

Three calls in ten are reset there for 3 s; both endpoints were ramped up, so hardly a call followed a reset. An endpoint that loses a third of its calls was slowed down for 20 s. Cause: four failures sufficed though calls of several endpoints had been lost within 0.1 s (trace: evidence 4, 7, 10, 13 within 92 ms, with answers right before), and a success outweighed half a failure, so that three in ten added up.

--- a/tests/test_returning_endpoints.py
+++ b/tests/test_returning_endpoints.py
@@ -20,7 +20,7 @@
 from returning_scene import COLD_FROM, COLD_US, MULTIPLE, WINDOW_US, Trouble, worst_window
 from returning_world import S, World
 
-from wheelstep.policy.outage import OutageEvidence
+from wheelstep.policy.outage import MIN_SPAN_US, OutageEvidence
 
 SEEDS = (100, 101, 102)
 KINDS = ("refused", "reset", "errors", "silent", "hung", "shut", "most")
@@ -96,6 +96,25 @@
         assert world.ramps == 0 and world.delivered() > 0.97 * world.offered
 
 
+def test_an_endpoint_that_resets_three_calls_in_ten_keeps_its_traffic() -> None:
+    """Guards against failures of a minority of calls that pass for an outage, which means that most calls fail."""
+    delivered = offered = 0
+    for seed in range(100, 110):
+        world = World(seed, Trouble("unlucky", 20, share=0.3), queue=8, load=0.75).run()
+        delivered += world.delivered()
+        offered += world.offered
+    assert delivered > 0.9 * offered
+
+
+@pytest.mark.parametrize("scene", [{}, {"servers": 12, "slots": 240}, {"endpoints": 3, "slots": 180}])
+def test_connections_that_are_lost_at_one_moment_are_no_outage(scene: dict[str, Any]) -> None:
+    """Guards against a slow start of an endpoint that answers all calls but those that were out at one moment."""
+    for seed in SEEDS:
+        world = World(seed, Trouble("dropped", 1), queue=8, **scene)
+        world.run()
+        assert world.ramps == 0
+
+
 def test_one_slow_answer_is_no_outage() -> None:
     """Guards against a slow start after a call that merely took long, whether or not others were out."""
     for load in (0.05, 0.75):
@@ -107,15 +126,28 @@
 def test_four_failures_in_a_row_show_an_outage_and_one_in_ten_does_not() -> None:
     evidence = OutageEvidence()
     for number in range(400):
-        (evidence.record_success if number % 10 else evidence.record_failures)()
+        if number % 10:
+            evidence.record_success()
+        else:
+            evidence.record_failures(number * S)
         assert not evidence.conclusive
     fresh = OutageEvidence()
-    for _ in range(4):
+    for number in range(4):
         assert not fresh.conclusive
-        fresh.record_failures()
+        fresh.record_failures(number * S)
     assert fresh.conclusive
 
 
+def test_failures_show_an_outage_only_once_they_span_some_time() -> None:
+    evidence = OutageEvidence()
+    evidence.record_failures(S, 20)
+    assert not evidence.conclusive
+    evidence.record_failures(S + MIN_SPAN_US - 1)
+    assert not evidence.conclusive
+    evidence.record_failures(S + MIN_SPAN_US)
+    assert evidence.conclusive
+
+
 LOAD_PER_S, CAPACITY_PER_S, OUTAGE_S = 18.0, 20.0, 1.2
 RULES = {"cold_us": COLD_US, "cold_from": COLD_FROM, "fall_multiple": MULTIPLE, "overload_for_us": WINDOW_US}
 
--- a/wheelstep/failure_test.py
+++ b/wheelstep/failure_test.py
@@ -1,7 +1,8 @@
 """A sequential test of outcomes: do calls fail more often than usual?
 
 The cumulative sum test of Page (1954): each outcome adds the logarithm of how much likelier it is while most calls fail
-than by independent failures of the usual frequency; the sum never falls below zero.
+than by independent failures of the usual frequency; the sum never falls below zero. Failures that are close together
+may have a common cause, so the sum suffices only once they span some time.
 """
 
 from __future__ import annotations
@@ -12,22 +13,29 @@
 class FailureTest:
     """Collects evidence that calls fail more often than usual, until it suffices."""
 
-    def __init__(self, sufficient: float, success_evidence: float, min_usual_share: float, usual_calls: int) -> None:
-        """`sufficient`: evidence that is enough; `success_evidence`: what a success takes away; `min_usual_share`:
-        share of failures that is usual at least; `usual_calls`: calls over which the usual share is averaged."""
-        self._sufficient, self._success_evidence = sufficient, success_evidence
+    def __init__(self, sufficient: float, min_span_us: int, success_evidence: float, min_usual_share: float,
+                 usual_calls: int) -> None:
+        """`sufficient`: evidence that is enough, of failures that span `min_span_us`; `success_evidence`: what a
+        success takes away; `min_usual_share`: share of failures that is usual at least; `usual_calls`: calls over which
+        the usual share is averaged."""
+        self._sufficient, self._min_span_us, self._success_evidence = sufficient, min_span_us, success_evidence
         self._min_usual_share, self._usual_calls = min_usual_share, usual_calls
         self._evidence = self._usual_share = 0.0
         self.failures_in_row = 0
         self._calls = self._failures = 0  # since there was no evidence
+        self._first_failure_us = self._last_failure_us = 0.0  # since there was no evidence
 
     @property
     def conclusive(self) -> bool:
         """Whether the evidence suffices."""
-        return self._evidence >= self._sufficient
+        span_us = self._last_failure_us - self._first_failure_us
+        return self._evidence >= self._sufficient and span_us >= self._min_span_us
 
-    def record_failures(self, count: int = 1) -> None:
-        """Add the evidence of failed calls."""
+    def record_failures(self, now_us: int, count: int = 1) -> None:
+        """Add the evidence of `count` calls that failed now."""
+        if count > 0 and self._evidence <= 0:
+            self._first_failure_us = now_us
+        self._last_failure_us = now_us
         self.failures_in_row += count
         self._calls += count
         self._failures += count
@@ -48,7 +56,7 @@
 
     def conclude(self) -> None:
         """Take the evidence for sufficient."""
-        self._evidence = self._sufficient
+        self._evidence, self._first_failure_us = self._sufficient, -math.inf
 
     def clear(self) -> None:
         """Forget the evidence so far."""
--- a/wheelstep/policy/endpoint.py
+++ b/wheelstep/policy/endpoint.py
@@ -97,9 +97,9 @@
         self.sick, self.ramp_start_us = True, None
         self._next_us = self._next_trial_us(now_us)
 
-    def record_silence(self) -> None:
+    def record_silence(self, now_us: int) -> None:
         """Record that its calls are overdue. All but one are evidence of an outage: one may just be slow."""
-        self.evidence.record_failures(len(self.calls) - 1)
+        self.evidence.record_failures(now_us, len(self.calls) - 1)
 
     def health(self, now_us: int, destination: Destination) -> api.Health:
         """Return what a later process must know of it."""
@@ -203,8 +203,8 @@
             self._record_failure(now_us)
 
     def _record_failure(self, now_us: int) -> None:
-        self.evidence.record_failures()
-        self.pacer.evidence.record_failures()
+        self.evidence.record_failures(now_us)
+        self.pacer.evidence.record_failures(now_us)
         if not self.sick and (self.failures.value > SICK_FAILURE_SHARE or self.in_outage()):
             self.fall_sick(now_us)
 
@@ -215,9 +215,8 @@
             self.pacer.hold_until(self._next_trial_us(now_us))  # an outage mostly affects all endpoints
 
     def _succeeded(self, now_us: int, spent_us: int) -> None:
-        long_failing = (self.evidence.failures_in_row > 0
-                        and now_us - self._last_ok_us >= 2 * self._promise_us)
-        outage = long_failing or self.in_outage()
+        long_ago = now_us - self._last_ok_us >= 2 * self._promise_us
+        outage = self.in_outage() or long_ago and self.evidence.failures_in_row > 0
         self._last_answer_us = self._last_ok_us = now_us
         self._unreported_refusals = 0
         self._add_result(now_us, False)
--- a/wheelstep/policy/outcomes.py
+++ b/wheelstep/policy/outcomes.py
@@ -170,7 +170,7 @@
         """Mark an endpoint sick when it has been silent for long enough; one timer serves each endpoint."""
         silent_at_us = endpoint.silent_at_us()
         if silent_at_us <= self._now:
-            endpoint.record_silence()
+            endpoint.record_silence(self._now)
             self._mark_unavailable(endpoint, "silent")
         endpoint.silence_timer_set = self._now < silent_at_us < math.inf
         if endpoint.silence_timer_set:
