The tests of decisions stand in four modules by what they test

Change: retry control, pace and connections, and restored messages have modules of their own; no test is changed, added or dropped.

--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,7 +1,5 @@
-"""Failures found in rehearsals under load, one test for each, and the arithmetic of retry control."""
+"""Failures found in rehearsals under load, one test for each: windows, queues, settings and deadlines."""
 
-import math
-import random
 import subprocess
 import sys
 
@@ -11,53 +9,6 @@
 from wheelstep import Settings
 from wheelstep import interface as api
 from wheelstep.interface import Outcome
-from wheelstep.policy.retry import RetryController, control_gains
-
-
-def test_gains_are_those_of_equations_12_and_13() -> None:
-    # nu1 = 100/s, tau = 0.2 s, phi_m = pi/4: KP = 100/1.41421, KI = 100 (pi/2) / (1.41421 * 0.2)
-    kp, ki = control_gains(100.0, 0.2)
-    assert kp == pytest.approx(70.7107, abs=1e-3)
-    assert ki == pytest.approx(555.3604, abs=1e-3)
-
-
-def test_retries_are_admitted_below_t1_and_denied_above_it_while_answers_are_to_retries() -> None:
-    controller = RetryController(slots=10, t1_us=1 * S, rng=random.Random(1))
-    controller.add_duration(200 * MS)
-    assert all(controller.may_retry(at) for at in range(0, S, 10 * MS))
-    controller.add_duration(50 * S)
-    for number in range(200):
-        controller.record_answer(2 * S + number * 10 * MS, to_retry=True)
-    # The first goes, since none was due before it.
-    assert [controller.may_retry(4 * S + at * 10 * MS) for at in range(1, 5)] == [True, False, False, False]
-
-
-def test_retries_are_admitted_again_when_few_answers_are_to_retries() -> None:
-    controller = RetryController(slots=10, t1_us=1 * S, rng=random.Random(1))
-    controller.add_duration(2 * S)
-    for number in range(400):
-        controller.record_answer(number * 50 * MS, to_retry=False)
-    assert [controller.may_retry(20 * S + at * 200 * MS) for at in range(5)] == [True] * 5
-
-
-def test_tau_is_smoothed_by_one_over_the_slots() -> None:
-    controller = RetryController(slots=4, t1_us=1 * S, rng=random.Random(1))
-    controller.add_duration(100 * MS)
-    controller.add_duration(500 * MS)
-    assert math.isclose(controller.tau_us, 200 * MS)
-
-
-def test_retry_waits_double_from_t1() -> None:
-    drive = SenderDriver()
-    drive.submit("m")
-    t1_us, sent_us = SAFE.promise_us // 3, []
-    for attempt in range(3):
-        ended_us = drive.now
-        drive.end("m", Outcome.CANCELLED if attempt else Outcome.FULL, attempt=attempt)
-        while not sent_messages(drive.at(drive.now + 5 * MS, api.TimerFired(0))):
-            pass
-        sent_us.append(drive.now - ended_us)
-    assert [round(wait / t1_us) for wait in sent_us] == [1, 2, 4]
 
 
 def test_the_window_starts_at_a_quarter_of_the_slots() -> None:
@@ -177,130 +128,6 @@
     assert len(outputs) == 1 and "StartAttempt" in outputs.pop()
 
 
-def test_refusals_slow_a_paced_destination_at_once() -> None:
-    drive = SenderDriver(slots=64, weights_are_rates=True, listed=False)
-    drive.members(info("e0", weight=40.0))
-    number, started = 0, []
-    while drive.now < 2 * S:
-        actions = drive.at(drive.now + 10 * MS, api.TimerFired(0),
-                           api.MessageAccepted(f"m{number}", 0, 7, 20 * S))
-        number += 1
-        for action in actions:
-            if isinstance(action, api.StartAttempt):
-                started.append(drive.now)
-                full = 1 * S < drive.now < 1_200 * MS
-                drive.sender.handle(drive.now, [api.AttemptEnded(
-                    action.message, 0, "e0", Outcome.FULL if full else Outcome.OK, 5 * MS, not full)])
-    before = len([at for at in started if at <= 1 * S]) / 1.0
-    after = len([at for at in started if at > 1_200 * MS]) / 0.8
-    assert before >= 35 and after <= 0.75 * before
-
-
-def test_a_probe_is_sent_where_no_message_may_go_as_a_trial() -> None:
-    drive = SenderDriver(classes=(UNSAFE,), may_probe=True)
-    for number in range(4):
-        drive.submit(f"m{number}")
-    for number in range(4):
-        drive.end(f"m{number}", Outcome.RESET)
-    drive.submit("late")
-    assert any(isinstance(a, api.Probe) for a in drive.tick(9 * S)) and "late" not in sent_messages(drive.actions)
-    answered = drive.at(drive.now, api.ProbeEnded("e0", Outcome.OK, 30 * MS))
-    assert sent_messages(answered + drive.tick(16 * S)) == ["late"]
-
-
-def test_a_connection_that_would_idle_out_unused_is_closed() -> None:
-    drive = SenderDriver(conn_idle_us=10 * S)
-    drive.submit("m")
-    assert api.CloseIdle("e0") in drive.end("m", Outcome.OK)
-
-
-def test_a_connection_in_steady_use_is_kept_where_handshakes_cost() -> None:
-    drive = SenderDriver(conn_idle_us=10 * S, handshake_price=0.06)
-    for number in range(10):
-        drive.submit(f"m{number}")
-        last = drive.end(f"m{number}", Outcome.OK)
-        drive.tick(drive.now + 1 * S)
-    assert api.CloseIdle("e0") not in last
-
-
-def _delivered_by(drive: SenderDriver, count: int, until_us: int) -> int:
-    """Pass `count` messages at once, deliver each call after 100 ms, and return how many are delivered by then."""
-    due: list[tuple[int, str]] = []
-    events: list[api.Event] = [api.MessageAccepted(f"c{i}", 0, 7, 20 * S) for i in range(count)]
-    delivered = 0
-    while drive.now < until_us:
-        ended = [name for at, name in due if at <= drive.now]
-        due = [(at, name) for at, name in due if at > drive.now]
-        delivered += len(ended)
-        events += [api.AttemptEnded(name, 0, "e0", Outcome.OK, 100 * MS, True) for name in ended]
-        due += [(drive.now + 100 * MS, name) for name in sent_messages(drive.at(drive.now, *events))]
-        events, drive.now = [api.TimerFired(0)], drive.now + 20 * MS
-    return delivered
-
-
-def test_a_burst_is_delivered_where_an_even_part_of_the_limit_is_next_to_nothing() -> None:
-    drive = SenderDriver(slots=4, senders=300, weights_are_rates=True, listed=False)
-    drive.members(info("e0", weight=5.0))
-    assert _delivered_by(drive, 10, 8 * S) == 10
-
-
-def test_one_of_many_senders_falls_back_to_its_even_part_when_refused() -> None:
-    """Where refused calls count against the limit, the attempts of all senders together must fall below it."""
-    senders, limit = 300, 15.0
-    drive = SenderDriver(slots=4, senders=senders, weights_are_rates=True, listed=False)
-    drive.members(info("e0", weight=limit))
-    sent_us, attempts = [], {}
-    for number in range(20):
-        drive.submit(f"m{number}")
-    while drive.now < 60 * S:
-        for name in sent_messages(drive.at(drive.now + 100 * MS, api.TimerFired(0),
-                                   api.MessageAccepted(f"n{drive.now}", 0, 7, 20 * S))):
-            sent_us.append(drive.now)
-            attempts[name] = attempts.get(name, -1) + 1
-            drive.end(name, Outcome.FULL, attempt=attempts[name])
-    assert len([at for at in sent_us if at > 20 * S]) <= 2 + 40 * limit / senders
-
-
-@pytest.mark.parametrize(("pause_us", "at_once"), [(5 * S, False), (15 * S, True)])
-def test_an_endpoint_that_is_removed_and_listed_again_is_healthy_once_its_destination_is_warm(
-        pause_us: int, at_once: bool) -> None:
-    """Guards against a destination that returns from an outage under another name, and gets its full load cold."""
-    drive = SenderDriver()
-    for number in range(2):
-        drive.submit(f"m{number}", cls=number)
-        drive.end(f"m{number}", Outcome.CONNECT_FAILED)
-    assert not sent_messages(drive.submit("waits"))  # it counts as sick
-    drive.members(info("e1"))
-    assert "waits" in sent_messages(drive.tick(15 * S))
-    drive.end("waits", Outcome.OK, endpoint="e1")
-    drive.tick(drive.now + pause_us)
-    drive.members(info("e0"))
-    assert (sent_messages(drive.submit("afresh")) == ["afresh"]) == at_once
-    assert at_once or "afresh" in sent_messages(drive.tick(drive.now + 10 * S))
-
-
-def _closes_idle_after(drive: SenderDriver, number: int, pause_us: int, outcome: Outcome) -> bool:
-    """Make one call after a pause; return whether idle connections were closed before it."""
-    drive.tick(drive.now + pause_us)
-    actions = drive.submit(f"p{number}", cls=2)
-    drive.now += 100 * MS
-    drive.end(f"p{number}", outcome)
-    starts = [type(a) for a in actions if isinstance(a, api.StartAttempt | api.CloseIdle)]
-    return starts == [api.CloseIdle, api.StartAttempt]
-
-
-def test_after_a_reset_idle_connections_are_closed_before_calls_that_follow_as_long_a_pause() -> None:
-    drive = SenderDriver()
-    assert not _closes_idle_after(drive, 0, 0, Outcome.OK)
-    assert not _closes_idle_after(drive, 1, 4 * S, Outcome.OK)
-    assert not any(_closes_idle_after(drive, number, 100 * MS, Outcome.OK) for number in range(10, 20))
-    assert not _closes_idle_after(drive, 2, 4 * S, Outcome.RESET)
-    assert _closes_idle_after(drive, 3, 4 * S, Outcome.OK)
-    assert not _closes_idle_after(drive, 4, 500 * MS, Outcome.OK)
-    assert _closes_idle_after(drive, 5, 60 * S, Outcome.OK)
-    assert not _closes_idle_after(drive, 6, 4 * S, Outcome.OK)
-
-
 def test_a_new_message_with_little_time_left_is_not_late_at_once() -> None:
     drive = SenderDriver()
     for number in range(2):
@@ -337,32 +164,6 @@
     assert "n" in sent_messages(drive.actions + drive.tick(5 * S))
 
 
-def test_a_restored_message_that_may_have_run_is_sent_only_where_a_repeat_is_harmless() -> None:
-    drive = SenderDriver()
-    accepted = api.MessageAccepted("u", 2, 7, 10 * S, resubmitted=True)
-    actions = drive.at(S, api.MessageRestored(accepted, attempts=1, ran_ago_us=2 * S))
-    assert final_answers(actions) == [("Fail", "u")] and not sent_messages(actions)
-    accepted = api.MessageAccepted("k", 1, 7, 10 * S, resubmitted=True)
-    actions = drive.at(S, api.MessageRestored(accepted, attempts=1, ran_ago_us=4 * S))
-    assert sent_messages(actions) == ["k"]
-    accepted = api.MessageAccepted("late", 1, 7, 10 * S, resubmitted=True)
-    actions = drive.at(S, api.MessageRestored(accepted, attempts=1, ran_ago_us=5 * S))
-    assert not sent_messages(actions) and final_answers(actions) == [("Refuse", "late")]
-    accepted = api.MessageAccepted("unrun", 2, 7, 10 * S, resubmitted=True)
-    assert sent_messages(drive.at(S, api.MessageRestored(accepted, attempts=3))) == ["unrun"]
-
-
-def test_restored_messages_of_a_key_keep_their_order_and_its_settling_time() -> None:
-    drive = SenderDriver(order_settle_us=300 * MS)
-    first, second = (api.MessageAccepted(name, 3, 7, 10 * S, "key", True) for name in ("a", "b"))
-    actions = drive.at(S, api.MessageRestored(first, 1, 2 * S), api.MessageRestored(second))
-    assert sent_messages(actions) == ["a"]
-    drive.now += 10 * MS
-    assert not sent_messages(drive.end("a", api.Outcome.OK, attempt=1))
-    assert sent_messages(drive.tick(drive.now + 400 * MS)) == ["b"]
-    assert drive.now >= S + 300 * MS
-
-
 def test_a_message_that_its_destination_accepts_no_more_ends_at_once() -> None:
     drive = SenderDriver()
     drive.submit("m")
@@ -370,31 +171,6 @@
     assert final_answers(actions) == [("Refuse", "m")]
 
 
-def test_a_noted_sick_endpoint_gets_only_trials_from_the_next_process() -> None:
-    before = SenderDriver()
-    for name in "abc":
-        before.submit(name)
-        before.end(name, api.Outcome.CONNECT_FAILED)
-    notes = [a for a in before.actions if isinstance(a, api.NoteHealth)]
-    assert notes and notes[-1].endpoint == "e0" and notes[-1].health.sick
-    after, fresh = SenderDriver(), SenderDriver()
-    after.at(0, api.HealthRestored("e0", notes[-1].health, S))
-    first = [api.MessageAccepted(name, 0, 7, 20 * S) for name in "defgh"]
-    assert len(sent_messages(fresh.at(MS, *first))) > 1
-    assert sent_messages(after.at(MS, *first)) == []
-    assert sent_messages(after.tick(2 * S))[:1] == ["d"]  # as a trial
-
-
-def test_a_ramp_continues_after_a_restart() -> None:
-    drive, well = SenderDriver(), SenderDriver()
-    drive.at(0, api.HealthRestored("e0", api.Health(False, True, 2.0, 1.5), 2 * S))
-    messages = [api.MessageAccepted(f"m{i}", 0, 7, 20 * S) for i in range(12)]
-    assert len(sent_messages(well.at(0, *messages))) > len(sent_messages(drive.at(0, *messages)))
-    late = SenderDriver()
-    late.at(0, api.HealthRestored("e0", api.Health(False, True, 2.0, 1.5), 10 * S))
-    assert len(sent_messages(late.at(0, *messages))) == len(sent_messages(well.actions))
-
-
 def test_when_slots_are_short_the_destination_that_uses_them_for_longer_waits() -> None:
     """Guards against a destination that becomes slow, fills half of the slots with its queue and blocks the others."""
     d = SenderDriver(listed=False, slots=8)
