Calls that are found overdue together show an outage: they have failed for a promise

Cause: since failures suffice only once they span 0.2 s. Overdue calls are recorded at one moment, so silence that was noticed at 12.7 to 13.0 s, before the return at 13.0, did not suffice, and no ramp followed (log: `unavailable (silent)`, 1.4 s later `available again (ok)`). Excluded: that the counted calls were the hung ones, read late (none was read in the first 0.1 s but one or two, and all were first read after the return). Change: overdue calls count as failing for a promise, and a single overdue call, which is no evidence, adds no time.

--- a/tests/test_returning_endpoints.py
+++ b/tests/test_returning_endpoints.py
@@ -115,6 +115,17 @@
         assert world.ramps == 0
 
 
+@pytest.mark.parametrize("kind,scene", [("hung", {"servers": 9, "slots": 120}),
+                                        ("hung", {"servers": 9, "slots": 40, "senders": 3}),
+                                        ("silent", {"servers": 12, "slots": 240})])
+def test_an_endpoint_whose_calls_are_overdue_together_ramps_up(kind: str, scene: dict[str, Any]) -> None:
+    """Guards against silence that passes for calls lost at one moment, since all are found overdue at once."""
+    for seed in SEEDS:
+        world = World(seed, Trouble(kind, 3), queue=8, **scene)
+        world.run()
+        assert world.ramps >= len(world.owners)
+
+
 def test_one_slow_answer_is_no_outage() -> None:
     """Guards against a slow start after a call that merely took long, whether or not others were out."""
     for load in (0.05, 0.75):
--- a/wheelstep/failure_test.py
+++ b/wheelstep/failure_test.py
@@ -31,10 +31,12 @@
         span_us = self._last_failure_us - self._first_failure_us
         return self._evidence >= self._sufficient and span_us >= self._min_span_us
 
-    def record_failures(self, now_us: int, count: int = 1) -> None:
-        """Add the evidence of `count` calls that failed now."""
-        if count > 0 and self._evidence <= 0:
-            self._first_failure_us = now_us
+    def record_failures(self, now_us: int, count: int = 1, lasting_us: int = 0) -> None:
+        """Add the evidence of `count` calls that failed now, or that have been failing for `lasting_us`."""
+        if count == 0:
+            return
+        begin_us = now_us - lasting_us
+        self._first_failure_us = begin_us if self._evidence <= 0 else min(self._first_failure_us, begin_us)
         self._last_failure_us = now_us
         self.failures_in_row += count
         self._calls += count
--- a/wheelstep/policy/endpoint.py
+++ b/wheelstep/policy/endpoint.py
@@ -99,7 +99,7 @@
 
     def record_silence(self, now_us: int) -> None:
         """Record that its calls are overdue. All but one are evidence of an outage: one may just be slow."""
-        self.evidence.record_failures(now_us, len(self.calls) - 1)
+        self.evidence.record_failures(now_us, len(self.calls) - 1, self._promise_us)
 
     def health(self, now_us: int, destination: Destination) -> api.Health:
         """Return what a later process must know of it."""
