The console gives a new connection time to send its command before it is closed for another

What callers saw: beside 20 other callers an operator's `readyz` was sometimes closed with no reply. Cause: the 21st connection displaces the oldest one whose command has not come. What the kernel has of that is read first, but a command that is written a few milliseconds after its connection is not there yet. Excluded: a command that was read and not answered (received commands are never displaced). Change: a connection that has sent nothing is displaced after 0.1 s at the earliest; while only such ones are beyond the limit the listener pauses and further callers wait in the kernel's queue. One connection is accepted in a turn of the loop, so fewer than before are open beyond the limit. Callers that sent a part of a command are displaced at once, as before.

--- a/tests/test_console_crowd.py
+++ b/tests/test_console_crowd.py
@@ -10,7 +10,7 @@
 from loopback import run
 from memory_scene import LEAST_MEMORY_MB, Probe, limited_scene
 
-from wheelstep.console.front import MAX_CONNECTIONS
+from wheelstep.console.front import MAX_CONNECTIONS, SEND_TIME_S
 from wheelstep.rehearsal.standins.crowd import crowd
 
 CALLERS = MAX_CONNECTIONS  # beside the operator's own
@@ -51,3 +51,19 @@
             assert set(probe.answers) == {202} and courier.memory_mb() < LEAST_MEMORY_MB
             assert (await courier.call("readyz")).startswith("+OK")
     run(work())
+
+
+def test_a_caller_that_is_about_to_send_is_not_closed_for_others(tmp_path: Path) -> None:
+    """Guards against a command that comes a moment after its connection, and is closed for later connections."""
+    async def work() -> None:
+        async with limited_scene(tmp_path, console=True) as (_, courier):
+            host, _, port = courier.console.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            others = [await asyncio.open_connection(host, int(port)) for _ in range(2 * MAX_CONNECTIONS)]
+            await asyncio.sleep(SEND_TIME_S / 2)
+            writer.write(b"readyz\n")
+            assert (await asyncio.wait_for(reader.read(), REPLY_S)).startswith(b"+OK")
+            assert (await asyncio.wait_for(courier.call("readyz"), REPLY_S)).startswith("+OK")
+            for _, other in others:
+                other.close()
+    run(work())
--- a/wheelstep/console/front.py
+++ b/wheelstep/console/front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 
 from wheelstep.console.commands import MAX_LINE_BYTES, ConsoleBackend, reply
 from wheelstep.courier.client_listener import ClientListener
@@ -11,6 +12,8 @@
 from wheelstep.courier.listener import BACKLOG, open_listener
 
 MAX_CONNECTIONS = 20  # concurrent connections; one more closes the oldest one whose command is incomplete
+SEND_TIME_S = 0.1  # a new connection is not closed for another one sooner, unless a part of its command has come
+_MAX_ACCEPTS_PER_TURN = 1  # so that hardly more than the limit are open before the listener pauses
 MAX_COMMANDS = 100  # carried out at once, with those whose callers have disconnected
 _TIME_LIMIT_S = 5.0  # time limit of a connection, from its opening until it is closed
 
@@ -25,6 +28,7 @@
         self._line = b""
         self._timeout: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
+        self._opened_s = asyncio.get_running_loop().time()
         self.received = False  # its command has been received
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -42,6 +46,14 @@
         line, found, _ = self._line.partition(b"\n")
         if found or len(self._line) > MAX_LINE_BYTES:
             self._answer(line)
+        self._server.limit_connections()
+
+    def displaceable_s(self) -> float:
+        """Return since when it may be closed for another connection: it has had time to send its command, or sent a
+        part of one. Infinity once the command has been received."""
+        if self.received:
+            return math.inf
+        return -math.inf if self._line else self._opened_s + SEND_TIME_S
 
     def eof_received(self) -> bool:
         """Treat the end of the input as the end of the command. Return whether a reply is still to be sent."""
@@ -87,12 +99,13 @@
         self._displaced: set[_Connection] = set()  # about to be closed
         self._commands: set[asyncio.Task[None]] = set()
         self._listener: ClientListener | None = None
+        self._resume: asyncio.TimerHandle | None = None  # set while the listener is paused
 
     async def start(self, listen: Address) -> int:
         """Listen, and return the port. Raises `OSError`."""
         listener = open_listener(listen)
         listener.listen(BACKLOG)
-        self._listener = ClientListener(listener, lambda _: _Connection(self))
+        self._listener = ClientListener(listener, lambda _: _Connection(self), max_accepts=_MAX_ACCEPTS_PER_TURN)
         self._listener.resume()
         return int(listener.getsockname()[1])
 
@@ -113,29 +126,59 @@
             connection.finish(b"-ERR failed; the log has more\n")
 
     def opened(self, connection: _Connection) -> None:
-        """Add a connection.
-
-        Bounds the file descriptors: beyond `MAX_CONNECTIONS`, the oldest one that has sent no complete command is
-        closed, once what the kernel has of it was read. So clients that never finish their command do not displace
-        those that have.
-        """
+        """Add a connection."""
         self._connections[connection] = None
-        if len(self._connections) - len(self._displaced) > MAX_CONNECTIONS:
-            oldest = min(self._connections, key=lambda one: (one in self._displaced, one.received))
-            self._displaced.add(oldest)
-            loop = asyncio.get_running_loop()
-            # The loop polls between the two callbacks, and reads before the second.
-            loop.call_soon(loop.call_soon, oldest.abort_unless_received)
+        self.limit_connections()
 
     def closed(self, connection: _Connection) -> None:
         """Remove a connection."""
         self._connections.pop(connection, None)
         self._displaced.discard(connection)
+        self.limit_connections()
+
+    def limit_connections(self) -> None:
+        """Beyond `MAX_CONNECTIONS`, close the oldest connections that have sent no complete command.
+
+        While those beyond the limit have had no time to send one, further connections stay in the kernel's queue. So
+        clients that never finish their command do not displace those that have, nor those that are about to send it.
+        """
+        now_s = asyncio.get_running_loop().time()
+        kept = [connection for connection in self._connections if connection not in self._displaced]
+        kept.sort(key=_Connection.displaceable_s)
+        resume_s = math.inf
+        for connection in kept[:max(0, len(kept) - MAX_CONNECTIONS)]:
+            if connection.displaceable_s() <= now_s:
+                self._displace(connection)
+            else:
+                resume_s = min(resume_s, connection.displaceable_s())
+        self._pause_listener(resume_s)
+
+    def _displace(self, connection: _Connection) -> None:
+        """Close a connection once what the kernel has of it was read, unless that is its whole command."""
+        self._displaced.add(connection)
+        loop = asyncio.get_running_loop()
+        # The loop polls between the two callbacks, and reads before the second.
+        loop.call_soon(loop.call_soon, connection.abort_unless_received)
+
+    def _pause_listener(self, until_s: float) -> None:
+        """Accept no connection until a time of the loop; infinity: resume."""
+        if self._listener is None:
+            return
+        if self._resume is not None:
+            self._resume.cancel()
+            self._resume = None
+            if until_s == math.inf:
+                self._listener.resume()
+        if until_s < math.inf:
+            self._listener.pause()
+            self._resume = asyncio.get_running_loop().call_at(until_s, self.limit_connections)
 
     def stop(self) -> None:
         """Close the listener and all connections."""
         if self._listener is not None:
+            self._pause_listener(math.inf)
             self._listener.close()
+            self._listener = None
         for connection in list(self._connections):
             connection.abort()
         for command in self._commands:
--- a/wheelstep/courier/client_listener.py
+++ b/wheelstep/courier/client_listener.py
@@ -38,9 +38,11 @@
     have been waiting (monotonic seconds)."""
 
     def __init__(self, listening: socket.socket, protocol_factory: Callable[[float], asyncio.Protocol],
-                 queued_since_s: float = math.inf) -> None:
-        """`queued_since_s`: since when connections may have been waiting, where another process had the socket."""
+                 queued_since_s: float = math.inf, max_accepts: int = MAX_ACCEPTS_PER_TURN) -> None:
+        """`queued_since_s`: since when connections may have been waiting, where another process had the socket;
+        `max_accepts`: connections that are accepted in one turn of the loop."""
         self.socket, self._protocol_factory, self._queued_since_s = listening, protocol_factory, queued_since_s
+        self._max_accepts = max_accepts
         self._opening: set[asyncio.Task[Any]] = set()  # accepted, and without a transport yet
         self._retry: asyncio.TimerHandle | None = None
         listening.setblocking(False)
@@ -65,11 +67,11 @@
             asyncio.get_running_loop().remove_reader(self.socket.fileno())
 
     def accept(self) -> Queue:
-        """Accept up to `MAX_ACCEPTS_PER_TURN` connections, and return what is known of the queue then."""
+        """Accept up to `max_accepts` connections, and return what is known of the queue then."""
         if self.socket.fileno() < 0:
             return Queue.EMPTY
         self._queued_since_s = arrivals.earliest_s(time.monotonic(), self._queued_since_s)
-        for _ in range(MAX_ACCEPTS_PER_TURN):
+        for _ in range(self._max_accepts):
             try:
                 client = reliable_socket.accept(self.socket)
             except (InterruptedError, ConnectionAbortedError):
