The messages of a key are a data structure outside the decision module

Change: `KeyQueue` decides nothing and is `wheelstep/key_queue.py`, generic in its messages, with the loop that drops ended messages; two comments are a line shorter each. No decision is moved.

--- a/wheelstep/policy/balancing.py
+++ b/wheelstep/policy/balancing.py
@@ -1,5 +1,4 @@
-"""The choice among a destination's endpoints where neither a fee nor a trial decides: by start tags, as in
-Goyal, Vin and Cheng's start-time fair queueing, from a different endpoint on at each sender."""
+"""The choice among equally good endpoints, by Goyal, Vin and Cheng's start-time fair queueing."""
 
 import random
 
--- a/wheelstep/policy/messages.py
+++ b/wheelstep/policy/messages.py
@@ -5,7 +5,7 @@
 import heapq
 import math
 import random
-from collections import defaultdict, deque
+from collections import defaultdict
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -101,12 +101,3 @@
     def expected_us(self) -> float:
         """Return how long a call is expected to take at its quickest endpoint; 0 where that is not known."""
         return min((endpoint.times.expected_us() for endpoint in self.endpoints), default=0.0)
-
-
-@dataclass(slots=True)
-class KeyQueue:
-    """The messages of one key, in the order of their acceptance."""
-
-    messages: deque[Message] = field(default_factory=deque)
-    settled_us: int = 0
-    inherited_settled_us: int = 0  # as an earlier process reported it; no matter to a message tried there
--- a/wheelstep/policy/ranking.py
+++ b/wheelstep/policy/ranking.py
@@ -7,7 +7,7 @@
 from wheelstep.policy.messages import Destination, Message
 from wheelstep.policy.sender_state import FEW, SenderState
 
-BOUND_LIFETIME_US = 4_000_000  # about how long a bound on a destination's gain rate is kept
+BOUND_LIFETIME_US = 4_000_000  # mean time that a bound on a gain rate is kept; not all expire at once
 Ranked = list[tuple[float, int, list[Message]]]  # a heap: gain rate, negated; destination number; heads
 
 
@@ -48,7 +48,6 @@
         tau_us = destination.retry_controller.tau_us
         at_us, horizon_us = self._now + tau_us, self._horizon_us
         is_even = self._settings.decay is Decay.EVEN
-        # Not all for equally long, so that thousands of bounds don't expire in one batch.
         kept_us = BOUND_LIFETIME_US * (0.5 + destination.number * 0.618 % 1)
         until_us = at_us + (kept_us if is_even else kept_us / 100)
         for message in heads:
--- a/wheelstep/policy/sender_state.py
+++ b/wheelstep/policy/sender_state.py
@@ -8,9 +8,10 @@
 
 from wheelstep import interface as api
 from wheelstep.interface import Effect, EndReason, Settings
+from wheelstep.key_queue import KeyQueue
 from wheelstep.linear_bounds import LinearBounds
 from wheelstep.policy.endpoint import Endpoint
-from wheelstep.policy.messages import Call, Destination, KeyQueue, Message
+from wheelstep.policy.messages import Call, Destination, Message
 from wheelstep.timer_queue import TimerQueue
 
 T1_PROMISE_SHARE = 1 / 3  # T1 over the shortest promise: a lower one retries sooner and gates more often
@@ -35,7 +36,7 @@
         self._bounds, self._using_bounds = LinearBounds(), False  # on gain rates, by destination number
         self._endpoints: dict[str, Endpoint] = {}
         self._resumed_calls: dict[int, Call] = {}  # an earlier process's calls, `slots` at most
-        self._key_queues: dict[str, KeyQueue] = defaultdict(KeyQueue)
+        self._key_queues: dict[str, KeyQueue[Message]] = defaultdict(KeyQueue)
         self._timers: TimerQueue[Message] = TimerQueue()
         self._schedule = self._timers.add
         self._evictable: list[Message] = []  # messages that may be refused to make room, the least worth last
@@ -121,8 +122,7 @@
         queue = self._key_queues.get(key)
         if queue is None:
             return
-        while queue.messages and queue.messages[0].done and queue.messages[0].call is None:
-            queue.settled_us = max(queue.settled_us, queue.messages.popleft().settled_us)
+        queue.drop_ended()
         tried = bool(queue.messages and queue.messages[0].attempts)
         untried_settled_us = 0 if tried else max(queue.inherited_settled_us, self._all_settled_us)
         settled_us = max(queue.settled_us, untried_settled_us)
