Outcomes are evidence of an outage in the order of their calls: answers from before it hid it

What callers saw: a larger destination that failed most of its calls, or all of them with errors, for 0.5 to 6 s got its full load when it came back cold: up to 142 calls in 3 s where 80 are allowed, no ramp at all. Cause: a failure is known after some milliseconds, a success after a call's time. At 40 calls a second a dozen calls from before the outage still succeed in it; each took away evidence (2.0), and ended the endpoint's sickness (`Endpoint._succeeded`), so that neither sum nor trial told of the outage (trace: evidence 3, 6, 9, 11.5 with seven answers between, all of calls sent before the first failure; sick and well by turns). Change: `FailureTest` takes outcomes in the order of the calls. A success of a call from before the first failure takes nothing away and ends no sickness; calls that are out, younger than 1.5 round trips, count as successes until they end, so that quick failures don't count before the answers between them. An endpoint that is sick already is told of its route's outage, too. Why it works: in the order of the calls the failures of an outage stand together, and those of bad luck do not. Tests: of `test_outage_evidence.py` five scenes and the three of `FailureTest` failed before.

--- a/wheelstep/policy/endpoint.py
+++ b/wheelstep/policy/endpoint.py
@@ -18,8 +18,8 @@
 
 MAX_EVIDENCE = 2.5  # most deliveries weighed against a failure: three in a row exceed SICK_FAILURE_SHARE
 SICK_FAILURE_SHARE = 0.5  # failure share above which an endpoint counts as sick ("failing most calls")
-SUSPECT_FAILURES = 2  # failures in a row that are noted for a later process
-SHUT_ROUND_TRIPS = 1.5  # usual round trips without a delivery after which refusals may mean it is shut
+NOTED_FAILURES = 2  # failures in a row that are noted for a later process
+LATE_ROUND_TRIPS = 1.5  # usual round trips after which a call, or the next delivery, is late
 MIN_BASE_PER_S = 0.25  # calls a second taken for the base rate of an endpoint that carried next to nothing
 RAMP_SHARE = 0.8  # share of `fall_multiple` times its base rate that an endpoint gets as it warms up
 RAMP_EXTRA_SPANS = 2  # spans of overload that a ramp goes on once warm: no burst of what is held back
@@ -38,6 +38,7 @@
         self.calls: dict[Call, None] = {}
         self.failures = DecayingSum(4 * promise_us)  # `value` is the recent share of failed calls
         self.evidence = OutageEvidence()  # of its own calls; that of all calls on its route is the pacer's
+        self.evidence.calls_out[info.endpoint] = self.calls
         self.ramp_start_us: int | None = None
         self._ramp_us = settings.cold_us  # its length
         self._base_rate, self._cold_share = 1.0, settings.fall_multiple * settings.cold_from
@@ -85,8 +86,7 @@
 
     def may_be_cold(self) -> bool:
         """Return whether an outage is possible after its last outcomes, or was shortly before them."""
-        suspect = self.evidence.failures_in_row >= SUSPECT_FAILURES
-        return suspect or self.sick or self.ramp_start_us is not None
+        return self.evidence.failures_in_row >= NOTED_FAILURES or self.sick or self.ramp_start_us is not None
 
     def fall_sick(self, now_us: int) -> None:
         """Mark it sick: keep the rate that it carried, and schedule the first trial."""
@@ -99,7 +99,7 @@
 
     def record_silence(self, now_us: int) -> None:
         """Record that its calls are overdue. All but one are evidence of an outage: one may just be slow."""
-        self.evidence.record_failures(now_us, len(self.calls) - 1, self._promise_us)
+        self.evidence.record_failures(now_us, len(self.calls) - 1, lasting_us=self._promise_us)
 
     def health(self, now_us: int, destination: Destination) -> api.Health:
         """Return what a later process must know of it."""
@@ -159,7 +159,7 @@
             return
         warmed = (1 - settings.cold_from) * (now_us - start_us) / settings.cold_us
         rate = max(1.0, RAMP_SHARE * settings.fall_multiple) * self._base_rate * (settings.cold_from + warmed)
-        rate /= max(self.pacer.endpoints, 1)  # 0 once the list has none
+        rate /= max(len(self.pacer.evidence.calls_out), 1)  # 0 once the list has none
         self._next_us = min(max(self._next_us, now_us) + work / rate * 1e6, start_us + self._ramp_us)
 
     def record_sent(self, now_us: int, messages: int) -> None:
@@ -177,7 +177,7 @@
         elif outcome is Outcome.FULL:
             self._refused(now_us, event)
         elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
-            self._failed(now_us)
+            self._failed(now_us, event.spent_us)
         return was_sick != self.sick
 
     def _refused(self, now_us: int, event: api.AttemptEnded | api.ProbeEnded) -> None:
@@ -185,7 +185,7 @@
         wait_us = event.wait_us if isinstance(event, api.AttemptEnded) else 0
         unreported = self._settings.limits_reported and event.limit is None
         if unreported and self._settings.senders > SMALL_FLEET and not wait_us:
-            self._back_off_unreported(now_us)
+            self._back_off_unreported(now_us, event.spent_us)
         else:
             self.pacer.refused(now_us, self._cold_share)
         if wait_us >= self._promise_us:
@@ -194,36 +194,38 @@
             self._next_us += wait_us  # shut: not all senders may call at the moment it opens
             self.pacer.hold_until(self._next_us)
 
-    def _back_off_unreported(self, now_us: int) -> None:
+    def _back_off_unreported(self, now_us: int, spent_us: int) -> None:
         """Pause after a refusal without a limit report: the connection table is full, or it is shut."""
         pause_us = self.pacer.random_pause_us() * 2 ** min(self._unreported_refusals, 3)
         self._unreported_refusals += 1
         self._next_us = max(self._next_us, now_us + pause_us)
-        if now_us - self.pacer.last_ok_us > SHUT_ROUND_TRIPS * self.times.usual_us > 0:
-            self._record_failure(now_us)
+        if now_us - self.pacer.last_ok_us > LATE_ROUND_TRIPS * self.times.usual_us > 0:
+            self._record_failure(now_us, spent_us)
 
-    def _record_failure(self, now_us: int) -> None:
-        self.evidence.record_failures(now_us)
-        self.pacer.evidence.record_failures(now_us)
+    def _record_failure(self, now_us: int, spent_us: int) -> None:
+        late_us = LATE_ROUND_TRIPS * (self.times.usual_us or math.inf)
+        for evidence in (self.evidence, self.pacer.evidence):
+            evidence.record_failures(now_us, sent_us=now_us - spent_us, late_us=late_us)
         if not self.sick and (self.failures.value > SICK_FAILURE_SHARE or self.in_outage()):
             self.fall_sick(now_us)
 
-    def _failed(self, now_us: int) -> None:
+    def _failed(self, now_us: int, spent_us: int) -> None:
         self._add_result(now_us, True)
-        self._record_failure(now_us)
+        self._record_failure(now_us, spent_us)
         if self.sick and now_us - self.pacer.last_ok_us >= 2 * self._promise_us:
             self.pacer.hold_until(self._next_trial_us(now_us))  # an outage mostly affects all endpoints
 
     def _succeeded(self, now_us: int, spent_us: int) -> None:
+        outdated = self.evidence.precedes(now_us - spent_us)
         long_ago = now_us - self._last_ok_us >= 2 * self._promise_us
         outage = self.in_outage() or long_ago and self.evidence.failures_in_row > 0
         self._last_answer_us = self._last_ok_us = now_us
         self._unreported_refusals = 0
         self._add_result(now_us, False)
-        self.evidence.record_success()
-        self.pacer.evidence.record_success()
+        self.evidence.record_success(now_us - spent_us)
+        self.pacer.evidence.record_success(now_us - spent_us)
         self.times.record_delivery(spent_us)
-        if self.sick:
+        if self.sick and not outdated:
             self.sick, self._next_us = False, now_us
             if outage:  # and not bad luck or a slow answer
                 self._start_ramp(now_us, now_us)
--- a/wheelstep/policy/outcomes.py
+++ b/wheelstep/policy/outcomes.py
@@ -124,8 +124,10 @@
                 event.outcome is Outcome.FULL and endpoint.pacer.last_cut_us == self._now):
             self._note_health(endpoint)
         for other in destination.endpoints:
-            if other.pacer is endpoint.pacer and not other.sick and other.in_outage():
-                self._mark_unavailable(other, "outage")
+            if other.pacer is endpoint.pacer and other.in_outage():
+                other.evidence.conclude()
+                if not other.sick:
+                    self._mark_unavailable(other, "outage")
 
     def _mark_unavailable(self, endpoint: Endpoint, cause: str) -> None:
         endpoint.fall_sick(self._now)
--- a/wheelstep/policy/pacer.py
+++ b/wheelstep/policy/pacer.py
@@ -8,14 +8,12 @@
 from wheelstep.policy.outage import OutageEvidence
 
 SMALL_FLEET = 4  # with more senders, calls are spaced until a limit is known, and idle connections cost more
-# The even part of a limit is the limit divided by the number of senders.
 DECREASE_FACTOR = 0.55  # of the rate, at a refusal
 INCREASE_PER_S = 0.2  # growth in start rates when every call at the current rate is delivered
 SUSTAINABLE_SHARE = 0.85  # share of the even part: a rate that all senders together can keep up
 MIN_SHARE = 0.4  # lowest rate after a refusal where limits are reported, as a share of the even part
 RECOVERY_PER_S = 0.4  # growth up to SUSTAINABLE_SHARE, in even parts a second
-# With more than TARGET_LEFT of the limit unused, a sender that needs it exceeds SUSTAINABLE_SHARE: its rate
-# grows by exp(GROWTH_PER_S * (unused - TARGET_LEFT)) a second, and falls by the same formula with less.
+# Above SUSTAINABLE_SHARE a rate grows by exp(GROWTH_PER_S * (unused share - TARGET_LEFT)) a second, or falls.
 TARGET_LEFT, GROWTH_PER_S = 0.6, 0.7
 MAX_LIMIT_PER_S = 1e9  # calls a second; a higher limit is taken for a mistake and ignored
 EXHAUSTED_LEFT = 0.1  # a lower reported share (reports are noisy) means that all calls are refused
@@ -31,8 +29,8 @@
     def __init__(self, senders: int, cooldown_us: int, rng: random.Random) -> None:
         self.rate = self._limit = math.inf
         # `wait_until_us`: no call starts before, whatever is delivered; set from the wait an answer asks for.
-        self.wait_until_us, self._senders, self._cooldown_us, self.endpoints = 0, senders, cooldown_us, 0
-        self.even_rate = MIN_TOTAL_PER_S / senders  # this sender's even part of the limit, in calls a second
+        self.wait_until_us, self._senders, self._cooldown_us = 0, senders, cooldown_us
+        self.even_rate = MIN_TOTAL_PER_S / senders  # the limit over the number of senders, in calls a second
         self._start_rate, self._mean_left, self.last_cut_us, self._rng = MIN_START_PER_S, 0.5, 0, rng
         self._next_us, self._sent, self._last_report_us, self._last_growth_us = (
             0.0, DecayingSum(COUNTED_COOLDOWNS * cooldown_us), 0, 0)
--- a/wheelstep/policy/sender.py
+++ b/wheelstep/policy/sender.py
@@ -74,7 +74,7 @@
         self._mark_ready(destination)
         if info.state is EndpointState.REMOVED:
             if endpoint is not None:
-                endpoint.pacer.endpoints -= 1
+                del endpoint.pacer.evidence.calls_out[info.endpoint]
                 destination.endpoints.remove(self._endpoints.pop(info.endpoint))
                 destination.left_health = self._now, endpoint.health(self._now, destination)
             return
@@ -83,7 +83,7 @@
             destination.pacer = None if self._kind(info).routes_apart else pacer
             endpoint = self._endpoints[info.endpoint] = self._new_endpoint(info, pacer)
             destination.endpoints.append(endpoint)
-            pacer.endpoints += 1
+            pacer.evidence.calls_out[info.endpoint] = endpoint.calls
             if self._settings.weights_are_rates:
                 pacer.set_limit(info.weight)
             self._inherit_health(endpoint, destination)
