A small fleet takes a destination that refuses all calls for one that was shut

What callers saw: after a destination of 20 to 40 calls a second had answered 503 without a limit for 0.5 to 1.5 s, it got up to 1.14 times the calls allowed in its cold time; there was no ramp. Cause: with up to four couriers a refusal only slows the pacer, whose rate is that of a busy destination. Change: a refusal without a limit or a wait, where limits are reported, is evidence of an outage. A busy destination has calls of ours in it, which count as successes; a shut one has none. Larger fleets keep to their rule (no delivery for long), since there others' calls may be what fills it. Tests: the three scenes of a shut destination failed before; four of a busy one guard the contrary.

--- a/tests/test_outage_evidence.py
+++ b/tests/test_outage_evidence.py
@@ -31,6 +31,22 @@
         check(Trouble("most", seconds), 0, 1, *SEEDS[:4], **scene)
 
 
+@pytest.mark.parametrize("scene", [MEDIUM, LARGE, THREE])
+def test_a_destination_that_refuses_all_calls_was_shut_and_ramps_up(scene: dict[str, Any]) -> None:
+    """Guards against a shut destination that passes for a busy one, though no call of ours is in it."""
+    for seconds in (0.7, 1.5):
+        check(Trouble("shut", seconds), *SEEDS[:4], **scene)
+
+
+@pytest.mark.parametrize("scene", [SMALL, LARGE, {"queue": 2}, {"senders": 3, "slots": 20}])
+def test_a_busy_destination_that_refuses_calls_is_not_ramped_up(scene: dict[str, Any]) -> None:
+    """Guards against refusals of a full queue that pass for an outage, while calls of ours are in it."""
+    for load in (1.3, 2.0):
+        world = World(SEEDS[0], Trouble("unlucky", 20, share=0.0), load=load, **scene)
+        world.run()
+        assert world.ramps == 0
+
+
 @pytest.mark.parametrize("scene", [SMALL, LARGE, THREE])
 def test_one_failure_in_ten_is_bad_luck_however_fast_the_calls_follow(scene: dict[str, Any]) -> None:
     """Guards against quick failures that count before the successes of the calls between them are known."""
--- a/wheelstep/policy/endpoint.py
+++ b/wheelstep/policy/endpoint.py
@@ -183,24 +183,26 @@
     def _refused(self, now_us: int, event: api.AttemptEnded | api.ProbeEnded) -> None:
         self._last_answer_us = now_us
         wait_us = event.wait_us if isinstance(event, api.AttemptEnded) else 0
-        unreported = self._settings.limits_reported and event.limit is None
-        if unreported and self._settings.senders > SMALL_FLEET and not wait_us:
-            self._back_off_unreported(now_us, event.spent_us)
+        unreported = self._settings.limits_reported and event.limit is None and not wait_us
+        crowded = self._settings.senders > SMALL_FLEET  # others' calls may be what fills it
+        if unreported and crowded:
+            self._back_off_unreported(now_us)
         else:
             self.pacer.refused(now_us, self._cold_share)
+        undelivered_us = now_us - self.pacer.last_ok_us
+        if unreported and (not crowded or undelivered_us > LATE_ROUND_TRIPS * self.times.usual_us > 0):
+            self._record_failure(now_us, event.spent_us)
         if wait_us >= self._promise_us:
             self.evidence.conclude()
             self.fall_sick(now_us)
             self._next_us += wait_us  # shut: not all senders may call at the moment it opens
             self.pacer.hold_until(self._next_us)
 
-    def _back_off_unreported(self, now_us: int, spent_us: int) -> None:
+    def _back_off_unreported(self, now_us: int) -> None:
         """Pause after a refusal without a limit report: the connection table is full, or it is shut."""
         pause_us = self.pacer.random_pause_us() * 2 ** min(self._unreported_refusals, 3)
         self._unreported_refusals += 1
         self._next_us = max(self._next_us, now_us + pause_us)
-        if now_us - self.pacer.last_ok_us > LATE_ROUND_TRIPS * self.times.usual_us > 0:
-            self._record_failure(now_us, spent_us)
 
     def _record_failure(self, now_us: int, spent_us: int) -> None:
         late_us = LATE_ROUND_TRIPS * (self.times.usual_us or math.inf)
