--- a/wheelstep/rehearsal/scale/play.py
+++ b/wheelstep/rehearsal/scale/play.py
@@ -73,7 +73,7 @@
     with tempfile.TemporaryDirectory(prefix="umberchute-scale-") as temporary, lock:
         folder_name = str((options.folder or Path(temporary)).resolve())
         Path(folder_name).mkdir(parents=True, exist_ok=True)
-        plan = _with_addresses(options.plan, base, Path(folder_name))
+        plan = with_addresses(options.plan, base, Path(folder_name))
         fleet = Fleet(plan, Path(folder_name))
         day = Day(fleet, options.quiet_s, report_phase)
         began_s = time.monotonic()
@@ -116,7 +116,8 @@
     return dict(figures.rounded(result))
 
 
-def _with_addresses(plan: Plan, base: int, folder: Path) -> Plan:
+def with_addresses(plan: Plan, base: int, folder: Path) -> Plan:
+    """Return the plan of a run that begins now, with its block of loopback addresses and the file of its links."""
     import msgspec
     return msgspec.structs.replace(plan, base=base, epoch_s=time.monotonic(), boot=int(time.time()),
                                    links=str(folder / "links"))
--- a/wheelstep/rehearsal/scale/standin.py
+++ b/wheelstep/rehearsal/scale/standin.py
@@ -90,7 +90,7 @@
         asyncio.get_running_loop().call_later(partners.rng.uniform(*_ANSWER_DELAY_RANGE_S), self.answer, 200)
 
 
-def _listener() -> socket.socket:
+def open_listener() -> socket.socket:
     """Return a socket that accepts connections on every address of the loopback device and on no other device."""
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -102,7 +102,7 @@
 
 
 async def _serve(plan: Plan) -> None:
-    partners, listener = StandinPartners(plan), _listener()
+    partners, listener = StandinPartners(plan), open_listener()
     server = await asyncio.get_running_loop().create_server(lambda: _PartnerConnection(partners), sock=listener,
                                                             backlog=1024)
     print(json.dumps({"port": listener.getsockname()[1]}), flush=True)
