Calls without an answer that are reset together show silence: they have failed since they were late

Cause: such calls fail at one moment, less than 0.2 s, and passed for connections lost at one moment. Change: a call that is out for 1.5 round trips has been failing since then, if nothing else was answered meanwhile; the failures span that time. Connections that are lost at one moment were answering right before.

--- a/tests/returning_scene.py
+++ b/tests/returning_scene.py
@@ -25,9 +25,9 @@
 
 @dataclass(frozen=True)
 class Trouble:
-    """An outage. `kind`: `refused`, `reset`, `errors`, `silent`, `hung` (calls are answered after it), `shut` (503), or
-    `most` (`share` of the calls is reset). `unlucky` has the same share, and `dropped` resets what is out at its begin;
-    both are no outage: nothing is cold after them.
+    """An outage. `kind`: `refused`, `reset`, `errors`, `silent`, `hung` (calls are answered after it), `lost` (they are
+    reset at its end), `shut` (503), or `most` (`share` of the calls is reset). `unlucky` has the same share, and
+    `dropped` resets what is out at its begin; both are no outage: nothing is cold after them.
     `event` happens in the middle of it, `event_at` being its share of the duration."""
 
     kind: str
--- a/tests/returning_world.py
+++ b/tests/returning_world.py
@@ -129,7 +129,7 @@
             return
         call.closed = True
         owner, spent_us = call.owner, self.now_us - call.sent_us
-        if outcome not in (Outcome.OK, Outcome.CANCELLED) and self.begin_us <= self.now_us < self.back_us:
+        if outcome not in (Outcome.OK, Outcome.CANCELLED) and self.begin_us <= self.now_us <= self.back_us:
             owner.told = True
         if not call.message:
             self.post(owner, api.ProbeEnded(call.endpoint, outcome, spent_us))
@@ -169,12 +169,12 @@
     def _return(self) -> None:
         for endpoint in self._troubled():
             endpoint.down = False
-            if self.trouble.kind == "hung":
+            if self.trouble.kind in ("hung", "lost"):
                 held = [*endpoint.calls, *endpoint.waiting]
                 endpoint.calls, endpoint.free, endpoint.waiting = [], endpoint.servers, deque()
                 for call in held:
                     if not call.closed:
-                        self._take(endpoint, call)
+                        self._take(endpoint, call) if self.trouble.kind == "hung" else self._end(call, Outcome.RESET)
 
     def _arrive_at(self, call: Call) -> None:
         endpoint = self.endpoints.get(call.endpoint)
@@ -191,7 +191,7 @@
         elif kind in ("reset", "errors", "shut"):
             outcome = {"reset": Outcome.RESET, "errors": Outcome.ERROR, "shut": Outcome.FULL}[kind]
             self.schedule(self.now_us + FAST_US, lambda: self._end(call, outcome))
-        elif kind == "hung":
+        elif kind in ("hung", "lost"):
             if len(endpoint.waiting) < endpoint.queue_limit:
                 endpoint.waiting.append(call)
         elif kind in ("most", "unlucky"):
@@ -222,7 +222,7 @@
         if call not in endpoint.calls:
             return  # lost in the outage
         endpoint.calls.remove(call)
-        if endpoint.down and self.trouble.kind == "hung":
+        if endpoint.down and self.trouble.kind in ("hung", "lost"):
             endpoint.waiting.appendleft(call)
             return
         endpoint.free += 1
--- a/tests/test_outage_evidence.py
+++ b/tests/test_outage_evidence.py
@@ -38,6 +38,13 @@
         check(Trouble("shut", seconds), *SEEDS[:4], **scene)
 
 
+@pytest.mark.parametrize("scene", [SMALL, MEDIUM, LARGE, THREE])
+def test_calls_without_an_answer_that_are_reset_together_show_silence(scene: dict[str, Any]) -> None:
+    """Guards against silence that ends before its calls are overdue, and passes for connections lost at one moment."""
+    for seconds in (1, 1.5, 2):
+        check(Trouble("lost", seconds), 0, 1, *SEEDS[:4], **scene)
+
+
 @pytest.mark.parametrize("scene", [SMALL, LARGE, {"queue": 2}, {"senders": 3, "slots": 20}])
 def test_a_busy_destination_that_refuses_calls_is_not_ramped_up(scene: dict[str, Any]) -> None:
     """Guards against refusals of a full queue that pass for an outage, while calls of ours are in it."""
--- a/wheelstep/failure_test.py
+++ b/wheelstep/failure_test.py
@@ -55,7 +55,7 @@
         """Return whether a call that was sent at `sent_us` was sent before the first of the failures."""
         return self._evidence > 0 and sent_us < self._first_sent_us
 
-    def record_failures(self, now_us: int, count: int = 1, *, sent_us: float = -math.inf, lasting_us: int = 0,
+    def record_failures(self, now_us: int, count: int = 1, *, sent_us: float = -math.inf, lasting_us: float = 0.0,
                         late_us: float = 0.0) -> None:
         """Add the evidence of `count` calls that failed now, or that have been failing for `lasting_us`.
 
--- a/wheelstep/policy/endpoint.py
+++ b/wheelstep/policy/endpoint.py
@@ -27,8 +27,7 @@
 
 
 class Endpoint:
-    """Health, derived from outcomes alone. A sick endpoint gets trial calls, at a rate that it can bear cold;
-    after an outage it gets a ramp of what it carried before, from `cold_from` of it up over `cold_us`."""
+    """Health, derived from outcomes alone: a sick endpoint gets trial calls, and a ramp after an outage."""
 
     def __init__(self, info: api.EndpointInfo, settings: Settings, pacer: Pacer, promise_us: int,
                  rng: random.Random) -> None:
@@ -71,7 +70,7 @@
 
     def mark_draining(self, now_us: int) -> None:
         """Record the start of a drain: keep the rate that it carried, for its return."""
-        if self.ramp_start_us is None and not self.sick:
+        if not self._impaired():
             self._base_rate = self._delivery_rate(now_us)
 
     def mark_up(self, now_us: int) -> None:
@@ -84,9 +83,12 @@
         route_fails = self.pacer.evidence.conclusive and self.evidence.failures_in_row > 0
         return self.evidence.conclusive or route_fails
 
+    def _impaired(self) -> bool:
+        return self.sick or self.ramp_start_us is not None
+
     def may_be_cold(self) -> bool:
         """Return whether an outage is possible after its last outcomes, or was shortly before them."""
-        return self.evidence.failures_in_row >= NOTED_FAILURES or self.sick or self.ramp_start_us is not None
+        return self._impaired() or self.evidence.failures_in_row >= NOTED_FAILURES
 
     def fall_sick(self, now_us: int) -> None:
         """Mark it sick: keep the rate that it carried, and schedule the first trial."""
@@ -104,10 +106,9 @@
     def health(self, now_us: int, destination: Destination) -> api.Health:
         """Return what a later process must know of it."""
         start_us = self.ramp_start_us
-        carrying = start_us is None and not self.sick
         return api.Health(
             sick=self.may_be_cold() and start_us is None, returning=start_us is not None,
-            base=round(self._delivery_rate(now_us) if carrying else self._base_rate, 3),
+            base=round(self._base_rate if self._impaired() else self._delivery_rate(now_us), 3),
             rate=round(self.pacer.rate, 3) if self.pacer.rate < math.inf else 0.0,
             returning_us=0 if start_us is None else now_us - start_us,
             carried=round(self.pacer.delivery_rate(now_us), 3),
@@ -191,7 +192,7 @@
             self.pacer.refused(now_us, self._cold_share)
         undelivered_us = now_us - self.pacer.last_ok_us
         if unreported and (not crowded or undelivered_us > LATE_ROUND_TRIPS * self.times.usual_us > 0):
-            self._record_failure(now_us, event.spent_us)
+            self._record_failure(now_us, now_us - event.spent_us)
         if wait_us >= self._promise_us:
             self.evidence.conclude()
             self.fall_sick(now_us)
@@ -204,16 +205,17 @@
         self._unreported_refusals += 1
         self._next_us = max(self._next_us, now_us + pause_us)
 
-    def _record_failure(self, now_us: int, spent_us: int) -> None:
+    def _record_failure(self, now_us: int, sent_us: int) -> None:
         late_us = LATE_ROUND_TRIPS * (self.times.usual_us or math.inf)
+        lasting_us = max(0, now_us - max(sent_us + late_us, self._last_answer_us))
         for evidence in (self.evidence, self.pacer.evidence):
-            evidence.record_failures(now_us, sent_us=now_us - spent_us, late_us=late_us)
+            evidence.record_failures(now_us, sent_us=sent_us, lasting_us=lasting_us, late_us=late_us)
         if not self.sick and (self.failures.value > SICK_FAILURE_SHARE or self.in_outage()):
             self.fall_sick(now_us)
 
     def _failed(self, now_us: int, spent_us: int) -> None:
         self._add_result(now_us, True)
-        self._record_failure(now_us, spent_us)
+        self._record_failure(now_us, now_us - spent_us)
         if self.sick and now_us - self.pacer.last_ok_us >= 2 * self._promise_us:
             self.pacer.hold_until(self._next_trial_us(now_us))  # an outage mostly affects all endpoints
 
--- a/wheelstep/policy/pacer.py
+++ b/wheelstep/policy/pacer.py
@@ -23,8 +23,7 @@
 
 
 class Pacer:
-    """Limits the calls a second to one route. Where limits are reported, it follows this sender's part;
-    unknown ones are searched for: unpaced until a refusal, then slower, and slowly faster with successes."""
+    """Limits the calls a second to one route: to this sender's part of a reported limit, else by refusals."""
 
     def __init__(self, senders: int, cooldown_us: int, rng: random.Random) -> None:
         self.rate = self._limit = math.inf
